--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,27 @@
+//! Vocabulary shared by every crate: names, run verdicts, monotonic time, the
+//! timer service and the record that a target announces about itself.
+//!
+//! ```
+//! use fulmarweir_base::{RunVerdict, ServiceName};
+//!
+//! let service: ServiceName = "street-app/pitches".parse().unwrap();
+//! assert_eq!(service.as_str(), "street-app/pitches");
+//! assert!(RunVerdict::NotRun.allows_retry(false));
+//! assert!(!RunVerdict::MayHaveRun.allows_retry(false));
+//! ```
+
+mod name;
+mod shard;
+mod target;
+mod time;
+mod timer;
+mod verdict;
+
+pub use name::{
+    CentreName, NAME_MAX_BYTES, NameError, RegionName, ServiceName, TargetName, VmName,
+};
+pub use shard::shard_for_key;
+pub use target::{ShardHolding, TargetRecord, TargetState};
+pub use time::MonoTime;
+pub use timer::{TimerService, TimerTicks};
+pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, target leases, broker assignment and configuration spreading.
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bounded connections to targets.
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated registers on a small set of voters.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every decision on a query: admission, version, replica, hedge, retry and answer.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log and snapshots in one data folder.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages between daemons over HTTP/2 streams.
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Helpers for integration tests on real daemons.
