--- /dev/null
+++ b/crates/fleet/src/announce.rs
@@ -0,0 +1,291 @@
+//! Announcements of targets, their leases and the table that is built from them.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use fulmarweir_base::{MonoTime, TargetRecord, TargetState};
+
+use crate::{
+    CentreNews, FleetAction, FleetMessage, FleetState, SpreadNews, TargetChange, TargetEntry,
+    TargetKey, TargetTable, VmIdentity,
+    hash::rendezvous_weight,
+    state::TakingPart,
+    target::{LeaseTimes, own_holder},
+};
+
+/// Answer to an accepted announcement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnnounceReply {
+    /// Time for which the announcement holds, in milliseconds.
+    pub lease_ms: u64,
+    /// Time until the next announcement is due, in milliseconds.
+    pub next_ms: u64,
+    /// Where to announce next.
+    pub at: SocketAddr,
+}
+
+/// Why an announcement was not accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetRefusal {
+    /// A later start of the target has announced itself; its incarnation.
+    StaleIncarnation(u64),
+    /// More shards are listed than accepted; the most accepted.
+    TooManyHoldings(usize),
+    /// A shard is not below the number of shards of its version.
+    ShardOutOfRange {
+        /// Index version.
+        version: u64,
+        /// The shard.
+        shard: u32,
+        /// Shards that the version has.
+        of: u32,
+    },
+    /// A target must run at least one request and accept at least one connection.
+    NoCapacity,
+    /// This VM does not take part: its name belongs to another or it has left.
+    NotTakingPart,
+}
+
+/// Result of an announcement.
+pub type AnnounceResult = Result<AnnounceReply, TargetRefusal>;
+
+impl fmt::Display for TargetRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::StaleIncarnation(known) => {
+                write!(
+                    f,
+                    "a later start has announced itself, with incarnation {known}"
+                )
+            }
+            Self::TooManyHoldings(most) => write!(f, "more than {most} shards are listed"),
+            Self::ShardOutOfRange { version, shard, of } => {
+                write!(f, "shard {shard} of version {version} is not below {of}")
+            }
+            Self::NoCapacity => f.write_str("slots and connections must be at least 1"),
+            Self::NotTakingPart => f.write_str("this VM does not take part in the fleet"),
+        }
+    }
+}
+
+impl std::error::Error for TargetRefusal {}
+
+impl FleetState {
+    /// Takes an announcement that a target made to this VM.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, when the announcement is stale, malformed or cannot be kept here.
+    pub fn announce(
+        &mut self,
+        record: TargetRecord,
+        now: MonoTime,
+    ) -> (AnnounceResult, Vec<FleetAction>) {
+        let result = self.accept_announcement(record, now);
+        self.rebuild_targets(now);
+        (result, std::mem::take(&mut self.actions))
+    }
+
+    fn accept_announcement(&mut self, record: TargetRecord, now: MonoTime) -> AnnounceResult {
+        self.check_announcement(&record)?;
+        let key = TargetKey::of(&record);
+        if let Some(change) = self.next_change(&key, record) {
+            self.apply_own_change(&key, change, now);
+        }
+        let lease = self.settings.lease;
+        if let Some(entry) = self.leases.get_mut(&key) {
+            entry.lease_until = Some(now + lease);
+            self.targets_dirty |= !entry.usable;
+        }
+        Ok(self.announce_reply(&key))
+    }
+
+    fn check_announcement(&self, record: &TargetRecord) -> Result<(), TargetRefusal> {
+        if self.taking_part != TakingPart::Yes {
+            return Err(TargetRefusal::NotTakingPart);
+        }
+        check_record(record, self.settings.holdings_max)?;
+        let known = self.leases.get(&TargetKey::of(record));
+        match known.map(|known| known.change.record.incarnation) {
+            Some(known) if known > record.incarnation => {
+                Err(TargetRefusal::StaleIncarnation(known))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The change that the announcement makes, or `None` if it only renews the lease.
+    fn next_change(&self, key: &TargetKey, record: TargetRecord) -> Option<TargetChange> {
+        let holder = own_holder(&self.members);
+        let known = self.leases.get(key).map(|known| &known.change);
+        let same_start = known.filter(|known| known.record.incarnation == record.incarnation);
+        let unchanged = same_start
+            .is_some_and(|known| !known.gone && known.holder == holder && *known.record == record);
+        if unchanged {
+            return None;
+        }
+        let revision = same_start.map_or(0, |known| known.revision + 1);
+        Some(TargetChange {
+            record: Arc::new(record),
+            holder,
+            revision,
+            gone: false,
+        })
+    }
+
+    fn apply_own_change(&mut self, key: &TargetKey, change: TargetChange, now: MonoTime) {
+        self.leases.merge(&change, true, now);
+        self.targets_dirty = true;
+        if change.record.state == TargetState::Draining {
+            self.tell_brokers(key, &change);
+        }
+        self.pending.targets.push(change);
+    }
+
+    /// Tells the brokers at once, ahead of the tree, that the target is leaving.
+    fn tell_brokers(&mut self, key: &TargetKey, change: &TargetChange) {
+        let brokers = self.brokers_of(key).unwrap_or_default();
+        let own = self.identity.name.clone();
+        for broker in brokers.iter().filter(|broker| broker.name != own) {
+            let news = SpreadNews {
+                origin: own.clone(),
+                members: Vec::new(),
+                targets: vec![change.clone()],
+                centres: CentreNews::default(),
+            };
+            self.send(broker.peers, FleetMessage::Spread(news));
+        }
+    }
+
+    fn announce_reply(&self, key: &TargetKey) -> AnnounceReply {
+        let live = self.members.live().iter();
+        let at = live.max_by_key(|vm| rendezvous_weight(&vm.name, key));
+        AnnounceReply {
+            lease_ms: millis(self.settings.lease),
+            next_ms: millis(self.settings.announce_period),
+            at: at.map_or(self.identity.targets, |vm| vm.targets),
+        }
+    }
+
+    /// Takes changes of peers over; returns those that were new.
+    pub(crate) fn take_targets(
+        &mut self,
+        changes: Vec<TargetChange>,
+        now: MonoTime,
+    ) -> Vec<TargetChange> {
+        let mut fresh = Vec::new();
+        for change in changes {
+            if let Err(refusal) = check_record(&change.record, self.settings.holdings_max) {
+                self.actions.push(FleetAction::ChangeRefused(refusal));
+                continue;
+            }
+            let holder = self.members.get(&change.holder.vm);
+            let live = holder.is_some_and(|holder| {
+                holder.is_live() && holder.update.identity.boot == change.holder.boot
+            });
+            if self.leases.merge(&change, live, now) {
+                self.targets_dirty = true;
+                fresh.push(change);
+            }
+        }
+        fresh
+    }
+
+    /// Reviews the use of all targets and ends the leases that lapsed here.
+    pub(crate) fn pass_leases(&mut self, now: MonoTime) {
+        let lapsed = self.review_leases(now);
+        for key in lapsed {
+            let Some(entry) = self.leases.get(&key) else {
+                continue;
+            };
+            let mut change = entry.change.clone();
+            change.revision += 1;
+            change.gone = true;
+            self.apply_own_change(&key, change, now);
+        }
+    }
+
+    fn review_leases(&mut self, now: MonoTime) -> Vec<TargetKey> {
+        let times = LeaseTimes {
+            lease: self.settings.lease,
+            holder_grace: self.settings.holder_grace,
+            orphan_kept: self.settings.orphan_kept,
+        };
+        self.members.withdraw_trust(times.holder_grace, now);
+        let isolated = self.is_isolated(now);
+        let pass = self.leases.pass(&self.members, isolated, times, now);
+        self.targets_dirty |= pass.changed;
+        pass.lapsed
+    }
+
+    /// Builds a new snapshot if anything in it changed.
+    pub(crate) fn rebuild_targets(&mut self, now: MonoTime) {
+        if !self.targets_dirty {
+            return;
+        }
+        self.review_leases(now);
+        self.targets_dirty = false;
+        let generation = self.plan.generation;
+        let mut entries = Vec::new();
+        for (_, entry) in self.leases.entries_mut() {
+            if entry.change.gone {
+                continue;
+            }
+            if entry.brokers_generation != Some(generation) {
+                entry.brokers = self
+                    .plan
+                    .brokers(&entry.change.record, &self.settings)
+                    .into();
+                entry.brokers_generation = Some(generation);
+            }
+            let brokers = entry
+                .brokers
+                .iter()
+                .filter_map(|name| self.members.live_identity(name));
+            entries.push(TargetEntry {
+                record: Arc::clone(&entry.change.record),
+                brokers: brokers.cloned().collect(),
+                usable: entry.usable,
+            });
+        }
+        self.targets = Arc::new(TargetTable::new(entries.into_iter()));
+        self.actions.push(FleetAction::TargetsChanged);
+    }
+
+    /// Live brokers of the target, the preferred one first.
+    pub(crate) fn brokers_of(&self, key: &TargetKey) -> Option<Vec<Arc<VmIdentity>>> {
+        let entry = self.leases.get(key)?;
+        let names = self.plan.brokers(&entry.change.record, &self.settings);
+        Some(
+            names
+                .iter()
+                .filter_map(|name| self.members.live_identity(name))
+                .cloned()
+                .collect(),
+        )
+    }
+}
+
+fn check_record(record: &TargetRecord, holdings_max: usize) -> Result<(), TargetRefusal> {
+    if record.versions.len() > holdings_max {
+        return Err(TargetRefusal::TooManyHoldings(holdings_max));
+    }
+    if record.slots == 0 || record.connections == 0 {
+        return Err(TargetRefusal::NoCapacity);
+    }
+    match record
+        .versions
+        .iter()
+        .find(|holding| holding.shard >= holding.of)
+    {
+        Some(holding) => Err(TargetRefusal::ShardOutOfRange {
+            version: holding.version,
+            shard: holding.shard,
+            of: holding.of,
+        }),
+        None => Ok(()),
+    }
+}
+
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/broker.rs
@@ -0,0 +1,269 @@
+//! Which VMs connect to a target, and with how many connections.
+//!
+//! The connections are shared by a *base*: the live VMs, and VMs that are dead
+//! but may still run on the far side of a partition. Shares never overlap:
+//!
+//! - A VM that joins opens only a small part of a reserve until the hand-over
+//!   time has passed. By then the others have heard of it and closed what
+//!   exceeds their new shares, or have lost their majority and given up.
+//! - A VM that has not seen a majority of its base for the give-up time falls
+//!   back to the reserve, and counts as joining when it sees a majority again.
+//! - The share of a dead VM goes to others only after a lasting majority has
+//!   missed it for far longer than the give-up time.
+//! - A VM that leaves has closed its connections, so its share is free at once.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, TargetRecord, VmName};
+
+use crate::{
+    FleetSettings, MemberStatus, VmIdentity,
+    hash::{entry_digest, rendezvous_weight},
+    member::MemberTable,
+    target::TargetKey,
+};
+
+/// One of `RESERVE_DIVISOR` parts of the connections is kept for VMs in transition.
+const RESERVE_DIVISOR: u32 = 4;
+/// Newcomers and VMs cut off may both draw on the reserve.
+const RESERVE_CLAIMANTS: u32 = 2;
+
+/// Part of a target's limits that one broker may use.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BrokerShare {
+    /// Connections that it may hold.
+    pub connections: u32,
+    /// Requests that it may have in flight.
+    pub concurrency: u32,
+}
+
+/// Limits of one target over all VMs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetLimits {
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+impl TargetLimits {
+    /// The limits that the target announced.
+    #[must_use]
+    pub fn of(record: &TargetRecord) -> Self {
+        Self {
+            connections: record.connections,
+            slots: record.slots,
+        }
+    }
+
+    /// The lower of both limits.
+    #[must_use]
+    pub fn lower(self, other: Self) -> Self {
+        Self {
+            connections: self.connections.min(other.connections),
+            slots: self.slots.min(other.slots),
+        }
+    }
+
+    fn reserve(self) -> u32 {
+        self.connections / RESERVE_DIVISOR
+    }
+
+    fn shared(self) -> u32 {
+        self.connections - self.reserve()
+    }
+}
+
+/// A VM of the base and the hash that stands for it in every weight.
+#[derive(Clone, Debug)]
+struct BaseMember {
+    name: VmName,
+    hash: u64,
+}
+
+impl BaseMember {
+    fn new(name: VmName) -> Self {
+        Self {
+            hash: entry_digest(&name),
+            name,
+        }
+    }
+}
+
+/// The present base and how long this VM has been a settled part of it.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokerPlan {
+    base: Vec<BaseMember>,
+    /// Dead VMs whose shares have been given to others.
+    released: BTreeSet<VmName>,
+    /// Counts the changes of the base, for caches.
+    pub(crate) generation: u64,
+    joined_at: MonoTime,
+    updated_at: MonoTime,
+    majority_since: Option<MonoTime>,
+    minority_since: Option<MonoTime>,
+}
+
+impl BrokerPlan {
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            base: Vec::new(),
+            released: BTreeSet::new(),
+            generation: 0,
+            joined_at: now,
+            updated_at: now,
+            majority_since: None,
+            minority_since: None,
+        }
+    }
+
+    /// Takes the present members over. `connected` says whether this VM hears any seed or peer.
+    pub(crate) fn update(
+        &mut self,
+        members: &MemberTable,
+        connected: bool,
+        settings: &FleetSettings,
+        now: MonoTime,
+    ) {
+        if now.since(self.updated_at) >= settings.give_up {
+            // This process was suspended; the others may have given its share away.
+            self.joined_at = now;
+        }
+        self.updated_at = now;
+        self.update_majority(members, connected, settings.give_up, now);
+        self.release(members, settings.share_kept, now);
+        let names: Vec<_> = self.base_names(members).cloned().collect();
+        if self.base.iter().map(|member| &member.name).ne(names.iter()) {
+            self.base = names.into_iter().map(BaseMember::new).collect();
+            self.generation += 1;
+        }
+    }
+
+    /// VMs that connect to the target, the highest weight first.
+    pub(crate) fn brokers(&self, record: &TargetRecord, settings: &FleetSettings) -> Vec<VmName> {
+        let count = broker_count(self.base.len(), TargetLimits::of(record), settings);
+        rank(&self.base, record, count)
+    }
+
+    /// Connections that the VM `own` may hold to a target.
+    ///
+    /// `former` are limits that the target announced during the last hand-over time.
+    pub(crate) fn connections(
+        &self,
+        own: &VmName,
+        record: &TargetRecord,
+        former: Option<TargetLimits>,
+        limits: TargetLimits,
+        settings: &FleetSettings,
+        now: MonoTime,
+    ) -> u32 {
+        let reserve = self.reserve_share(limits, settings);
+        let joining = !settings.seeds.is_empty() && now.since(self.joined_at) < settings.hand_over;
+        if joining || self.has_given_up(settings.give_up, now) {
+            return reserve;
+        }
+        let announced = [Some(TargetLimits::of(record)), former];
+        let shares = announced.into_iter().flatten().map(|seen| {
+            let count = broker_count(self.base.len(), seen, settings);
+            if !rank(&self.base, record, count).contains(own) {
+                return 0;
+            }
+            limits.lower(seen).shared() / u32::try_from(count).unwrap_or(u32::MAX)
+        });
+        shares.min().unwrap_or(0).max(reserve)
+    }
+
+    fn has_given_up(&self, give_up: Duration, now: MonoTime) -> bool {
+        self.minority_since
+            .is_some_and(|since| now.since(since) >= give_up)
+    }
+
+    fn reserve_share(&self, limits: TargetLimits, settings: &FleetSettings) -> u32 {
+        let base = self.base.len().max(settings.seeds.len() + 1);
+        let base = u32::try_from(base).unwrap_or(u32::MAX);
+        limits.reserve() / base.saturating_mul(RESERVE_CLAIMANTS)
+    }
+
+    fn base_names<'a>(&'a self, members: &'a MemberTable) -> impl Iterator<Item = &'a VmName> {
+        let counted = members
+            .entries()
+            .filter(|entry| entry.update.status != MemberStatus::Left);
+        let names = counted.map(|entry| &entry.update.identity.name);
+        names.filter(|name| !self.released.contains(*name))
+    }
+
+    fn update_majority(
+        &mut self,
+        members: &MemberTable,
+        connected: bool,
+        give_up: Duration,
+        now: MonoTime,
+    ) {
+        let alive = |name: &&VmName| {
+            members
+                .get(name)
+                .is_some_and(|entry| entry.update.status == MemberStatus::Alive)
+        };
+        let base = self.base_names(members).count();
+        let live = self.base_names(members).filter(alive).count();
+        if !connected || live * 2 <= base {
+            self.minority_since.get_or_insert(now);
+            self.majority_since = None;
+            return;
+        }
+        if self.has_given_up(give_up, now) {
+            self.joined_at = now;
+        }
+        self.majority_since.get_or_insert(now);
+        self.minority_since = None;
+    }
+
+    /// Gives the shares of VMs free that a lasting majority has missed for `kept`.
+    fn release(&mut self, members: &MemberTable, kept: Duration, now: MonoTime) {
+        self.released
+            .retain(|name| members.get(name).is_some_and(|entry| !entry.is_live()));
+        let lasting = self
+            .majority_since
+            .is_some_and(|since| now.since(since) >= kept);
+        if !lasting {
+            return;
+        }
+        let missed = members.entries().filter(|entry| {
+            entry.update.status == MemberStatus::Dead && now.since(entry.changed_at) >= kept
+        });
+        self.released
+            .extend(missed.map(|entry| entry.update.identity.name.clone()));
+    }
+}
+
+/// Requests that the VM `own` may have in flight, shared among the live brokers.
+pub(crate) fn concurrency_share(brokers: &[Arc<VmIdentity>], own: &VmName, slots: u32) -> u32 {
+    let Some(position) = brokers.iter().position(|broker| broker.name == *own) else {
+        return 0;
+    };
+    let count = u32::try_from(brokers.len()).unwrap_or(u32::MAX);
+    let position = u32::try_from(position).unwrap_or(u32::MAX);
+    slots / count + u32::from(position < slots % count)
+}
+
+fn broker_count(base: usize, limits: TargetLimits, settings: &FleetSettings) -> usize {
+    let by_connections = limits.shared() / settings.connections_per_broker.max(1);
+    let count = by_connections
+        .min(limits.slots)
+        .min(settings.brokers_max)
+        .max(1);
+    usize::try_from(count)
+        .unwrap_or(usize::MAX)
+        .min(base.max(1))
+}
+
+fn rank(members: &[BaseMember], record: &TargetRecord, count: usize) -> Vec<VmName> {
+    let key = entry_digest(TargetKey::of(record));
+    let mut weighted: Vec<_> = members
+        .iter()
+        .map(|member| (rendezvous_weight(member.hash, key), &member.name))
+        .collect();
+    weighted.sort_unstable_by(|a, b| b.cmp(a));
+    weighted.truncate(count);
+    weighted.into_iter().map(|(_, name)| name.clone()).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/centre.rs
@@ -0,0 +1,255 @@
+//! What every VM knows of other data centres: contacts and the shards they hold.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fulmarweir_base::{CentreName, MonoTime, ServiceName, TargetState};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    VmIdentity,
+    hash::{entry_digest, rendezvous_weight},
+    target::LeaseTable,
+};
+
+const SHARDS_PER_WORD: u32 = 64;
+
+/// Summary of a data centre, written by one of its contacts.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct CentreRecord {
+    /// The data centre.
+    pub centre: CentreName,
+    /// Number of this summary; a higher one replaces a lower one.
+    pub stamp: u64,
+    /// VMs that speak with other data centres.
+    pub contacts: Vec<Arc<VmIdentity>>,
+    /// Live VMs.
+    pub live_vms: u32,
+    /// Configuration version in force at the writer.
+    pub config_version: u64,
+}
+
+/// Shards of one index version.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ShardSpan {
+    /// Number of the index version.
+    pub version: u64,
+    /// Shards that the version has.
+    pub of: u32,
+    /// One bit per shard, the lowest first.
+    pub shards: Vec<u64>,
+}
+
+impl ShardSpan {
+    /// Whether a serving target of the data centre holds `shard`.
+    #[must_use]
+    pub fn has_shard(&self, shard: u32) -> bool {
+        let word = usize::try_from(shard / SHARDS_PER_WORD).unwrap_or(usize::MAX);
+        self.shards
+            .get(word)
+            .is_some_and(|bits| bits >> (shard % SHARDS_PER_WORD) & 1 == 1)
+    }
+
+    fn add(&mut self, shard: u32) {
+        let word = usize::try_from(shard / SHARDS_PER_WORD).unwrap_or(usize::MAX);
+        if let Some(bits) = self.shards.get_mut(word) {
+            *bits |= 1 << (shard % SHARDS_PER_WORD);
+        }
+    }
+}
+
+/// What one data centre holds of one service.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct HoldingRecord {
+    /// The data centre.
+    pub centre: CentreName,
+    /// The service.
+    pub service: ServiceName,
+    /// Number of this summary; a higher one replaces a lower one.
+    pub stamp: u64,
+    /// Shards per index version; empty when the last target has gone.
+    pub spans: Vec<ShardSpan>,
+}
+
+/// Digest of all that is known of one data centre.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CentreDigest {
+    /// The data centre.
+    pub centre: CentreName,
+    /// XOR of the hashes of its records.
+    pub digest: u64,
+}
+
+/// Records of data centres, as they travel.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CentreNews {
+    /// Summaries.
+    pub centres: Vec<CentreRecord>,
+    /// Holdings.
+    pub holdings: Vec<HoldingRecord>,
+}
+
+impl CentreNews {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.centres.is_empty() && self.holdings.is_empty()
+    }
+}
+
+/// All known data centres, the own one among them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CentreTable {
+    centres: BTreeMap<CentreName, CentreRecord>,
+    holdings: BTreeMap<CentreName, BTreeMap<ServiceName, HoldingRecord>>,
+    heard: BTreeMap<CentreName, MonoTime>,
+    tried: BTreeMap<CentreName, MonoTime>,
+    digest: u64,
+}
+
+impl CentreTable {
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    pub(crate) fn get(&self, centre: &CentreName) -> Option<&CentreRecord> {
+        self.centres.get(centre)
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &CentreRecord> {
+        self.centres.values()
+    }
+
+    pub(crate) fn holdings(&self, centre: &CentreName) -> impl Iterator<Item = &HoldingRecord> {
+        self.holdings
+            .get(centre)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
+    pub(crate) fn holding(
+        &self,
+        centre: &CentreName,
+        service: &ServiceName,
+    ) -> Option<&HoldingRecord> {
+        self.holdings.get(centre)?.get(service)
+    }
+
+    pub(crate) fn note_heard(&mut self, centre: &CentreName, now: MonoTime) {
+        self.heard.insert(centre.clone(), now);
+    }
+
+    pub(crate) fn heard_at(&self, centre: &CentreName) -> Option<MonoTime> {
+        self.heard.get(centre).copied()
+    }
+
+    pub(crate) fn note_tried(&mut self, centre: &CentreName, now: MonoTime) {
+        self.tried.insert(centre.clone(), now);
+    }
+
+    pub(crate) fn tried_at(&self, centre: &CentreName) -> Option<MonoTime> {
+        self.tried.get(centre).copied()
+    }
+
+    /// Takes newer records over and returns them.
+    pub(crate) fn merge(&mut self, news: CentreNews) -> CentreNews {
+        let mut fresh = CentreNews::default();
+        for record in news.centres {
+            if self.merge_centre(&record) {
+                fresh.centres.push(record);
+            }
+        }
+        for record in news.holdings {
+            if self.merge_holding(&record) {
+                fresh.holdings.push(record);
+            }
+        }
+        fresh
+    }
+
+    pub(crate) fn digests(&self) -> Vec<CentreDigest> {
+        let mut digests: BTreeMap<&CentreName, u64> = BTreeMap::new();
+        for (name, record) in &self.centres {
+            *digests.entry(name).or_default() ^= entry_digest(record);
+        }
+        for (name, records) in &self.holdings {
+            for record in records.values() {
+                *digests.entry(name).or_default() ^= entry_digest(record);
+            }
+        }
+        let pairs = digests.into_iter();
+        pairs
+            .map(|(centre, digest)| CentreDigest {
+                centre: centre.clone(),
+                digest,
+            })
+            .collect()
+    }
+
+    /// Records of every data centre whose digest is not among `others`.
+    pub(crate) fn differing(&self, others: &[CentreDigest]) -> CentreNews {
+        let mut news = CentreNews::default();
+        for own in self.digests() {
+            if others.contains(&own) {
+                continue;
+            }
+            news.centres.extend(self.centres.get(&own.centre).cloned());
+            news.holdings.extend(self.holdings(&own.centre).cloned());
+        }
+        news
+    }
+
+    fn merge_centre(&mut self, record: &CentreRecord) -> bool {
+        let known = self.centres.get(&record.centre);
+        let rank = |record: &CentreRecord| (record.stamp, entry_digest(record));
+        if known.is_some_and(|known| rank(known) >= rank(record)) {
+            return false;
+        }
+        self.digest ^= known.map_or(0, entry_digest) ^ entry_digest(record);
+        self.centres.insert(record.centre.clone(), record.clone());
+        true
+    }
+
+    fn merge_holding(&mut self, record: &HoldingRecord) -> bool {
+        let services = self.holdings.entry(record.centre.clone()).or_default();
+        let known = services.get(&record.service);
+        let rank = |record: &HoldingRecord| (record.stamp, entry_digest(record));
+        if known.is_some_and(|known| rank(known) >= rank(record)) {
+            return false;
+        }
+        self.digest ^= known.map_or(0, entry_digest) ^ entry_digest(record);
+        services.insert(record.service.clone(), record.clone());
+        true
+    }
+}
+
+/// The contacts of a data centre among its live VMs, the writer of its summary first.
+pub(crate) fn choose_contacts(live: &[Arc<VmIdentity>], count: usize) -> Vec<Arc<VmIdentity>> {
+    let mut contacts = live.to_vec();
+    contacts.sort_by_cached_key(|vm| std::cmp::Reverse(rendezvous_weight(&vm.name, &vm.centre)));
+    contacts.truncate(count);
+    contacts
+}
+
+/// What usable targets hold, by service.
+pub(crate) fn summarize_holdings(leases: &LeaseTable) -> BTreeMap<ServiceName, Vec<ShardSpan>> {
+    let mut spans: BTreeMap<ServiceName, BTreeMap<(u64, u32), ShardSpan>> = BTreeMap::new();
+    for (_, entry) in leases.entries() {
+        let record = &entry.change.record;
+        if entry.change.gone || record.state != TargetState::Serving {
+            continue;
+        }
+        let versions = spans.entry(record.service.clone()).or_default();
+        for holding in &record.versions {
+            let key = (holding.version, holding.of);
+            let words = usize::try_from(holding.of.div_ceil(SHARDS_PER_WORD)).unwrap_or_default();
+            let span = versions.entry(key).or_insert_with(|| ShardSpan {
+                version: holding.version,
+                of: holding.of,
+                shards: vec![0; words],
+            });
+            span.add(holding.shard);
+        }
+    }
+    let services = spans.into_iter();
+    services
+        .map(|(service, versions)| (service, versions.into_values().collect()))
+        .collect()
+}
--- /dev/null
+++ b/crates/fleet/src/gossip.rs
@@ -0,0 +1,347 @@
+//! Probing of members, news of them, and what rides on the probes.
+
+use std::net::SocketAddr;
+
+use fulmarweir_base::{MonoTime, VmName};
+use rand::RngExt;
+
+use crate::{
+    CentreNews, FleetAction, FleetMessage, FleetState, IndirectProbe, MemberStatus, MemberUpdate,
+    ProbeMessage, ReadyPhase, SpreadNews, StateDigest,
+    config::ConfigNotice,
+    probe::{ProbeTimeout, shuffle},
+    spread::tree_children,
+    state::PendingNews,
+};
+
+/// Most changes of each kind in one message.
+const SPREAD_CHUNK: usize = 64;
+/// Data centres up to this size hear of a new configuration from every VM that applies it.
+const CONFIG_PUSH_ALL_VMS: usize = 16;
+
+impl FleetState {
+    /// Sends the next probe and handles those that were not answered.
+    pub(crate) fn probe_members(&mut self, now: MonoTime) {
+        for timeout in self.probes.timeouts(self.settings.probe_timeout, now) {
+            match timeout {
+                ProbeTimeout::AskOthers(name, sequence) => self.ask_others(&name, sequence),
+                ProbeTimeout::Suspect(name) => self.suspect(&name, now),
+            }
+        }
+        if !self.probes.is_due(now) {
+            return;
+        }
+        let peers: Vec<_> = self
+            .members
+            .live_peers()
+            .map(|peer| peer.name.clone())
+            .collect();
+        if peers.is_empty() {
+            // Without peers there is nobody to be cut off from.
+            self.probes.acked_at = now;
+            return;
+        }
+        let period = self.settings.probe_period(peers.len());
+        if let Some(name) = self.probes.next_peer(&peers, period, &mut self.rng, now) {
+            self.probe(&name, None, now);
+        }
+    }
+
+    /// Probes `name`, on behalf of `relay` if given.
+    pub(crate) fn probe(&mut self, name: &VmName, relay: Option<(SocketAddr, u64)>, now: MonoTime) {
+        let Some(address) = self
+            .members
+            .get(name)
+            .map(|peer| peer.update.identity.peers)
+        else {
+            return;
+        };
+        let sequence = self.probes.start(name.clone(), relay, now);
+        let ping = self.probe_message(sequence, name);
+        self.send(address, FleetMessage::Ping(ping));
+    }
+
+    pub(crate) fn on_ping(&mut self, from: SocketAddr, ping: &ProbeMessage, now: MonoTime) {
+        self.joined = true;
+        self.take_members(&ping.updates, now);
+        self.hear_digest(from, ping, now);
+        let ack = self.probe_message(ping.sequence, &ping.sender);
+        self.send(from, FleetMessage::Ack(ack));
+        if self.members.get(&ping.sender).is_none() {
+            self.start_repair(from, now);
+        }
+    }
+
+    pub(crate) fn on_ack(&mut self, from: SocketAddr, ack: &ProbeMessage, now: MonoTime) {
+        self.joined = true;
+        self.take_members(&ack.updates, now);
+        self.hear_digest(from, ack, now);
+        let Some(probe) = self.probes.acknowledge(ack.sequence, &ack.sender, now) else {
+            return;
+        };
+        self.settle_contested(from, &ack.sender, now);
+        if let Some((asker, sequence)) = probe.relay {
+            let probed = IndirectProbe {
+                sequence,
+                target: probe.target,
+            };
+            self.send(asker, FleetMessage::ProbedFor(probed));
+        }
+        self.compare_digests(from, &ack.digest, now);
+    }
+
+    pub(crate) fn on_probe_for(&mut self, from: SocketAddr, probe: &IndirectProbe, now: MonoTime) {
+        self.probe(&probe.target, Some((from, probe.sequence)), now);
+    }
+
+    pub(crate) fn on_probed_for(&mut self, probe: &IndirectProbe, now: MonoTime) {
+        self.probes.acknowledge(probe.sequence, &probe.target, now);
+    }
+
+    pub(crate) fn on_spread(&mut self, news: SpreadNews, now: MonoTime) {
+        let fresh = SpreadNews {
+            members: self.take_members(&news.members, now),
+            targets: self.take_targets(news.targets, now),
+            centres: self.take_centres(news.centres),
+            origin: news.origin,
+        };
+        if !fresh.members.is_empty() || !fresh.targets.is_empty() || !fresh.centres.is_empty() {
+            self.send_to_children(&fresh);
+        }
+    }
+
+    /// Sends the news of this VM that came up since the last tick.
+    pub(crate) fn flush_news(&mut self) {
+        let PendingNews {
+            members,
+            targets,
+            centres,
+        } = std::mem::take(&mut self.pending);
+        let rounds = [members.len(), targets.len()].map(|count| count.div_ceil(SPREAD_CHUNK));
+        let rounds = rounds
+            .into_iter()
+            .max()
+            .unwrap_or_default()
+            .max(usize::from(!centres.is_empty()));
+        let mut members = members.chunks(SPREAD_CHUNK);
+        let mut targets = targets.chunks(SPREAD_CHUNK);
+        let mut centres = Some(centres);
+        for _ in 0..rounds {
+            let news = SpreadNews {
+                origin: self.identity.name.clone(),
+                members: members.next().unwrap_or_default().to_vec(),
+                targets: targets.next().unwrap_or_default().to_vec(),
+                centres: centres.take().unwrap_or_else(CentreNews::default),
+            };
+            self.send_to_children(&news);
+        }
+    }
+
+    /// Merges news of members; returns what was new.
+    pub(crate) fn take_members(
+        &mut self,
+        updates: &[MemberUpdate],
+        now: MonoTime,
+    ) -> Vec<MemberUpdate> {
+        let mut fresh = Vec::new();
+        for update in updates {
+            if update.identity.centre != self.identity.centre {
+                continue;
+            }
+            if update.identity.name == self.identity.name {
+                self.on_own_news(update, now);
+            } else if self.take_member(update, now) {
+                fresh.push(update.clone());
+            }
+        }
+        fresh
+    }
+
+    /// Merges one update and reports a changed status; says whether it was new.
+    pub(crate) fn take_member(&mut self, update: &MemberUpdate, now: MonoTime) -> bool {
+        let name = &update.identity.name;
+        let known = self.members.get(name).map(|known| known.update.clone());
+        if !self.members.merge(update, now) {
+            return false;
+        }
+        self.news.push(name.clone());
+        self.targets_dirty = true;
+        let same = known.is_some_and(|known| {
+            known.status == update.status && known.identity == update.identity
+        });
+        if !same {
+            self.actions.push(FleetAction::MemberChanged {
+                identity: update.identity.clone(),
+                status: update.status,
+            });
+        }
+        true
+    }
+
+    /// Raises the own incarnation above `incarnation` and tells everyone.
+    pub(crate) fn reassert(&mut self, incarnation: u64, now: MonoTime) {
+        let mut own = self.members.own().update.clone();
+        own.incarnation = own.incarnation.max(incarnation) + 1;
+        own.status = MemberStatus::Alive;
+        self.members.merge(&own, now);
+        self.news.push(self.identity.name.clone());
+        self.pending.members.push(own);
+    }
+
+    /// Removes members that did not refute their suspicion in time.
+    pub(crate) fn remove_suspects(&mut self, now: MonoTime) {
+        let suspicion = self.settings.suspicion;
+        let expired = self.members.entries().filter(|entry| {
+            entry.update.status == MemberStatus::Suspect && now.since(entry.changed_at) >= suspicion
+        });
+        let expired: Vec<_> = expired.map(|entry| entry.update.clone()).collect();
+        for mut update in expired {
+            update.status = MemberStatus::Dead;
+            self.publish_member(update, now);
+        }
+        self.members.forget_removed(self.settings.dead_kept, now);
+    }
+
+    pub(crate) fn digest(&self) -> StateDigest {
+        StateDigest {
+            members: self.members.digest(),
+            targets: self.leases.digest(),
+            centres: self.centres.digest(),
+            config: self.config.held(),
+        }
+    }
+
+    pub(crate) fn on_config_news(
+        &mut self,
+        from: SocketAddr,
+        stamp: crate::ConfigStamp,
+        now: MonoTime,
+    ) {
+        let retry = self.settings.config_retry;
+        match self.config.on_peer(from, stamp, retry, now) {
+            ConfigNotice::Known => {}
+            ConfigNotice::Behind => {
+                self.actions
+                    .push(FleetAction::ConfigBehind { peer: from, stamp });
+            }
+            ConfigNotice::Conflict => {
+                self.actions
+                    .push(FleetAction::ConfigConflict { peer: from, stamp });
+            }
+        }
+        self.review_phase(now);
+    }
+
+    /// Asks again for a configuration that did not arrive, and reviews the phase.
+    pub(crate) fn tend_config(&mut self, now: MonoTime) {
+        if let Some(peer) = self.config.retry_source(self.settings.config_retry, now) {
+            let stamp = self.config.known();
+            self.actions.push(FleetAction::ConfigBehind { peer, stamp });
+        }
+        self.review_phase(now);
+    }
+
+    pub(crate) fn review_phase(&mut self, now: MonoTime) {
+        let alone = self.settings.seeds.is_empty();
+        let changed: Option<ReadyPhase> = self.config.review(alone, self.settings.learn_max, now);
+        self.actions.extend(changed.map(FleetAction::PhaseChanged));
+    }
+
+    /// Tells some peers, and the contacts of other data centres, of the configuration in force.
+    pub(crate) fn push_config(&mut self) {
+        let stamp = self.config.held();
+        let mut peers: Vec<_> = self.members.live_peers().map(|peer| peer.peers).collect();
+        if peers.len() > CONFIG_PUSH_ALL_VMS {
+            shuffle(&mut peers, &mut self.rng);
+            peers.truncate(self.settings.config_fan_out);
+        }
+        peers.extend(self.foreign_contacts());
+        for peer in peers {
+            self.send(peer, FleetMessage::ConfigNews(stamp));
+        }
+    }
+
+    fn ask_others(&mut self, name: &VmName, sequence: u64) {
+        let others = self.members.live_peers().filter(|peer| peer.name != *name);
+        let mut others: Vec<_> = others.map(|peer| peer.peers).collect();
+        shuffle(&mut others, &mut self.rng);
+        others.truncate(self.settings.indirect_probes);
+        for other in others {
+            let probe = IndirectProbe {
+                sequence,
+                target: name.clone(),
+            };
+            self.send(other, FleetMessage::ProbeFor(probe));
+        }
+    }
+
+    fn suspect(&mut self, name: &VmName, now: MonoTime) {
+        self.accept_contested(name, now);
+        let Some(known) = self.members.get(name) else {
+            return;
+        };
+        let mut update = known.update.clone();
+        if update.status != MemberStatus::Alive {
+            return;
+        }
+        update.status = MemberStatus::Suspect;
+        self.publish_member(update, now);
+    }
+
+    /// Merges an own observation; spreads it unless this VM may be the one that is cut off.
+    fn publish_member(&mut self, update: MemberUpdate, now: MonoTime) {
+        if self.take_member(&update, now) && !self.is_isolated(now) {
+            self.pending.members.push(update);
+        }
+    }
+
+    fn probe_message(&mut self, sequence: u64, receiver: &VmName) -> ProbeMessage {
+        let names = self.news.take(self.members.live().len());
+        let known = |name| self.members.get(name).map(|entry| entry.update.clone());
+        let mut updates: Vec<_> = names.iter().filter_map(known).collect();
+        let doubted = known(receiver).filter(|update| update.status != MemberStatus::Alive);
+        updates.extend(doubted.filter(|update| !updates.contains(update)));
+        ProbeMessage {
+            sequence,
+            sender: self.identity.name.clone(),
+            digest: self.digest(),
+            updates,
+        }
+    }
+
+    fn hear_digest(&mut self, from: SocketAddr, message: &ProbeMessage, now: MonoTime) {
+        if let Some(entry) = self.members.get_mut(&message.sender) {
+            entry.config = message.digest.config;
+        }
+        self.on_config_news(from, message.digest.config, now);
+    }
+
+    fn compare_digests(&mut self, from: SocketAddr, other: &StateDigest, now: MonoTime) {
+        let own = self.digest();
+        if (own.members, own.targets) == (other.members, other.targets) {
+            self.members.restore_trust();
+        }
+        let equal = (own.members, own.targets, own.centres)
+            == (other.members, other.targets, other.centres);
+        if !equal && now >= self.timers.repair {
+            self.start_repair(from, now);
+        }
+    }
+
+    fn send_to_children(&mut self, news: &SpreadNews) {
+        let children = tree_children(
+            self.members.live(),
+            &news.origin,
+            &self.identity.name,
+            self.settings.spread_fan_out,
+        );
+        for child in children {
+            self.send(child, FleetMessage::Spread(news.clone()));
+        }
+    }
+
+    /// A period with a random addition of up to a half, so that VMs do not act in step.
+    pub(crate) fn jittered(&mut self, period: std::time::Duration) -> std::time::Duration {
+        period + period.mul_f64(self.rng.random_range(0.0..0.5))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/hash.rs
@@ -0,0 +1,30 @@
+//! Hashes: rendezvous weights and digests of replicated tables.
+
+use std::hash::{Hash, Hasher};
+
+use twox_hash::XxHash64;
+
+const RENDEZVOUS_SEED: u64 = 1;
+const DIGEST_SEED: u64 = 2;
+
+fn hash_of(seed: u64, value: impl Hash) -> u64 {
+    let mut hasher = XxHash64::with_seed(seed);
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Weight of `node` for `key`; the nodes of the highest weights are chosen.
+pub(crate) fn rendezvous_weight(node: impl Hash, key: impl Hash) -> u64 {
+    hash_of(RENDEZVOUS_SEED, (node, key))
+}
+
+/// Hash of one entry of a table; the digest of the table is the XOR of these.
+pub(crate) fn entry_digest(entry: impl Hash) -> u64 {
+    hash_of(DIGEST_SEED, entry)
+}
+
+/// Bucket of `key` among `buckets`.
+pub(crate) fn bucket_of(key: impl Hash, buckets: usize) -> usize {
+    let buckets = u64::try_from(buckets).unwrap_or(u64::MAX).max(1);
+    usize::try_from(hash_of(DIGEST_SEED, key) % buckets).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/fleet/src/join.rs
@@ -0,0 +1,239 @@
+//! Joining, finding lost members again, and names that two VMs claim.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use fulmarweir_base::{MonoTime, VmName};
+
+use crate::{
+    FleetAction, FleetMessage, FleetState, JoinRefusal, MemberStatus, MemberUpdate, VmIdentity,
+    probe::shuffle, state::TakingPart,
+};
+
+/// Most addresses tried in one attempt to find peers.
+const JOIN_TRIES: usize = 4;
+
+/// A refused VM tries again this many times less often.
+const REFUSED_REJOIN_FACTOR: u32 = 5;
+
+/// A join whose name belongs to a member that is being probed.
+#[derive(Clone, Debug)]
+pub(crate) struct ContestedJoin {
+    update: MemberUpdate,
+    from: SocketAddr,
+}
+
+impl FleetState {
+    /// Asks seeds and removed members to let this VM in.
+    pub(crate) fn seek_peers(&mut self, now: MonoTime) {
+        if now < self.timers.rejoin {
+            return;
+        }
+        let refused = matches!(self.taking_part, TakingPart::Refused(_));
+        let factor = if refused { REFUSED_REJOIN_FACTOR } else { 1 };
+        self.timers.rejoin = now + self.jittered(self.settings.rejoin_period * factor);
+        let mut addresses = self.lost_addresses(now);
+        shuffle(&mut addresses, &mut self.rng);
+        addresses.truncate(JOIN_TRIES);
+        let own = self.members.own().update.clone();
+        for address in addresses {
+            self.send(address, FleetMessage::Join(own.clone()));
+        }
+    }
+
+    pub(crate) fn on_join(&mut self, from: SocketAddr, update: &MemberUpdate, now: MonoTime) {
+        let joiner = &update.identity;
+        if joiner.centre != self.identity.centre {
+            self.greet_foreign(from, &joiner.centre.clone(), now);
+            return;
+        }
+        if joiner.name == self.identity.name {
+            self.refuse_own_name(from, joiner);
+            return;
+        }
+        let known = self
+            .members
+            .get(&joiner.name)
+            .map(|known| known.update.clone());
+        let rival = known.as_ref().filter(|known| {
+            known.status <= MemberStatus::Suspect
+                && known.identity.boot != joiner.boot
+                && known.identity.peers != joiner.peers
+        });
+        if rival.is_some() {
+            let contested = ContestedJoin {
+                update: update.clone(),
+                from,
+            };
+            self.contested.insert(joiner.name.clone(), contested);
+            self.probe(&joiner.name, None, now);
+            return;
+        }
+        self.admit(from, update, now);
+    }
+
+    pub(crate) fn on_welcome(&mut self, from: SocketAddr, members: &[MemberUpdate], now: MonoTime) {
+        let first = !self.joined || self.taking_part != TakingPart::Yes;
+        self.joined = true;
+        self.taking_part = TakingPart::Yes;
+        self.take_members(members, now);
+        self.return_newer_members(from, members);
+        if first {
+            self.start_repair(from, now);
+        }
+    }
+
+    pub(crate) fn on_join_refused(&mut self, refusal: JoinRefusal, now: MonoTime) {
+        match refusal {
+            JoinRefusal::StaleIncarnation(known) => {
+                self.reassert(known, now);
+                self.timers.rejoin = now;
+            }
+            JoinRefusal::DuplicateName(holder) => self.accept_refusal(holder),
+        }
+    }
+
+    pub(crate) fn on_name_conflict(&mut self, _from: SocketAddr, holder: Arc<VmIdentity>) {
+        let older = is_older(&holder, &self.identity);
+        if holder.name == self.identity.name && older {
+            self.accept_refusal(holder);
+        }
+    }
+
+    /// Handles what others believe of this VM, or of another one under its name.
+    pub(crate) fn on_own_news(&mut self, update: &MemberUpdate, now: MonoTime) {
+        let own = self.members.own().update.clone();
+        let other = &update.identity;
+        let same_place = other.boot == own.identity.boot || other.peers == own.identity.peers;
+        if same_place {
+            let doubted = update.status != MemberStatus::Alive || other.boot != own.identity.boot;
+            if doubted && update.incarnation >= own.incarnation {
+                self.reassert(update.incarnation, now);
+            }
+            return;
+        }
+        if update.status <= MemberStatus::Suspect && is_older(&own.identity, other) {
+            self.report_duplicate(&own.identity, other);
+            let conflict = FleetMessage::NameConflict(Arc::clone(&own.identity));
+            self.send(other.peers, conflict);
+        }
+        if update.incarnation >= own.incarnation {
+            self.reassert(update.incarnation, now);
+        }
+    }
+
+    /// Settles a contested join after the present owner of `name` has answered from `from`.
+    ///
+    /// The one that started later is refused, whichever joined first: both
+    /// sides of a healed partition come to the same result.
+    pub(crate) fn settle_contested(&mut self, from: SocketAddr, name: &VmName, now: MonoTime) {
+        let Some(holder) = self
+            .members
+            .get(name)
+            .map(|entry| entry.update.identity.clone())
+        else {
+            return;
+        };
+        if holder.peers != from {
+            return;
+        }
+        let Some(contested) = self.contested.remove(name) else {
+            return;
+        };
+        let joiner = &contested.update.identity;
+        if is_older(joiner, &holder) {
+            self.report_duplicate(joiner, &holder);
+            self.send(from, FleetMessage::NameConflict(Arc::clone(joiner)));
+            self.admit(contested.from, &contested.update, now);
+            return;
+        }
+        self.report_duplicate(&holder, joiner);
+        let refusal = JoinRefusal::DuplicateName(holder);
+        self.send(contested.from, FleetMessage::JoinRefused(refusal));
+    }
+
+    /// Lets the joiner in whose name the former owner did not confirm.
+    pub(crate) fn accept_contested(&mut self, name: &VmName, now: MonoTime) {
+        if let Some(contested) = self.contested.remove(name) {
+            self.admit(contested.from, &contested.update, now);
+        }
+    }
+
+    fn admit(&mut self, from: SocketAddr, update: &MemberUpdate, now: MonoTime) {
+        let name = &update.identity.name;
+        if self.take_member(update, now) {
+            self.pending.members.push(update.clone());
+        }
+        let known = self.members.get(name).map(|known| known.update.clone());
+        match known {
+            Some(known) if known != *update && known.incarnation >= update.incarnation => {
+                let refusal = JoinRefusal::StaleIncarnation(known.incarnation);
+                self.send(from, FleetMessage::JoinRefused(refusal));
+            }
+            _ => self.welcome(from),
+        }
+    }
+
+    fn welcome(&mut self, from: SocketAddr) {
+        let members = self.members.entries().map(|entry| entry.update.clone());
+        let welcome = FleetMessage::Welcome(members.collect());
+        self.send(from, welcome);
+    }
+
+    fn refuse_own_name(&mut self, from: SocketAddr, joiner: &Arc<VmIdentity>) {
+        if joiner.boot == self.identity.boot && joiner.peers == self.identity.peers {
+            return;
+        }
+        let own = Arc::clone(&self.identity);
+        self.report_duplicate(&own, joiner);
+        self.send(
+            from,
+            FleetMessage::JoinRefused(JoinRefusal::DuplicateName(own)),
+        );
+    }
+
+    fn accept_refusal(&mut self, holder: Arc<VmIdentity>) {
+        let own = (self.identity.boot, self.identity.peers);
+        if (holder.boot, holder.peers) == own || self.taking_part == TakingPart::Left {
+            return;
+        }
+        let refused = TakingPart::Refused(Arc::clone(&holder));
+        if self.taking_part != refused {
+            self.taking_part = refused;
+            self.actions.push(FleetAction::NameRefused { holder });
+        }
+    }
+
+    fn report_duplicate(&mut self, holder: &VmIdentity, joiner: &VmIdentity) {
+        self.actions.push(FleetAction::DuplicateName {
+            name: holder.name.clone(),
+            holder: holder.peers,
+            joiner: joiner.peers,
+        });
+    }
+
+    /// Addresses of seeds and removed members that may be reachable again.
+    fn lost_addresses(&self, now: MonoTime) -> Vec<SocketAddr> {
+        let own = self.identity.peers;
+        let refused = matches!(self.taking_part, TakingPart::Refused(_));
+        let live = |address| !refused && self.members.live().iter().any(|vm| vm.peers == address);
+        let seeds = self.settings.seeds.iter().copied();
+        let dead = self
+            .members
+            .entries()
+            .filter(|entry| entry.update.status == MemberStatus::Dead);
+        let dead = dead.map(|entry| entry.update.identity.peers);
+        let mut addresses: Vec<_> = seeds
+            .chain(dead)
+            .filter(|address| *address != own && !live(*address))
+            .filter(|address| !self.is_foreign_reached(address, now))
+            .collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
+
+/// Whether `a` started before `b`; equal starts are decided by the address.
+fn is_older(a: &VmIdentity, b: &VmIdentity) -> bool {
+    (a.boot, a.peers) < (b.boot, b.peers)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,74 @@
 //! Membership, target leases, broker assignment and configuration spreading.
+//!
+//! [`FleetState`] is the whole protocol of one VM as a pure state: messages,
+//! announcements and ticks go in with the present [`MonoTime`], and a list of
+//! [`FleetAction`]s comes out. A carrier sends the messages and calls
+//! [`FleetState::on_tick`] every [`TICK_PERIOD_MS`].
+//!
+//! ```
+//! use fulmarweir_base::{MonoTime, TargetRecord, TargetState};
+//! use fulmarweir_fleet::{ConfigStamp, FleetSettings, FleetState, VmIdentity};
+//!
+//! let identity = VmIdentity {
+//!     name: "vm-1".parse().unwrap(),
+//!     centre: "centre-a".parse().unwrap(),
+//!     region: "region-a".parse().unwrap(),
+//!     boot: 1,
+//!     peers: "127.0.0.1:7003".parse().unwrap(),
+//!     targets: "127.0.0.1:7001".parse().unwrap(),
+//! };
+//! let start = MonoTime::ZERO;
+//! let seed = 7;
+//! let mut fleet =
+//!     FleetState::new(identity, FleetSettings::default(), ConfigStamp::default(), seed, start);
+//!
+//! let record = TargetRecord {
+//!     name: "pitches-1".parse().unwrap(),
+//!     service: "street-app/pitches".parse().unwrap(),
+//!     address: "127.0.0.1:9001".parse().unwrap(),
+//!     incarnation: 1,
+//!     state: TargetState::Serving,
+//!     slots: 3,
+//!     connections: 30,
+//!     versions: Vec::new(),
+//! };
+//! let service = record.service.clone();
+//! let (reply, _actions) = fleet.announce(record, start);
+//! assert_eq!(reply.unwrap().lease_ms, 3_000);
+//! assert!(fleet.targets().of_service(&service)[0].usable);
+//! ```
+//!
+//! [`MonoTime`]: fulmarweir_base::MonoTime
+
+mod action;
+mod announce;
+mod broker;
+mod centre;
+mod config;
+mod gossip;
+mod hash;
+mod join;
+mod member;
+mod message;
+mod outreach;
+mod probe;
+mod ready;
+mod repair;
+mod settings;
+mod spread;
+mod state;
+mod target;
+
+pub use action::FleetAction;
+pub use announce::{AnnounceReply, AnnounceResult, TargetRefusal};
+pub use broker::{BrokerShare, TargetLimits};
+pub use centre::{CentreDigest, CentreNews, CentreRecord, HoldingRecord, ShardSpan};
+pub use message::{
+    CentreProbe, ConfigStamp, FleetMessage, IndirectProbe, JoinRefusal, LeaseHolder, MemberStatus,
+    MemberUpdate, ProbeMessage, RepairEntries, RepairRequest, SpreadNews, StateDigest,
+    TargetChange, VmIdentity,
+};
+pub use ready::ReadyPhase;
+pub use settings::{FleetSettings, TICK_PERIOD_MS};
+pub use state::{FleetState, MemberView};
+pub use target::{TargetEntry, TargetKey, TargetTable};
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,230 @@
+//! The members of one data centre and the rules by which news of them merges.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, VmName};
+
+use crate::{
+    ConfigStamp, MemberStatus, MemberUpdate, VmIdentity,
+    hash::{bucket_of, entry_digest},
+    message::LeaseHolder,
+};
+
+/// Buckets of the members' digests.
+pub(crate) const MEMBER_BUCKETS: usize = 16;
+
+/// What this VM knows of one member.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberEntry {
+    pub(crate) update: MemberUpdate,
+    /// Last change of the status.
+    pub(crate) changed_at: MonoTime,
+    /// Since when the member is in doubt; `None` while it is alive.
+    pub(crate) doubted_at: Option<MonoTime>,
+    /// Whether its leases may be relied on: false from a long doubt until the next repair.
+    pub(crate) trusted: bool,
+    /// Configuration that it had in force when last heard.
+    pub(crate) config: ConfigStamp,
+}
+
+impl MemberEntry {
+    pub(crate) fn is_live(&self) -> bool {
+        self.update.status <= MemberStatus::Suspect
+    }
+
+    fn digest(&self) -> u64 {
+        if !self.is_live() {
+            return 0;
+        }
+        let identity = &self.update.identity;
+        entry_digest((&identity.name, identity.boot, self.update.incarnation))
+    }
+}
+
+/// All known members, the own VM among them.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberTable {
+    own_name: VmName,
+    entries: BTreeMap<VmName, MemberEntry>,
+    live: Arc<[Arc<VmIdentity>]>,
+    digest: u64,
+}
+
+impl MemberTable {
+    pub(crate) fn new(own: &MemberUpdate, now: MonoTime) -> Self {
+        let mut table = Self {
+            own_name: own.identity.name.clone(),
+            entries: BTreeMap::new(),
+            live: Arc::new([]),
+            digest: 0,
+        };
+        table.merge(own, now);
+        table
+    }
+
+    pub(crate) fn own(&self) -> &MemberEntry {
+        &self.entries[&self.own_name]
+    }
+
+    pub(crate) fn get(&self, name: &VmName) -> Option<&MemberEntry> {
+        self.entries.get(name)
+    }
+
+    pub(crate) fn get_mut(&mut self, name: &VmName) -> Option<&mut MemberEntry> {
+        self.entries.get_mut(name)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries.values()
+    }
+
+    /// Live members in the order of their names, the own VM among them.
+    pub(crate) fn live(&self) -> &Arc<[Arc<VmIdentity>]> {
+        &self.live
+    }
+
+    /// Live members without the own VM.
+    pub(crate) fn live_peers(&self) -> impl Iterator<Item = &Arc<VmIdentity>> {
+        self.live.iter().filter(|peer| peer.name != self.own_name)
+    }
+
+    /// The member `name`, if it is live.
+    pub(crate) fn live_identity(&self, name: &VmName) -> Option<&Arc<VmIdentity>> {
+        let entry = self.entries.get(name).filter(|entry| entry.is_live());
+        entry.map(|entry| &entry.update.identity)
+    }
+
+    pub(crate) fn has_peers(&self) -> bool {
+        self.live.len() > 1
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Since when `holder` may not be the running process of a live, trusted member.
+    pub(crate) fn holder_doubt(&self, holder: &LeaseHolder) -> HolderDoubt {
+        let Some(entry) = self.entries.get(&holder.vm) else {
+            return HolderDoubt::Unknown;
+        };
+        if entry.update.identity.boot != holder.boot {
+            return HolderDoubt::Since(entry.changed_at);
+        }
+        match entry.doubted_at {
+            Some(since) => HolderDoubt::Since(since),
+            None if entry.trusted => HolderDoubt::None,
+            None => HolderDoubt::Unknown,
+        }
+    }
+
+    /// Takes `update` over if it is newer than what is known; says whether it was.
+    pub(crate) fn merge(&mut self, update: &MemberUpdate, now: MonoTime) -> bool {
+        let known = self.entries.get(&update.identity.name);
+        if known.is_some_and(|known| !is_newer(update, &known.update)) {
+            return false;
+        }
+        let alive = update.status == MemberStatus::Alive;
+        let same_boot =
+            known.is_some_and(|known| known.update.identity.boot == update.identity.boot);
+        let known_doubt = known.and_then(|known| known.doubted_at);
+        let entry = MemberEntry {
+            update: update.clone(),
+            changed_at: now,
+            doubted_at: if alive {
+                None
+            } else {
+                known_doubt.or(Some(now))
+            },
+            trusted: known.is_none_or(|known| known.trusted || !same_boot),
+            config: known
+                .filter(|_| same_boot)
+                .map(|known| known.config)
+                .unwrap_or_default(),
+        };
+        self.digest ^= known.map_or(0, MemberEntry::digest) ^ entry.digest();
+        self.entries.insert(update.identity.name.clone(), entry);
+        self.rebuild_live();
+        true
+    }
+
+    /// Withdraws trust from members that have been in doubt for longer than `grace`.
+    pub(crate) fn withdraw_trust(&mut self, grace: Duration, now: MonoTime) {
+        for entry in self.entries.values_mut() {
+            let long_doubted = entry
+                .doubted_at
+                .is_some_and(|since| now.since(since) >= grace);
+            entry.trusted &= !long_doubted;
+        }
+    }
+
+    /// Trusts all live members again, after a repair that made the tables equal.
+    pub(crate) fn restore_trust(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.trusted |= entry.doubted_at.is_none();
+        }
+    }
+
+    /// Forgets members that were removed longer than `kept` ago.
+    pub(crate) fn forget_removed(&mut self, kept: Duration, now: MonoTime) {
+        self.entries
+            .retain(|_, entry| entry.is_live() || now.since(entry.changed_at) < kept);
+    }
+
+    pub(crate) fn bucket_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0; MEMBER_BUCKETS];
+        for (name, entry) in &self.entries {
+            digests[bucket_of(name, MEMBER_BUCKETS)] ^= entry.digest();
+        }
+        digests
+    }
+
+    pub(crate) fn in_buckets(&self, buckets: &[u32]) -> Vec<MemberUpdate> {
+        self.entries
+            .iter()
+            .filter(|(name, _)| is_in_buckets(bucket_of(name, MEMBER_BUCKETS), buckets))
+            .map(|(_, entry)| entry.update.clone())
+            .collect()
+    }
+
+    fn rebuild_live(&mut self) {
+        self.live = self
+            .entries
+            .values()
+            .filter(|entry| entry.is_live())
+            .map(|entry| Arc::clone(&entry.update.identity))
+            .collect();
+    }
+}
+
+/// Since when the holder of a lease is in doubt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum HolderDoubt {
+    /// It is alive and trusted.
+    None,
+    /// It stopped answering, left or restarted at this time.
+    Since(MonoTime),
+    /// It is not known, or came back after a long doubt.
+    Unknown,
+}
+
+pub(crate) fn is_in_buckets(bucket: usize, buckets: &[u32]) -> bool {
+    buckets
+        .iter()
+        .any(|listed| usize::try_from(*listed) == Ok(bucket))
+}
+
+/// Numbers of the buckets whose digests differ.
+pub(crate) fn differing_buckets(own: &[u64], other: &[u64]) -> Vec<u32> {
+    let differing = own
+        .iter()
+        .zip(other)
+        .enumerate()
+        .filter(|(_, (a, b))| a != b);
+    differing
+        .filter_map(|(index, _)| u32::try_from(index).ok())
+        .collect()
+}
+
+fn is_newer(update: &MemberUpdate, known: &MemberUpdate) -> bool {
+    (update.incarnation, update.status) > (known.incarnation, known.status)
+}
--- /dev/null
+++ b/crates/fleet/src/outreach.rs
@@ -0,0 +1,203 @@
+//! Speaking with other data centres, and spreading what they say in the own one.
+
+use std::net::SocketAddr;
+
+use fulmarweir_base::{CentreName, MonoTime, ServiceName};
+use rand::RngExt;
+
+use crate::{
+    CentreNews, CentreProbe, CentreRecord, FleetMessage, FleetState, HoldingRecord, ShardSpan,
+    centre::{choose_contacts, summarize_holdings},
+};
+
+/// Time between two summaries of the holdings.
+const SUMMARY_PERIOD_MS: u64 = 500;
+/// Time between two summaries of counts, which alone do not justify a message.
+const REFRESH_PERIOD_MS: u64 = 30_000;
+
+impl FleetState {
+    /// Writes the summary of this data centre, and probes other ones, if this VM is a contact.
+    pub(crate) fn tend_centres(&mut self, now: MonoTime) {
+        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
+        let rank = contacts
+            .iter()
+            .position(|contact| contact.name == self.identity.name);
+        let Some(rank) = rank else { return };
+        if rank == 0 && now >= self.timers.centre_summary {
+            self.timers.centre_summary = now + std::time::Duration::from_millis(SUMMARY_PERIOD_MS);
+            self.write_summary(now);
+        }
+        if now >= self.timers.centre_probe {
+            let period = self.settings.centre_period;
+            self.timers.centre_probe = now + self.jittered(period);
+            self.probe_next_centre(now);
+        }
+    }
+
+    pub(crate) fn on_centre(&mut self, from: SocketAddr, probe: CentreProbe, now: MonoTime) {
+        self.joined = true;
+        if probe.centre != self.identity.centre {
+            self.foreign_seeds.insert(from, probe.centre.clone());
+            self.centres.note_heard(&probe.centre, now);
+        }
+        let fresh = self.take_centres(probe.news);
+        self.queue_centres(fresh);
+        self.on_config_news(from, probe.config, now);
+        if probe.wants_answer {
+            let news = self.centres.differing(&probe.digests);
+            self.send_centre(from, news, false);
+        }
+    }
+
+    /// Answers a VM of another data centre that tried to join here.
+    pub(crate) fn greet_foreign(&mut self, from: SocketAddr, centre: &CentreName, now: MonoTime) {
+        self.foreign_seeds.insert(from, centre.clone());
+        self.centres.note_heard(centre, now);
+        self.send_centre(from, self.centres.differing(&[]), true);
+    }
+
+    /// Merges records of data centres; returns what was new.
+    pub(crate) fn take_centres(&mut self, news: CentreNews) -> CentreNews {
+        self.centres.merge(news)
+    }
+
+    /// One contact of each other data centre.
+    pub(crate) fn foreign_contacts(&mut self) -> Vec<SocketAddr> {
+        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
+        if !contacts
+            .iter()
+            .any(|contact| contact.name == self.identity.name)
+        {
+            return Vec::new();
+        }
+        let names: Vec<_> = self.other_centres();
+        names
+            .iter()
+            .filter_map(|name| self.contact_of(name))
+            .collect()
+    }
+
+    /// Whether `address` is a seed of another data centre that was heard of late.
+    pub(crate) fn is_foreign_reached(&self, address: &SocketAddr, now: MonoTime) -> bool {
+        let Some(centre) = self.foreign_seeds.get(address) else {
+            return false;
+        };
+        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
+        let contact = contacts
+            .iter()
+            .any(|contact| contact.name == self.identity.name);
+        let heard = self.centres.heard_at(centre);
+        !contact || heard.is_some_and(|at| now.since(at) < self.settings.centre_timeout)
+    }
+
+    fn write_summary(&mut self, now: MonoTime) {
+        let mut news = CentreNews::default();
+        news.centres.extend(self.next_centre_record(now));
+        news.holdings = self.next_holding_records();
+        let fresh = self.take_centres(news);
+        if fresh.is_empty() {
+            return;
+        }
+        for contact in self.foreign_contacts() {
+            self.send_centre(contact, fresh.clone(), false);
+        }
+        self.queue_centres(fresh);
+    }
+
+    /// A new summary, if the contacts changed or the counts are old.
+    fn next_centre_record(&mut self, now: MonoTime) -> Option<CentreRecord> {
+        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
+        let known = self.centres.get(&self.identity.centre);
+        let next = CentreRecord {
+            centre: self.identity.centre.clone(),
+            stamp: known.map_or(0, |known| known.stamp) + 1,
+            contacts,
+            live_vms: u32::try_from(self.members.live().len()).unwrap_or(u32::MAX),
+            config_version: self.config.held().version,
+        };
+        let moved = known.is_none_or(|known| known.contacts != next.contacts);
+        let differs = known.is_none_or(|known| {
+            (known.live_vms, known.config_version) != (next.live_vms, next.config_version)
+        });
+        let due = differs && now >= self.timers.centre_refresh;
+        if !moved && !due {
+            return None;
+        }
+        self.timers.centre_refresh = now + std::time::Duration::from_millis(REFRESH_PERIOD_MS);
+        Some(next)
+    }
+
+    fn next_holding_records(&self) -> Vec<HoldingRecord> {
+        let centre = &self.identity.centre;
+        let present = summarize_holdings(&self.leases);
+        let mut records = Vec::new();
+        for (service, spans) in &present {
+            records.extend(self.next_holding(service, spans));
+        }
+        for known in self.centres.holdings(centre) {
+            if !present.contains_key(&known.service) {
+                records.extend(self.next_holding(&known.service, &[]));
+            }
+        }
+        records
+    }
+
+    fn next_holding(&self, service: &ServiceName, spans: &[ShardSpan]) -> Option<HoldingRecord> {
+        let centre = &self.identity.centre;
+        let known = self.centres.holding(centre, service);
+        if known.is_some_and(|known| known.spans == spans) {
+            return None;
+        }
+        Some(HoldingRecord {
+            centre: centre.clone(),
+            service: service.clone(),
+            stamp: known.map_or(0, |known| known.stamp) + 1,
+            spans: spans.to_vec(),
+        })
+    }
+
+    /// Probes the data centre that was probed longest ago.
+    fn probe_next_centre(&mut self, now: MonoTime) {
+        let names = self.other_centres();
+        let Some(name) = names
+            .into_iter()
+            .min_by_key(|name| self.centres.tried_at(name))
+        else {
+            return;
+        };
+        if let Some(contact) = self.contact_of(&name) {
+            self.centres.note_tried(&name, now);
+            self.send_centre(contact, CentreNews::default(), true);
+        }
+    }
+
+    fn other_centres(&self) -> Vec<CentreName> {
+        let names = self.centres.records().map(|record| record.centre.clone());
+        names.filter(|name| *name != self.identity.centre).collect()
+    }
+
+    fn contact_of(&mut self, centre: &CentreName) -> Option<SocketAddr> {
+        let contacts = &self.centres.get(centre)?.contacts;
+        if contacts.is_empty() {
+            return None;
+        }
+        let index = self.rng.random_range(0..contacts.len());
+        Some(contacts[index].peers)
+    }
+
+    fn queue_centres(&mut self, fresh: CentreNews) {
+        self.pending.centres.centres.extend(fresh.centres);
+        self.pending.centres.holdings.extend(fresh.holdings);
+    }
+
+    fn send_centre(&mut self, to: SocketAddr, news: CentreNews, wants_answer: bool) {
+        let probe = CentreProbe {
+            centre: self.identity.centre.clone(),
+            wants_answer,
+            config: self.config.held(),
+            digests: self.centres.digests(),
+            news,
+        };
+        self.send(to, FleetMessage::Centre(probe));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/probe.rs
@@ -0,0 +1,171 @@
+//! Which member to probe next, and which probes are unanswered.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use fulmarweir_base::{MonoTime, VmName};
+use rand::RngExt;
+use rand_pcg::Pcg64;
+
+/// Most news items on one probe message.
+pub(crate) const PIGGYBACK_MAX: usize = 6;
+const RETRANSMIT_FACTOR: u32 = 3;
+
+/// A probe that has not been acknowledged.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingProbe {
+    pub(crate) target: VmName,
+    pub(crate) sent_at: MonoTime,
+    /// Whether other VMs were asked already.
+    pub(crate) indirect: bool,
+    /// Who asked for this probe, with its own sequence number.
+    pub(crate) relay: Option<(SocketAddr, u64)>,
+}
+
+/// What to do about a probe that was not acknowledged in time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum ProbeTimeout {
+    /// Ask others to probe the VM.
+    AskOthers(VmName, u64),
+    /// Suspect the VM.
+    Suspect(VmName),
+}
+
+/// The prober of one VM.
+#[derive(Clone, Debug)]
+pub(crate) struct ProbeState {
+    next_at: MonoTime,
+    order: Vec<VmName>,
+    sequence: u64,
+    pending: BTreeMap<u64, PendingProbe>,
+    /// Last time that an own probe was acknowledged directly or by relay.
+    pub(crate) acked_at: MonoTime,
+}
+
+impl ProbeState {
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            next_at: now,
+            order: Vec::new(),
+            sequence: 0,
+            pending: BTreeMap::new(),
+            acked_at: now,
+        }
+    }
+
+    pub(crate) fn is_due(&self, now: MonoTime) -> bool {
+        now >= self.next_at
+    }
+
+    /// The next member in a random round over all of `peers`.
+    pub(crate) fn next_peer(
+        &mut self,
+        peers: &[VmName],
+        period: Duration,
+        rng: &mut Pcg64,
+        now: MonoTime,
+    ) -> Option<VmName> {
+        self.next_at = now + period;
+        while let Some(name) = self.order.pop() {
+            if peers.binary_search(&name).is_ok() {
+                return Some(name);
+            }
+        }
+        self.order = peers.to_vec();
+        shuffle(&mut self.order, rng);
+        self.order.pop()
+    }
+
+    /// Registers a probe and returns its sequence number.
+    pub(crate) fn start(
+        &mut self,
+        target: VmName,
+        relay: Option<(SocketAddr, u64)>,
+        now: MonoTime,
+    ) -> u64 {
+        self.sequence += 1;
+        let probe = PendingProbe {
+            target,
+            sent_at: now,
+            indirect: false,
+            relay,
+        };
+        self.pending.insert(self.sequence, probe);
+        self.sequence
+    }
+
+    /// Takes an acknowledgement; `None` when the probe is unknown or of another VM.
+    pub(crate) fn acknowledge(
+        &mut self,
+        sequence: u64,
+        sender: &VmName,
+        now: MonoTime,
+    ) -> Option<PendingProbe> {
+        if self.pending.get(&sequence)?.target != *sender {
+            return None;
+        }
+        let probe = self.pending.remove(&sequence)?;
+        if probe.relay.is_none() {
+            self.acked_at = now;
+        }
+        Some(probe)
+    }
+
+    /// Probes that have waited for one timeout (ask others) or two (suspect).
+    pub(crate) fn timeouts(&mut self, timeout: Duration, now: MonoTime) -> Vec<ProbeTimeout> {
+        let mut due = Vec::new();
+        self.pending.retain(|sequence, probe| {
+            let waited = now.since(probe.sent_at);
+            if waited >= timeout * 2 {
+                if probe.relay.is_none() {
+                    due.push(ProbeTimeout::Suspect(probe.target.clone()));
+                }
+                return false;
+            }
+            if waited >= timeout && !probe.indirect && probe.relay.is_none() {
+                probe.indirect = true;
+                due.push(ProbeTimeout::AskOthers(probe.target.clone(), *sequence));
+            }
+            true
+        });
+        due
+    }
+}
+
+/// News still to be repeated on probes, each a bounded number of times.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct NewsQueue {
+    sent: BTreeMap<VmName, u32>,
+}
+
+impl NewsQueue {
+    pub(crate) fn push(&mut self, name: VmName) {
+        self.sent.insert(name, 0);
+    }
+
+    /// The items repeated least often; each is dropped after `3 log2(members)` repeats.
+    pub(crate) fn take(&mut self, members: usize) -> Vec<VmName> {
+        let mut names: Vec<_> = self
+            .sent
+            .iter()
+            .map(|(name, sent)| (*sent, name.clone()))
+            .collect();
+        names.sort();
+        names.truncate(PIGGYBACK_MAX);
+        let limit = RETRANSMIT_FACTOR * (members.max(1).ilog2() + 1);
+        for (sent, name) in &names {
+            if sent + 1 >= limit {
+                self.sent.remove(name);
+            } else {
+                self.sent.insert(name.clone(), sent + 1);
+            }
+        }
+        names.into_iter().map(|(_, name)| name).collect()
+    }
+}
+
+/// Puts `items` into a random order.
+pub(crate) fn shuffle<T>(items: &mut [T], rng: &mut Pcg64) {
+    for last in (1..items.len()).rev() {
+        items.swap(last, rng.random_range(0..=last));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/repair.rs
@@ -0,0 +1,82 @@
+//! Repair of tables that differ between two VMs (anti-entropy).
+//!
+//! The VM that noticed sends its bucket digests; the peer answers with all
+//! entries of the differing buckets; the first VM returns what it knows better.
+
+use std::net::SocketAddr;
+
+use fulmarweir_base::MonoTime;
+
+use crate::{
+    FleetMessage, FleetState, MemberUpdate, RepairEntries, RepairRequest, member::differing_buckets,
+};
+
+impl FleetState {
+    pub(crate) fn start_repair(&mut self, peer: SocketAddr, now: MonoTime) {
+        self.timers.repair = now + self.jittered(self.settings.repair_period);
+        let request = RepairRequest {
+            members: self.members.bucket_digests(),
+            targets: self.leases.bucket_digests(),
+            centres: self.centres.digests(),
+        };
+        self.send(peer, FleetMessage::Repair(request));
+    }
+
+    pub(crate) fn on_repair(&mut self, from: SocketAddr, request: &RepairRequest) {
+        let member_buckets = differing_buckets(&self.members.bucket_digests(), &request.members);
+        let target_buckets = differing_buckets(&self.leases.bucket_digests(), &request.targets);
+        let entries = RepairEntries {
+            wants_answer: true,
+            members: self.members.in_buckets(&member_buckets),
+            targets: self.leases.in_buckets(&target_buckets),
+            centres: self.centres.differing(&request.centres),
+            member_buckets,
+            target_buckets,
+        };
+        self.send(from, FleetMessage::Entries(entries));
+    }
+
+    pub(crate) fn on_entries(&mut self, from: SocketAddr, entries: &RepairEntries, now: MonoTime) {
+        self.joined = true;
+        self.take_members(&entries.members, now);
+        self.take_targets(entries.targets.clone(), now);
+        self.take_centres(entries.centres.clone());
+        if entries.wants_answer {
+            self.members.restore_trust();
+            self.return_newer(from, entries);
+        }
+    }
+
+    /// Sends back what the sender of `received` does not know or knows worse.
+    pub(crate) fn return_newer_members(&mut self, from: SocketAddr, received: &[MemberUpdate]) {
+        let known = self.members.entries().map(|entry| &entry.update);
+        let members: Vec<_> = known
+            .filter(|own| !received.contains(own))
+            .cloned()
+            .collect();
+        if !members.is_empty() {
+            let entries = RepairEntries {
+                members,
+                ..RepairEntries::default()
+            };
+            self.send(from, FleetMessage::Entries(entries));
+        }
+    }
+
+    /// Sends back the entries of the same buckets in which this VM is ahead.
+    fn return_newer(&mut self, from: SocketAddr, received: &RepairEntries) {
+        let mut members = self.members.in_buckets(&received.member_buckets);
+        members.retain(|own| !received.members.contains(own));
+        let mut targets = self.leases.in_buckets(&received.target_buckets);
+        targets.retain(|own| !received.targets.contains(own));
+        if members.is_empty() && targets.is_empty() {
+            return;
+        }
+        let entries = RepairEntries {
+            members,
+            targets,
+            ..RepairEntries::default()
+        };
+        self.send(from, FleetMessage::Entries(entries));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/state.rs
@@ -0,0 +1,363 @@
+//! The state of one VM and its public operations.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use fulmarweir_base::{CentreName, MonoTime, ServiceName, VmName};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::{
+    BrokerShare, CentreNews, CentreRecord, ConfigStamp, FleetAction, FleetMessage, FleetSettings,
+    HoldingRecord, MemberStatus, MemberUpdate, ReadyPhase, SpreadNews, TargetKey, TargetLimits,
+    TargetTable, VmIdentity,
+    broker::{BrokerPlan, concurrency_share},
+    centre::CentreTable,
+    config::ConfigSpread,
+    join::ContestedJoin,
+    member::MemberTable,
+    probe::{NewsQueue, ProbeState},
+    target::LeaseTable,
+};
+
+/// Whether this VM takes part.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum TakingPart {
+    /// It does.
+    Yes,
+    /// Another live VM has its name.
+    Refused(Arc<VmIdentity>),
+    /// It has left.
+    Left,
+}
+
+/// News to be spread from this VM with the next tick.
+#[derive(Debug, Default)]
+pub(crate) struct PendingNews {
+    pub(crate) members: Vec<MemberUpdate>,
+    pub(crate) targets: Vec<crate::TargetChange>,
+    pub(crate) centres: CentreNews,
+}
+
+/// When each kind of periodic work is due next.
+#[derive(Debug)]
+pub(crate) struct FleetTimers {
+    pub(crate) rejoin: MonoTime,
+    pub(crate) repair: MonoTime,
+    pub(crate) centre_probe: MonoTime,
+    pub(crate) centre_summary: MonoTime,
+    pub(crate) centre_refresh: MonoTime,
+}
+
+/// One member as others see it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberView {
+    /// The VM.
+    pub identity: Arc<VmIdentity>,
+    /// What is believed of it.
+    pub status: MemberStatus,
+    /// Configuration that it had in force when last heard.
+    pub config: ConfigStamp,
+    /// When the status last changed.
+    pub changed_at: MonoTime,
+}
+
+/// The fleet protocols of one VM, as a pure state.
+pub struct FleetState {
+    pub(crate) identity: Arc<VmIdentity>,
+    pub(crate) settings: FleetSettings,
+    pub(crate) rng: Pcg64,
+    pub(crate) members: MemberTable,
+    pub(crate) probes: ProbeState,
+    pub(crate) news: NewsQueue,
+    pub(crate) leases: LeaseTable,
+    pub(crate) plan: BrokerPlan,
+    pub(crate) config: ConfigSpread,
+    pub(crate) centres: CentreTable,
+    pub(crate) foreign_seeds: BTreeMap<SocketAddr, CentreName>,
+    pub(crate) contested: BTreeMap<VmName, ContestedJoin>,
+    pub(crate) taking_part: TakingPart,
+    /// Whether any seed or peer has answered since the start.
+    pub(crate) joined: bool,
+    pub(crate) timers: FleetTimers,
+    pub(crate) pending: PendingNews,
+    pub(crate) targets: Arc<TargetTable>,
+    pub(crate) targets_dirty: bool,
+    pub(crate) actions: Vec<FleetAction>,
+}
+
+impl FleetState {
+    /// The state of a VM that has just started and has `config` on its disk, if any.
+    ///
+    /// `identity.boot` must be higher than at any former start under this name;
+    /// `seed` starts the random numbers and should differ between VMs.
+    #[must_use]
+    pub fn new(
+        identity: VmIdentity,
+        settings: FleetSettings,
+        config: ConfigStamp,
+        seed: u64,
+        now: MonoTime,
+    ) -> Self {
+        let identity = Arc::new(identity);
+        let own = MemberUpdate {
+            identity: Arc::clone(&identity),
+            incarnation: identity.boot,
+            status: MemberStatus::Alive,
+        };
+        let timers = FleetTimers {
+            rejoin: now,
+            repair: now,
+            centre_probe: now,
+            centre_summary: now,
+            centre_refresh: now,
+        };
+        let mut state = Self {
+            identity,
+            settings,
+            rng: Pcg64::seed_from_u64(seed),
+            members: MemberTable::new(&own, now),
+            probes: ProbeState::new(now),
+            news: NewsQueue::default(),
+            leases: LeaseTable::default(),
+            plan: BrokerPlan::new(now),
+            config: ConfigSpread::new(config, now),
+            centres: CentreTable::default(),
+            foreign_seeds: BTreeMap::new(),
+            contested: BTreeMap::new(),
+            taking_part: TakingPart::Yes,
+            joined: false,
+            timers,
+            pending: PendingNews::default(),
+            targets: Arc::default(),
+            targets_dirty: false,
+            actions: Vec::new(),
+        };
+        state.update_plan(now);
+        state
+    }
+
+    /// Takes a message of the VM whose peer address is `from`.
+    pub fn on_message(
+        &mut self,
+        from: SocketAddr,
+        message: FleetMessage,
+        now: MonoTime,
+    ) -> Vec<FleetAction> {
+        if self.accepts(&message) {
+            self.dispatch(from, message, now);
+            self.rebuild_targets(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Does the periodic work; to be called every [`crate::TICK_PERIOD_MS`].
+    pub fn on_tick(&mut self, now: MonoTime) -> Vec<FleetAction> {
+        if self.taking_part == TakingPart::Left {
+            return Vec::new();
+        }
+        self.seek_peers(now);
+        if self.taking_part == TakingPart::Yes {
+            self.probe_members(now);
+            self.remove_suspects(now);
+            self.update_plan(now);
+            self.pass_leases(now);
+            self.tend_centres(now);
+            self.tend_config(now);
+            self.flush_news();
+            self.rebuild_targets(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Tells the others that this VM leaves, after its connections to targets are closed.
+    pub fn leave(&mut self, now: MonoTime) -> Vec<FleetAction> {
+        let mut own = self.members.own().update.clone();
+        own.status = MemberStatus::Left;
+        self.members.merge(&own, now);
+        let peers: Vec<_> = self.members.live_peers().map(|peer| peer.peers).collect();
+        let news = SpreadNews {
+            origin: self.identity.name.clone(),
+            members: vec![own],
+            targets: Vec::new(),
+            centres: CentreNews::default(),
+        };
+        let fan_out = self.settings.spread_fan_out;
+        for peer in peers.into_iter().take(fan_out) {
+            self.send(peer, FleetMessage::Spread(news.clone()));
+        }
+        self.taking_part = TakingPart::Left;
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Says that the target itself answered as serving at `now`.
+    ///
+    /// This keeps it in use for one lease when its lease holder cannot be reached.
+    pub fn on_target_evidence(&mut self, key: &TargetKey, now: MonoTime) {
+        if let Some(entry) = self.leases.get_mut(key) {
+            entry.evidence_at = Some(now);
+        }
+    }
+
+    /// Says that `stamp` is in force at this VM now. A lower or equal version is ignored.
+    pub fn config_applied(&mut self, stamp: ConfigStamp, now: MonoTime) -> Vec<FleetAction> {
+        if self.config.apply(stamp) {
+            self.push_config();
+            self.review_phase(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes the result of a quorum read of the configuration.
+    pub fn on_quorum_config(&mut self, stamp: ConfigStamp, now: MonoTime) -> Vec<FleetAction> {
+        self.config.on_quorum(stamp);
+        self.review_phase(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The targets of this data centre, as an immutable snapshot.
+    #[must_use]
+    pub fn targets(&self) -> Arc<TargetTable> {
+        Arc::clone(&self.targets)
+    }
+
+    /// What this VM may use of the target, or `None` if it is not one of its brokers.
+    ///
+    /// `limits` may be lower than announced. Zero connections mean that this VM is a
+    /// broker and may not connect yet.
+    #[must_use]
+    pub fn broker_share(
+        &self,
+        key: &TargetKey,
+        limits: TargetLimits,
+        now: MonoTime,
+    ) -> Option<BrokerShare> {
+        let entry = self.leases.get(key)?;
+        let record = &entry.change.record;
+        let brokers = self.brokers_of(key)?;
+        let own = &self.identity.name;
+        if !brokers.iter().any(|broker| broker.name == *own) {
+            return None;
+        }
+        let limits = limits.lower(TargetLimits::of(record));
+        let former = entry.former_limits(self.settings.hand_over, now);
+        let connections = self
+            .plan
+            .connections(own, record, former, limits, &self.settings, now);
+        let concurrency = concurrency_share(&brokers, own, limits.slots);
+        Some(BrokerShare {
+            connections,
+            concurrency: concurrency.min(connections),
+        })
+    }
+
+    /// Phase of this VM since its start.
+    #[must_use]
+    pub fn phase(&self) -> ReadyPhase {
+        match self.taking_part {
+            TakingPart::Yes => self.config.phase(),
+            TakingPart::Refused(_) | TakingPart::Left => ReadyPhase::Learning,
+        }
+    }
+
+    /// Configuration in force here.
+    #[must_use]
+    pub fn config_held(&self) -> ConfigStamp {
+        self.config.held()
+    }
+
+    /// Newest configuration that this VM has heard of.
+    #[must_use]
+    pub fn config_known(&self) -> ConfigStamp {
+        self.config.known()
+    }
+
+    /// All known VMs of this data centre, this one among them, with removed ones for a while.
+    #[must_use]
+    pub fn members(&self) -> Vec<MemberView> {
+        let own = self.config.held();
+        let view = |entry: &crate::member::MemberEntry| MemberView {
+            identity: Arc::clone(&entry.update.identity),
+            status: entry.update.status,
+            config: if entry.update.identity == self.identity {
+                own
+            } else {
+                entry.config
+            },
+            changed_at: entry.changed_at,
+        };
+        self.members.entries().map(view).collect()
+    }
+
+    /// Summaries of all known data centres, the own one among them.
+    pub fn centres(&self) -> impl Iterator<Item = &CentreRecord> {
+        self.centres.records()
+    }
+
+    /// What the data centre `centre` holds of `service`.
+    #[must_use]
+    pub fn centre_holding(
+        &self,
+        centre: &CentreName,
+        service: &ServiceName,
+    ) -> Option<&HoldingRecord> {
+        self.centres.holding(centre, service)
+    }
+
+    /// The VM that has this VM's name, if this one was refused for it.
+    #[must_use]
+    pub fn refused_by(&self) -> Option<&Arc<VmIdentity>> {
+        match &self.taking_part {
+            TakingPart::Refused(holder) => Some(holder),
+            TakingPart::Yes | TakingPart::Left => None,
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, message: FleetMessage) {
+        self.actions.push(FleetAction::Send { to, message });
+    }
+
+    /// Whether no own probe has been answered for a lease, though there are peers.
+    pub(crate) fn is_isolated(&self, now: MonoTime) -> bool {
+        self.members.has_peers() && now.since(self.probes.acked_at) >= self.settings.lease
+    }
+
+    fn accepts(&self, message: &FleetMessage) -> bool {
+        match self.taking_part {
+            TakingPart::Yes => true,
+            TakingPart::Refused(_) => {
+                matches!(
+                    message,
+                    FleetMessage::JoinRefused(_) | FleetMessage::Welcome(_)
+                )
+            }
+            TakingPart::Left => false,
+        }
+    }
+
+    fn dispatch(&mut self, from: SocketAddr, message: FleetMessage, now: MonoTime) {
+        match message {
+            FleetMessage::Join(update) => self.on_join(from, &update, now),
+            FleetMessage::Welcome(members) => self.on_welcome(from, &members, now),
+            FleetMessage::JoinRefused(refusal) => self.on_join_refused(refusal, now),
+            FleetMessage::NameConflict(holder) => self.on_name_conflict(from, holder),
+            FleetMessage::Ping(ping) => self.on_ping(from, &ping, now),
+            FleetMessage::Ack(ack) => self.on_ack(from, &ack, now),
+            FleetMessage::ProbeFor(probe) => self.on_probe_for(from, &probe, now),
+            FleetMessage::ProbedFor(probe) => self.on_probed_for(&probe, now),
+            FleetMessage::Spread(news) => self.on_spread(news, now),
+            FleetMessage::Repair(request) => self.on_repair(from, &request),
+            FleetMessage::Entries(entries) => self.on_entries(from, &entries, now),
+            FleetMessage::ConfigNews(stamp) => self.on_config_news(from, stamp, now),
+            FleetMessage::Centre(probe) => self.on_centre(from, probe, now),
+        }
+    }
+
+    pub(crate) fn update_plan(&mut self, now: MonoTime) {
+        let alone = self.settings.seeds.is_empty() || self.joined;
+        let connected = alone && !self.is_isolated(now);
+        let generation = self.plan.generation;
+        self.plan
+            .update(&self.members, connected, &self.settings, now);
+        self.targets_dirty |= generation != self.plan.generation;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/target.rs
@@ -0,0 +1,324 @@
+//! The replicated table of targets: one register per target, merged by its number.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, ServiceName, TargetName, TargetRecord, TargetState, VmName};
+
+use crate::{
+    LeaseHolder, TargetChange, TargetLimits, VmIdentity,
+    hash::{bucket_of, entry_digest},
+    member::{HolderDoubt, MemberTable, is_in_buckets},
+};
+
+/// Buckets of the targets' digests.
+pub(crate) const TARGET_BUCKETS: usize = 64;
+/// Time for which the end of a target is remembered.
+const TOMBSTONE_KEPT_MS: u64 = 30_000;
+
+/// A target within the fleet.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetKey {
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Name within the service.
+    pub name: TargetName,
+}
+
+impl TargetKey {
+    pub(crate) fn of(record: &TargetRecord) -> Self {
+        Self {
+            service: record.service.clone(),
+            name: record.name.clone(),
+        }
+    }
+}
+
+/// What this VM knows of one target.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseEntry {
+    pub(crate) change: TargetChange,
+    /// When the change came in.
+    pub(crate) changed_at: MonoTime,
+    /// End of the lease, if the target announced itself here.
+    pub(crate) lease_until: Option<MonoTime>,
+    /// Last time that the target itself answered as serving.
+    pub(crate) evidence_at: Option<MonoTime>,
+    /// Whether new work may go to it, as last computed.
+    pub(crate) usable: bool,
+    /// Brokers as last computed.
+    pub(crate) brokers: Arc<[VmName]>,
+    /// Generation of the broker plan for which they were computed.
+    pub(crate) brokers_generation: Option<u64>,
+    /// Limits before the last announcement that changed them, and when that was.
+    former: Option<(TargetLimits, MonoTime)>,
+    /// Since when its holder is not live.
+    orphaned_at: Option<MonoTime>,
+}
+
+impl LeaseEntry {
+    /// Limits that brokers may still act on, if these changed less than `hand_over` ago.
+    pub(crate) fn former_limits(&self, hand_over: Duration, now: MonoTime) -> Option<TargetLimits> {
+        let (limits, changed_at) = self.former?;
+        (now.since(changed_at) < hand_over).then_some(limits)
+    }
+
+    fn digest(&self) -> u64 {
+        let change = &self.change;
+        if change.gone {
+            return 0;
+        }
+        let record = &change.record;
+        let number = (record.incarnation, change.revision);
+        entry_digest((&record.service, &record.name, number, &change.holder))
+    }
+}
+
+/// Times that decide on the use of a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseTimes {
+    pub(crate) lease: Duration,
+    pub(crate) holder_grace: Duration,
+    pub(crate) orphan_kept: Duration,
+}
+
+/// What a pass over the table found.
+#[derive(Debug, Default)]
+pub(crate) struct LeasePass {
+    /// Whether the use of any target changed.
+    pub(crate) changed: bool,
+    /// Targets whose lease lapsed here.
+    pub(crate) lapsed: Vec<TargetKey>,
+}
+
+/// All known targets of the data centre.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeaseTable {
+    entries: BTreeMap<TargetKey, LeaseEntry>,
+    digest: u64,
+}
+
+impl LeaseTable {
+    pub(crate) fn get(&self, key: &TargetKey) -> Option<&LeaseEntry> {
+        self.entries.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: &TargetKey) -> Option<&mut LeaseEntry> {
+        self.entries.get_mut(key)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = (&TargetKey, &LeaseEntry)> {
+        self.entries.iter()
+    }
+
+    pub(crate) fn entries_mut(&mut self) -> impl Iterator<Item = (&TargetKey, &mut LeaseEntry)> {
+        self.entries.iter_mut()
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes `change` over if its number is higher; says whether it was.
+    ///
+    /// An unknown target is not taken over from a holder that is not `live`:
+    /// VMs that forget such a target would otherwise teach it to each other for ever.
+    pub(crate) fn merge(&mut self, change: &TargetChange, live: bool, now: MonoTime) -> bool {
+        let key = TargetKey::of(&change.record);
+        let known = self.entries.get(&key);
+        let newer = known.map_or(live || change.gone, |known| is_newer(change, &known.change));
+        if !newer {
+            return false;
+        }
+        let same = known.filter(|known| {
+            known.change.record.incarnation == change.record.incarnation && !known.change.gone
+        });
+        let entry = LeaseEntry {
+            change: change.clone(),
+            changed_at: now,
+            lease_until: same.and_then(|known| known.lease_until),
+            evidence_at: same.and_then(|known| known.evidence_at),
+            usable: known.is_some_and(|known| known.usable),
+            brokers: Arc::default(),
+            brokers_generation: None,
+            former: same.and_then(|known| former_limits(known, change, now)),
+            orphaned_at: None,
+        };
+        self.digest ^= known.map_or(0, LeaseEntry::digest) ^ entry.digest();
+        self.entries.insert(key, entry);
+        true
+    }
+
+    /// Recomputes the use of every target, and finds lapsed leases and orphans.
+    pub(crate) fn pass(
+        &mut self,
+        members: &MemberTable,
+        isolated: bool,
+        times: LeaseTimes,
+        now: MonoTime,
+    ) -> LeasePass {
+        let own = own_holder(members);
+        let mut pass = LeasePass::default();
+        let mut forgotten = Vec::new();
+        for (key, entry) in &mut self.entries {
+            if entry.lease_until.is_some_and(|until| now >= until) {
+                entry.lease_until = None;
+            }
+            let own_lapsed = entry.change.holder == own && entry.lease_until.is_none();
+            if own_lapsed && !entry.change.gone {
+                pass.lapsed.push(key.clone());
+            }
+            let doubt = members.holder_doubt(&entry.change.holder);
+            let usable = is_usable(entry, doubt, own_lapsed, isolated, times, now);
+            pass.changed |= usable != entry.usable;
+            entry.usable = usable;
+            if is_forgotten(entry, doubt, times, now) {
+                forgotten.push(key.clone());
+            }
+        }
+        for key in forgotten {
+            if let Some(entry) = self.entries.remove(&key) {
+                self.digest ^= entry.digest();
+                pass.changed = true;
+            }
+        }
+        pass
+    }
+
+    pub(crate) fn bucket_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0; TARGET_BUCKETS];
+        for (key, entry) in &self.entries {
+            digests[bucket_of(key, TARGET_BUCKETS)] ^= entry.digest();
+        }
+        digests
+    }
+
+    pub(crate) fn in_buckets(&self, buckets: &[u32]) -> Vec<TargetChange> {
+        self.entries
+            .iter()
+            .filter(|(key, _)| is_in_buckets(bucket_of(key, TARGET_BUCKETS), buckets))
+            .map(|(_, entry)| entry.change.clone())
+            .collect()
+    }
+}
+
+fn former_limits(
+    known: &LeaseEntry,
+    change: &TargetChange,
+    now: MonoTime,
+) -> Option<(TargetLimits, MonoTime)> {
+    let before = TargetLimits::of(&known.change.record);
+    if before == TargetLimits::of(&change.record) {
+        return known.former;
+    }
+    Some((before, now))
+}
+
+/// The own process as a holder of leases.
+pub(crate) fn own_holder(members: &MemberTable) -> LeaseHolder {
+    let identity = &members.own().update.identity;
+    LeaseHolder {
+        vm: identity.name.clone(),
+        boot: identity.boot,
+    }
+}
+
+fn is_usable(
+    entry: &LeaseEntry,
+    doubt: HolderDoubt,
+    own_lapsed: bool,
+    isolated: bool,
+    times: LeaseTimes,
+    now: MonoTime,
+) -> bool {
+    if entry.change.gone || entry.change.record.state != TargetState::Serving {
+        return false;
+    }
+    let announced_here = entry.lease_until.is_some();
+    let answered = entry
+        .evidence_at
+        .is_some_and(|at| now.since(at) < times.lease);
+    if announced_here || answered {
+        return true;
+    }
+    let confirmed = match doubt {
+        HolderDoubt::None => true,
+        HolderDoubt::Since(since) => now.since(since) < times.holder_grace,
+        HolderDoubt::Unknown => false,
+    };
+    confirmed && !isolated && !own_lapsed
+}
+
+fn is_forgotten(
+    entry: &mut LeaseEntry,
+    doubt: HolderDoubt,
+    times: LeaseTimes,
+    now: MonoTime,
+) -> bool {
+    if entry.change.gone {
+        return now.since(entry.changed_at) >= Duration::from_millis(TOMBSTONE_KEPT_MS);
+    }
+    if doubt == HolderDoubt::None || entry.usable {
+        entry.orphaned_at = None;
+        return false;
+    }
+    let since = *entry.orphaned_at.get_or_insert(now);
+    now.since(since) >= times.orphan_kept
+}
+
+fn is_newer(change: &TargetChange, known: &TargetChange) -> bool {
+    let rank = |change: &TargetChange| {
+        let draining = change.record.state == TargetState::Draining;
+        (
+            change.record.incarnation,
+            change.revision,
+            !change.gone,
+            draining,
+        )
+    };
+    (rank(change), &change.holder) > (rank(known), &known.holder)
+}
+
+/// An immutable copy of the table, for use without a lock.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    services: BTreeMap<ServiceName, Arc<[TargetEntry]>>,
+}
+
+/// One target and the VMs that connect to it.
+#[derive(Clone, Debug)]
+pub struct TargetEntry {
+    /// Its last announcement.
+    pub record: Arc<TargetRecord>,
+    /// VMs that hold connections to it, the preferred one first.
+    pub brokers: Arc<[Arc<VmIdentity>]>,
+    /// Whether new work may go to it.
+    pub usable: bool,
+}
+
+impl TargetTable {
+    pub(crate) fn new(entries: impl Iterator<Item = TargetEntry>) -> Self {
+        let mut services: BTreeMap<ServiceName, Vec<TargetEntry>> = BTreeMap::new();
+        for entry in entries {
+            services
+                .entry(entry.record.service.clone())
+                .or_default()
+                .push(entry);
+        }
+        let services = services
+            .into_iter()
+            .map(|(name, list)| (name, list.into()))
+            .collect();
+        Self { services }
+    }
+
+    /// Targets of `service` in the order of their names.
+    #[must_use]
+    pub fn of_service(&self, service: &ServiceName) -> &[TargetEntry] {
+        self.services.get(service).map_or(&[], |entries| entries)
+    }
+
+    /// All targets, by service.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.services.values().flat_map(|entries| entries.iter())
+    }
+}
