Review leases, brokers and contacts only when something may have changed

Every tick looked at every target, sorted the members and listed the base again, though a tick seldom changes any of them.

--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -81,7 +81,7 @@
         now: MonoTime,
     ) -> (AnnounceResult, Vec<FleetAction>) {
         let result = self.accept_announcement(record, now);
-        self.rebuild_targets(now);
+        self.rebuild_urgent(now);
         (result, std::mem::take(&mut self.actions))
     }
 
@@ -95,6 +95,7 @@
         if let Some(entry) = self.leases.get_mut(&key) {
             entry.lease_until = Some(now + lease);
             self.targets_dirty |= !entry.usable;
+            self.targets_urgent |= !entry.usable;
         }
         Ok(self.announce_reply(&key))
     }
@@ -135,6 +136,7 @@
     fn apply_own_change(&mut self, key: &TargetKey, change: TargetChange, now: MonoTime) {
         self.leases.merge(&change, true, now);
         self.targets_dirty = true;
+        self.targets_urgent = true;
         if change.record.state == TargetState::Draining {
             self.tell_brokers(key, &change);
         }
@@ -184,14 +186,24 @@
             });
             if self.leases.merge(&change, live, now) {
                 self.targets_dirty = true;
+                let ends_use = change.gone || change.record.state != TargetState::Serving;
+                self.targets_urgent |= ends_use;
                 fresh.push(change);
             }
         }
         fresh
     }
 
-    /// Reviews the use of all targets and ends the leases that lapsed here.
+    /// Reviews the use of all targets, if anything may have changed it, and ends the leases
+    /// that lapsed here.
     pub(crate) fn pass_leases(&mut self, now: MonoTime) {
+        self.members.withdraw_trust(self.settings.holder_grace, now);
+        let basis = (self.members.generation(), self.is_isolated(now));
+        let due = self.timers.lease_review.is_some_and(|at| now >= at);
+        if !due && !self.targets_dirty && self.lease_basis == basis {
+            return;
+        }
+        self.lease_basis = basis;
         let lapsed = self.review_leases(now);
         for key in lapsed {
             let Some(entry) = self.leases.get(&key) else {
@@ -210,13 +222,21 @@
             holder_grace: self.settings.holder_grace,
             orphan_kept: self.settings.orphan_kept,
         };
-        self.members.withdraw_trust(times.holder_grace, now);
         let isolated = self.is_isolated(now);
         let pass = self.leases.pass(&self.members, isolated, times, now);
         self.targets_dirty |= pass.changed;
+        self.timers.lease_review = pass.next_at;
         pass.lapsed
     }
 
+    /// Builds a new snapshot at once if a target must not be used any more; other changes
+    /// wait for the tick.
+    pub(crate) fn rebuild_urgent(&mut self, now: MonoTime) {
+        if self.targets_urgent {
+            self.rebuild_targets(now);
+        }
+    }
+
     /// Builds a new snapshot if anything in it changed.
     pub(crate) fn rebuild_targets(&mut self, now: MonoTime) {
         if !self.targets_dirty {
@@ -224,6 +244,7 @@
         }
         self.review_leases(now);
         self.targets_dirty = false;
+        self.targets_urgent = false;
         let generation = self.plan.generation;
         let mut entries = Vec::new();
         for (_, entry) in self.leases.entries_mut() {
--- a/crates/fleet/src/broker.rs
+++ b/crates/fleet/src/broker.rs
@@ -25,6 +25,8 @@
 
 /// One of `RESERVE_DIVISOR` parts of the connections is kept for VMs in transition.
 const RESERVE_DIVISOR: u32 = 4;
+/// Time between two reviews of unchanged members, for what depends on time alone.
+const REVIEW_PERIOD_MS: u64 = 1_000;
 /// Newcomers and VMs cut off may both draw on the reserve.
 const RESERVE_CLAIMANTS: u32 = 2;
 
@@ -100,6 +102,9 @@
     pub(crate) generation: u64,
     joined_at: MonoTime,
     updated_at: MonoTime,
+    /// Generation of members and connection at the last review.
+    basis: (u64, bool),
+    reviewed_at: Option<MonoTime>,
     majority_since: Option<MonoTime>,
     minority_since: Option<MonoTime>,
 }
@@ -112,6 +117,8 @@
             generation: 0,
             joined_at: now,
             updated_at: now,
+            basis: (0, false),
+            reviewed_at: None,
             majority_since: None,
             minority_since: None,
         }
@@ -130,6 +137,14 @@
             self.joined_at = now;
         }
         self.updated_at = now;
+        let basis = (members.generation(), connected);
+        let period = Duration::from_millis(REVIEW_PERIOD_MS);
+        let fresh = self.reviewed_at.is_some_and(|at| now.since(at) < period);
+        if self.basis == basis && fresh {
+            return;
+        }
+        self.basis = basis;
+        self.reviewed_at = Some(now);
         self.update_majority(members, connected, settings.give_up, now);
         self.release(members, settings.share_kept, now);
         let names: Vec<_> = self.base_names(members).cloned().collect();
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -48,6 +48,8 @@
     entries: BTreeMap<VmName, MemberEntry>,
     live: Arc<[Arc<VmIdentity>]>,
     digest: u64,
+    /// Counts changes of any kind, for caches.
+    generation: u64,
 }
 
 impl MemberTable {
@@ -57,6 +59,7 @@
             entries: BTreeMap::new(),
             live: Arc::new([]),
             digest: 0,
+            generation: 0,
         };
         table.merge(own, now);
         table
@@ -102,6 +105,11 @@
         self.digest
     }
 
+    /// Grows with every change of a status, an identity or the trust in a member.
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Since when `holder` may not be the running process of a live, trusted member.
     pub(crate) fn holder_doubt(&self, holder: &LeaseHolder) -> HolderDoubt {
         let Some(entry) = self.entries.get(&holder.vm) else {
@@ -143,6 +151,7 @@
         };
         self.digest ^= known.map_or(0, MemberEntry::digest) ^ entry.digest();
         self.entries.insert(update.identity.name.clone(), entry);
+        self.generation += 1;
         self.rebuild_live();
         true
     }
@@ -153,6 +162,7 @@
             let long_doubted = entry
                 .doubted_at
                 .is_some_and(|since| now.since(since) >= grace);
+            self.generation += u64::from(entry.trusted && long_doubted);
             entry.trusted &= !long_doubted;
         }
     }
@@ -160,14 +170,18 @@
     /// Trusts all live members again, after a repair that made the tables equal.
     pub(crate) fn restore_trust(&mut self) {
         for entry in self.entries.values_mut() {
-            entry.trusted |= entry.doubted_at.is_none();
+            let restored = !entry.trusted && entry.doubted_at.is_none();
+            self.generation += u64::from(restored);
+            entry.trusted |= restored;
         }
     }
 
     /// Forgets members that were removed longer than `kept` ago.
     pub(crate) fn forget_removed(&mut self, kept: Duration, now: MonoTime) {
+        let before = self.entries.len();
         self.entries
             .retain(|_, entry| entry.is_live() || now.since(entry.changed_at) < kept);
+        self.generation += u64::from(self.entries.len() < before);
     }
 
     pub(crate) fn bucket_digests(&self) -> Vec<u64> {
--- a/crates/fleet/src/outreach.rs
+++ b/crates/fleet/src/outreach.rs
@@ -16,10 +16,26 @@
 const REFRESH_PERIOD_MS: u64 = 30_000;
 
 impl FleetState {
+    /// Chooses the contacts anew after members changed.
+    pub(crate) fn update_contacts(&mut self) {
+        let generation = Some(self.members.generation());
+        if self.contacts_generation != generation {
+            let count = self.settings.contacts_per_centre;
+            self.contacts = choose_contacts(self.members.live(), count);
+            self.contacts_generation = generation;
+        }
+    }
+
+    fn is_contact(&self) -> bool {
+        self.contacts
+            .iter()
+            .any(|contact| contact.name == self.identity.name)
+    }
+
     /// Writes the summary of this data centre, and probes other ones, if this VM is a contact.
     pub(crate) fn tend_centres(&mut self, now: MonoTime) {
-        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
-        let rank = contacts
+        let rank = self
+            .contacts
             .iter()
             .position(|contact| contact.name == self.identity.name);
         let Some(rank) = rank else { return };
@@ -63,11 +79,7 @@
 
     /// One contact of each other data centre.
     pub(crate) fn foreign_contacts(&mut self) -> Vec<SocketAddr> {
-        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
-        if !contacts
-            .iter()
-            .any(|contact| contact.name == self.identity.name)
-        {
+        if !self.is_contact() {
             return Vec::new();
         }
         let names: Vec<_> = self.other_centres();
@@ -82,12 +94,8 @@
         let Some(centre) = self.foreign_seeds.get(address) else {
             return false;
         };
-        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
-        let contact = contacts
-            .iter()
-            .any(|contact| contact.name == self.identity.name);
         let heard = self.centres.heard_at(centre);
-        !contact || heard.is_some_and(|at| now.since(at) < self.settings.centre_timeout)
+        !self.is_contact() || heard.is_some_and(|at| now.since(at) < self.settings.centre_timeout)
     }
 
     fn write_summary(&mut self, now: MonoTime) {
@@ -106,7 +114,7 @@
 
     /// A new summary, if the contacts changed or the counts are old.
     fn next_centre_record(&mut self, now: MonoTime) -> Option<CentreRecord> {
-        let contacts = choose_contacts(self.members.live(), self.settings.contacts_per_centre);
+        let contacts = self.contacts.clone();
         let known = self.centres.get(&self.identity.centre);
         let next = CentreRecord {
             centre: self.identity.centre.clone(),
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -43,6 +43,8 @@
 pub(crate) struct FleetTimers {
     pub(crate) rejoin: MonoTime,
     pub(crate) repair: MonoTime,
+    /// When time alone may change the use of a target.
+    pub(crate) lease_review: Option<MonoTime>,
     pub(crate) centre_probe: MonoTime,
     pub(crate) centre_summary: MonoTime,
     pub(crate) centre_refresh: MonoTime,
@@ -82,6 +84,12 @@
     pub(crate) pending: PendingNews,
     pub(crate) targets: Arc<TargetTable>,
     pub(crate) targets_dirty: bool,
+    /// Whether the snapshot must not wait for the next tick.
+    pub(crate) targets_urgent: bool,
+    /// Generation of members and isolation at the last review of leases.
+    pub(crate) lease_basis: (u64, bool),
+    pub(crate) contacts: Vec<Arc<VmIdentity>>,
+    pub(crate) contacts_generation: Option<u64>,
     pub(crate) actions: Vec<FleetAction>,
 }
 
@@ -107,6 +115,7 @@
         let timers = FleetTimers {
             rejoin: now,
             repair: now,
+            lease_review: None,
             centre_probe: now,
             centre_summary: now,
             centre_refresh: now,
@@ -130,6 +139,10 @@
             pending: PendingNews::default(),
             targets: Arc::default(),
             targets_dirty: false,
+            targets_urgent: false,
+            lease_basis: (0, false),
+            contacts: Vec::new(),
+            contacts_generation: None,
             actions: Vec::new(),
         };
         state.update_plan(now);
@@ -145,7 +158,7 @@
     ) -> Vec<FleetAction> {
         if self.accepts(&message) {
             self.dispatch(from, message, now);
-            self.rebuild_targets(now);
+            self.rebuild_urgent(now);
         }
         std::mem::take(&mut self.actions)
     }
@@ -159,6 +172,7 @@
         if self.taking_part == TakingPart::Yes {
             self.probe_members(now);
             self.remove_suspects(now);
+            self.update_contacts();
             self.update_plan(now);
             self.pass_leases(now);
             self.tend_centres(now);
@@ -195,6 +209,7 @@
     pub fn on_target_evidence(&mut self, key: &TargetKey, now: MonoTime) {
         if let Some(entry) = self.leases.get_mut(key) {
             entry.evidence_at = Some(now);
+            self.targets_dirty |= !entry.usable;
         }
     }
 
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -88,6 +88,14 @@
     pub(crate) changed: bool,
     /// Targets whose lease lapsed here.
     pub(crate) lapsed: Vec<TargetKey>,
+    /// When the passing of time may change something next.
+    pub(crate) next_at: Option<MonoTime>,
+}
+
+impl LeasePass {
+    fn expect_change(&mut self, at: MonoTime) {
+        self.next_at = Some(self.next_at.map_or(at, |next| next.min(at)));
+    }
 }
 
 /// All known targets of the data centre.
@@ -174,6 +182,11 @@
             if is_forgotten(entry, doubt, times, now) {
                 forgotten.push(key.clone());
             }
+            for at in next_changes(entry, doubt, times) {
+                if at > now {
+                    pass.expect_change(at);
+                }
+            }
         }
         for key in forgotten {
             if let Some(entry) = self.entries.remove(&key) {
@@ -248,6 +261,30 @@
     confirmed && !isolated && !own_lapsed
 }
 
+/// Times at which the passing of time alone may change the use of a target.
+fn next_changes(
+    entry: &LeaseEntry,
+    doubt: HolderDoubt,
+    times: LeaseTimes,
+) -> impl Iterator<Item = MonoTime> {
+    let tombstone_kept = Duration::from_millis(TOMBSTONE_KEPT_MS);
+    let grace_end = match doubt {
+        HolderDoubt::Since(since) => Some(since + times.holder_grace),
+        HolderDoubt::None | HolderDoubt::Unknown => None,
+    };
+    let tombstone_end = entry.change.gone.then(|| entry.changed_at + tombstone_kept);
+    let evidence_end = entry.evidence_at.map(|at| at + times.lease);
+    let orphan_end = entry.orphaned_at.map(|at| at + times.orphan_kept);
+    let ends = [
+        entry.lease_until,
+        evidence_end,
+        grace_end,
+        tombstone_end,
+        orphan_end,
+    ];
+    ends.into_iter().flatten()
+}
+
 fn is_forgotten(
     entry: &mut LeaseEntry,
     doubt: HolderDoubt,
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -207,7 +207,7 @@
     let mut net = TestNet::new(&[1], 1);
     net.settings.seeds.clear();
     net.start(0);
-    net.observe = Box::new(|_, _, message| panic!("sent {message:?}"));
+    net.observe = Box::new(|_, message, _| panic!("sent {message:?}"));
     net.run(5_000);
     assert_eq!(net.now, MonoTime::from_millis(5_000));
 }
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use fulmarweir_base::{MonoTime, ShardHolding, TargetRecord, TargetState};
@@ -37,11 +37,11 @@
 struct Delivery {
     from: SocketAddr,
     to: SocketAddr,
-    message: FleetMessage,
+    bytes: Vec<u8>,
 }
 
-/// Called with the sender, the receiver and the message.
-pub(crate) type MessageObserver = Box<dyn FnMut(SocketAddr, SocketAddr, &FleetMessage)>;
+/// Called with the sender, the message and its encoded size.
+pub(crate) type MessageObserver = Box<dyn FnMut(SocketAddr, &FleetMessage, usize)>;
 
 /// All VMs and targets, and the links between them.
 pub(crate) struct TestNet {
@@ -52,6 +52,8 @@
     pub(crate) loss: f64,
     pub(crate) delay_ms: u64,
     pub(crate) reports: Vec<(MonoTime, SocketAddr, FleetAction)>,
+    /// Time spent in the states and in encoding and decoding.
+    pub(crate) busy: Duration,
     /// Sees every message that is sent.
     pub(crate) observe: MessageObserver,
     cuts: BTreeSet<(SocketAddr, SocketAddr)>,
@@ -122,6 +124,7 @@
             delay_ms: 1,
             reports: Vec::new(),
             observe: Box::new(|_, _, _| {}),
+            busy: Duration::ZERO,
             cuts: BTreeSet::new(),
             queue: BTreeMap::new(),
             fetches: BTreeMap::new(),
@@ -216,7 +219,9 @@
         let Some(state) = &mut self.vms[index].state else {
             return;
         };
+        let start = Instant::now();
         let actions = act(state, now);
+        self.busy += start.elapsed();
         self.carry(address, actions);
     }
 
@@ -276,7 +281,10 @@
                 continue;
             };
             self.with(index, |state, now| {
-                state.on_message(delivery.from, delivery.message, now)
+                let codec = bincode::config::standard();
+                let decoded = bincode::serde::decode_from_slice(&delivery.bytes, codec);
+                let (message, _) = decoded.expect("what was encoded can be decoded");
+                state.on_message(delivery.from, message, now)
             });
         }
         while let Some(entry) = self.fetches.first_entry() {
@@ -302,7 +310,7 @@
     fn carry(&mut self, from: SocketAddr, actions: Vec<FleetAction>) {
         for action in actions {
             match action {
-                FleetAction::Send { to, message } => self.post(from, to, message),
+                FleetAction::Send { to, message } => self.post(from, to, &message),
                 FleetAction::ConfigBehind { peer, .. } => {
                     let at = self.now + Duration::from_millis(2 * self.delay_ms);
                     self.sequence += 1;
@@ -314,15 +322,18 @@
         }
     }
 
-    fn post(&mut self, from: SocketAddr, to: SocketAddr, message: FleetMessage) {
-        (self.observe)(from, to, &message);
+    fn post(&mut self, from: SocketAddr, to: SocketAddr, message: &FleetMessage) {
+        let start = Instant::now();
+        let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard()).unwrap();
+        self.busy += start.elapsed();
+        (self.observe)(from, message, bytes.len());
         if self.is_cut(from, to) || (self.loss > 0.0 && self.rng.random_bool(self.loss)) {
             return;
         }
         let at = self.now + Duration::from_millis(self.delay_ms);
         self.sequence += 1;
         self.queue
-            .insert((at, self.sequence), Delivery { from, to, message });
+            .insert((at, self.sequence), Delivery { from, to, bytes });
     }
 
     fn announce(&mut self) {
