Bound the news that rides on probes; test the heal under delay

After many VMs joined at once every probe carried six items for minutes, though the tree and the repair had long delivered them. The queue now keeps 32 items and repeats each less often. The stale-target test heals under a delay, so that relying on a returned lease holder before a repair fails it.

--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -7,8 +7,10 @@
 use rand_pcg::Pcg64;
 
 /// Most news items on one probe message.
-pub(crate) const PIGGYBACK_MAX: usize = 6;
-const RETRANSMIT_FACTOR: u32 = 3;
+pub(crate) const PIGGYBACK_MAX: usize = 4;
+const RETRANSMIT_FACTOR: u32 = 2;
+/// Most news items kept; after a mass of changes the repair by digests delivers the rest.
+const NEWS_MAX: usize = 32;
 
 /// A probe that has not been acknowledged.
 #[derive(Clone, Debug)]
@@ -139,10 +141,16 @@
 
 impl NewsQueue {
     pub(crate) fn push(&mut self, name: VmName) {
+        if self.sent.len() >= NEWS_MAX {
+            let most = self.sent.iter().max_by_key(|(_, sent)| **sent);
+            if let Some(name) = most.map(|(name, _)| name.clone()) {
+                self.sent.remove(&name);
+            }
+        }
         self.sent.insert(name, 0);
     }
 
-    /// The items repeated least often; each is dropped after `3 log2(members)` repeats.
+    /// The items repeated least often; each is dropped after `2 log2(members)` repeats.
     pub(crate) fn take(&mut self, members: usize) -> Vec<VmName> {
         let mut names: Vec<_> = self
             .sent
--- a/crates/fleet/tests/targets.rs
+++ b/crates/fleet/tests/targets.rs
@@ -266,6 +266,7 @@
             net.cut_group(&[cut_off]);
             net.targets[0].running = false;
             net.run(cut_ms);
+            net.delay_ms = 60;
             net.heal();
             net.run_checked(20_000, |net| {
                 assert!(
