--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -1,6 +1,6 @@
 //! Announcements of targets, their leases and the table that is built from them.
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, TargetRecord, TargetState};
 
@@ -12,6 +12,9 @@
     target::{LeaseTimes, own_holder},
 };
 
+/// Least time between two snapshots, unless a use has ended.
+const REBUILD_PERIOD_MS: u64 = 150;
+
 /// Answer to an accepted announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnnounceReply {
@@ -200,7 +203,7 @@
         self.members.withdraw_trust(self.settings.holder_grace, now);
         let basis = (self.members.generation(), self.is_isolated(now));
         let due = self.timers.lease_review.is_some_and(|at| now >= at);
-        if !due && !self.targets_dirty && self.lease_basis == basis {
+        if !due && !self.is_rebuild_due(now) && self.lease_basis == basis {
             return;
         }
         self.lease_basis = basis;
@@ -233,16 +236,25 @@
     /// wait for the tick.
     pub(crate) fn rebuild_urgent(&mut self, now: MonoTime) {
         if self.targets_urgent {
-            self.rebuild_targets(now);
+            self.review_leases(now);
+            self.build_targets(now);
         }
     }
 
-    /// Builds a new snapshot if anything in it changed.
+    /// Whether anything in the snapshot changed and it need not wait any longer.
+    fn is_rebuild_due(&self, now: MonoTime) -> bool {
+        self.targets_dirty && (self.targets_urgent || now >= self.timers.rebuild)
+    }
+
+    /// Builds a new snapshot if it is due.
     pub(crate) fn rebuild_targets(&mut self, now: MonoTime) {
-        if !self.targets_dirty {
-            return;
+        if self.is_rebuild_due(now) {
+            self.build_targets(now);
         }
-        self.review_leases(now);
+    }
+
+    fn build_targets(&mut self, now: MonoTime) {
+        self.timers.rebuild = now + Duration::from_millis(REBUILD_PERIOD_MS);
         self.targets_dirty = false;
         self.targets_urgent = false;
         let generation = self.plan.generation;
@@ -307,6 +319,6 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/fleet/src/broker.rs
+++ b/crates/fleet/src/broker.rs
@@ -278,7 +278,10 @@
         .iter()
         .map(|member| (rendezvous_weight(member.hash, key), &member.name))
         .collect();
+    if count < weighted.len() {
+        weighted.select_nth_unstable_by(count, |a, b| b.cmp(a));
+        weighted.truncate(count);
+    }
     weighted.sort_unstable_by(|a, b| b.cmp(a));
-    weighted.truncate(count);
     weighted.into_iter().map(|(_, name)| name.clone()).collect()
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -43,6 +43,8 @@
 pub(crate) struct FleetTimers {
     pub(crate) rejoin: MonoTime,
     pub(crate) repair: MonoTime,
+    /// Earliest time of the next snapshot of the targets.
+    pub(crate) rebuild: MonoTime,
     /// When time alone may change the use of a target.
     pub(crate) lease_review: Option<MonoTime>,
     pub(crate) centre_probe: MonoTime,
@@ -115,6 +117,7 @@
         let timers = FleetTimers {
             rejoin: now,
             repair: now,
+            rebuild: now,
             lease_review: None,
             centre_probe: now,
             centre_summary: now,
