--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, TargetRecord, TargetState};
+use fulmarweir_base::{MonoTime, TargetRecord, TargetState, VmName};
 
 use crate::{
     CentreNews, FleetAction, FleetMessage, FleetState, SpreadNews, TargetChange, TargetEntry,
@@ -287,14 +287,12 @@
     /// Live brokers of the target, the preferred one first.
     pub(crate) fn brokers_of(&self, key: &TargetKey) -> Option<Vec<Arc<VmIdentity>>> {
         let entry = self.leases.get(key)?;
+        let live = |name: &VmName| self.members.live_identity(name).cloned();
+        if entry.brokers_generation == Some(self.plan.generation) {
+            return Some(entry.brokers.iter().filter_map(live).collect());
+        }
         let names = self.plan.brokers(&entry.change.record, &self.settings);
-        Some(
-            names
-                .iter()
-                .filter_map(|name| self.members.live_identity(name))
-                .cloned()
-                .collect(),
-        )
+        Some(names.iter().filter_map(live).collect())
     }
 }
 
