cli: the tool for operators and callers

Operators need to check, submit and follow the configuration, and callers to search and act, with an exit code that says whether a request ran.

--- /dev/null
+++ b/crates/cli/src/submit.rs
@@ -0,0 +1,167 @@
+//! The command `config submit`: one change, sent until its outcome is known.
+
+use std::{path::Path, time::Duration};
+
+use http::{
+    HeaderName, Method,
+    header::{CONTENT_TYPE, IF_MATCH},
+};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    answers::{StatusAnswer, read_answer},
+    call::{CallEffect, VmCall},
+    config::{fetch_current, read_file, unified_diff},
+    failure::{RequestFailure, Result, ToolError},
+    fallback::VmList,
+    flags::Submit,
+    report::{CommandReport, printable},
+};
+
+const POLL_PERIOD_MS: u64 = 200;
+const CHANGE_HEADER: HeaderName = HeaderName::from_static("change-id");
+
+/// Runs `config submit`.
+pub(crate) async fn submit_file(vms: &VmList, flags: &Submit) -> Result<CommandReport> {
+    let text = read_file(&flags.file)?;
+    let change_id = flags.change_id.clone().unwrap_or_else(random_id);
+    let call = VmCall::new(Method::PUT, "/v1/config".to_owned(), CallEffect::Keyed);
+    let mut call = call
+        .header(IF_MATCH, &format!("\"{}\"", flags.at))?
+        .header(CHANGE_HEADER, &change_id)?
+        .header(CONTENT_TYPE, "text/plain; charset=utf-8")?;
+    call.body = text.clone().into();
+    let reply = match vms.call(&call).await {
+        Ok(reply) => reply,
+        Err(ToolError::Request(failure)) => {
+            return Err(explain(vms, &flags.file, &text, &change_id, failure).await);
+        }
+        Err(error) => return Err(error),
+    };
+    let version = reply.json(&call)?.get("version").and_then(Value::as_u64);
+    let laggards = match (version, flags.wait) {
+        (Some(version), Some(secs)) => wait_in_force(vms, version, Duration::from_secs(secs)).await,
+        _ => Vec::new(),
+    };
+    Ok(submit_report(version, &change_id, &laggards))
+}
+
+fn random_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+/// Adds what helps the operator on: the faults, the difference or the change ID.
+async fn explain(
+    vms: &VmList,
+    file: &Path,
+    text: &str,
+    change_id: &str,
+    mut failure: RequestFailure,
+) -> ToolError {
+    if failure.is_conflict {
+        if let Ok(current) = fetch_current(vms).await {
+            let diff = unified_diff(&current, file, text);
+            failure.message += "; another change came first:\n";
+            failure.message += &diff;
+        }
+    } else if let Some(faults) = failure.body.as_ref().and_then(faults_text) {
+        failure.message += "\n";
+        failure.message += &faults;
+    } else {
+        failure.message += "; to resend: --change-id ";
+        failure.message += change_id;
+    }
+    failure.into()
+}
+
+/// The faults of a refused text, one a line.
+fn faults_text(body: &Value) -> Option<String> {
+    let nested = body.get("error").and_then(|error| error.get("faults"));
+    let faults = body.get("faults").or(nested)?.as_array()?;
+    let lines = faults.iter().map(|fault| {
+        let field = |name| match fault.get(name) {
+            None | Some(Value::Null) => String::new(),
+            Some(Value::String(text)) => format!("{text} "),
+            Some(other) => format!("{other} "),
+        };
+        let line = field("line");
+        let line = line.trim();
+        let place = format!("{}{}", field("section"), field("key"));
+        let what = format!("{}{}", field("reason"), field("found"));
+        printable(&format!(
+            "line {line}: {place}{what}expected {}",
+            field("expected")
+        ))
+    });
+    Some(lines.collect::<Vec<_>>().join("\n"))
+}
+
+/// Polls until `version` is in force everywhere; returns the VMs where it is not.
+async fn wait_in_force(vms: &VmList, version: u64, patience: Duration) -> Vec<String> {
+    let end = Instant::now() + patience;
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        let poll = VmList {
+            deadline: left.min(vms.deadline),
+            ..vms.clone()
+        };
+        let laggards = find_laggards(&poll, version).await;
+        let pause = Duration::from_millis(POLL_PERIOD_MS);
+        if laggards.is_empty() || Instant::now() + pause >= end {
+            return laggards;
+        }
+        sleep(pause).await;
+    }
+}
+
+/// VMs that the first answering VM does not know to have `version`.
+async fn find_laggards(vms: &VmList, version: u64) -> Vec<String> {
+    let json = match vms.read("/v1/status").await {
+        Ok(json) => json,
+        Err(error) => return vec![format!("unknown, no VM tells its status: {error}")],
+    };
+    let status: StatusAnswer = read_answer(&json);
+    let has_version = |known: Option<u64>| known.is_some_and(|known| known >= version);
+    let mut laggards = Vec::new();
+    if !has_version(status.config.version) {
+        laggards.push(laggard(status.vm.as_deref(), None, status.config.version));
+    }
+    for member in &status.members {
+        if !has_version(member.config_version) {
+            let state = member.state.as_deref();
+            laggards.push(laggard(member.vm.as_deref(), state, member.config_version));
+        }
+    }
+    laggards
+}
+
+fn laggard(vm: Option<&str>, state: Option<&str>, version: Option<u64>) -> String {
+    let vm = vm.unwrap_or("unnamed VM");
+    let state = state.map(|state| format!(", {state}")).unwrap_or_default();
+    match version {
+        Some(version) => format!("{vm} (version {version}{state})"),
+        None => format!("{vm} (version unknown{state})"),
+    }
+}
+
+fn submit_report(version: Option<u64>, change_id: &str, laggards: &[String]) -> CommandReport {
+    let name = version.map_or_else(
+        || "an unknown version".to_owned(),
+        |v| format!("version {v}"),
+    );
+    let mut text = format!("accepted as {name}, change {change_id}");
+    for laggard in laggards {
+        text += "\nnot yet in force on ";
+        text += &printable(laggard);
+    }
+    let json = json!({
+        "version": version,
+        "change_id": change_id,
+        "not_in_force": laggards,
+    });
+    CommandReport {
+        is_complete: laggards.is_empty(),
+        ..CommandReport::new(text, json)
+    }
+}
