--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -24,6 +24,7 @@
 mod service_parse;
 mod settings;
 mod settings_parse;
+mod settings_value;
 mod value;
 mod version;
 
--- a/crates/conf/src/settings_parse.rs
+++ b/crates/conf/src/settings_parse.rs
@@ -1,10 +1,11 @@
 //! Turns the sections of a settings file into [`VmSettings`].
 
 use std::{
-    collections::HashSet, net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration,
+    collections::HashSet, net::SocketAddr, ops::RangeInclusive, path::PathBuf, sync::Arc,
+    time::Duration,
 };
 
-use fulmarweir_base::VmName;
+use fulmarweir_base::{CentreName, RegionName, VmName};
 
 use crate::{
     fault::{ConfigFault, FaultList, FaultReason},
@@ -13,7 +14,8 @@
     settings::{
         ListenSettings, PeerSettings, PolicySettings, ShutdownSettings, VmSettings, VoterAddress,
     },
-    value::{self, Expectation, address, expected, flag, list, name, number, reachable_address},
+    settings_value::{folder, log_level, token, voter},
+    value::{address, flag, list, name, number, reachable_address},
 };
 
 const SECTIONS: [&str; 8] = [
@@ -29,8 +31,6 @@
 
 const SEEDS_MAX: usize = 64;
 const VOTERS_MAX: usize = 9;
-const TOKEN_MAX_BYTES: usize = 256;
-const FOLDER_MAX_BYTES: usize = 4096;
 
 const BODY_DEFAULT_BYTES: usize = 1024 * 1024;
 const BODY_RANGE_BYTES: RangeInclusive<usize> = 1024..=64 * 1024 * 1024;
@@ -108,8 +108,8 @@
 /// The section `[vm]`.
 struct VmIdentity {
     name: VmName,
-    centre: fulmarweir_base::CentreName,
-    region: fulmarweir_base::RegionName,
+    centre: CentreName,
+    region: RegionName,
     data_folder: Option<PathBuf>,
 }
 
@@ -199,7 +199,7 @@
     sections: &[IniSection<'_>],
     listen: Option<ListenSettings>,
     faults: &mut FaultList,
-) -> Option<std::sync::Arc<str>> {
+) -> Option<Arc<str>> {
     let section = find(sections, "operators");
     let operator_token = section.and_then(|section| {
         let mut reader = SectionReader::new(section, faults);
@@ -293,40 +293,3 @@
         reader.conflict("voters", &wording);
     }
 }
-
-fn folder(value: &str) -> value::Result<PathBuf> {
-    if value.is_empty() || value.len() > FOLDER_MAX_BYTES || value.contains('\0') {
-        return Err(expected("the path of a folder"));
-    }
-    Ok(PathBuf::from(value))
-}
-
-fn token(value: &str) -> value::Result<std::sync::Arc<str>> {
-    let visible = value.bytes().all(|b| b.is_ascii_graphic());
-    if value.is_empty() || value.len() > TOKEN_MAX_BYTES || !visible {
-        let text = format!("1 to {TOKEN_MAX_BYTES} visible ASCII characters without blanks");
-        return Err(Expectation(text.into()));
-    }
-    Ok(value.into())
-}
-
-fn voter(value: &str) -> value::Result<VoterAddress> {
-    let wording = "NAME IP:PORT, separated by commas";
-    let (voter_name, voter_address) = value.split_once([' ', '\t']).ok_or(expected(wording))?;
-    Ok(VoterAddress {
-        name: name(voter_name)?,
-        address: reachable_address(voter_address.trim())?,
-    })
-}
-
-fn log_level(value: &str) -> value::Result<slog::Level> {
-    match value {
-        "critical" => Ok(slog::Level::Critical),
-        "error" => Ok(slog::Level::Error),
-        "warning" => Ok(slog::Level::Warning),
-        "info" => Ok(slog::Level::Info),
-        "debug" => Ok(slog::Level::Debug),
-        "trace" => Ok(slog::Level::Trace),
-        _ => Err(expected("critical, error, warning, info, debug or trace")),
-    }
-}
