Add typed calls between daemons over HTTP/2 streams

Each call is one stream with a bincode body; dropping the call resets the stream and with it the work at the peer. The verdict says whether the peer may have acted: a refused stream or a failed connection has not.

--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,54 @@
+//! Errors of a call to another daemon.
+
+use std::fmt;
+
+use fulmarweir_base::RunVerdict;
+
+/// Why a call failed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum WireFault {
+    /// No connection could be made.
+    Connect,
+    /// The peer refused the stream before it read the message.
+    Refused,
+    /// The peer speaks another version of the protocol.
+    Protocol,
+    /// The connection or stream broke.
+    Broken,
+    /// The message or reply could not be encoded, decoded or was too large.
+    Codec,
+    /// No reply came before the deadline.
+    Timeout,
+}
+
+/// A failed call, with the verdict whether the peer may have acted on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WireError {
+    /// Why it failed.
+    pub fault: WireFault,
+    /// Whether the peer may have acted on the message.
+    pub verdict: RunVerdict,
+}
+
+impl WireError {
+    pub(crate) const fn not_run(fault: WireFault) -> Self {
+        let verdict = RunVerdict::NotRun;
+        Self { fault, verdict }
+    }
+
+    pub(crate) const fn may_have_run(fault: WireFault) -> Self {
+        let verdict = RunVerdict::MayHaveRun;
+        Self { fault, verdict }
+    }
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "peer call failed: {:?}, {}", self.fault, self.verdict)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// Result of a call to another daemon.
+pub(crate) type Result<T> = std::result::Result<T, WireError>;
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,163 @@
+//! Serving calls of other daemons.
+
+use std::{future::Future, marker::PhantomData, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use futures::future::poll_fn;
+use h2::{
+    RecvStream,
+    server::{Connection, SendResponse},
+};
+use http::{Request, Response, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    PROTOCOL_PATH,
+    body::{read_body, write_body},
+    codec::{decode_message, encode_message},
+    traffic::{TrafficClass, TrafficMeter},
+};
+
+const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
+const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
+const CONCURRENT_STREAMS_MAX: u32 = 4096;
+
+/// Serves requests `Q` of other daemons with replies `R`.
+pub struct PeerServer<Q, R, H> {
+    shared: Arc<ServerShared<H>>,
+    types: PhantomData<fn(Q) -> R>,
+}
+
+struct ServerShared<H> {
+    handler: H,
+    meter: Arc<TrafficMeter>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+}
+
+impl<Q, R, H, F> PeerServer<Q, R, H>
+where
+    Q: DeserializeOwned + Send + 'static,
+    R: Serialize + Send + Sync + 'static,
+    H: Fn(SocketAddr, Q) -> (TrafficClass, F) + Send + Sync + 'static,
+    F: Future<Output = R> + Send + 'static,
+{
+    /// A server that hands each request to `handler`; cancelling `stop` ends it gracefully.
+    #[must_use]
+    pub fn new(handler: H, meter: Arc<TrafficMeter>, stop: CancellationToken) -> Self {
+        let shared = ServerShared {
+            handler,
+            meter,
+            tasks: TaskTracker::new(),
+            stop,
+        };
+        Self {
+            shared: Arc::new(shared),
+            types: PhantomData,
+        }
+    }
+
+    /// Accepts connections until stopped, then finishes the streams in flight.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.shared.stop.cancelled() => break,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, address)) = accepted else {
+                continue;
+            };
+            let shared = Arc::clone(&self.shared);
+            self.shared
+                .tasks
+                .spawn(serve_connection::<Q, R, H, F>(shared, stream, address));
+        }
+        self.shared.tasks.close();
+        self.shared.tasks.wait().await;
+    }
+}
+
+async fn serve_connection<Q, R, H, F>(
+    shared: Arc<ServerShared<H>>,
+    stream: TcpStream,
+    address: SocketAddr,
+) where
+    Q: DeserializeOwned + Send + 'static,
+    R: Serialize + Send + Sync + 'static,
+    H: Fn(SocketAddr, Q) -> (TrafficClass, F) + Send + Sync + 'static,
+    F: Future<Output = R> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_streams(CONCURRENT_STREAMS_MAX)
+        .handshake(stream);
+    let mut connection: Connection<TcpStream, Bytes> = tokio::select! {
+        () = shared.stop.cancelled() => return,
+        done = handshake => match done {
+            Ok(connection) => connection,
+            Err(_) => return,
+        },
+    };
+    let mut closing = false;
+    loop {
+        let accepted = tokio::select! {
+            () = shared.stop.cancelled(), if !closing => {
+                closing = true;
+                connection.graceful_shutdown();
+                continue;
+            }
+            accepted = connection.accept() => accepted,
+        };
+        let Some(Ok((request, respond))) = accepted else {
+            return;
+        };
+        let call = serve_call::<Q, R, H, F>(Arc::clone(&shared), address, request, respond);
+        shared.tasks.spawn(call);
+    }
+}
+
+async fn serve_call<Q, R, H, F>(
+    shared: Arc<ServerShared<H>>,
+    address: SocketAddr,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) where
+    Q: DeserializeOwned,
+    R: Serialize,
+    H: Fn(SocketAddr, Q) -> (TrafficClass, F),
+    F: Future<Output = R>,
+{
+    if request.uri().path() != PROTOCOL_PATH {
+        return refuse_call(&mut respond, StatusCode::NOT_FOUND);
+    }
+    let Some(body) = read_body(&mut request.into_body()).await else {
+        return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
+    };
+    let Ok(message) = decode_message::<Q>(&body) else {
+        return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
+    };
+    let (class, reply) = (shared.handler)(address, message);
+    let reply = tokio::select! {
+        reply = reply => reply,
+        // The caller reset the stream: dropping the handler's future cancels the work.
+        _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
+    };
+    let Ok(reply) = encode_message(&reply) else {
+        return refuse_call(&mut respond, StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    shared.meter.record_call(class, body.len(), reply.len());
+    let head = Response::new(());
+    if let Ok(mut stream) = respond.send_response(head, false) {
+        let _ = write_body(&mut stream, Bytes::from(reply)).await;
+    }
+}
+
+fn refuse_call(respond: &mut SendResponse<Bytes>, status: StatusCode) {
+    let mut head = Response::new(());
+    *head.status_mut() = status;
+    let _ = respond.send_response(head, true);
+}
--- /dev/null
+++ b/crates/wire/src/traffic.rs
@@ -0,0 +1,64 @@
+//! Counts of bytes between daemons, by purpose.
+
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// HTTP/2 frame headers and indexed header fields of one call, in bytes.
+const CALL_OVERHEAD_BYTES: u64 = 60;
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum TrafficClass {
+    /// Membership, targets, configuration and registers.
+    Control,
+    /// Sub-queries of callers.
+    Query,
+}
+
+/// Totals of one class.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TrafficTotals {
+    /// Calls made and served.
+    pub calls: u64,
+    /// Message bytes with framing, both ways.
+    pub bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct ClassCounter {
+    calls: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// Counts calls and bytes of one process.
+#[derive(Debug, Default)]
+pub struct TrafficMeter {
+    control: ClassCounter,
+    query: ClassCounter,
+}
+
+impl TrafficMeter {
+    /// Totals of `class` so far.
+    #[must_use]
+    pub fn totals(&self, class: TrafficClass) -> TrafficTotals {
+        let counter = self.counter(class);
+        TrafficTotals {
+            calls: counter.calls.load(Relaxed),
+            bytes: counter.bytes.load(Relaxed),
+        }
+    }
+
+    /// Adds one call with a request and a reply of these many bytes.
+    pub fn record_call(&self, class: TrafficClass, request_bytes: usize, reply_bytes: usize) {
+        let counter = self.counter(class);
+        let bytes = (request_bytes + reply_bytes) as u64 + CALL_OVERHEAD_BYTES;
+        counter.calls.fetch_add(1, Relaxed);
+        counter.bytes.fetch_add(bytes, Relaxed);
+    }
+
+    fn counter(&self, class: TrafficClass) -> &ClassCounter {
+        match class {
+            TrafficClass::Control => &self.control,
+            TrafficClass::Query => &self.query,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/call.rs
@@ -0,0 +1,150 @@
+//! Calls between two daemons over loopback.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering::SeqCst},
+    },
+    time::Duration,
+};
+
+use fulmarweir_base::RunVerdict;
+use fulmarweir_wire::{PeerClient, PeerServer, TrafficClass, TrafficMeter, WireFault};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+struct DropCounter(Arc<AtomicU32>);
+
+impl Drop for DropCounter {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, SeqCst);
+    }
+}
+
+/// Serves doubling of numbers; zero never gets a reply, and odd ones come late.
+async fn start_server(dropped: Arc<AtomicU32>) -> (SocketAddr, CancellationToken, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stop = CancellationToken::new();
+    let handler = move |_from: SocketAddr, number: u32| {
+        let guard = DropCounter(Arc::clone(&dropped));
+        let work: Pin<Box<dyn Future<Output = u32> + Send>> = Box::pin(async move {
+            let _guard = guard;
+            match number {
+                0 => std::future::pending::<()>().await,
+                n if n % 2 == 1 => sleep(Duration::from_millis(50)).await,
+                _ => {}
+            }
+            number * 2
+        });
+        (TrafficClass::Control, work)
+    };
+    let server = PeerServer::new(handler, Arc::default(), stop.clone());
+    let task = tokio::spawn(server.serve(listener));
+    (address, stop, task)
+}
+
+#[tokio::test]
+async fn replies_reach_their_own_call_when_they_come_out_of_order() {
+    let (address, stop, task) = start_server(Arc::default()).await;
+    let meter = Arc::new(TrafficMeter::default());
+    let client = PeerClient::<u32, u32>::new(Arc::clone(&meter));
+    let calls = (1..50_u32).map(|number| {
+        let client = client.clone();
+        async move {
+            let reply = client
+                .call(address, TrafficClass::Query, &number, PATIENCE)
+                .await;
+            assert_eq!(reply.unwrap(), number * 2);
+        }
+    });
+    futures::future::join_all(calls).await;
+    assert_eq!(meter.totals(TrafficClass::Query).calls, 49);
+    client.close().await;
+    stop.cancel();
+    task.await.unwrap();
+}
+
+#[tokio::test]
+async fn dropping_a_call_cancels_the_work_at_the_peer() {
+    let dropped = Arc::new(AtomicU32::new(0));
+    let (address, _stop, _task) = start_server(Arc::clone(&dropped)).await;
+    let client = PeerClient::<u32, u32>::new(Arc::default());
+    let reply = client
+        .call(address, TrafficClass::Query, &0, Duration::from_millis(100))
+        .await
+        .unwrap_err();
+    assert_eq!(reply.fault, WireFault::Timeout);
+    assert_eq!(reply.verdict, RunVerdict::MayHaveRun);
+    while dropped.load(SeqCst) == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_peer_that_is_not_there_has_surely_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = PeerClient::<u32, u32>::new(Arc::default());
+    let error = client
+        .call(address, TrafficClass::Query, &2, PATIENCE)
+        .await
+        .unwrap_err();
+    assert_eq!(error.fault, WireFault::Connect);
+    assert_eq!(error.verdict, RunVerdict::NotRun);
+}
+
+#[tokio::test]
+async fn graceful_stop_finishes_calls_in_flight() {
+    let (address, stop, task) = start_server(Arc::default()).await;
+    let client = PeerClient::<u32, u32>::new(Arc::default());
+    let call = {
+        let client = client.clone();
+        tokio::spawn(async move {
+            client
+                .call(address, TrafficClass::Query, &7, PATIENCE)
+                .await
+        })
+    };
+    sleep(Duration::from_millis(20)).await;
+    stop.cancel();
+    assert_eq!(call.await.unwrap().unwrap(), 14);
+    client.close().await;
+    task.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_client_connects_again_after_the_peer_restarted() {
+    let (address, stop, task) = start_server(Arc::default()).await;
+    let client = PeerClient::<u32, u32>::new(Arc::default());
+    assert!(
+        client
+            .call(address, TrafficClass::Query, &2, PATIENCE)
+            .await
+            .is_ok()
+    );
+    stop.cancel();
+    task.await.unwrap();
+    let error = client
+        .call(address, TrafficClass::Query, &2, PATIENCE)
+        .await
+        .unwrap_err();
+    assert_eq!(error.verdict, RunVerdict::NotRun);
+    let listener = TcpListener::bind(address).await.unwrap();
+    let handler = |_from: SocketAddr, n: u32| (TrafficClass::Query, async move { n + 1 });
+    let server = PeerServer::<u32, u32, _>::new(handler, Arc::default(), CancellationToken::new());
+    let _task = tokio::spawn(server.serve(listener));
+    assert_eq!(
+        client
+            .call(address, TrafficClass::Query, &2, PATIENCE)
+            .await
+            .unwrap(),
+        3
+    );
+}
