--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(!RunVerdict::MayHaveRun.allows_retry(false));
 //! ```
 
+mod lock;
 mod name;
 mod shard;
 mod target;
@@ -17,6 +18,7 @@
 mod timer;
 mod verdict;
 
+pub use lock::lock;
 pub use name::{
     CentreName, NAME_MAX_BYTES, NameError, RegionName, ServiceName, TargetName, VmName,
 };
--- a/crates/base/src/timer.rs
+++ b/crates/base/src/timer.rs
@@ -9,7 +9,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::MonoTime;
+use crate::{MonoTime, lock};
 
 /// Ticks that may wait unread; a subscriber that lags loses the older ones' spacing, not the newest.
 const TICK_BACKLOG: usize = 1;
@@ -83,20 +83,16 @@
         let (sender, receiver) = mpsc::channel(TICK_BACKLOG);
         let service = self.clone();
         let task = tokio::spawn(async move { service.send_ticks(period, sender).await });
-        if let Ok(mut tasks) = self.shared.tasks.lock() {
-            tasks.retain(|task| !task.is_finished());
-            tasks.push(task);
-        }
+        let mut tasks = lock(&self.shared.tasks);
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(task);
         TimerTicks { receiver }
     }
 
     /// Ends every subscription and waits for their tasks.
     pub async fn close(&self) {
         self.shared.stop.cancel();
-        let tasks = match self.shared.tasks.lock() {
-            Ok(mut tasks) => std::mem::take(&mut *tasks),
-            Err(_) => return,
-        };
+        let tasks = std::mem::take(&mut *lock(&self.shared.tasks));
         for task in tasks {
             let _ = task.await;
         }
--- /dev/null
+++ b/crates/pool/src/exchange.rs
@@ -0,0 +1,138 @@
+//! One request and its reply on one connection.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use fulmarweir_base::{MonoTime, RunVerdict};
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use crate::{
+    connection::TargetConnection,
+    request::{ReportedLoad, Result, TargetAnswer, TargetError, TargetFault, TargetRequest},
+};
+
+/// Largest accepted reply body in bytes.
+const REPLY_MAX_BYTES: usize = 4 * 1024 * 1024;
+const RETRY_AFTER_MAX_S: u64 = 60;
+
+/// Sends `request` and reads its reply to the end.
+pub(crate) async fn run_exchange(
+    connection: &mut TargetConnection,
+    request: &TargetRequest,
+    now: MonoTime,
+) -> Result<TargetAnswer> {
+    let message = build_request(request, now)?;
+    let response = match connection.sender.try_send_request(message).await {
+        Ok(response) => response,
+        Err(mut error) => return Err(send_error(error.take_message().is_some())),
+    };
+    read_reply(request, response).await
+}
+
+/// The message comes back only when no byte of it was written.
+fn send_error(message_came_back: bool) -> TargetError {
+    if message_came_back {
+        TargetError::not_run(TargetFault::Connect)
+    } else {
+        TargetError::may_have_run(TargetFault::Broken)
+    }
+}
+
+fn build_request(request: &TargetRequest, now: MonoTime) -> Result<Request<Full<Bytes>>> {
+    let left_ms = request.deadline.since(now).as_millis();
+    let shard = format!("{}/{}", request.shard, request.of);
+    let mut builder = Request::post("/query")
+        .header(header::HOST, "target")
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("fulmarweir-request", &*request.request)
+        .header("fulmarweir-attempt", &*request.attempt)
+        .header("fulmarweir-service", request.service.as_str())
+        .header("fulmarweir-version", request.version)
+        .header("fulmarweir-shard", shard)
+        .header("fulmarweir-deadline-ms", left_ms.to_string())
+        .header("fulmarweir-kind", request.kind.as_str());
+    if let Some(key) = &request.key {
+        builder = builder.header("fulmarweir-key", &**key);
+    }
+    builder
+        .body(Full::new(request.body.clone()))
+        .map_err(|_| TargetError::not_run(TargetFault::BadStatus))
+}
+
+async fn read_reply(request: &TargetRequest, response: Response<Incoming>) -> Result<TargetAnswer> {
+    let (head, body) = response.into_parts();
+    let body = read_body(body).await?;
+    if head.status == StatusCode::OK {
+        return accept_answer(request, &head.headers, body);
+    }
+    Err(refusal_error(request, head.status, &head.headers))
+}
+
+async fn read_body(mut body: Incoming) -> Result<Bytes> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| TargetError::may_have_run(TargetFault::Broken))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > REPLY_MAX_BYTES {
+            return Err(TargetError::may_have_run(TargetFault::TooLarge));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
+fn accept_answer(
+    request: &TargetRequest,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<TargetAnswer> {
+    if !echoes_attempt(request, headers) {
+        return Err(TargetError::may_have_run(TargetFault::BadEcho));
+    }
+    let load = text_header(headers, "fulmarweir-load").and_then(ReportedLoad::parse);
+    Ok(TargetAnswer { body, load })
+}
+
+fn echoes_attempt(request: &TargetRequest, headers: &HeaderMap) -> bool {
+    let shard = format!("{}/{}", request.shard, request.of);
+    let version = request.version.to_string();
+    text_header(headers, "fulmarweir-attempt") == Some(&request.attempt)
+        && text_header(headers, "fulmarweir-version") == Some(&version)
+        && text_header(headers, "fulmarweir-shard") == Some(&shard)
+}
+
+/// Only a refusal that names this attempt, or names none, can speak for it.
+fn refusal_error(request: &TargetRequest, status: StatusCode, headers: &HeaderMap) -> TargetError {
+    let other_attempt = text_header(headers, "fulmarweir-attempt")
+        .is_some_and(|attempt| attempt != &*request.attempt);
+    if other_attempt {
+        return TargetError::may_have_run(TargetFault::BadEcho);
+    }
+    let says_not_run = text_header(headers, "fulmarweir-not-run") == Some("true");
+    let fault = match status {
+        StatusCode::GONE => TargetFault::VersionGone,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => TargetFault::Shed,
+        _ => TargetFault::BadStatus,
+    };
+    if !says_not_run || fault == TargetFault::BadStatus {
+        return TargetError::may_have_run(TargetFault::BadStatus);
+    }
+    TargetError {
+        fault,
+        verdict: RunVerdict::NotRun,
+        retry_after: retry_after(headers),
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: u64 = text_header(headers, "retry-after")?.parse().ok()?;
+    Some(Duration::from_secs(seconds.min(RETRY_AFTER_MAX_S)))
+}
+
+fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use fulmarweir_base::lock;
 use h2::client::{ResponseFuture, SendRequest};
 use http::{Request, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
@@ -150,7 +151,7 @@
     }
 
     fn slot(&self, address: SocketAddr) -> PeerSlot {
-        let mut slots = self.slots.lock().expect("no panic while locked");
+        let mut slots = lock(&self.slots);
         Arc::clone(slots.entry(address).or_default())
     }
 
