--- /dev/null
+++ b/crates/daemon/src/config_keeper.rs
@@ -0,0 +1,39 @@
+//! The configuration in force on this VM.
+
+use std::sync::{Arc, Mutex};
+
+use fulmarweir_base::{ServiceName, lock};
+use fulmarweir_conf::{ConfigVersion, ServicePlan};
+
+/// Holds the newest configuration version that this VM has seen; it never goes back.
+pub(crate) struct ConfigKeeper {
+    current: Mutex<Arc<ConfigVersion>>,
+}
+
+impl ConfigKeeper {
+    pub(crate) fn new(version: ConfigVersion) -> Self {
+        Self {
+            current: Mutex::new(Arc::new(version)),
+        }
+    }
+
+    /// The version in force.
+    pub(crate) fn current(&self) -> Arc<ConfigVersion> {
+        Arc::clone(&lock(&self.current))
+    }
+
+    /// The plan of a service in the version in force.
+    pub(crate) fn plan(&self, service: &ServiceName) -> Option<Arc<ServicePlan>> {
+        lock(&self.current).services.get(service).cloned()
+    }
+
+    /// Puts `version` in force when it is newer; true when it was.
+    pub(crate) fn apply(&self, version: ConfigVersion) -> bool {
+        let mut current = lock(&self.current);
+        if version.version <= current.version {
+            return false;
+        }
+        *current = Arc::new(version);
+        true
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/listener.rs
@@ -0,0 +1,74 @@
+//! HTTP listeners that stop gracefully.
+
+use std::{net::SocketAddr, time::Duration};
+
+use axum::Router;
+use error_stack::ResultExt;
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+    service::TowerToHyperService,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::error::{DaemonError, Result};
+
+/// Time in which a client must send its request head, in seconds.
+const HEADER_TIMEOUT_S: u64 = 10;
+/// Pause after a failed accept, which the lack of file descriptors causes, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Listens on `address` and tells the address that was bound.
+pub(crate) async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address)
+        .await
+        .change_context(DaemonError::Listen)
+        .attach_with(|| address.to_string())?;
+    let bound = listener.local_addr().change_context(DaemonError::Listen)?;
+    Ok((listener, bound))
+}
+
+/// Serves `router` until `stop`, then finishes the requests in flight.
+pub(crate) async fn serve_http(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    let tasks = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        serve_connection(stream, router.clone(), &graceful, &tasks);
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    tasks.close();
+    tasks.wait().await;
+}
+
+fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    graceful: &GracefulShutdown,
+    tasks: &TaskTracker,
+) {
+    let _ = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S));
+    builder.http2().timer(TokioTimer::new());
+    let service = TowerToHyperService::new(router);
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let watched = graceful.watch(connection);
+    tasks.spawn(async move {
+        let _ = watched.await;
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,33 @@
+//! The process's logger: one logfmt line per event on standard error.
+
+use std::{io, sync::Mutex};
+
+use slog::{Drain, LevelFilter, Logger, o};
+use slog_logfmt::Logfmt;
+
+/// Lines that may wait to be written; further ones are dropped and counted in the log.
+const LOG_BACKLOG: usize = 8192;
+
+/// Builds the logger. Lines are written by its own thread, so logging never blocks a request.
+pub(crate) fn build_logger(level: slog::Level, vm: &str) -> Logger {
+    let lines = Logfmt::new(io::stderr()).set_prefix(write_prefix).build();
+    let drain = Mutex::new(lines).map(slog::Fuse);
+    let drain = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build();
+    let drain = LevelFilter::new(drain, level).fuse();
+    Logger::root(drain, o!("vm" => vm.to_owned()))
+}
+
+fn write_prefix(out: &mut dyn io::Write, record: &slog::Record<'_>) -> slog::Result {
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    let level = record.level().as_str().to_lowercase();
+    write!(
+        out,
+        "ts={}.{:03} level={level} event={:?} ",
+        now.as_secs(),
+        now.subsec_millis(),
+        record.msg().to_string()
+    )?;
+    Ok(())
+}
