Add stand-in targets with planted delays, limits and faults

The integration tests and the load tool need back ends whose answers can be checked: hits follow from version, shard and request body, acts are logged by key. Replies that are doubled or cut short need bytes on the wire that an HTTP server would not send, so they are planted in a stream wrapper below hyper rather than by a server written by hand.

--- /dev/null
+++ b/crates/bench/src/stand_in.rs
@@ -0,0 +1,148 @@
+//! Stand-in targets: small back ends with planted delays, limits and faults.
+
+mod announce;
+mod call;
+mod counters;
+mod hits;
+mod query;
+mod reply;
+mod server;
+mod settings;
+mod slots;
+mod state;
+mod stream;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use fulmarweir_base::{ShardHolding, TargetName, TargetState};
+use tokio::{net::TcpListener, time::sleep};
+
+use self::{announce::announce_until_stopped, server::accept_connections, state::TargetShared};
+use crate::error::BenchError;
+
+pub use self::{
+    counters::{KeyRuns, StandInCounters},
+    hits::{
+        AnswerCheck, AnswerCoverage, AnswerFault, HitList, SearchAnswer, StandInHit, shard_hits,
+    },
+    settings::{
+        ColdStart, FaultShare, HUGE_BODY_BYTES, ReplyFault, ReportHonesty, ServiceTime,
+        StandInBehaviour, StandInSettings,
+    },
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+/// Pause between two looks at a target that drains.
+const DRAIN_POLL_MS: u64 = 5;
+
+/// A running stand-in target on a loopback port.
+///
+/// [`StandIn::stop`] ends it at once, as a crash would; [`StandIn::drain`]
+/// first lets it leave in good order. Dropping it stops it without waiting.
+#[derive(Debug)]
+pub struct StandIn {
+    shared: Arc<TargetShared>,
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        self.shared.stop.cancel();
+    }
+}
+
+impl StandIn {
+    /// Listens on a free loopback port and starts to announce the target.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Io`] when no port can be bound.
+    pub async fn start(settings: StandInSettings) -> Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .change_context(BenchError::Io)?;
+        let address = listener.local_addr().change_context(BenchError::Io)?;
+        let shared = Arc::new(TargetShared::new(settings, address));
+        let tasks = &shared.tasks;
+        tasks.spawn(accept_connections(Arc::clone(&shared), listener));
+        tasks.spawn(announce_until_stopped(Arc::clone(&shared)));
+        Ok(Self { shared })
+    }
+
+    /// Address that serves `/query`.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Name of the target.
+    #[must_use]
+    pub fn name(&self) -> &TargetName {
+        &self.shared.settings.name
+    }
+
+    /// The settings that it was started with.
+    #[must_use]
+    pub fn settings(&self) -> &StandInSettings {
+        &self.shared.settings
+    }
+
+    /// What it has seen so far.
+    #[must_use]
+    pub fn counters(&self) -> StandInCounters {
+        self.shared.counters()
+    }
+
+    /// Every act that ran, by key and body.
+    #[must_use]
+    pub fn runs(&self) -> Vec<KeyRuns> {
+        self.shared.runs().list()
+    }
+
+    /// Changes service times, faults and the honesty of reports.
+    pub fn set_behaviour(&self, behaviour: StandInBehaviour) {
+        self.shared.set_behaviour(behaviour);
+    }
+
+    /// Sets and announces the state.
+    pub fn set_state(&self, state: TargetState) {
+        self.shared.set_state(state);
+    }
+
+    /// Holds and announces one more shard.
+    pub fn add_holding(&self, holding: ShardHolding) {
+        self.shared
+            .change_holdings(|holdings| holdings.push(holding));
+    }
+
+    /// Drops all shards of a version; queries for it get 410 from now on.
+    pub fn drop_version(&self, version: u64) {
+        self.shared
+            .change_holdings(|holdings| holdings.retain(|holding| holding.version != version));
+    }
+
+    /// Announces that the target leaves, and waits until nothing runs or waits here.
+    pub async fn drain(&self) {
+        self.shared.set_state(TargetState::Draining);
+        loop {
+            let load = self.shared.gate.load();
+            if load.running == 0 && load.waiting == 0 {
+                return;
+            }
+            sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+
+    /// Cuts all connections and waits for all tasks; returns the last counts.
+    pub async fn stop(self) -> StandInCounters {
+        self.shared.stop.cancel();
+        self.shared.tasks.close();
+        self.shared.tasks.wait().await;
+        self.shared.counters()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/stand_in/announce.rs
@@ -0,0 +1,95 @@
+//! Announces a stand-in target to the VM that the tier names.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use tokio::time::sleep;
+
+use super::state::TargetShared;
+use crate::client::{HttpCall, HttpClient};
+
+const ANNOUNCE_PATH: &str = "/v1/announce";
+const ANNOUNCE_TIMEOUT_MS: u64 = 1_000;
+const RETRY_DELAY_MS: u64 = 200;
+
+/// Reply to an announcement.
+#[derive(Debug, Deserialize)]
+struct AnnounceReply {
+    next_ms: u64,
+    at: Option<SocketAddr>,
+}
+
+/// The VM to announce to next.
+struct AnnounceRoute {
+    seeds: Vec<SocketAddr>,
+    next_seed: usize,
+    at: SocketAddr,
+}
+
+impl AnnounceRoute {
+    fn new(seeds: Vec<SocketAddr>) -> Option<Self> {
+        let at = *seeds.first()?;
+        Some(Self {
+            seeds,
+            next_seed: 0,
+            at,
+        })
+    }
+
+    /// Tries the next known VM after a failure.
+    fn fail_over(&mut self) {
+        self.next_seed = (self.next_seed + 1) % self.seeds.len();
+        self.at = self.seeds[self.next_seed];
+    }
+}
+
+/// Announces until the target stops.
+pub(crate) async fn announce_until_stopped(shared: Arc<TargetShared>) {
+    tokio::select! {
+        () = announce(&shared) => {}
+        () = shared.stop.cancelled() => {}
+    }
+}
+
+async fn announce(shared: &TargetShared) {
+    let client = HttpClient::new();
+    let Some(mut route) = AnnounceRoute::new(shared.settings.vms.clone()) else {
+        return;
+    };
+    loop {
+        let reply = announce_once(shared, &client, route.at).await;
+        let accepted = reply.is_some();
+        shared.count(|counters| {
+            counters.announcements += u64::from(accepted);
+            counters.failed_announcements += u64::from(!accepted);
+        });
+        let pause_ms = if let Some(reply) = reply {
+            route.at = reply.at.unwrap_or(route.at);
+            reply.next_ms
+        } else {
+            route.fail_over();
+            RETRY_DELAY_MS
+        };
+        tokio::select! {
+            () = sleep(Duration::from_millis(pause_ms)) => {}
+            () = shared.changed.notified() => {}
+        }
+    }
+}
+
+async fn announce_once(
+    shared: &TargetShared,
+    client: &HttpClient,
+    at: SocketAddr,
+) -> Option<AnnounceReply> {
+    let body = serde_json::to_vec(&shared.record()).ok()?;
+    let mut call = HttpCall::new(Method::POST, at, ANNOUNCE_PATH, body)
+        .header("content-type", "application/json");
+    call.timeout = Duration::from_millis(ANNOUNCE_TIMEOUT_MS);
+    let reply = client.send(call).await.ok()?;
+    if reply.status != StatusCode::OK {
+        return None;
+    }
+    serde_json::from_slice(&reply.body).ok()
+}
--- /dev/null
+++ b/crates/bench/src/stand_in/query.rs
@@ -0,0 +1,255 @@
+//! `POST /query`: admission, the run itself and the reply with its fault.
+
+use std::{io, sync::Arc};
+
+use bytes::Bytes;
+use fulmarweir_base::TargetState;
+use http::{HeaderMap, StatusCode};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    call::{TargetCall, header},
+    counters::ActIdentity,
+    hits::shard_hits,
+    reply::{
+        ActDone, LoadReport, TargetResponse, echo, json_reply, not_run, plain_reply, set_header,
+        spoil_body,
+    },
+    settings::{ReplyFault, ReportHonesty},
+    slots::SlotGuard,
+    state::{RequestDraw, TargetShared},
+    stream::StreamFault,
+};
+
+/// How long after the deadline a late reply is sent.
+const LATE_REPLY_MS: u64 = 50;
+
+/// Attempt number in a crossed reply of a target that has seen no other.
+const UNKNOWN_ATTEMPT: &str = "unknown-attempt";
+
+/// Outcome of a query before faults of the reply.
+type QueryResult = Result<TargetResponse, io::Error>;
+
+/// Answers one query, the link delay included.
+pub(crate) async fn serve_query(
+    shared: Arc<TargetShared>,
+    headers: HeaderMap,
+    body: Bytes,
+    fault: StreamFault,
+) -> QueryResult {
+    let link_delay = shared.settings.link_delay;
+    sleep(link_delay).await;
+    shared.count(|counters| counters.requests += 1);
+    let Some(call) = TargetCall::from_headers(&headers) else {
+        shared.count(|counters| counters.malformed += 1);
+        return Ok(plain_reply(StatusCode::BAD_REQUEST, "malformed headers"));
+    };
+    let result = if call.is_act {
+        run_detached(&shared, call, body, fault).await
+    } else {
+        let run = QueryRun::new(&shared, call, body);
+        run.perform(&fault).await
+    };
+    sleep(link_delay).await;
+    result
+}
+
+/// Runs an act to its end, also when the connection is lost meanwhile.
+async fn run_detached(
+    shared: &Arc<TargetShared>,
+    call: TargetCall,
+    body: Bytes,
+    fault: StreamFault,
+) -> QueryResult {
+    let owner = Arc::clone(shared);
+    let task = shared.tasks.spawn(async move {
+        let run = QueryRun::new(&owner, call, body);
+        tokio::select! {
+            result = run.perform(&fault) => result,
+            () = owner.stop.cancelled() => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    });
+    task.await.map_err(io::Error::other)?
+}
+
+/// One query on its way through the target.
+struct QueryRun<'a> {
+    shared: &'a TargetShared,
+    call: TargetCall,
+    body: Bytes,
+    deadline: Instant,
+}
+
+impl<'a> QueryRun<'a> {
+    fn new(shared: &'a TargetShared, call: TargetCall, body: Bytes) -> Self {
+        let deadline = Instant::now() + call.deadline;
+        Self {
+            shared,
+            call,
+            body,
+            deadline,
+        }
+    }
+
+    async fn perform(&self, stream: &StreamFault) -> QueryResult {
+        if let Some(refusal) = self.refusal() {
+            return Ok(refusal);
+        }
+        let guard = self.shared.cancellable(&self.call.attempt);
+        let slot = match self.wait_for_slot(&guard.token).await {
+            Ok(slot) => slot,
+            Err(refusal) => return Ok(*refusal),
+        };
+        let draw = self.shared.draw();
+        self.record_start();
+        let cut_short = self.work(draw, &guard.token).await;
+        drop(slot);
+        if let Some(response) = cut_short {
+            return Ok(response);
+        }
+        self.shared.count(|counters| counters.finished += 1);
+        self.reply(draw.fault, stream).await
+    }
+
+    /// The refusal of a query that this target does not take, if it is one.
+    fn refusal(&self) -> Option<TargetResponse> {
+        let shared = self.shared;
+        if shared.attempts().arrive(&self.call.attempt) {
+            shared.count(|counters| counters.repeated_attempts += 1);
+        }
+        if shared.state() != TargetState::Serving {
+            let since_drain = shared.since_drain();
+            shared.count(|counters| {
+                counters.while_not_serving += 1;
+                counters.last_after_drain = counters.last_after_drain.max(since_drain);
+            });
+            return Some(not_run(StatusCode::SERVICE_UNAVAILABLE, "not serving"));
+        }
+        if !shared.holds(self.call.holding) {
+            shared.count(|counters| counters.gone += 1);
+            return Some(not_run(StatusCode::GONE, "version is gone"));
+        }
+        None
+    }
+
+    async fn wait_for_slot(
+        &self,
+        cancel: &CancellationToken,
+    ) -> Result<SlotGuard, Box<TargetResponse>> {
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        let waited = tokio::select! {
+            waited = timeout_at(self.deadline, self.shared.gate.enter()) => waited,
+            () = cancel.cancelled() => return Err(Box::new(not_run(unavailable, "cancelled"))),
+        };
+        let Ok(entered) = waited else {
+            self.shared.count(|counters| counters.expired += 1);
+            return Err(Box::new(not_run(unavailable, "deadline passed")));
+        };
+        let Some(slot) = entered else {
+            self.shared.count(|counters| counters.shed += 1);
+            return Err(Box::new(not_run(unavailable, "queue is full")));
+        };
+        if !self.shared.attempts().start(&self.call.attempt) {
+            return Err(Box::new(not_run(unavailable, "cancelled")));
+        }
+        Ok(slot)
+    }
+
+    fn record_start(&self) {
+        self.shared.count(|counters| counters.runs += 1);
+        if !self.call.is_act {
+            return;
+        }
+        let act = ActIdentity {
+            key: self.call.key.clone().unwrap_or_default(),
+            body: self.body_text(),
+        };
+        self.shared.runs().record(act);
+    }
+
+    /// Occupies the slot; a response when a search ended before its time.
+    async fn work(&self, draw: RequestDraw, cancel: &CancellationToken) -> Option<TargetResponse> {
+        if self.call.is_act {
+            sleep(draw.service).await;
+            return None;
+        }
+        let ignores_deadline = draw.fault == Some(ReplyFault::Late);
+        tokio::select! {
+            () = sleep(draw.service) => None,
+            () = cancel.cancelled() => {
+                Some(plain_reply(StatusCode::SERVICE_UNAVAILABLE, "cancelled while running"))
+            }
+            () = sleep_until(self.deadline), if !ignores_deadline => {
+                Some(plain_reply(StatusCode::GATEWAY_TIMEOUT, "deadline passed while running"))
+            }
+        }
+    }
+
+    async fn reply(&self, fault: Option<ReplyFault>, stream: &StreamFault) -> QueryResult {
+        if fault.is_some() {
+            self.shared.count(|counters| counters.faulty_replies += 1);
+        }
+        let previous = self.shared.swap_last_attempt(&self.call.attempt);
+        let mut response = self.response();
+        match fault {
+            Some(ReplyFault::Dies) => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Some(ReplyFault::Doubled) => stream.double_next(),
+            Some(ReplyFault::Truncated) => stream.truncate_next(),
+            Some(ReplyFault::Late) => {
+                let after = std::time::Duration::from_millis(LATE_REPLY_MS);
+                sleep_until(self.deadline + after).await;
+            }
+            _ => {}
+        }
+        let crossed = fault == Some(ReplyFault::Crossed);
+        let attempt = if crossed {
+            previous.as_deref().unwrap_or(UNKNOWN_ATTEMPT)
+        } else {
+            &self.call.attempt
+        };
+        echo(&mut response, &self.call, attempt);
+        spoil_body(&mut response, fault);
+        Ok(response)
+    }
+
+    fn response(&self) -> TargetResponse {
+        let text = self.body_text();
+        let mut response = if self.call.is_act {
+            let done = ActDone {
+                done: true,
+                key: self.call.key.as_deref(),
+                echo: &text,
+            };
+            json_reply(StatusCode::OK, &done)
+        } else {
+            let hits = shard_hits(self.call.holding, self.shared.settings.hits, &text);
+            json_reply(StatusCode::OK, &hits)
+        };
+        if let Some(load) = reported_load(self.shared) {
+            set_header(&mut response, header::LOAD, &load.header());
+        }
+        response
+    }
+
+    fn body_text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// The load that the target reports, honest or not.
+pub(crate) fn reported_load(shared: &TargetShared) -> Option<LoadReport> {
+    let truth = shared.gate.load();
+    let slots = truth.slots;
+    let report = |in_flight, queued| LoadReport {
+        in_flight,
+        slots,
+        queued,
+    };
+    match shared.honesty() {
+        ReportHonesty::Honest => Some(LoadReport::from(truth)),
+        ReportHonesty::ClaimsIdle => Some(report(0, 0)),
+        ReportHonesty::ClaimsFull => Some(report(u64::from(slots), shared.settings.queue)),
+        ReportHonesty::Silent => None,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/stand_in/settings.rs
@@ -0,0 +1,220 @@
+//! How a stand-in target behaves: its limits, service times and faults.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fulmarweir_base::{ServiceName, ShardHolding, TargetName};
+use rand::{Rng, RngExt};
+use rand_distr::{Distribution, Exp, LogNormal};
+
+const DEFAULT_CONNECTIONS: u32 = 30;
+const DEFAULT_HITS: u32 = 5;
+const DEFAULT_QUEUE: usize = 8;
+const DEFAULT_SERVICE_MS: f64 = 2.0;
+const DEFAULT_SLOTS: u32 = 3;
+
+/// Distribution of the time that one request occupies a slot.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ServiceTime {
+    /// Always the same time.
+    Constant {
+        /// Milliseconds.
+        millis: f64,
+    },
+    /// Exponential.
+    Exponential {
+        /// Mean in milliseconds.
+        mean_ms: f64,
+    },
+    /// Lognormal.
+    Lognormal {
+        /// Median in milliseconds.
+        median_ms: f64,
+        /// Standard deviation of the logarithm.
+        sigma: f64,
+    },
+    /// Constant, except that one request in `one_in` takes `late_ms`.
+    Straggler {
+        /// Usual time in milliseconds.
+        usual_ms: f64,
+        /// Time of a straggler in milliseconds.
+        late_ms: f64,
+        /// One request in this many is a straggler.
+        one_in: u32,
+    },
+}
+
+impl ServiceTime {
+    /// Draws one service time.
+    pub fn sample<R: Rng>(&self, rng: &mut R) -> Duration {
+        let millis = match *self {
+            Self::Constant { millis } => millis,
+            Self::Exponential { mean_ms } => {
+                Exp::new(1.0 / mean_ms).map_or(mean_ms, |exp| exp.sample(rng))
+            }
+            Self::Lognormal { median_ms, sigma } => {
+                LogNormal::new(median_ms.ln(), sigma).map_or(median_ms, |log| log.sample(rng))
+            }
+            Self::Straggler {
+                usual_ms,
+                late_ms,
+                one_in,
+            } => {
+                let late = rng.random_ratio(1, one_in.max(1));
+                if late { late_ms } else { usual_ms }
+            }
+        };
+        Duration::try_from_secs_f64(millis / 1000.0).unwrap_or_default()
+    }
+}
+
+/// A way in which a reply is wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplyFault {
+    /// The body is not JSON.
+    BadJson,
+    /// The reply echoes another attempt.
+    Crossed,
+    /// The connection closes after the request was read and run, without a reply.
+    Dies,
+    /// The bytes of the reply are sent twice on the connection.
+    Doubled,
+    /// The body is [`HUGE_BODY_BYTES`] long.
+    Huge,
+    /// The reply is sent after the deadline has passed.
+    Late,
+    /// The connection closes in the middle of the reply.
+    Truncated,
+}
+
+/// Length of a [`ReplyFault::Huge`] body in bytes.
+pub const HUGE_BODY_BYTES: usize = 64 << 20;
+
+/// The share of replies that have one fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FaultShare {
+    /// The fault.
+    pub fault: ReplyFault,
+    /// Share of replies, 0 to 1.
+    pub share: f64,
+}
+
+/// What the target says about its load and health, against the truth.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ReportHonesty {
+    /// The truth.
+    #[default]
+    Honest,
+    /// Always idle and healthy.
+    ClaimsIdle,
+    /// Always full and unhealthy.
+    ClaimsFull,
+    /// No report at all.
+    Silent,
+}
+
+/// Behaviour that may change while the target runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StandInBehaviour {
+    /// Time that a request occupies a slot.
+    pub service_time: ServiceTime,
+    /// Factor on every service time; above 1 for a slow replica.
+    pub slowness: f64,
+    /// Faults of replies, drawn at random for each.
+    pub faults: Vec<FaultShare>,
+    /// What its reports are worth.
+    pub honesty: ReportHonesty,
+}
+
+impl Default for StandInBehaviour {
+    fn default() -> Self {
+        Self {
+            service_time: ServiceTime::Constant {
+                millis: DEFAULT_SERVICE_MS,
+            },
+            slowness: 1.0,
+            faults: Vec::new(),
+            honesty: ReportHonesty::Honest,
+        }
+    }
+}
+
+impl StandInBehaviour {
+    /// Draws the fault of one reply, if it has one.
+    pub fn draw_fault<R: Rng>(&self, rng: &mut R) -> Option<ReplyFault> {
+        let mut draw: f64 = rng.random();
+        for share in &self.faults {
+            if draw < share.share {
+                return Some(share.fault);
+            }
+            draw -= share.share;
+        }
+        None
+    }
+}
+
+/// Slower service for a while after the start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long the target announces itself as starting.
+    pub starting: Duration,
+    /// How long it is slower once it serves.
+    pub warming: Duration,
+    /// Factor on service times while warming.
+    pub slowness: f64,
+}
+
+/// Everything that a stand-in target needs to start.
+#[derive(Clone, Debug)]
+pub struct StandInSettings {
+    /// Name of the target.
+    pub name: TargetName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Grows with every start of the same target.
+    pub incarnation: u64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Requests that may wait for a slot; more are shed.
+    pub queue: usize,
+    /// Connections accepted; more are closed at once and counted as violations.
+    pub connections: u32,
+    /// Time before a new connection is served.
+    pub connect_delay: Duration,
+    /// One-way delay between the daemon and the target.
+    pub link_delay: Duration,
+    /// Shards held at the start.
+    pub holdings: Vec<ShardHolding>,
+    /// Hits in the answer of each shard.
+    pub hits: u32,
+    /// Target ports of the VMs to announce to; empty: does not announce itself.
+    pub vms: Vec<SocketAddr>,
+    /// Slow start, if any.
+    pub cold_start: Option<ColdStart>,
+    /// Initial behaviour.
+    pub behaviour: StandInBehaviour,
+    /// Seed of every random draw of this target.
+    pub seed: u64,
+}
+
+impl StandInSettings {
+    /// A healthy target of one shard, which announces itself to nobody.
+    #[must_use]
+    pub fn new(name: TargetName, service: ServiceName, holding: ShardHolding) -> Self {
+        Self {
+            name,
+            service,
+            incarnation: 1,
+            slots: DEFAULT_SLOTS,
+            queue: DEFAULT_QUEUE,
+            connections: DEFAULT_CONNECTIONS,
+            connect_delay: Duration::ZERO,
+            link_delay: Duration::ZERO,
+            holdings: vec![holding],
+            hits: DEFAULT_HITS,
+            vms: Vec::new(),
+            cold_start: None,
+            behaviour: StandInBehaviour::default(),
+            seed: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/stand_in/slots.rs
@@ -0,0 +1,108 @@
+//! The slots of a target and the bounded queue in front of them.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, AtomicUsize, Ordering},
+};
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Slots and a bounded queue.
+#[derive(Clone, Debug)]
+pub(crate) struct SlotGate {
+    shared: Arc<GateState>,
+}
+
+#[derive(Debug)]
+struct GateState {
+    slots: u32,
+    queue: usize,
+    semaphore: Arc<Semaphore>,
+    waiting: AtomicUsize,
+    running: AtomicU64,
+    running_max: AtomicU64,
+}
+
+/// One occupied slot, free again when dropped.
+#[derive(Debug)]
+pub(crate) struct SlotGuard {
+    state: Arc<GateState>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.state.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// One place in the queue, free again when dropped.
+struct QueuePlace<'a>(&'a GateState);
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Load at one moment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct GateLoad {
+    pub(crate) running: u64,
+    pub(crate) slots: u32,
+    pub(crate) waiting: usize,
+}
+
+impl SlotGate {
+    pub(crate) fn new(slots: u32, queue: usize) -> Self {
+        let state = GateState {
+            slots,
+            queue,
+            semaphore: Arc::new(Semaphore::new(slots as usize)),
+            waiting: AtomicUsize::new(0),
+            running: AtomicU64::new(0),
+            running_max: AtomicU64::new(0),
+        };
+        Self {
+            shared: Arc::new(state),
+        }
+    }
+
+    /// Waits for a slot; `None` when the queue is full.
+    pub(crate) async fn enter(&self) -> Option<SlotGuard> {
+        let state = &self.shared;
+        if let Ok(permit) = Arc::clone(&state.semaphore).try_acquire_owned() {
+            return Some(self.occupy(permit));
+        }
+        let before = state.waiting.fetch_add(1, Ordering::Relaxed);
+        let place = QueuePlace(state);
+        if before >= state.queue {
+            return None;
+        }
+        let permit = Arc::clone(&state.semaphore).acquire_owned().await.ok()?;
+        drop(place);
+        Some(self.occupy(permit))
+    }
+
+    pub(crate) fn load(&self) -> GateLoad {
+        GateLoad {
+            running: self.shared.running.load(Ordering::Relaxed),
+            slots: self.shared.slots,
+            waiting: self.shared.waiting.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn running_max(&self) -> u64 {
+        self.shared.running_max.load(Ordering::Relaxed)
+    }
+
+    fn occupy(&self, permit: OwnedSemaphorePermit) -> SlotGuard {
+        let state = Arc::clone(&self.shared);
+        let running = state.running.fetch_add(1, Ordering::Relaxed) + 1;
+        state.running_max.fetch_max(running, Ordering::Relaxed);
+        SlotGuard {
+            state,
+            _permit: permit,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/stand_in/state.rs
@@ -0,0 +1,213 @@
+//! The state that all tasks of one stand-in target share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use fulmarweir_base::{ShardHolding, TargetRecord, TargetState};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::{sync::Notify, time::Instant};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::{
+    counters::{AttemptLog, RunLog, StandInCounters},
+    settings::{ReplyFault, ReportHonesty, StandInBehaviour, StandInSettings},
+    slots::SlotGate,
+};
+
+/// Shared state, each part under its own lock.
+#[derive(Debug)]
+pub(crate) struct TargetShared {
+    pub(crate) settings: StandInSettings,
+    pub(crate) address: SocketAddr,
+    pub(crate) gate: SlotGate,
+    pub(crate) stop: CancellationToken,
+    pub(crate) tasks: TaskTracker,
+    /// Signalled when the next announcement should be sent at once.
+    pub(crate) changed: Notify,
+    started: Instant,
+    behaviour: Mutex<StandInBehaviour>,
+    holdings: Mutex<Vec<ShardHolding>>,
+    life: Mutex<LifeState>,
+    counters: Mutex<StandInCounters>,
+    runs: Mutex<RunLog>,
+    attempts: Mutex<AttemptLog>,
+    cancels: Mutex<HashMap<String, CancellationToken>>,
+    last_attempt: Mutex<Option<String>>,
+    rng: Mutex<Pcg64Mcg>,
+}
+
+#[derive(Debug)]
+struct LifeState {
+    /// State set by command; `None` follows the cold start.
+    set: Option<TargetState>,
+    drained_at: Option<Instant>,
+}
+
+/// The random draws of one request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestDraw {
+    pub(crate) service: Duration,
+    pub(crate) fault: Option<ReplyFault>,
+}
+
+/// Locks a mutex; a panic of another holder is not a reason to stop counting.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl TargetShared {
+    pub(crate) fn new(settings: StandInSettings, address: SocketAddr) -> Self {
+        let life = LifeState {
+            set: None,
+            drained_at: None,
+        };
+        Self {
+            address,
+            gate: SlotGate::new(settings.slots, settings.queue),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            changed: Notify::new(),
+            started: Instant::now(),
+            behaviour: Mutex::new(settings.behaviour.clone()),
+            holdings: Mutex::new(settings.holdings.clone()),
+            life: Mutex::new(life),
+            counters: Mutex::default(),
+            runs: Mutex::default(),
+            attempts: Mutex::default(),
+            cancels: Mutex::default(),
+            last_attempt: Mutex::default(),
+            rng: Mutex::new(Pcg64Mcg::seed_from_u64(settings.seed)),
+            settings,
+        }
+    }
+
+    pub(crate) fn state(&self) -> TargetState {
+        if let Some(state) = lock(&self.life).set {
+            return state;
+        }
+        match self.settings.cold_start {
+            Some(cold) if self.started.elapsed() < cold.starting => TargetState::Starting,
+            _ => TargetState::Serving,
+        }
+    }
+
+    pub(crate) fn set_state(&self, state: TargetState) {
+        let mut life = lock(&self.life);
+        if state == TargetState::Draining && life.drained_at.is_none() {
+            life.drained_at = Some(Instant::now());
+        }
+        life.set = Some(state);
+        drop(life);
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn since_drain(&self) -> Option<Duration> {
+        lock(&self.life).drained_at.map(|at| at.elapsed())
+    }
+
+    pub(crate) fn record(&self) -> TargetRecord {
+        TargetRecord {
+            name: self.settings.name.clone(),
+            service: self.settings.service.clone(),
+            address: self.address,
+            incarnation: self.settings.incarnation,
+            state: self.state(),
+            slots: self.settings.slots,
+            connections: self.settings.connections,
+            versions: lock(&self.holdings).clone(),
+        }
+    }
+
+    pub(crate) fn holds(&self, holding: ShardHolding) -> bool {
+        lock(&self.holdings).contains(&holding)
+    }
+
+    pub(crate) fn change_holdings(&self, change: impl FnOnce(&mut Vec<ShardHolding>)) {
+        change(&mut lock(&self.holdings));
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn set_behaviour(&self, behaviour: StandInBehaviour) {
+        *lock(&self.behaviour) = behaviour;
+    }
+
+    pub(crate) fn honesty(&self) -> ReportHonesty {
+        lock(&self.behaviour).honesty
+    }
+
+    pub(crate) fn draw(&self) -> RequestDraw {
+        let behaviour = lock(&self.behaviour);
+        let mut rng = lock(&self.rng);
+        let service = behaviour.service_time.sample(&mut *rng);
+        RequestDraw {
+            service: service.mul_f64(behaviour.slowness * self.warmth_factor()),
+            fault: behaviour.draw_fault(&mut *rng),
+        }
+    }
+
+    fn warmth_factor(&self) -> f64 {
+        match self.settings.cold_start {
+            Some(cold) if self.started.elapsed() < cold.starting + cold.warming => cold.slowness,
+            _ => 1.0,
+        }
+    }
+
+    pub(crate) fn count(&self, change: impl FnOnce(&mut StandInCounters)) {
+        change(&mut lock(&self.counters));
+    }
+
+    pub(crate) fn counters(&self) -> StandInCounters {
+        let mut counters = lock(&self.counters).clone();
+        counters.running_max = self.gate.running_max();
+        counters
+    }
+
+    pub(crate) fn runs(&self) -> MutexGuard<'_, RunLog> {
+        lock(&self.runs)
+    }
+
+    pub(crate) fn attempts(&self) -> MutexGuard<'_, AttemptLog> {
+        lock(&self.attempts)
+    }
+
+    /// Registers an attempt that can be cancelled until the guard is dropped.
+    pub(crate) fn cancellable(&self, attempt: &str) -> CancelGuard<'_> {
+        let token = CancellationToken::new();
+        lock(&self.cancels).insert(attempt.to_owned(), token.clone());
+        CancelGuard {
+            shared: self,
+            attempt: attempt.to_owned(),
+            token,
+        }
+    }
+
+    pub(crate) fn signal_cancel(&self, attempt: &str) {
+        if let Some(token) = lock(&self.cancels).get(attempt) {
+            token.cancel();
+        }
+    }
+
+    /// Remembers `attempt` and returns the one before, for crossed replies.
+    pub(crate) fn swap_last_attempt(&self, attempt: &str) -> Option<String> {
+        lock(&self.last_attempt).replace(attempt.to_owned())
+    }
+}
+
+/// Registration of an attempt that can be cancelled.
+#[derive(Debug)]
+pub(crate) struct CancelGuard<'a> {
+    shared: &'a TargetShared,
+    attempt: String,
+    pub(crate) token: CancellationToken,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        lock(&self.shared.cancels).remove(&self.attempt);
+    }
+}
