Add the durable log with group commit and compaction

Voters must not answer before their promise is on disk, and many acts a second share few disks, so one writer thread gathers what waits into one checksummed frame and syncs once for all. Only one write is outstanding at a time, so a broken frame with a valid one after it is damage and an error, while a broken last frame is a torn write and is cut. The checksum starts from the store's random identity, so stored bytes never pass for a frame.

--- /dev/null
+++ b/crates/store/src/folder.rs
@@ -0,0 +1,237 @@
+//! The data folder: its lock, its log files by generation, and recovery.
+
+use std::{
+    fs::{self, File, OpenOptions, TryLockError},
+    io::{BufReader, Read as _, Seek as _, SeekFrom},
+    path::{Path, PathBuf},
+};
+
+use error_stack::{Report, ResultExt as _};
+
+use crate::{
+    error::{Result, StoreError},
+    file::FileOps,
+    frame::{FRAME_TARGET_BYTES, FileHeader, FrameRead, encode_frame, is_torn_write, read_frame},
+};
+
+const LOCK_NAME: &str = "lock";
+const LOG_PREFIX: &str = "log-";
+const TEMPORARY_NAME: &str = "log.tmp";
+
+/// A locked data folder.
+#[derive(Debug)]
+pub(crate) struct DataFolder {
+    path: PathBuf,
+    pub(crate) ops: FileOps,
+    // Held for its lock, which ends with the process or with this value.
+    _lock: File,
+}
+
+/// The log file that is being appended to.
+#[derive(Debug)]
+pub(crate) struct LogFile {
+    pub(crate) file: File,
+    pub(crate) identity: u64,
+    pub(crate) generation: u64,
+    pub(crate) next_sequence: u64,
+    pub(crate) base_bytes: u64,
+    pub(crate) bytes: u64,
+}
+
+impl DataFolder {
+    /// Creates the folder if needed and locks it.
+    pub(crate) fn lock(path: &Path, ops: FileOps) -> Result<Self> {
+        fs::create_dir_all(path).change_context(StoreError::Io)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path.join(LOCK_NAME))
+            .change_context(StoreError::Io)?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(Report::new(StoreError::Locked)),
+            Err(TryLockError::Error(e)) => return Err(e).change_context(StoreError::Io),
+        }
+        Ok(Self {
+            path: path.to_owned(),
+            ops,
+            _lock: lock,
+        })
+    }
+
+    /// Opens the newest log and passes its records to `replay`, or starts the first log.
+    pub(crate) fn recover(
+        &self,
+        fresh_identity: u64,
+        replay: &mut dyn FnMut(&[u8]),
+    ) -> Result<LogFile> {
+        let generations = self.generations().change_context(StoreError::Io)?;
+        let Some(newest) = generations.last().copied() else {
+            return self
+                .write_generation(1, fresh_identity, &[])
+                .change_context(StoreError::Io);
+        };
+        let log = self.read_log(newest, replay)?;
+        for old in &generations[..generations.len() - 1] {
+            let path = self.log_path(*old);
+            self.ops.remove(&path).change_context(StoreError::Io)?;
+        }
+        Ok(log)
+    }
+
+    /// Writes `records` as the next generation and removes the one before.
+    pub(crate) fn replace_log(
+        &self,
+        old: &LogFile,
+        records: &[Vec<u8>],
+    ) -> std::io::Result<LogFile> {
+        let log = self.write_generation(old.generation + 1, old.identity, records)?;
+        self.ops.remove(&self.log_path(old.generation))?;
+        Ok(log)
+    }
+
+    fn write_generation(
+        &self,
+        generation: u64,
+        identity: u64,
+        records: &[Vec<u8>],
+    ) -> std::io::Result<LogFile> {
+        let frames = split_frames(records);
+        let header = FileHeader {
+            identity,
+            base_frames: frames.len() as u64,
+        };
+        let temporary = self.path.join(TEMPORARY_NAME);
+        let mut file = self.ops.create(&temporary)?;
+        let mut bytes = 0;
+        let start = header.encode();
+        bytes += start.len() as u64;
+        self.ops.write(&mut file, &start)?;
+        for (sequence, records) in (0..).zip(&frames) {
+            let frame = encode_frame(identity, sequence, records);
+            bytes += frame.len() as u64;
+            self.ops.write(&mut file, &frame)?;
+        }
+        self.ops.sync(&file)?;
+        self.ops.rename(&temporary, &self.log_path(generation))?;
+        self.ops.sync_folder(&self.path)?;
+        Ok(LogFile {
+            file,
+            identity,
+            generation,
+            next_sequence: header.base_frames,
+            base_bytes: bytes,
+            bytes,
+        })
+    }
+
+    fn read_log(&self, generation: u64, replay: &mut dyn FnMut(&[u8])) -> Result<LogFile> {
+        let file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .open(self.log_path(generation))
+            .change_context(StoreError::Io)?;
+        let mut reader = BufReader::new(file);
+        let header = FileHeader::read(&mut reader)
+            .change_context(StoreError::Io)?
+            .ok_or_else(|| Report::new(StoreError::Damaged { offset: 0 }))?;
+        let mut bytes = header.encode().len() as u64;
+        let mut base_bytes = bytes;
+        let mut sequence = 0;
+        loop {
+            let read = read_frame(&mut reader, header.identity, sequence)
+                .change_context(StoreError::Io)?;
+            match read {
+                FrameRead::Whole {
+                    records,
+                    bytes: frame_bytes,
+                } => {
+                    for record in &records {
+                        replay(record);
+                    }
+                    bytes += frame_bytes;
+                    sequence += 1;
+                    if sequence <= header.base_frames {
+                        base_bytes = bytes;
+                    }
+                }
+                FrameRead::End if sequence >= header.base_frames => break,
+                FrameRead::Broken if sequence >= header.base_frames => {
+                    self.cut_torn_tail(&mut reader, header.identity, bytes)?;
+                    break;
+                }
+                FrameRead::End | FrameRead::Broken => {
+                    return Err(Report::new(StoreError::Damaged { offset: bytes }));
+                }
+            }
+        }
+        let mut file = reader.into_inner();
+        file.seek(SeekFrom::Start(bytes))
+            .change_context(StoreError::Io)?;
+        Ok(LogFile {
+            file,
+            identity: header.identity,
+            generation,
+            next_sequence: sequence,
+            base_bytes,
+            bytes,
+        })
+    }
+
+    fn cut_torn_tail(
+        &self,
+        reader: &mut BufReader<File>,
+        identity: u64,
+        offset: u64,
+    ) -> Result<()> {
+        reader
+            .seek(SeekFrom::Start(offset))
+            .change_context(StoreError::Io)?;
+        let mut rest = Vec::new();
+        reader
+            .read_to_end(&mut rest)
+            .change_context(StoreError::Io)?;
+        if !is_torn_write(&rest, identity) {
+            return Err(Report::new(StoreError::Damaged { offset }));
+        }
+        let file = reader.get_ref();
+        self.ops
+            .truncate(file, offset)
+            .change_context(StoreError::Io)?;
+        self.ops.sync(file).change_context(StoreError::Io)
+    }
+
+    fn log_path(&self, generation: u64) -> PathBuf {
+        self.path.join(format!("{LOG_PREFIX}{generation:020}"))
+    }
+
+    fn generations(&self) -> std::io::Result<Vec<u64>> {
+        let mut generations = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name();
+            let number = name.to_str().and_then(|name| name.strip_prefix(LOG_PREFIX));
+            generations.extend(number.and_then(|number| number.parse::<u64>().ok()));
+        }
+        generations.sort_unstable();
+        Ok(generations)
+    }
+}
+
+fn split_frames(records: &[Vec<u8>]) -> Vec<&[Vec<u8>]> {
+    let mut frames = Vec::new();
+    let mut start = 0;
+    let mut size = 0;
+    for (index, record) in records.iter().enumerate() {
+        size += record.len();
+        if size >= FRAME_TARGET_BYTES {
+            frames.push(&records[start..=index]);
+            start = index + 1;
+            size = 0;
+        }
+    }
+    if start < records.len() {
+        frames.push(&records[start..]);
+    }
+    frames
+}
--- /dev/null
+++ b/crates/store/src/frame.rs
@@ -0,0 +1,169 @@
+//! The layout of a log file: one file header, then frames.
+//!
+//! A frame holds the records of one write. Its checksum starts from the
+//! identity of the store, so bytes of a record never pass for a frame.
+
+use std::io::{self, Read};
+
+/// Largest record in bytes.
+pub const RECORD_MAX_BYTES: usize = 16 << 20;
+
+/// Records are gathered into one frame until they exceed this size.
+pub(crate) const FRAME_TARGET_BYTES: usize = 1 << 20;
+
+/// Largest payload of a frame: a full one and one largest record on top, with their lengths.
+const FRAME_MAX_BYTES: usize = RECORD_MAX_BYTES + 2 * FRAME_TARGET_BYTES;
+
+const FILE_MAGIC: [u8; 8] = *b"FWEIRLOG";
+const FILE_FORMAT: u32 = 1;
+const FILE_HEADER_BYTES: usize = 32;
+const FRAME_MAGIC: [u8; 4] = *b"FRM1";
+const FRAME_HEADER_BYTES: usize = 20;
+
+/// The start of a log file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct FileHeader {
+    /// Identity of the store.
+    pub(crate) identity: u64,
+    /// Frames that were durable before the file got its name.
+    pub(crate) base_frames: u64,
+}
+
+impl FileHeader {
+    pub(crate) fn encode(self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(FILE_HEADER_BYTES);
+        bytes.extend_from_slice(&FILE_MAGIC);
+        bytes.extend_from_slice(&FILE_FORMAT.to_le_bytes());
+        bytes.extend_from_slice(&self.identity.to_le_bytes());
+        bytes.extend_from_slice(&self.base_frames.to_le_bytes());
+        let crc = crc32fast::hash(&bytes);
+        bytes.extend_from_slice(&crc.to_le_bytes());
+        bytes
+    }
+
+    /// Reads the header; `None` when it is not one.
+    pub(crate) fn read(reader: &mut impl Read) -> io::Result<Option<Self>> {
+        let mut bytes = [0; FILE_HEADER_BYTES];
+        if read_up_to(reader, &mut bytes)? < bytes.len() {
+            return Ok(None);
+        }
+        let header = Self {
+            identity: u64_at(&bytes, 12),
+            base_frames: u64_at(&bytes, 20),
+        };
+        Ok((header.encode() == bytes).then_some(header))
+    }
+}
+
+/// Encodes `records` as frame number `sequence`.
+pub(crate) fn encode_frame(identity: u64, sequence: u64, records: &[Vec<u8>]) -> Vec<u8> {
+    let payload = bincode::encode_to_vec(records, bincode::config::standard())
+        .expect("encoding byte strings into memory does not fail");
+    let length = u32::try_from(payload.len()).expect("a frame is far below 4 GiB");
+    let crc = frame_crc(identity, sequence, &payload);
+    let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&FRAME_MAGIC);
+    frame.extend_from_slice(&sequence.to_le_bytes());
+    frame.extend_from_slice(&length.to_le_bytes());
+    frame.extend_from_slice(&crc.to_le_bytes());
+    frame.extend_from_slice(&payload);
+    frame
+}
+
+fn frame_crc(identity: u64, sequence: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&identity.to_le_bytes());
+    hasher.update(&sequence.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// What follows at the present place of a log file.
+pub(crate) enum FrameRead {
+    /// A whole frame of so many bytes.
+    Whole { records: Vec<Vec<u8>>, bytes: u64 },
+    /// The end of the file.
+    End,
+    /// Bytes that are not the expected frame.
+    Broken,
+}
+
+/// Reads the frame that must have number `sequence`.
+pub(crate) fn read_frame(
+    reader: &mut impl Read,
+    identity: u64,
+    sequence: u64,
+) -> io::Result<FrameRead> {
+    let mut header = [0; FRAME_HEADER_BYTES];
+    let got = read_up_to(reader, &mut header)?;
+    if got == 0 {
+        return Ok(FrameRead::End);
+    }
+    let length = u32_at(&header, 12) as usize;
+    let plausible = got == header.len()
+        && header[..4] == FRAME_MAGIC
+        && u64_at(&header, 4) == sequence
+        && length <= FRAME_MAX_BYTES;
+    if !plausible {
+        return Ok(FrameRead::Broken);
+    }
+    let mut payload = vec![0; length];
+    if read_up_to(reader, &mut payload)? < length {
+        return Ok(FrameRead::Broken);
+    }
+    if frame_crc(identity, sequence, &payload) != u32_at(&header, 16) {
+        return Ok(FrameRead::Broken);
+    }
+    let decoded = bincode::decode_from_slice(&payload, bincode::config::standard());
+    Ok(match decoded {
+        Ok((records, _)) => FrameRead::Whole {
+            records,
+            bytes: (FRAME_HEADER_BYTES + length) as u64,
+        },
+        Err(_) => FrameRead::Broken,
+    })
+}
+
+/// Whether `rest`, which starts with a broken frame, can be the remains of one interrupted write.
+///
+/// Only one write is ever outstanding, so nothing valid follows a torn frame.
+pub(crate) fn is_torn_write(rest: &[u8], identity: u64) -> bool {
+    let fits = rest.len() <= FRAME_HEADER_BYTES + FRAME_MAX_BYTES;
+    fits && !(1..rest.len()).any(|at| holds_frame(&rest[at..], identity))
+}
+
+fn holds_frame(bytes: &[u8], identity: u64) -> bool {
+    if bytes.len() < FRAME_HEADER_BYTES || bytes[..4] != FRAME_MAGIC {
+        return false;
+    }
+    let length = u32_at(bytes, 12) as usize;
+    let Some(payload) = bytes.get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + length) else {
+        return false;
+    };
+    frame_crc(identity, u64_at(bytes, 4), payload) == u32_at(bytes, 16)
+}
+
+fn read_up_to(reader: &mut impl Read, buffer: &mut [u8]) -> io::Result<usize> {
+    let mut filled = 0;
+    while filled < buffer.len() {
+        match reader.read(&mut buffer[filled..]) {
+            Ok(0) => break,
+            Ok(count) => filled += count,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(filled)
+}
+
+fn u32_at(bytes: &[u8], at: usize) -> u32 {
+    let mut array = [0; 4];
+    array.copy_from_slice(&bytes[at..at + 4]);
+    u32::from_le_bytes(array)
+}
+
+fn u64_at(bytes: &[u8], at: usize) -> u64 {
+    let mut array = [0; 8];
+    array.copy_from_slice(&bytes[at..at + 8]);
+    u64::from_le_bytes(array)
+}
--- /dev/null
+++ b/crates/store/src/log.rs
@@ -0,0 +1,171 @@
+//! The handle to the durable log.
+
+use std::{
+    path::Path,
+    sync::{
+        Arc,
+        atomic::Ordering,
+        mpsc::{Sender, channel},
+    },
+    thread::{self, JoinHandle},
+};
+
+use error_stack::{Report, ResultExt as _};
+use tokio::sync::oneshot;
+
+use crate::{
+    error::{Result, StoreError},
+    file::FileOps,
+    folder::DataFolder,
+    frame::RECORD_MAX_BYTES,
+    writer::{LogCommand, LogSizes, LogWriter},
+};
+
+/// The durable log of a data folder that this process holds.
+///
+/// Commands take effect in the order of the calls. After a failed write or
+/// sync no later command reports success. Dropping the store waits for the
+/// writer thread.
+#[derive(Debug)]
+pub struct LogStore {
+    commands: Option<Sender<LogCommand>>,
+    writer: Option<JoinHandle<()>>,
+    sizes: Arc<LogSizes>,
+    identity: u64,
+}
+
+/// Resolves when a command is durable.
+#[derive(Debug)]
+#[must_use = "a command is durable only once its receipt says so"]
+pub struct AppendReceipt {
+    done: Option<oneshot::Receiver<bool>>,
+}
+
+impl AppendReceipt {
+    /// Waits until the command is durable.
+    ///
+    /// # Errors
+    /// [`StoreError::Stopped`] when it may not be durable.
+    pub async fn wait(self) -> Result<()> {
+        let durable = match self.done {
+            Some(done) => done.await.unwrap_or(false),
+            None => false,
+        };
+        check_durable(durable)
+    }
+
+    /// Waits outside of asynchronous code until the command is durable.
+    ///
+    /// # Errors
+    /// [`StoreError::Stopped`] when it may not be durable.
+    pub fn wait_blocking(self) -> Result<()> {
+        let durable = match self.done {
+            Some(done) => done.blocking_recv().unwrap_or(false),
+            None => false,
+        };
+        check_durable(durable)
+    }
+}
+
+fn check_durable(durable: bool) -> Result<()> {
+    if durable {
+        return Ok(());
+    }
+    Err(Report::new(StoreError::Stopped))
+}
+
+impl LogStore {
+    /// Locks `folder`, passes every durable record to `replay` in order, and starts the writer.
+    ///
+    /// A folder without a log gets one whose identity is `fresh_identity`.
+    ///
+    /// # Errors
+    /// [`StoreError::Locked`] when another process holds the folder, [`StoreError::Damaged`] when
+    /// a durable record is unreadable, [`StoreError::Io`] when a file operation fails.
+    pub fn open(
+        folder: &Path,
+        ops: FileOps,
+        fresh_identity: u64,
+        mut replay: impl FnMut(&[u8]),
+    ) -> Result<Self> {
+        let folder = DataFolder::lock(folder, ops)?;
+        let log = folder.recover(fresh_identity, &mut replay)?;
+        let identity = log.identity;
+        let sizes = Arc::new(LogSizes::default());
+        let writer = LogWriter::new(folder, log, Arc::clone(&sizes));
+        let (commands, receiver) = channel();
+        let writer = thread::Builder::new()
+            .name("store-writer".to_owned())
+            .spawn(move || writer.run(&receiver))
+            .change_context(StoreError::Io)?;
+        Ok(Self {
+            commands: Some(commands),
+            writer: Some(writer),
+            sizes,
+            identity,
+        })
+    }
+
+    /// The identity that the log was created with; a lost log comes back with another one.
+    #[must_use]
+    pub const fn identity(&self) -> u64 {
+        self.identity
+    }
+
+    /// Appends one record of at most [`RECORD_MAX_BYTES`]; a longer one is not appended.
+    pub fn append(&self, record: Vec<u8>) -> AppendReceipt {
+        if record.len() > RECORD_MAX_BYTES {
+            return AppendReceipt { done: None };
+        }
+        self.send(|done| LogCommand::Append { record, done })
+    }
+
+    /// Resolves when everything appended before is durable.
+    pub fn barrier(&self) -> AppendReceipt {
+        self.send(|done| LogCommand::Barrier { done })
+    }
+
+    /// Replaces everything appended before by `records`.
+    pub fn compact(&self, records: Vec<Vec<u8>>) -> AppendReceipt {
+        self.send(|done| LogCommand::Compact { records, done })
+    }
+
+    /// Bytes in the log file.
+    #[must_use]
+    pub fn log_bytes(&self) -> u64 {
+        self.sizes.total.load(Ordering::Relaxed)
+    }
+
+    /// Bytes that the last compaction wrote.
+    #[must_use]
+    pub fn base_bytes(&self) -> u64 {
+        self.sizes.base.load(Ordering::Relaxed)
+    }
+
+    /// Finishes what was sent, ends the writer thread and frees the folder.
+    pub fn close(&mut self) {
+        self.commands = None;
+        if let Some(writer) = self.writer.take() {
+            // A panic of the writer has left every receipt unconfirmed.
+            let _ = writer.join();
+        }
+    }
+
+    fn send(&self, command: impl FnOnce(oneshot::Sender<bool>) -> LogCommand) -> AppendReceipt {
+        let (sender, receiver) = oneshot::channel();
+        let command = command(sender);
+        let sent = self
+            .commands
+            .as_ref()
+            .is_some_and(|commands| commands.send(command).is_ok());
+        AppendReceipt {
+            done: sent.then_some(receiver),
+        }
+    }
+}
+
+impl Drop for LogStore {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
