--- /dev/null
+++ b/crates/daemon/src/admission.rs
@@ -0,0 +1,140 @@
+//! Lets requests wait for their admission.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use fulmarweir_base::{MonoTime, ServiceName, lock};
+use fulmarweir_route::{
+    Admission, AdmissionAsk, AdmissionPermit, PolicySettings, QueueEvent, QueueTicket,
+    RouteRefusal, ServiceState,
+};
+use tokio::sync::oneshot;
+
+use crate::node::NodeState;
+
+/// Time between two looks at the requests that wait, in milliseconds.
+const QUEUE_PERIOD_MS: u64 = 5;
+
+type Verdict = Result<AdmissionPermit, RouteRefusal>;
+
+/// The state of one service and the requests that wait for it.
+pub(crate) struct ServiceDesk {
+    pub(crate) state: Arc<ServiceState>,
+    waiting: Mutex<HashMap<QueueTicket, oneshot::Sender<Verdict>>>,
+}
+
+/// Takes a request out of the queue when its caller leaves.
+struct QueueGuard<'a> {
+    desk: &'a ServiceDesk,
+    ticket: QueueTicket,
+}
+
+impl Drop for QueueGuard<'_> {
+    fn drop(&mut self) {
+        if lock(&self.desk.waiting).remove(&self.ticket).is_some() {
+            self.desk.state.leave_queue(self.ticket);
+        }
+    }
+}
+
+impl ServiceDesk {
+    fn new(settings: PolicySettings) -> Self {
+        Self {
+            state: Arc::new(ServiceState::new(settings)),
+            waiting: Mutex::default(),
+        }
+    }
+
+    /// Waits until the request may start, or gives its refusal.
+    pub(crate) async fn admit(&self, ask: AdmissionAsk, now: MonoTime) -> Verdict {
+        let (ticket, receiver) = {
+            // Held until the ticket is listed, so that no event for it is missed.
+            let mut waiting = lock(&self.waiting);
+            match self.state.admit(ask, now) {
+                Admission::Granted(permit) => return Ok(permit),
+                Admission::Refused(refusal) => return Err(refusal),
+                Admission::Queued(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    waiting.insert(ticket, sender);
+                    (ticket, receiver)
+                }
+            }
+        };
+        let _guard = QueueGuard { desk: self, ticket };
+        receiver.await.unwrap_or_else(|_| {
+            let reason = fulmarweir_route::RefusalReason::TooLate;
+            Err(RouteRefusal::not_run(reason, None))
+        })
+    }
+
+    /// Starts or refuses requests that wait.
+    pub(crate) fn poll(&self, now: MonoTime) {
+        let mut waiting = lock(&self.waiting);
+        if waiting.is_empty() {
+            return;
+        }
+        for event in self.state.poll_queue(now) {
+            let (ticket, verdict) = match event {
+                QueueEvent::Granted(ticket, permit) => (ticket, Ok(permit)),
+                QueueEvent::Refused(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(sender) = waiting.remove(&ticket) {
+                // A caller that has just left drops its permit here.
+                drop(sender.send(verdict));
+            }
+        }
+    }
+}
+
+/// Desks by service; they outlive changes of the configuration.
+pub(crate) struct DeskTable {
+    desks: Mutex<HashMap<ServiceName, Arc<ServiceDesk>>>,
+    settings: PolicySettings,
+}
+
+impl DeskTable {
+    pub(crate) fn new(settings: PolicySettings) -> Self {
+        Self {
+            desks: Mutex::default(),
+            settings,
+        }
+    }
+
+    /// The desk of a service, opened at first use.
+    pub(crate) fn get(&self, service: &ServiceName) -> Arc<ServiceDesk> {
+        let mut desks = lock(&self.desks);
+        if let Some(desk) = desks.get(service) {
+            return Arc::clone(desk);
+        }
+        let desk = Arc::new(ServiceDesk::new(self.settings));
+        desks.insert(service.clone(), Arc::clone(&desk));
+        desk
+    }
+
+    fn poll_all(&self, now: MonoTime) {
+        let desks: Vec<_> = lock(&self.desks).values().cloned().collect();
+        for desk in desks {
+            desk.poll(now);
+        }
+    }
+}
+
+/// Looks after requests that wait until the process halts.
+pub(crate) async fn run_desks(node: Arc<NodeState>) {
+    let mut ticks = node
+        .timer
+        .subscribe(Duration::from_millis(QUEUE_PERIOD_MS));
+    loop {
+        let now = tokio::select! {
+            () = node.halt.cancelled() => return,
+            tick = ticks.next() => match tick {
+                Some(now) => now,
+                None => return,
+            },
+        };
+        node.desks.poll_all(now);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config_disk.rs
@@ -0,0 +1,78 @@
+//! The last configuration in force, kept on disk for the next start.
+
+use std::path::Path;
+
+use error_stack::ResultExt;
+use fulmarweir_conf::ConfigVersion;
+use fulmarweir_store::{FileOps, LogStore};
+use fulmarweir_wire::{decode_message, encode_message};
+use slog::{Logger, warn};
+
+use crate::{
+    error::{DaemonError, Result},
+    peer_message::ConfigCopy,
+};
+
+const CONFIG_FOLDER: &str = "config";
+/// Log size above which the log is reduced to the last configuration, in bytes.
+const COMPACT_ABOVE_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Keeps the configuration of a VM with a data folder; does nothing on one without.
+pub(crate) struct ConfigDisk {
+    store: Option<LogStore>,
+    log: Logger,
+}
+
+impl ConfigDisk {
+    /// Opens the folder and reads the last configuration that it holds.
+    pub(crate) fn open(
+        data_folder: Option<&Path>,
+        identity: u64,
+        log: Logger,
+    ) -> Result<(Self, ConfigVersion)> {
+        let Some(folder) = data_folder else {
+            let disk = Self { store: None, log };
+            return Ok((disk, ConfigVersion::empty()));
+        };
+        let mut last = None;
+        let replay = |record: &[u8]| {
+            if let Ok(copy) = decode_message::<ConfigCopy>(record) {
+                last = Some(copy);
+            }
+        };
+        let folder = folder.join(CONFIG_FOLDER);
+        let store = LogStore::open(&folder, FileOps::default(), identity, replay)
+            .change_context(DaemonError::Storage)?;
+        let version = match last {
+            Some(copy) => ConfigVersion::compile(copy.version, &copy.text)
+                .change_context(DaemonError::Config)?,
+            None => ConfigVersion::empty(),
+        };
+        let store = Some(store);
+        Ok((Self { store, log }, version))
+    }
+
+    /// Writes `version` behind the present work.
+    ///
+    /// Nobody waits for it: a version that is lost here is learned from peers
+    /// or voters at the next start.
+    pub(crate) fn save(&self, version: &ConfigVersion) {
+        let Some(store) = &self.store else {
+            return;
+        };
+        let copy = ConfigCopy {
+            version: version.version,
+            text: version.text.clone(),
+        };
+        let Ok(record) = encode_message(&copy) else {
+            warn!(self.log, "config-not-saved"; "version" => version.version);
+            return;
+        };
+        let receipt = if store.log_bytes() > COMPACT_ABOVE_BYTES {
+            store.compact(vec![record])
+        } else {
+            store.append(record)
+        };
+        drop(receipt);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet_driver.rs
@@ -0,0 +1,185 @@
+//! Carries the fleet protocols: sends their messages and performs what they decide.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use fulmarweir_base::{TargetRecord, lock};
+use fulmarweir_conf::ConfigVersion;
+use fulmarweir_fleet::{
+    AnnounceResult, ConfigStamp, FleetAction, FleetMessage, ReadyPhase, TICK_PERIOD_MS,
+};
+use fulmarweir_wire::TrafficClass;
+use slog::{debug, error, info, warn};
+
+use crate::{
+    lifecycle::LifeEvent,
+    node::NodeState,
+    peer_message::{PeerReply, PeerRequest},
+    views::sync_targets,
+};
+
+/// Time that a message of the fleet protocols may take; a later one is of no use.
+const MESSAGE_TIMEOUT_MS: u64 = 500;
+const FETCH_TIMEOUT_MS: u64 = 2000;
+/// Ticks between two passes over the shares of targets, which also change with time.
+const TICKS_PER_SYNC: u32 = 5;
+
+/// Ticks until the process halts.
+pub(crate) async fn run_fleet(node: Arc<NodeState>) {
+    let mut ticks = node.timer.subscribe(Duration::from_millis(TICK_PERIOD_MS));
+    let mut until_sync = 0;
+    loop {
+        let now = tokio::select! {
+            () = node.halt.cancelled() => return,
+            tick = ticks.next() => match tick {
+                Some(now) => now,
+                None => return,
+            },
+        };
+        let actions = lock(&node.fleet).on_tick(now);
+        perform_all(&node, actions);
+        if until_sync == 0 {
+            sync_targets(&node);
+            until_sync = TICKS_PER_SYNC;
+        }
+        until_sync -= 1;
+    }
+}
+
+/// Takes a message of another VM.
+pub(crate) fn receive_message(node: &Arc<NodeState>, from: SocketAddr, message: FleetMessage) {
+    let now = node.timer.now();
+    let actions = lock(&node.fleet).on_message(from, message, now);
+    perform_all(node, actions);
+}
+
+/// Takes the announcement of a target.
+pub(crate) fn take_announcement(node: &Arc<NodeState>, record: TargetRecord) -> AnnounceResult {
+    let now = node.timer.now();
+    let (result, actions) = lock(&node.fleet).announce(record, now);
+    perform_all(node, actions);
+    result
+}
+
+/// Puts a configuration in force and tells the others; false when a newer one is in force.
+pub(crate) fn apply_config(node: &Arc<NodeState>, version: ConfigVersion) -> bool {
+    let stamp = ConfigStamp::of(version.version, &version.text);
+    if !node.config.apply(version) {
+        return false;
+    }
+    info!(node.log, "config-in-force"; "version" => stamp.version);
+    node.disk.save(&node.config.current());
+    let now = node.timer.now();
+    let actions = lock(&node.fleet).config_applied(stamp, now);
+    perform_all(node, actions);
+    sync_targets(node);
+    true
+}
+
+/// Takes the newest version that a quorum of voters told.
+pub(crate) fn note_quorum_config(node: &Arc<NodeState>, stamp: ConfigStamp) {
+    let now = node.timer.now();
+    let actions = lock(&node.fleet).on_quorum_config(stamp, now);
+    perform_all(node, actions);
+}
+
+/// Tells the others that this VM leaves and waits until they have been told.
+pub(crate) async fn leave_fleet(node: &Arc<NodeState>) {
+    let now = node.timer.now();
+    let actions = lock(&node.fleet).leave(now);
+    let sends = actions.into_iter().filter_map(|action| match action {
+        FleetAction::Send { to, message } => Some(send_message(node, to, message)),
+        _ => None,
+    });
+    futures::future::join_all(sends).await;
+}
+
+fn perform_all(node: &Arc<NodeState>, actions: Vec<FleetAction>) {
+    for action in actions {
+        perform(node, action);
+    }
+}
+
+fn perform(node: &Arc<NodeState>, action: FleetAction) {
+    match action {
+        FleetAction::Send { to, message } => {
+            let sender = Arc::clone(node);
+            node.tasks
+                .spawn(async move { send_message(&sender, to, message).await });
+        }
+        FleetAction::MemberChanged { identity, status } => {
+            info!(node.log, "member-changed"; "member" => %identity.name,
+                "address" => %identity.peers, "status" => ?status);
+        }
+        FleetAction::TargetsChanged => sync_targets(node),
+        FleetAction::ConfigBehind { peer, stamp } => {
+            let fetcher = Arc::clone(node);
+            node.tasks
+                .spawn(async move { fetch_config(&fetcher, peer, stamp).await });
+        }
+        FleetAction::ConfigConflict { peer, stamp } => {
+            error!(node.log, "config-conflict"; "peer" => %peer, "version" => stamp.version);
+        }
+        FleetAction::DuplicateName {
+            name,
+            holder,
+            joiner,
+        } => {
+            error!(node.log, "duplicate-name"; "name" => %name, "holder" => %holder,
+                "joiner" => %joiner);
+        }
+        FleetAction::NameRefused { holder } => {
+            error!(node.log, "name-refused"; "holder" => %holder.peers);
+            node.life.handle(&LifeEvent::NameLost);
+        }
+        FleetAction::PhaseChanged(phase) => {
+            debug!(node.log, "phase-changed"; "phase" => ?phase);
+            if phase == ReadyPhase::Ready {
+                node.life.handle(&LifeEvent::ConfigHeld);
+                info!(node.log, "ready"; "config_version" => node.config.current().version);
+            }
+        }
+        FleetAction::ChangeRefused(refusal) => {
+            warn!(node.log, "target-change-refused"; "reason" => %refusal);
+        }
+    }
+}
+
+async fn send_message(node: &NodeState, to: SocketAddr, message: FleetMessage) {
+    let request = PeerRequest::Fleet {
+        from: node.settings.peer_address(),
+        message: Box::new(message),
+    };
+    let patience = Duration::from_millis(MESSAGE_TIMEOUT_MS);
+    let sending = node
+        .peers
+        .call(to, TrafficClass::Control, &request, patience);
+    // A lost message is the concern of the protocols, which repeat what matters.
+    tokio::select! {
+        _ = sending => {}
+        () = node.halt.cancelled() => {}
+    }
+}
+
+async fn fetch_config(node: &Arc<NodeState>, peer: SocketAddr, stamp: ConfigStamp) {
+    let patience = Duration::from_millis(FETCH_TIMEOUT_MS);
+    let request = PeerRequest::FetchConfig;
+    let reply = node
+        .peers
+        .call(peer, TrafficClass::Control, &request, patience)
+        .await;
+    let Ok(PeerReply::Config(copy)) = reply else {
+        return;
+    };
+    if copy.version < stamp.version {
+        return;
+    }
+    match ConfigVersion::compile(copy.version, &copy.text) {
+        Ok(version) => {
+            apply_config(node, version);
+        }
+        Err(faults) => {
+            error!(node.log, "config-not-valid"; "peer" => %peer, "version" => copy.version,
+                "faults" => %faults);
+        }
+    }
+}
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -36,6 +36,8 @@
 pub(crate) enum LifeEvent {
     /// The newest configuration that can be learned of is in force.
     ConfigHeld,
+    /// Another VM has this one's name.
+    NameLost,
     /// A graceful stop was asked for.
     StopAsked,
     /// The balancer has had time to notice.
@@ -52,7 +54,7 @@
         match event {
             LifeEvent::ConfigHeld => Transition(State::ready()),
             LifeEvent::StopAsked => Transition(State::settling()),
-            LifeEvent::Settled => Handled,
+            LifeEvent::NameLost | LifeEvent::Settled => Handled,
         }
     }
 
@@ -60,6 +62,7 @@
     fn ready(event: &LifeEvent) -> Outcome<State> {
         match event {
             LifeEvent::StopAsked => Transition(State::settling()),
+            LifeEvent::NameLost => Transition(State::starting()),
             LifeEvent::ConfigHeld | LifeEvent::Settled => Handled,
         }
     }
@@ -68,14 +71,17 @@
     fn settling(event: &LifeEvent) -> Outcome<State> {
         match event {
             LifeEvent::Settled => Transition(State::draining()),
-            LifeEvent::ConfigHeld | LifeEvent::StopAsked => Handled,
+            LifeEvent::ConfigHeld | LifeEvent::NameLost | LifeEvent::StopAsked => Handled,
         }
     }
 
     #[state]
     fn draining(event: &LifeEvent) -> Outcome<State> {
         match event {
-            LifeEvent::ConfigHeld | LifeEvent::StopAsked | LifeEvent::Settled => Handled,
+            LifeEvent::ConfigHeld
+            | LifeEvent::NameLost
+            | LifeEvent::StopAsked
+            | LifeEvent::Settled => Handled,
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/views.rs
@@ -0,0 +1,151 @@
+//! What this VM knows of the targets, in the form that requests use.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex},
+};
+
+use fulmarweir_base::{MonoTime, ServiceName, TargetName, lock};
+use fulmarweir_conf::ServicePlan;
+use fulmarweir_fleet::{FleetState, TargetEntry, TargetKey, TargetLimits, TargetTable, VmIdentity};
+use fulmarweir_pool::LinkShare;
+use fulmarweir_route::TargetView;
+
+use crate::node::NodeState;
+
+/// The targets of one service at one moment.
+pub(crate) struct ServiceView {
+    /// Where the shards are.
+    pub(crate) targets: Arc<TargetView>,
+    brokers: HashMap<TargetName, Arc<[Arc<VmIdentity>]>>,
+    entries: Vec<TargetEntry>,
+}
+
+impl ServiceView {
+    fn build(entries: &[TargetEntry]) -> Self {
+        let usable = || entries.iter().filter(|entry| entry.usable);
+        let records = usable().map(|entry| (*entry.record).clone()).collect();
+        let brokers = usable()
+            .map(|entry| (entry.record.name.clone(), Arc::clone(&entry.brokers)))
+            .collect();
+        Self {
+            targets: Arc::new(TargetView::build(records)),
+            brokers,
+            entries: entries.to_vec(),
+        }
+    }
+
+    /// The VMs that hold connections to a target, the preferred one first.
+    pub(crate) fn brokers_of(&self, target: &TargetName) -> &[Arc<VmIdentity>] {
+        self.brokers.get(target).map_or(&[], |brokers| brokers)
+    }
+
+    fn is_of(&self, entries: &[TargetEntry]) -> bool {
+        self.entries.len() == entries.len()
+            && self.entries.iter().zip(entries).all(|(known, entry)| {
+                known.usable == entry.usable
+                    && Arc::ptr_eq(&known.record, &entry.record)
+                    && Arc::ptr_eq(&known.brokers, &entry.brokers)
+            })
+    }
+}
+
+/// Views by service.
+#[derive(Default)]
+pub(crate) struct ViewTable {
+    views: Mutex<HashMap<ServiceName, Arc<ServiceView>>>,
+}
+
+impl ViewTable {
+    /// The view of a service, if it has targets.
+    pub(crate) fn get(&self, service: &ServiceName) -> Option<Arc<ServiceView>> {
+        lock(&self.views).get(service).cloned()
+    }
+
+    /// Rebuilds the views of the services whose targets changed.
+    fn update(&self, table: &TargetTable, services: &[Arc<ServicePlan>]) {
+        let known = lock(&self.views).clone();
+        let mut views = HashMap::with_capacity(services.len());
+        for plan in services {
+            let entries = table.of_service(&plan.name);
+            let view = match known.get(&plan.name) {
+                Some(view) if view.is_of(entries) => Arc::clone(view),
+                _ => Arc::new(ServiceView::build(entries)),
+            };
+            views.insert(plan.name.clone(), view);
+        }
+        *lock(&self.views) = views;
+    }
+}
+
+/// Brings views and links in line with the targets that the fleet knows.
+pub(crate) fn sync_targets(node: &NodeState) {
+    let config = node.config.current();
+    let plans: Vec<_> = config.services.values().cloned().collect();
+    let now = node.timer.now();
+    // One at a time, so that an older table never replaces a newer one.
+    let _turn = lock(&node.sync_turn);
+    let (table, shares) = {
+        let fleet = lock(&node.fleet);
+        let table = fleet.targets();
+        let shares = broker_shares(&fleet, &table, &plans, now);
+        (table, shares)
+    };
+    node.views.update(&table, &plans);
+    let kept: HashSet<_> = shares.iter().map(BrokeredTarget::link_key).collect();
+    node.links.retain(&kept);
+    for brokered in shares {
+        let record = &brokered.entry.record;
+        node.links
+            .set_share(&record.service, &record.name, record.address, brokered.share);
+    }
+    let usable = table.iter().filter(|entry| entry.usable).count();
+    node.metrics.targets.set(usable as u64);
+}
+
+/// A target that this VM is a broker of.
+struct BrokeredTarget {
+    entry: TargetEntry,
+    share: LinkShare,
+}
+
+impl BrokeredTarget {
+    fn link_key(&self) -> (ServiceName, TargetName) {
+        let record = &self.entry.record;
+        (record.service.clone(), record.name.clone())
+    }
+}
+
+fn broker_shares(
+    fleet: &FleetState,
+    table: &TargetTable,
+    plans: &[Arc<ServicePlan>],
+    now: MonoTime,
+) -> Vec<BrokeredTarget> {
+    let mut shares = Vec::new();
+    for plan in plans {
+        let limits = TargetLimits {
+            connections: plan.connections,
+            slots: plan.slots,
+        };
+        for entry in table.of_service(&plan.name) {
+            if !entry.usable {
+                continue;
+            }
+            let key = TargetKey {
+                service: plan.name.clone(),
+                name: entry.record.name.clone(),
+            };
+            if let Some(share) = fleet.broker_share(&key, limits, now) {
+                shares.push(BrokeredTarget {
+                    entry: entry.clone(),
+                    share: LinkShare {
+                        connections: share.connections,
+                        concurrency: share.concurrency,
+                    },
+                });
+            }
+        }
+    }
+    shares
+}
