Decide on searches and acts without I/O

Queries had no policy yet. `route` now holds the decisions: a view of the targets by version and shard, admission with an adaptive limit and a queue ordered by deadline, the lower-of-two replica choice with ejection, hedges and retries from one budget, and the state machines of a search and an act.

Time and random numbers are passed in, so that tests drive the real state machines over an invented network. A permit gives its units back when it is dropped, so that a request that ends in any way frees its place; this was preferred to an explicit release, which each error path would have to call.

The policies' constants are not measured yet.

--- /dev/null
+++ b/crates/route/src/act.rs
@@ -0,0 +1,278 @@
+//! One act: a request that must not run twice.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord, shard_for_key};
+use fulmarweir_conf::ServicePlan;
+use rand::Rng;
+
+use crate::{
+    AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RefusalReason, RouteAction,
+    RouteRefusal, RunStats, SendOrder, TargetView,
+    attempts::AttemptTable,
+    refusal::Result,
+    replica::{ChoicePurpose, choose_replica},
+    table::lock,
+};
+
+/// What a caller asks.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ActAsk {
+    /// Names the shard that the act belongs to.
+    pub key: Arc<str>,
+    /// The caller's deadline; the service's own may be earlier.
+    pub deadline: Option<MonoTime>,
+    /// Whether the caller sends the same request again; it then adds nothing to the budget.
+    pub repeated: bool,
+    /// When the request arrived, if it has waited for admission.
+    pub arrived: Option<MonoTime>,
+}
+
+/// A target's reply to an act.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ActReply {
+    /// Version whose shard the act went to.
+    pub version: u64,
+    /// Body as the target wrote it.
+    pub body: Bytes,
+}
+
+/// How an act ended.
+#[derive(Clone, Debug)]
+pub struct ActOutcome {
+    /// The reply, or why there is none.
+    pub reply: std::result::Result<ActReply, RouteRefusal>,
+    /// What the run sent.
+    pub stats: RunStats,
+}
+
+/// Actions of an act.
+pub type ActAction = RouteAction<ActOutcome>;
+
+/// The state machine of one act.
+///
+/// At most one attempt is in flight, and another follows only after one that
+/// has certainly not run. After `Finish` every call returns nothing.
+#[derive(Debug)]
+pub struct ActRun {
+    permit: AdmissionPermit,
+    plan: Arc<ServicePlan>,
+    view: Arc<TargetView>,
+    key: Arc<str>,
+    deadline: MonoTime,
+    version: u64,
+    tried: Vec<Arc<TargetRecord>>,
+    attempts: AttemptTable,
+    stats: RunStats,
+    finished: bool,
+}
+
+impl ActRun {
+    /// Sends the first attempt to a holder of the key's shard in the newest complete version.
+    ///
+    /// # Errors
+    ///
+    /// Refuses, as not run, when there is no such target or the deadline has passed.
+    pub fn start(
+        permit: AdmissionPermit,
+        plan: Arc<ServicePlan>,
+        view: Arc<TargetView>,
+        ask: &ActAsk,
+        now: MonoTime,
+        rng: &mut dyn Rng,
+    ) -> Result<(Self, Vec<ActAction>)> {
+        let own_deadline = ask.arrived.unwrap_or(now) + plan.deadline;
+        let deadline = ask.deadline.unwrap_or(own_deadline).min(own_deadline);
+        if deadline <= now {
+            return Err(RouteRefusal::not_run(RefusalReason::TooLate, None));
+        }
+        let mut run = Self {
+            permit,
+            plan,
+            view,
+            key: Arc::clone(&ask.key),
+            deadline,
+            version: 0,
+            tried: Vec::new(),
+            attempts: AttemptTable::default(),
+            stats: RunStats::default(),
+            finished: false,
+        };
+        let Some(target) = run.choose(now, rng) else {
+            return Err(RouteRefusal::not_run(RefusalReason::NoTargets, None));
+        };
+        run.credit_budget(ask.repeated);
+        let mut actions = vec![RouteAction::Wake(deadline)];
+        run.send(target, AttemptKind::First, now, &mut actions);
+        Ok((run, actions))
+    }
+
+    /// Takes in the end of an attempt. Late and doubled reports change nothing.
+    pub fn on_reply(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        now: MonoTime,
+        rng: &mut dyn Rng,
+    ) -> Vec<ActAction> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        let state = self.permit.state();
+        if self.attempts.end(attempt, &outcome, state, now).is_none() {
+            return actions;
+        }
+        if let AttemptOutcome::Done { body, .. } = outcome {
+            let version = self.version;
+            self.finish(Ok(ActReply { version, body }), now, &mut actions);
+            return actions;
+        }
+        if outcome.verdict() != RunVerdict::NotRun {
+            let refusal = self.refusal(RefusalReason::Undecided);
+            self.finish(Err(refusal), now, &mut actions);
+            return actions;
+        }
+        self.retry(&outcome, now, rng, &mut actions);
+        actions
+    }
+
+    /// Takes in a wake-up.
+    pub fn on_wake(&mut self, now: MonoTime) -> Vec<ActAction> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        if now >= self.deadline {
+            let refusal = self.refusal(RefusalReason::Deadline);
+            self.finish(Err(refusal), now, &mut actions);
+        } else {
+            actions.push(RouteAction::Wake(self.deadline));
+        }
+        actions
+    }
+
+    /// Takes in a new view of the targets, for attempts that may follow.
+    pub fn on_view(&mut self, view: Arc<TargetView>) {
+        self.view = view;
+    }
+
+    /// Gives the act up because its caller has left; cancels what is in flight.
+    pub fn abandon(&mut self, now: MonoTime) -> Vec<ActAction> {
+        let mut actions = Vec::new();
+        if !self.finished {
+            self.finished = true;
+            self.cancel_open(now, &mut actions);
+            self.permit.touch(now);
+        }
+        actions
+    }
+
+    /// Whether the act may have run so far.
+    #[must_use]
+    pub fn verdict(&self) -> RunVerdict {
+        self.attempts.verdict()
+    }
+
+    fn retry(
+        &mut self,
+        outcome: &AttemptOutcome,
+        now: MonoTime,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<ActAction>,
+    ) {
+        let target = self.choose(now, rng).filter(|_| now < self.deadline);
+        let affordable = || lock(&self.permit.state().budget).try_take(1);
+        match target {
+            Some(target) if affordable() => {
+                let kind = AttemptKind::Retry(outcome.retry_reason());
+                self.send(target, kind, now, actions);
+            }
+            _ => {
+                let refusal = self.refusal(RefusalReason::TargetsRefused);
+                self.finish(Err(refusal), now, actions);
+            }
+        }
+    }
+
+    fn credit_budget(&mut self, repeated: bool) {
+        let mut budget = lock(&self.permit.state().budget);
+        if repeated {
+            budget.charge(1);
+        } else {
+            budget.deposit(1, self.plan.extra_load);
+        }
+    }
+
+    /// Chooses a target that has not been asked, and pins its version.
+    fn choose(&mut self, now: MonoTime, rng: &mut dyn Rng) -> Option<Arc<TargetRecord>> {
+        let index = self.view.newest_complete()?;
+        self.version = index.version;
+        let shard = shard_for_key(&self.key, index.of);
+        choose_replica(
+            self.permit.state(),
+            index.holders(shard),
+            &self.tried,
+            index.version,
+            ChoicePurpose::Needed,
+            now,
+            rng,
+        )
+    }
+
+    fn send(
+        &mut self,
+        target: Arc<TargetRecord>,
+        kind: AttemptKind,
+        now: MonoTime,
+        actions: &mut Vec<ActAction>,
+    ) {
+        let of = self.view.version(self.version).map_or(1, |index| index.of);
+        self.tried.push(Arc::clone(&target));
+        self.stats.count(kind);
+        let mut order = SendOrder {
+            attempt: AttemptId::new(0),
+            target,
+            version: self.version,
+            shard: shard_for_key(&self.key, of),
+            of,
+            deadline: self.deadline,
+            kind,
+        };
+        self.attempts.send(&mut order, self.permit.state(), now);
+        actions.push(RouteAction::Send(order));
+    }
+
+    fn refusal(&self, reason: RefusalReason) -> RouteRefusal {
+        let verdict = self.attempts.verdict();
+        let not_run = verdict == RunVerdict::NotRun;
+        let pause = lock(&self.permit.state().latency).median();
+        RouteRefusal {
+            reason,
+            verdict,
+            retry_after: pause.filter(|_| not_run),
+        }
+    }
+
+    fn cancel_open(&mut self, now: MonoTime, actions: &mut Vec<ActAction>) {
+        for id in self.attempts.open_ids(None) {
+            if self.attempts.abandon(id, self.permit.state(), now) {
+                actions.push(RouteAction::Cancel(id));
+            }
+        }
+    }
+
+    fn finish(
+        &mut self,
+        reply: std::result::Result<ActReply, RouteRefusal>,
+        now: MonoTime,
+        actions: &mut Vec<ActAction>,
+    ) {
+        self.finished = true;
+        self.cancel_open(now, actions);
+        self.permit.touch(now);
+        let stats = self.stats;
+        actions.push(RouteAction::Finish(ActOutcome { reply, stats }));
+    }
+}
--- /dev/null
+++ b/crates/route/src/gate.rs
@@ -0,0 +1,304 @@
+//! Admission: how many sub-queries may be in flight, and who waits.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use fulmarweir_base::MonoTime;
+
+use crate::{
+    AdmissionPolicy, RefusalReason, RouteRefusal,
+    limit::{LimitSignal, SearchLimit},
+};
+
+/// Share of the limit that wide searches leave to lookups by key.
+const KEYED_SHARE: f64 = 0.1;
+/// Requests that may wait, for each of the two kinds.
+const QUEUE_LENGTH_MAX: usize = 512;
+/// Weight of the latest run in the mean run time.
+const RUN_TIME_WEIGHT: f64 = 0.05;
+/// Share of the mean run time that must be left at the start of a run.
+const RUN_TIME_SHARE: f64 = 0.8;
+const RATE_WINDOW_MS: u64 = 200;
+const RETRY_AFTER_MIN_MS: u64 = 20;
+const RETRY_AFTER_MAX_MS: u64 = 5_000;
+
+/// The breadth of a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) enum RequestBreadth {
+    Keyed,
+    Wide,
+}
+
+/// What admission needs to know of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmissionAsk {
+    /// Sub-queries that it starts with.
+    pub(crate) units: usize,
+    pub(crate) breadth: RequestBreadth,
+    /// When an answer is due.
+    pub(crate) answer_by: MonoTime,
+}
+
+impl AdmissionAsk {
+    /// A lookup by key or an act: one sub-query.
+    #[must_use]
+    pub const fn keyed(answer_by: MonoTime) -> Self {
+        Self {
+            units: 1,
+            breadth: RequestBreadth::Keyed,
+            answer_by,
+        }
+    }
+
+    /// A search over `shards` shards.
+    #[must_use]
+    pub const fn wide(shards: usize, answer_by: MonoTime) -> Self {
+        Self {
+            units: shards,
+            breadth: RequestBreadth::Wide,
+            answer_by,
+        }
+    }
+}
+
+/// Names a request that waits for admission.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct QueueTicket {
+    answer_by: MonoTime,
+    number: u64,
+}
+
+/// What became of an ask.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum GateAnswer {
+    Granted,
+    Queued(QueueTicket),
+    Refused(RouteRefusal),
+}
+
+/// What became of a request that waited.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum GateEvent {
+    Granted(QueueTicket, AdmissionAsk),
+    Refused(QueueTicket, RouteRefusal),
+}
+
+/// Requests of one breadth.
+#[derive(Clone, Debug, Default)]
+struct BreadthLane {
+    in_flight: usize,
+    waiting: BTreeMap<QueueTicket, AdmissionAsk>,
+    waiting_units: usize,
+    run_time: Duration,
+    window_start: MonoTime,
+    window_units: usize,
+    /// Units that end in a second.
+    rate: Option<f64>,
+}
+
+impl BreadthLane {
+    fn needs_until(&self, now: MonoTime) -> MonoTime {
+        now + self.run_time.mul_f64(RUN_TIME_SHARE)
+    }
+
+    fn expected_wait(&self, units: usize) -> Option<Duration> {
+        let rate = self.rate.filter(|rate| *rate > 0.0)?;
+        #[expect(clippy::cast_precision_loss, reason = "queues are short")]
+        let ahead = (self.waiting_units + units) as f64;
+        Some(Duration::from_secs_f64((ahead / rate).min(60.0)))
+    }
+
+    fn retry_after(&self, units: usize) -> Duration {
+        let wait = self.expected_wait(units).unwrap_or_default();
+        wait.clamp(
+            Duration::from_millis(RETRY_AFTER_MIN_MS),
+            Duration::from_millis(RETRY_AFTER_MAX_MS),
+        )
+    }
+
+    fn run_ended(&mut self, units: usize, run_time: Duration, now: MonoTime) {
+        self.in_flight = self.in_flight.saturating_sub(units);
+        self.run_time = if self.run_time.is_zero() {
+            run_time
+        } else {
+            self.run_time.mul_f64(1.0 - RUN_TIME_WEIGHT) + run_time.mul_f64(RUN_TIME_WEIGHT)
+        };
+        self.window_units += units;
+        let elapsed = now.since(self.window_start);
+        if elapsed < Duration::from_millis(RATE_WINDOW_MS) {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a window holds few units")]
+        let latest = self.window_units as f64 / elapsed.as_secs_f64();
+        self.rate = Some(self.rate.map_or(latest, |rate| rate.midpoint(latest)));
+        self.window_start = now;
+        self.window_units = 0;
+    }
+
+    fn remove(&mut self, ticket: QueueTicket) -> bool {
+        let Some(ask) = self.waiting.remove(&ticket) else {
+            return false;
+        };
+        self.waiting_units -= ask.units;
+        true
+    }
+}
+
+/// The admission of one service on one VM.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmissionGate {
+    policy: AdmissionPolicy,
+    limit: SearchLimit,
+    keyed: BreadthLane,
+    wide: BreadthLane,
+    next_ticket: u64,
+}
+
+impl AdmissionGate {
+    pub(crate) fn new(policy: AdmissionPolicy) -> Self {
+        Self {
+            policy,
+            limit: SearchLimit::default(),
+            keyed: BreadthLane::default(),
+            wide: BreadthLane::default(),
+            next_ticket: 0,
+        }
+    }
+
+    pub(crate) fn limit(&self) -> f64 {
+        self.limit.units()
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.keyed.in_flight + self.wide.in_flight
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        self.keyed.waiting.len() + self.wide.waiting.len()
+    }
+
+    pub(crate) fn set_ceiling(&mut self, units: f64) {
+        self.limit.set_ceiling(units);
+    }
+
+    pub(crate) fn signal(&mut self, signal: LimitSignal, now: MonoTime) {
+        self.limit.signal(signal, now);
+    }
+
+    /// Decides on a request at once.
+    pub(crate) fn offer(&mut self, ask: AdmissionAsk, now: MonoTime) -> GateAnswer {
+        if self.policy == AdmissionPolicy::Open {
+            self.take(ask);
+            return GateAnswer::Granted;
+        }
+        if ask.answer_by <= now {
+            let refusal = RouteRefusal::not_run(RefusalReason::TooLate, None);
+            return GateAnswer::Refused(refusal);
+        }
+        let fits = self.fits(ask);
+        let lane = self.lane(ask.breadth);
+        if fits && lane.waiting.is_empty() {
+            self.take(ask);
+            return GateAnswer::Granted;
+        }
+        let retry_after = Some(lane.retry_after(ask.units));
+        if lane.waiting.len() >= QUEUE_LENGTH_MAX {
+            let refusal = RouteRefusal::not_run(RefusalReason::QueueFull, retry_after);
+            return GateAnswer::Refused(refusal);
+        }
+        let wait = lane.expected_wait(ask.units).unwrap_or_default();
+        if lane.needs_until(now + wait) > ask.answer_by {
+            let refusal = RouteRefusal::not_run(RefusalReason::TooLate, retry_after);
+            return GateAnswer::Refused(refusal);
+        }
+        GateAnswer::Queued(self.enqueue(ask))
+    }
+
+    /// Ends a run and says who may start in its place.
+    pub(crate) fn release(&mut self, ask: AdmissionAsk, run_time: Duration, now: MonoTime) {
+        self.lane(ask.breadth).run_ended(ask.units, run_time, now);
+    }
+
+    /// Starts those who fit now, earliest deadline first, lookups first, and
+    /// refuses those whose time is up.
+    pub(crate) fn dispatch(&mut self, now: MonoTime) -> Vec<GateEvent> {
+        let mut events = Vec::new();
+        for breadth in [RequestBreadth::Keyed, RequestBreadth::Wide] {
+            self.dispatch_lane(breadth, now, &mut events);
+        }
+        events
+    }
+
+    /// Forgets a request that waits; false when it is no longer waiting.
+    pub(crate) fn leave(&mut self, ticket: QueueTicket) -> bool {
+        self.keyed.remove(ticket) || self.wide.remove(ticket)
+    }
+
+    fn dispatch_lane(
+        &mut self,
+        breadth: RequestBreadth,
+        now: MonoTime,
+        events: &mut Vec<GateEvent>,
+    ) {
+        while let Some((&ticket, &ask)) = self.lane(breadth).waiting.first_key_value() {
+            if self.lane(breadth).needs_until(now) > ask.answer_by {
+                let retry_after = Some(self.lane(breadth).retry_after(ask.units));
+                self.lane(breadth).remove(ticket);
+                let refusal = RouteRefusal::not_run(RefusalReason::TooLate, retry_after);
+                events.push(GateEvent::Refused(ticket, refusal));
+                continue;
+            }
+            if !self.fits(ask) {
+                return;
+            }
+            self.lane(breadth).remove(ticket);
+            self.take(ask);
+            events.push(GateEvent::Granted(ticket, ask));
+        }
+    }
+
+    fn lane(&mut self, breadth: RequestBreadth) -> &mut BreadthLane {
+        match breadth {
+            RequestBreadth::Keyed => &mut self.keyed,
+            RequestBreadth::Wide => &mut self.wide,
+        }
+    }
+
+    /// Whether `ask` fits; one request of each breadth always does.
+    #[expect(clippy::cast_precision_loss, reason = "units in flight are few")]
+    fn fits(&self, ask: AdmissionAsk) -> bool {
+        let limit = self.limit.units();
+        let reserve = limit * KEYED_SHARE;
+        let units = ask.units as f64;
+        match ask.breadth {
+            RequestBreadth::Keyed => {
+                let room = (limit - self.wide.in_flight as f64).max(reserve);
+                self.keyed.in_flight == 0 || self.keyed.in_flight as f64 + units <= room
+            }
+            RequestBreadth::Wide => {
+                let taken = (self.keyed.in_flight as f64).max(reserve);
+                let room = limit - taken;
+                self.wide.in_flight == 0 || self.wide.in_flight as f64 + units <= room
+            }
+        }
+    }
+
+    fn take(&mut self, ask: AdmissionAsk) {
+        self.lane(ask.breadth).in_flight += ask.units;
+        let in_flight = self.in_flight();
+        self.limit.observe(in_flight, ask.units);
+    }
+
+    fn enqueue(&mut self, ask: AdmissionAsk) -> QueueTicket {
+        let ticket = QueueTicket {
+            answer_by: ask.answer_by,
+            number: self.next_ticket,
+        };
+        self.next_ticket += 1;
+        let in_flight = self.in_flight();
+        self.limit.observe(in_flight + ask.units, ask.units);
+        let lane = self.lane(ask.breadth);
+        lane.waiting.insert(ticket, ask);
+        lane.waiting_units += ask.units;
+        ticket
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,55 @@
 //! Every decision on a query: admission, version, replica, hedge, retry and answer.
+//!
+//! Nothing here does I/O or reads a clock. [`ServiceState`] lives as long as the
+//! process and is shared by all requests of one service. [`SearchRun`] and
+//! [`ActRun`] live for one request: they take in the ends of attempts, wake-ups
+//! and new views, and return [`RouteAction`]s for the caller to carry out.
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use fulmarweir_base::MonoTime;
+//! use fulmarweir_route::{Admission, AdmissionAsk, PolicySettings, ServiceState};
+//!
+//! let state = Arc::new(ServiceState::new(PolicySettings::default()));
+//! let now = MonoTime::from_millis(10);
+//! let ask = AdmissionAsk::wide(3, MonoTime::from_millis(310));
+//! let Admission::Granted(permit) = state.admit(ask, now) else {
+//!     panic!("an idle service admits");
+//! };
+//! assert_eq!(state.gauges().in_flight, 3);
+//! drop(permit);
+//! assert_eq!(state.gauges().in_flight, 0);
+//! ```
+
+mod act;
+mod action;
+mod attempts;
+mod budget;
+mod eject;
+mod gate;
+mod hits;
+mod latency;
+mod limit;
+mod load;
+mod refusal;
+mod replica;
+mod search;
+mod service;
+mod settings;
+mod table;
+mod view;
+
+pub use act::{ActAction, ActAsk, ActOutcome, ActReply, ActRun};
+pub use action::{
+    AttemptId, AttemptKind, AttemptOutcome, ReportedLoad, RetryReason, RouteAction, SendOrder,
+};
+pub use gate::{AdmissionAsk, QueueTicket};
+pub use hits::{HitScore, HitsError, SearchHit, merge_hits, parse_hits, write_hits};
+pub use refusal::{RefusalReason, RouteRefusal};
+pub use search::{RunStats, SearchAction, SearchAnswer, SearchAsk, SearchOutcome, SearchRun};
+pub use service::{
+    Admission, AdmissionPermit, QueueEvent, ServiceGauges, ServiceState, TargetGauges,
+};
+pub use settings::{AdmissionPolicy, PolicySettings, ReplicaPolicy, RetryPolicy};
+pub use view::{SHARD_COUNT_MAX, TargetView, VersionIndex};
--- /dev/null
+++ b/crates/route/src/search/extra.rs
@@ -0,0 +1,201 @@
+//! Hedges and retries of a search, within the budget of its service.
+
+use std::{sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord};
+
+use super::{RunStep, SearchRun, ShardState, progress::PendingRetry};
+use crate::{
+    AttemptKind, AttemptOutcome, RetryPolicy, RetryReason,
+    replica::{ChoicePurpose, choose_replica},
+    table::lock,
+};
+
+/// Hedges for one shard of one search.
+const HEDGES_MAX: u32 = 2;
+/// Pause before targets that have all been asked are asked again, times the retries so far.
+const RETRY_PAUSE_MS: u64 = 10;
+/// Pause until an empty budget is asked again.
+const BUDGET_RECHECK_MS: u64 = 5;
+/// Retries of one shard in the baseline without a budget.
+const NAIVE_RETRIES_MAX: u32 = 3;
+/// Hedge delay as a share of the soft deadline while latencies are unknown.
+const HEDGE_DELAY_SHARE: f64 = 0.5;
+
+impl SearchRun {
+    /// Decides on a shard whose attempt ended without hits.
+    pub(crate) fn attempt_failed(
+        &mut self,
+        place: usize,
+        outcome: &AttemptOutcome,
+        step: &mut RunStep<'_>,
+    ) {
+        let progress = &mut self.shards[place];
+        if progress.state != ShardState::Open || progress.in_flight > 0 {
+            return;
+        }
+        if !self.may_retry(outcome) {
+            self.shards[place].state = ShardState::Lost;
+            return;
+        }
+        let reason = outcome.retry_reason();
+        let at = step.now;
+        self.shards[place].retry = Some(PendingRetry { at, reason });
+        self.send_due_retry(place, step);
+    }
+
+    /// A nested search repeats only what has not run: its caller's own attempt
+    /// may be repeated a level above, and work must not multiply by level.
+    fn may_retry(&self, outcome: &AttemptOutcome) -> bool {
+        let retried_below = matches!(
+            outcome,
+            AttemptOutcome::Failed {
+                retried_below: true,
+                ..
+            }
+        );
+        let not_run = outcome.verdict() == RunVerdict::NotRun;
+        !retried_below && (not_run || !self.ask.nested)
+    }
+
+    /// Sends the retries and hedges whose time has come.
+    pub(crate) fn send_due(&mut self, step: &mut RunStep<'_>) {
+        for place in 0..self.shards.len() {
+            self.send_due_retry(place, step);
+        }
+        self.send_due_hedges(step);
+    }
+
+    /// Sends the retry of a shard if its time has come and the budget allows it.
+    pub(crate) fn send_due_retry(&mut self, place: usize, step: &mut RunStep<'_>) {
+        let progress = &self.shards[place];
+        let Some(retry) = progress.retry.filter(|retry| retry.at <= step.now) else {
+            return;
+        };
+        if progress.state != ShardState::Open || progress.in_flight > 0 {
+            return;
+        }
+        let Some(target) = self.choose(place, false, step) else {
+            self.ask_all_again(place, retry.reason, step.now);
+            return;
+        };
+        if !self.take_for_retry(place, retry.reason) {
+            let at = step.now + Duration::from_millis(BUDGET_RECHECK_MS);
+            let reason = retry.reason;
+            self.shards[place].retry = Some(PendingRetry { at, reason });
+            return;
+        }
+        self.send(place, target, AttemptKind::Retry(retry.reason), step);
+    }
+
+    /// Every holder has been asked: pauses, then starts with the first again.
+    fn ask_all_again(&mut self, place: usize, reason: RetryReason, now: MonoTime) {
+        if !self.shard_has_holder(place, now) {
+            self.shards[place].state = ShardState::Lost;
+            return;
+        }
+        let progress = &mut self.shards[place];
+        let pause = RETRY_PAUSE_MS * u64::from(progress.retries + 1);
+        let at = now + Duration::from_millis(pause);
+        progress.tried.clear();
+        progress.retry = Some(PendingRetry { at, reason });
+    }
+
+    fn take_for_retry(&self, place: usize, reason: RetryReason) -> bool {
+        let state = self.permit.state();
+        if state.settings.retry == RetryPolicy::Naive {
+            return self.shards[place].retries < NAIVE_RETRIES_MAX;
+        }
+        let mut budget = lock(&state.budget);
+        if reason == RetryReason::VersionGone {
+            // Each target says so once and at no cost, and the answer depends on it.
+            budget.charge(1);
+            return true;
+        }
+        budget.try_take(1)
+    }
+
+    /// Hedges the slow attempts, all or none: hedging some of the missing shards
+    /// does not end the search, so the budget goes to searches that miss few.
+    fn send_due_hedges(&mut self, step: &mut RunStep<'_>) {
+        let state = self.permit.state();
+        if !state.settings.hedge {
+            return;
+        }
+        let due = self.hedge_candidates(step.now);
+        if due.is_empty() {
+            return;
+        }
+        if !lock(&state.budget).try_take(due.len()) {
+            return;
+        }
+        let mut unsent = 0;
+        for place in due {
+            match self.choose(place, true, step) {
+                Some(target) => self.send(place, target, AttemptKind::Hedge, step),
+                None => unsent += 1,
+            }
+        }
+        lock(&self.permit.state().budget).refund(unsent);
+    }
+
+    fn hedge_candidates(&self, now: MonoTime) -> Vec<usize> {
+        let delay = self.hedge_delay();
+        let is_due = |place: &usize| {
+            let progress = &self.shards[*place];
+            progress.is_waiting()
+                && progress.hedges < HEDGES_MAX
+                && now.since(progress.sent_at) >= delay
+        };
+        (0..self.shards.len()).filter(is_due).collect()
+    }
+
+    pub(crate) fn hedge_delay(&self) -> Duration {
+        let measured = lock(&self.permit.state().latency).hedge_delay();
+        measured.unwrap_or_else(|| self.plan.soft_deadline.mul_f64(HEDGE_DELAY_SHARE))
+    }
+
+    /// The next time at which a hedge or retry may be due.
+    pub(crate) fn next_extra(&self, now: MonoTime) -> Option<MonoTime> {
+        let recheck = now + Duration::from_millis(BUDGET_RECHECK_MS);
+        let hedges = self.permit.state().settings.hedge;
+        let delay = self.hedge_delay();
+        let next_of = |progress: &super::ShardProgress| {
+            if progress.state != ShardState::Open {
+                return None;
+            }
+            if let Some(retry) = progress.retry {
+                return Some(retry.at);
+            }
+            let hedgeable = hedges && progress.in_flight > 0 && progress.hedges < HEDGES_MAX;
+            hedgeable.then(|| progress.sent_at + delay)
+        };
+        let next = self.shards.iter().filter_map(next_of).min()?;
+        Some(if next <= now { recheck } else { next })
+    }
+
+    /// Chooses a replica for a shard, from those not asked yet.
+    pub(crate) fn choose(
+        &self,
+        place: usize,
+        spare: bool,
+        step: &mut RunStep<'_>,
+    ) -> Option<Arc<TargetRecord>> {
+        let progress = &self.shards[place];
+        let index = self.view.version(self.version)?;
+        let purpose = if spare {
+            ChoicePurpose::Spare
+        } else {
+            ChoicePurpose::Needed
+        };
+        choose_replica(
+            self.permit.state(),
+            index.holders(progress.shard),
+            &progress.tried,
+            self.version,
+            purpose,
+            step.now,
+            step.rng,
+        )
+    }
+}
--- /dev/null
+++ b/crates/route/src/service.rs
@@ -0,0 +1,204 @@
+//! Process-lifetime state of one service: admission, budget, latency, target loads.
+
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use fulmarweir_base::{MonoTime, TargetName};
+use fulmarweir_conf::{AnswerPreference, ServicePlan};
+
+use crate::{
+    AdmissionAsk, PolicySettings, QueueTicket, RouteRefusal, TargetView,
+    budget::ExtraBudget,
+    gate::{AdmissionGate, GateAnswer, GateEvent},
+    latency::LatencyEstimate,
+    limit::LimitSignal,
+    table::{LoadTable, lock},
+};
+
+/// Attempts in flight that the targets' slots are taken to hold, as a multiple of the slots.
+const SLOTS_CEILING: f64 = 2.0;
+const DEFAULT_HEDGE_QUANTILE: f64 = 0.95;
+
+/// State of one service that all its requests on this VM share.
+///
+/// Each part stands under its own lock, held for a few instructions.
+#[derive(Debug)]
+pub struct ServiceState {
+    pub(crate) settings: PolicySettings,
+    pub(crate) budget: Mutex<ExtraBudget>,
+    pub(crate) latency: Mutex<LatencyEstimate>,
+    pub(crate) table: LoadTable,
+    gate: Mutex<AdmissionGate>,
+}
+
+/// What became of a request that asked for admission.
+#[derive(Debug)]
+pub enum Admission {
+    /// It may start now.
+    Granted(AdmissionPermit),
+    /// It waits; [`ServiceState::poll_queue`] names it later.
+    Queued(QueueTicket),
+    /// It is refused, as not run.
+    Refused(RouteRefusal),
+}
+
+/// What became of a request that waited.
+#[derive(Debug)]
+pub enum QueueEvent {
+    /// It may start now.
+    Granted(QueueTicket, AdmissionPermit),
+    /// It is refused, as not run.
+    Refused(QueueTicket, RouteRefusal),
+}
+
+/// The right to have sub-queries in flight, given back when dropped.
+#[derive(Debug)]
+pub struct AdmissionPermit {
+    state: Arc<ServiceState>,
+    ask: AdmissionAsk,
+    started: MonoTime,
+    ended: MonoTime,
+}
+
+impl AdmissionPermit {
+    pub(crate) fn state(&self) -> &ServiceState {
+        &self.state
+    }
+
+    /// Notes the time, which counts as the end of the run if it is dropped now.
+    pub(crate) fn touch(&mut self, now: MonoTime) {
+        self.ended = self.ended.max(now);
+    }
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        let run_time = self.ended.since(self.started);
+        lock(&self.state.gate).release(self.ask, run_time, self.ended);
+    }
+}
+
+/// Figures of one service for metrics and status pages.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceGauges {
+    /// Sub-queries that may be in flight.
+    pub limit: f64,
+    /// Sub-queries that admitted requests started with.
+    pub in_flight: usize,
+    /// Requests that wait for admission.
+    pub waiting: usize,
+    /// Time after which a sub-query is hedged, once known.
+    pub hedge_delay: Option<Duration>,
+}
+
+/// Figures of one target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetGauges {
+    /// Own attempts in flight.
+    pub in_flight: u32,
+    /// Whether it is ejected or being probed.
+    pub ejected: bool,
+}
+
+impl ServiceState {
+    /// State of a service of which nothing is known yet.
+    #[must_use]
+    pub fn new(settings: PolicySettings) -> Self {
+        Self {
+            settings,
+            budget: Mutex::default(),
+            latency: Mutex::new(LatencyEstimate::new(DEFAULT_HEDGE_QUANTILE)),
+            table: LoadTable::default(),
+            gate: Mutex::new(AdmissionGate::new(settings.admission)),
+        }
+    }
+
+    /// Asks for admission; the answer is immediate.
+    #[must_use]
+    pub fn admit(self: &Arc<Self>, ask: AdmissionAsk, now: MonoTime) -> Admission {
+        let answer = lock(&self.gate).offer(ask, now);
+        match answer {
+            GateAnswer::Granted => Admission::Granted(self.permit(ask, now)),
+            GateAnswer::Queued(ticket) => Admission::Queued(ticket),
+            GateAnswer::Refused(refusal) => Admission::Refused(refusal),
+        }
+    }
+
+    /// Names the waiting requests that may start or are refused now.
+    ///
+    /// To be called when a run has ended and every few milliseconds while requests wait.
+    #[must_use]
+    pub fn poll_queue(self: &Arc<Self>, now: MonoTime) -> Vec<QueueEvent> {
+        let events = lock(&self.gate).dispatch(now);
+        let convert = |event| match event {
+            GateEvent::Granted(ticket, ask) => QueueEvent::Granted(ticket, self.permit(ask, now)),
+            GateEvent::Refused(ticket, refusal) => QueueEvent::Refused(ticket, refusal),
+        };
+        events.into_iter().map(convert).collect()
+    }
+
+    /// Forgets a waiting request whose caller has left; false when it is no longer waiting.
+    pub fn leave_queue(&self, ticket: QueueTicket) -> bool {
+        lock(&self.gate).leave(ticket)
+    }
+
+    /// Takes in a new view: bounds the limit by the targets' slots and forgets targets that left.
+    pub fn observe_view(&self, view: &TargetView) {
+        let slots: f64 = view
+            .targets()
+            .iter()
+            .map(|target| f64::from(target.slots))
+            .sum();
+        lock(&self.gate).set_ceiling((slots * SLOTS_CEILING).max(1.0));
+        let names: HashSet<&TargetName> =
+            view.targets().iter().map(|target| &target.name).collect();
+        self.table.retain(|name| names.contains(name));
+    }
+
+    /// Figures for metrics.
+    #[must_use]
+    pub fn gauges(&self) -> ServiceGauges {
+        let hedge_delay = lock(&self.latency).hedge_delay();
+        let gate = lock(&self.gate);
+        ServiceGauges {
+            limit: gate.limit(),
+            in_flight: gate.in_flight(),
+            waiting: gate.waiting(),
+            hedge_delay,
+        }
+    }
+
+    /// Figures of one target, if it is known.
+    #[must_use]
+    pub fn target_gauges(&self, name: &TargetName) -> Option<TargetGauges> {
+        self.table.read(name, |load| TargetGauges {
+            in_flight: load.in_flight(),
+            ejected: load.is_ejected(),
+        })
+    }
+
+    /// The time by which a search of `plan` should be answered, for admission.
+    #[must_use]
+    pub fn answer_by(plan: &ServicePlan, deadline: MonoTime, now: MonoTime) -> MonoTime {
+        match plan.prefer {
+            AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
+            AnswerPreference::Coverage => deadline,
+        }
+    }
+
+    pub(crate) fn signal_limit(&self, signal: LimitSignal, now: MonoTime) {
+        lock(&self.gate).signal(signal, now);
+    }
+
+    fn permit(self: &Arc<Self>, ask: AdmissionAsk, now: MonoTime) -> AdmissionPermit {
+        AdmissionPermit {
+            state: Arc::clone(self),
+            ask,
+            started: now,
+            ended: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/search_basics.rs
@@ -0,0 +1,235 @@
+//! Searches over small grids of targets.
+
+mod support;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fulmarweir_base::{RunVerdict, shard_for_key};
+use fulmarweir_conf::AnswerPreference;
+use fulmarweir_route::{
+    AttemptKind, AttemptOutcome, RefusalReason, SearchAsk, SearchRun, TargetView,
+};
+use support::{
+    START, answer_to, drive_search, grid, grid_view, holding, new_state, permit, search, seeded,
+    service_plan, target,
+};
+
+const QUICK: Duration = Duration::from_millis(5);
+
+#[test]
+fn whole_answer_is_merged_by_score() {
+    let state = new_state();
+    let view = grid_view(7, 3, 2);
+    let mut network = |order: &_, _| vec![(QUICK, answer_to(order))];
+    let trace = search(
+        &state,
+        service_plan(),
+        &view,
+        SearchAsk::default(),
+        &mut network,
+        &mut seeded(1),
+    );
+    let answer = trace.outcome.answer.unwrap();
+    assert!(answer.is_whole());
+    assert_eq!((answer.version, answer.shards, answer.answered), (7, 3, 3));
+    let ids: Vec<&str> = answer.hits.iter().map(|hit| &*hit.id).collect();
+    assert_eq!(ids, ["7/2", "7/1", "7/0", "7/0/b", "7/1/b", "7/2/b"]);
+    assert_eq!(trace.finished_at, START + QUICK);
+    assert_eq!(state.gauges().in_flight, 0);
+}
+
+#[test]
+fn lookup_by_key_asks_one_shard() {
+    let view = grid_view(7, 5, 2);
+    let ask = SearchAsk {
+        key: Some("permit-12".into()),
+        ..SearchAsk::default()
+    };
+    let mut network = |order: &_, _| vec![(QUICK, answer_to(order))];
+    let trace = search(
+        &new_state(),
+        service_plan(),
+        &view,
+        ask,
+        &mut network,
+        &mut seeded(1),
+    );
+    assert_eq!(trace.sent.len(), 1);
+    assert_eq!(trace.sent[0].shard, shard_for_key("permit-12", 5));
+    assert_eq!(trace.outcome.answer.unwrap().shards, 1);
+}
+
+#[test]
+fn newest_complete_version_is_pinned() {
+    let mut records = grid(41, 3, 1);
+    records.push(target("new", vec![holding(42, 0, 3), holding(42, 1, 3)]));
+    let view = TargetView::build(records);
+    assert_eq!(view.newest_complete().unwrap().version, 41);
+    assert_eq!(view.pin(0).unwrap().version, 41);
+    assert_eq!(view.pin(42).unwrap().version, 42);
+    assert!(view.pin(43).is_none());
+}
+
+#[test]
+fn without_a_complete_version_the_most_covered_is_pinned() {
+    let records = vec![
+        target("a", vec![holding(1, 0, 4), holding(1, 1, 4)]),
+        target("b", vec![holding(2, 0, 2), holding(3, 0, 4)]),
+    ];
+    let view = TargetView::build(records);
+    assert_eq!(view.pin(0).unwrap().version, 2);
+}
+
+#[test]
+fn hostile_holdings_are_ignored() {
+    let records = vec![target(
+        "a",
+        vec![
+            holding(1, 3, 3),
+            holding(1, 0, 0),
+            holding(9, 0, u32::MAX),
+            holding(2, 0, 1),
+        ],
+    )];
+    let view = TargetView::build(records);
+    let versions: Vec<u64> = view.versions().iter().map(|one| one.version).collect();
+    assert_eq!(versions, [2]);
+}
+
+#[test]
+fn refusals_before_any_attempt_are_not_run() {
+    let state = new_state();
+    let plan = Arc::new(service_plan());
+    let refuse = |view: Arc<TargetView>, ask| {
+        let permit = permit(&state, START);
+        SearchRun::start(permit, Arc::clone(&plan), view, ask, START, &mut seeded(1)).unwrap_err()
+    };
+    let none = refuse(Arc::default(), SearchAsk::default());
+    assert_eq!(none.reason, RefusalReason::NoTargets);
+    let ask = SearchAsk {
+        min_version: 8,
+        ..SearchAsk::default()
+    };
+    let old = refuse(grid_view(7, 1, 1), ask);
+    assert_eq!(old.reason, RefusalReason::MinVersion);
+    let ask = SearchAsk {
+        deadline: Some(START),
+        ..SearchAsk::default()
+    };
+    let late = refuse(grid_view(7, 1, 1), ask);
+    assert_eq!(late.reason, RefusalReason::TooLate);
+    assert!([none, old, late].map(|one| one.verdict) == [RunVerdict::NotRun; 3]);
+}
+
+#[test]
+fn latency_preference_answers_at_the_soft_deadline() {
+    let mut plan = service_plan();
+    plan.prefer = AnswerPreference::Latency;
+    plan.extra_load = 0.0;
+    let view = grid_view(7, 4, 1);
+    let mut network = |order: &fulmarweir_route::SendOrder, _| {
+        if order.shard == 2 {
+            return Vec::new();
+        }
+        vec![(QUICK, answer_to(order))]
+    };
+    let trace = search(
+        &new_state(),
+        plan,
+        &view,
+        SearchAsk::default(),
+        &mut network,
+        &mut seeded(1),
+    );
+    assert_eq!(trace.finished_at, START + Duration::from_millis(150));
+    let answer = trace.outcome.answer.unwrap();
+    assert_eq!((answer.answered, answer.missing), (3, vec![2]));
+    assert_eq!(trace.cancelled.len(), 1);
+}
+
+#[test]
+fn coverage_preference_waits_until_the_deadline() {
+    let view = grid_view(7, 4, 1);
+    let mut plan = service_plan();
+    plan.min_coverage = 1.0;
+    let mut network = |order: &fulmarweir_route::SendOrder, _| {
+        if order.shard == 2 {
+            return Vec::new();
+        }
+        vec![(QUICK, answer_to(order))]
+    };
+    let trace = search(
+        &new_state(),
+        plan,
+        &view,
+        SearchAsk::default(),
+        &mut network,
+        &mut seeded(1),
+    );
+    assert_eq!(trace.finished_at, START + Duration::from_millis(300));
+    let refusal = trace.outcome.answer.unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::LowCoverage);
+    assert_eq!(refusal.verdict, RunVerdict::Ran);
+}
+
+#[test]
+fn a_silent_target_is_hedged_and_the_loser_cancelled() {
+    let view = grid_view(7, 2, 2);
+    let mut first = true;
+    let mut network = |order: &_, _| {
+        if std::mem::take(&mut first) {
+            return Vec::new();
+        }
+        vec![(QUICK, answer_to(order))]
+    };
+    let trace = search(
+        &new_state(),
+        service_plan(),
+        &view,
+        SearchAsk::default(),
+        &mut network,
+        &mut seeded(1),
+    );
+    assert!(trace.outcome.answer.unwrap().is_whole());
+    assert_eq!(
+        (trace.outcome.stats.hedges, trace.outcome.stats.hedge_wins),
+        (1, 1)
+    );
+    assert_eq!(trace.cancelled.len(), 1);
+}
+
+#[test]
+fn a_version_gone_everywhere_restarts_the_whole_search() {
+    let mut records = grid(1, 2, 2);
+    for record in &mut records {
+        let shard = record.versions[0].shard;
+        record.versions.push(holding(1, shard, 2));
+    }
+    let old = Arc::new(TargetView::build(records));
+    let mut both = grid(1, 2, 2);
+    both.extend((0..3).map(|shard| target(&format!("n{shard}"), vec![holding(2, shard, 3)])));
+    let rolled_out = Arc::new(TargetView::build(both));
+    let mut network = |order: &fulmarweir_route::SendOrder, _| {
+        if order.version == 1 && order.shard == 1 {
+            return vec![(QUICK * 2, AttemptOutcome::VersionGone)];
+        }
+        vec![(QUICK, answer_to(order))]
+    };
+    let mut events = support::EventQueue::default();
+    events.push(START + QUICK, support::LoopEvent::View(rolled_out));
+    let mut rng = seeded(3);
+    let plan = Arc::new(service_plan());
+    let permit = permit(&new_state(), START);
+    let run = SearchRun::start(permit, plan, old, SearchAsk::default(), START, &mut rng).unwrap();
+    let trace = drive_search(run, START, events, &mut network, &mut rng);
+    let answer = trace.outcome.answer.unwrap();
+    assert_eq!((answer.version, answer.answered), (2, 3));
+    assert!(answer.hits.iter().all(|hit| hit.id.starts_with("2/")));
+    let restarted: BTreeSet<u32> = trace
+        .sent
+        .iter()
+        .filter(|order| order.kind == AttemptKind::Restart)
+        .map(|order| order.shard)
+        .collect();
+    assert_eq!(restarted, BTreeSet::from([0, 1, 2]));
+}
