Drive daemons as child processes and relay their links

Each daemon gets its own loopback address with fixed ports, so that no port can be taken between its choice and the start of the daemon. A relay in front of the peer port finds the connecting daemon by the owner of the socket, so that links can be cut by pair; the alternative, a relay for each pair, would need daemons that tell each peer another address.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -16,7 +16,9 @@
 
 mod client;
 mod error;
+mod lock;
 mod stand_in;
+mod tier;
 
 pub use client::{HttpCall, HttpClient, HttpReply};
 pub use error::BenchError;
@@ -25,3 +27,7 @@
     KeyRuns, ReplyFault, ReportHonesty, SearchAnswer, ServiceTime, StandIn, StandInBehaviour,
     StandInCounters, StandInHit, StandInSettings, shard_hits,
 };
+pub use tier::{
+    CentrePlan, DaemonProcess, LinkProxy, LinkState, ProcessUsage, Tier, TierSettings,
+    daemon_program, own_usage,
+};
--- a/crates/bench/src/stand_in/query.rs
+++ b/crates/bench/src/stand_in/query.rs
@@ -1,6 +1,6 @@
 //! `POST /query`: admission, the run itself and the reply with its fault.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fulmarweir_base::TargetState;
@@ -18,7 +18,7 @@
     },
     settings::{ReplyFault, ReportHonesty},
     slots::SlotGuard,
-    state::{RequestDraw, TargetShared},
+    state::{AnsweredCall, RequestDraw, TargetShared},
     stream::StreamFault,
 };
 
@@ -28,6 +28,9 @@
 /// Attempt number in a crossed reply of a target that has seen no other.
 const UNKNOWN_ATTEMPT: &str = "unknown-attempt";
 
+/// Body of the request that such a reply answers.
+const UNKNOWN_BODY: &[u8] = b"unknown-body";
+
 /// Outcome of a query before faults of the reply.
 type QueryResult = Result<TargetResponse, io::Error>;
 
@@ -163,7 +166,7 @@
         }
         let act = ActIdentity {
             key: self.call.key.clone().unwrap_or_default(),
-            body: self.body_text(),
+            body: body_text(&self.body),
         };
         self.shared.runs().record(act);
     }
@@ -190,51 +193,61 @@
         if fault.is_some() {
             self.shared.count(|counters| counters.faulty_replies += 1);
         }
-        let previous = self.shared.swap_last_attempt(&self.call.attempt);
-        let mut response = self.response();
+        let own = AnsweredCall {
+            call: self.call.clone(),
+            body: self.body.clone(),
+        };
+        let previous = self.shared.swap_last_answer(own.clone());
+        let answered = match fault {
+            Some(ReplyFault::Crossed) => previous.unwrap_or_else(|| unknown_call(&own)),
+            _ => own,
+        };
         match fault {
             Some(ReplyFault::Dies) => return Err(io::ErrorKind::ConnectionAborted.into()),
             Some(ReplyFault::Doubled) => stream.double_next(),
             Some(ReplyFault::Truncated) => stream.truncate_next(),
             Some(ReplyFault::Late) => {
-                let after = std::time::Duration::from_millis(LATE_REPLY_MS);
+                let after = Duration::from_millis(LATE_REPLY_MS);
                 sleep_until(self.deadline + after).await;
             }
             _ => {}
         }
-        let crossed = fault == Some(ReplyFault::Crossed);
-        let attempt = if crossed {
-            previous.as_deref().unwrap_or(UNKNOWN_ATTEMPT)
-        } else {
-            &self.call.attempt
-        };
-        echo(&mut response, &self.call, attempt);
+        let mut response = answer(self.shared, &answered);
+        echo(&mut response, &answered.call);
         spoil_body(&mut response, fault);
         Ok(response)
     }
+}
+
+/// A call of another caller that never was, for the first crossed reply.
+fn unknown_call(own: &AnsweredCall) -> AnsweredCall {
+    let mut other = own.clone();
+    UNKNOWN_ATTEMPT.clone_into(&mut other.call.attempt);
+    other.body = Bytes::from_static(UNKNOWN_BODY);
+    other
+}
 
-    fn response(&self) -> TargetResponse {
-        let text = self.body_text();
-        let mut response = if self.call.is_act {
-            let done = ActDone {
-                done: true,
-                key: self.call.key.as_deref(),
-                echo: &text,
-            };
-            json_reply(StatusCode::OK, &done)
-        } else {
-            let hits = shard_hits(self.call.holding, self.shared.settings.hits, &text);
-            json_reply(StatusCode::OK, &hits)
+fn answer(shared: &TargetShared, answered: &AnsweredCall) -> TargetResponse {
+    let text = body_text(&answered.body);
+    let mut response = if answered.call.is_act {
+        let done = ActDone {
+            done: true,
+            key: answered.call.key.as_deref(),
+            echo: &text,
         };
-        if let Some(load) = reported_load(self.shared) {
-            set_header(&mut response, header::LOAD, &load.header());
-        }
-        response
+        json_reply(StatusCode::OK, &done)
+    } else {
+        let hits = shard_hits(answered.call.holding, shared.settings.hits, &text);
+        json_reply(StatusCode::OK, &hits)
+    };
+    if let Some(load) = reported_load(shared) {
+        set_header(&mut response, header::LOAD, &load.header());
     }
+    response
+}
 
-    fn body_text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
+fn body_text(body: &Bytes) -> String {
+    String::from_utf8_lossy(body).into_owned()
 }
 
 /// The load that the target reports, honest or not.
--- a/crates/bench/src/stand_in/reply.rs
+++ b/crates/bench/src/stand_in/reply.rs
@@ -71,9 +71,9 @@
 }
 
 /// Adds the echo of the attempt, version and shard.
-pub(crate) fn echo(response: &mut TargetResponse, call: &TargetCall, attempt: &str) {
+pub(crate) fn echo(response: &mut TargetResponse, call: &TargetCall) {
     let shard = format!("{}/{}", call.holding.shard, call.holding.of);
-    set_header(response, header::ATTEMPT, attempt);
+    set_header(response, header::ATTEMPT, &call.attempt);
     set_header(response, header::VERSION, &call.holding.version.to_string());
     set_header(response, header::SHARD, &shard);
 }
--- a/crates/bench/src/stand_in/state.rs
+++ b/crates/bench/src/stand_in/state.rs
@@ -3,10 +3,11 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
+use bytes::Bytes;
 use fulmarweir_base::{ShardHolding, TargetRecord, TargetState};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -14,10 +15,12 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
+    call::TargetCall,
     counters::{AttemptLog, RunLog, StandInCounters},
     settings::{ReplyFault, ReportHonesty, StandInBehaviour, StandInSettings},
     slots::SlotGate,
 };
+use crate::lock::lock;
 
 /// Shared state, each part under its own lock.
 #[derive(Debug)]
@@ -37,7 +40,7 @@
     runs: Mutex<RunLog>,
     attempts: Mutex<AttemptLog>,
     cancels: Mutex<HashMap<String, CancellationToken>>,
-    last_attempt: Mutex<Option<String>>,
+    last_answer: Mutex<Option<AnsweredCall>>,
     rng: Mutex<Pcg64Mcg>,
 }
 
@@ -55,9 +58,11 @@
     pub(crate) fault: Option<ReplyFault>,
 }
 
-/// Locks a mutex; a panic of another holder is not a reason to stop counting.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+/// What a reply depends on.
+#[derive(Clone, Debug)]
+pub(crate) struct AnsweredCall {
+    pub(crate) call: TargetCall,
+    pub(crate) body: Bytes,
 }
 
 impl TargetShared {
@@ -80,7 +85,7 @@
             runs: Mutex::default(),
             attempts: Mutex::default(),
             cancels: Mutex::default(),
-            last_attempt: Mutex::default(),
+            last_answer: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(settings.seed)),
             settings,
         }
@@ -192,9 +197,9 @@
         }
     }
 
-    /// Remembers `attempt` and returns the one before, for crossed replies.
-    pub(crate) fn swap_last_attempt(&self, attempt: &str) -> Option<String> {
-        lock(&self.last_attempt).replace(attempt.to_owned())
+    /// Remembers `call` and returns the one before, for crossed replies.
+    pub(crate) fn swap_last_answer(&self, call: AnsweredCall) -> Option<AnsweredCall> {
+        lock(&self.last_answer).replace(call)
     }
 }
 
--- /dev/null
+++ b/crates/bench/src/tier.rs
@@ -0,0 +1,347 @@
+//! Drives several daemons as child processes over data centres.
+
+mod mesh;
+mod process;
+mod relay;
+mod settings;
+
+use std::{
+    fs,
+    path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt, bail};
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+use self::{
+    mesh::LinkMesh,
+    settings::{VmPlan, plan_vms, settings_text},
+};
+use crate::{
+    client::{HttpCall, HttpClient},
+    error::BenchError,
+};
+
+pub use self::{
+    process::{DaemonProcess, ProcessUsage, own_usage},
+    relay::{LinkProxy, LinkState},
+    settings::{CentrePlan, TierSettings},
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+const DAEMON_PROGRAM: &str = "fulmarweird";
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+static NEXT_CHANGE: AtomicU32 = AtomicU32::new(0);
+
+/// The daemon program in the folder of the running program or the one above it.
+///
+/// # Errors
+///
+/// [`BenchError::Settings`] when it has not been built there.
+pub fn daemon_program() -> Result<PathBuf> {
+    let own = std::env::current_exe().change_context(BenchError::Io)?;
+    let folders = own.ancestors().skip(1).take(2);
+    let mut programs = folders.map(|folder| folder.join(DAEMON_PROGRAM));
+    match programs.find(|program| program.is_file()) {
+        Some(program) => Ok(program),
+        None => Err(Report::new(BenchError::Settings))
+            .attach("fulmarweird is not built: run `cargo build` for the whole workspace"),
+    }
+}
+
+/// Reply to an accepted change of the configuration.
+#[derive(Debug, Deserialize)]
+struct ConfigAccepted {
+    version: u64,
+}
+
+/// Running daemons with their settings and data in a temporary folder.
+///
+/// [`Tier::stop`] ends all of them and removes the folder. A tier that is
+/// dropped kills its daemons without waiting and leaves the folder.
+#[derive(Debug)]
+pub struct Tier {
+    daemons: Vec<DaemonProcess>,
+    relays: Vec<LinkProxy>,
+    mesh: LinkMesh,
+    client: HttpClient,
+    folder: PathBuf,
+}
+
+impl Tier {
+    /// Writes the settings, starts every daemon and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when one does not start or become ready, with the end of its log.
+    pub async fn start(settings: &TierSettings) -> Result<Self> {
+        let tier = Self::launch(settings).await?;
+        for index in 0..tier.daemons.len() {
+            tier.wait_ready(index).await?;
+        }
+        Ok(tier)
+    }
+
+    /// As [`Tier::start`], without waiting until the daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] or [`BenchError::Io`] when one does not start.
+    pub async fn launch(settings: &TierSettings) -> Result<Self> {
+        let folder = new_folder()?;
+        let plans = plan_vms(settings, &folder)?;
+        let mut tier = Self {
+            daemons: Vec::new(),
+            relays: Vec::new(),
+            mesh: LinkMesh::default(),
+            client: HttpClient::new(),
+            folder,
+        };
+        for plan in &plans {
+            let text = settings_text(plan, &plans, settings);
+            fs::write(&plan.settings_file, text).change_context(BenchError::Io)?;
+            if let Some(folder) = &plan.data_folder {
+                fs::create_dir_all(folder).change_context(BenchError::Io)?;
+            }
+            if plan.relayed {
+                let relay = tier.start_relay(plan).await?;
+                tier.relays.push(relay);
+            }
+        }
+        for plan in plans {
+            let daemon = DaemonProcess::start(&settings.program, plan)?;
+            tier.daemons.push(daemon);
+            tier.note_pid(tier.daemons.len() - 1);
+        }
+        Ok(tier)
+    }
+
+    async fn start_relay(&self, plan: &VmPlan) -> Result<LinkProxy> {
+        let mesh = self.mesh.clone();
+        let to = plan.name.clone();
+        let choose = Box::new(move |source| mesh.link_of(source, &to));
+        let state = watch::Sender::default();
+        LinkProxy::start_with(plan.advertised_peers(), plan.peers(), state, choose).await
+    }
+
+    /// All daemons, in the order of their data centres.
+    #[must_use]
+    pub fn daemons(&self) -> &[DaemonProcess] {
+        &self.daemons
+    }
+
+    /// The daemon at `index`, to freeze, kill or terminate it.
+    ///
+    /// # Panics
+    ///
+    /// If there is no such daemon.
+    pub fn daemon_mut(&mut self, index: usize) -> &mut DaemonProcess {
+        &mut self.daemons[index]
+    }
+
+    /// Folder of settings, logs and data.
+    #[must_use]
+    pub fn folder(&self) -> &PathBuf {
+        &self.folder
+    }
+
+    /// Starts an ended daemon again and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when it does not start or become ready.
+    pub async fn restart(&mut self, index: usize) -> Result<()> {
+        self.daemons[index].kill().await?;
+        self.daemons[index].spawn()?;
+        self.note_pid(index);
+        self.wait_ready(index).await
+    }
+
+    /// Tells the mesh of links about the process of a daemon that was started by hand.
+    pub fn note_pid(&self, index: usize) {
+        let daemon = &self.daemons[index];
+        if let Some(pid) = daemon.pid() {
+            self.mesh.set_pid(daemon.name(), pid);
+        }
+    }
+
+    /// Sets the links between two daemons, in both directions of connecting.
+    ///
+    /// Works for tiers with [`TierSettings::relay_peers`] only.
+    pub fn set_link(&self, one: usize, other: usize, state: LinkState) {
+        let (one, other) = (self.daemons[one].name(), self.daemons[other].name());
+        self.mesh.set_state(one, other, state);
+        self.mesh.set_state(other, one, state);
+    }
+
+    /// Sets the links between `group` and all other daemons.
+    pub fn set_links_of_group(&self, group: &[usize], state: LinkState) {
+        let others = (0..self.daemons.len()).filter(|index| !group.contains(index));
+        for other in others {
+            for member in group {
+                self.set_link(*member, other, state);
+            }
+        }
+    }
+
+    /// Waits until `/readyz` of a daemon answers 200.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] after 30 seconds, with the end of the log.
+    pub async fn wait_ready(&self, index: usize) -> Result<()> {
+        let daemon = &self.daemons[index];
+        let give_up = Instant::now() + READY_TIMEOUT;
+        while Instant::now() < give_up {
+            let call = HttpCall::new(Method::GET, daemon.operators(), "/readyz", "");
+            let reply = self.client.send(call).await;
+            if reply.is_ok_and(|reply| reply.status == StatusCode::OK) {
+                return Ok(());
+            }
+            sleep(POLL_PAUSE).await;
+        }
+        Err(Report::new(BenchError::Daemon)).attach_with(|| {
+            let log = daemon.log();
+            format!(
+                "{} is not ready; its log ends:\n{}",
+                daemon.name(),
+                log_end(&log)
+            )
+        })
+    }
+
+    /// Submits a configuration on top of `expected` and waits until it is in force on every running daemon.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when it is refused or not in force in time.
+    pub async fn submit_config(&self, text: &str, expected: u64) -> Result<u64> {
+        let number = NEXT_CHANGE.fetch_add(1, Ordering::Relaxed);
+        let change = format!("bench-{}-{number}", std::process::id());
+        let give_up = Instant::now() + READY_TIMEOUT;
+        loop {
+            let daemon = self.running()?;
+            let call = HttpCall::new(
+                Method::PUT,
+                daemon.operators(),
+                "/v1/config",
+                text.to_owned(),
+            )
+            .header("if-match", &format!("\"{expected}\""))
+            .header("change-id", &change);
+            let reply = self.client.send(call).await;
+            if let Ok(reply) = &reply
+                && reply.status == StatusCode::OK
+            {
+                let accepted: ConfigAccepted =
+                    serde_json::from_slice(&reply.body).change_context(BenchError::Daemon)?;
+                self.wait_config(accepted.version).await?;
+                return Ok(accepted.version);
+            }
+            let retry = reply
+                .as_ref()
+                .is_ok_and(|r| r.status == StatusCode::SERVICE_UNAVAILABLE);
+            if Instant::now() > give_up || !(retry || reply.is_err()) {
+                let refusal = reply?;
+                bail!(Report::new(BenchError::Daemon).attach(refusal.text()));
+            }
+            sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Waits until every running daemon has at least this version of the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] after 30 seconds.
+    pub async fn wait_config(&self, version: u64) -> Result<()> {
+        let give_up = Instant::now() + READY_TIMEOUT;
+        for daemon in self.daemons.iter().filter(|daemon| daemon.is_running()) {
+            while self.config_version(daemon).await < Some(version) {
+                if Instant::now() > give_up {
+                    bail!(Report::new(BenchError::Daemon).attach(format!(
+                        "version {version} is not in force on {}",
+                        daemon.name()
+                    )));
+                }
+                sleep(POLL_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Version of the configuration in force on a daemon, if it answers.
+    pub async fn config_version(&self, daemon: &DaemonProcess) -> Option<u64> {
+        let call = HttpCall::new(Method::GET, daemon.operators(), "/v1/config", "");
+        let reply = self.client.send(call).await.ok()?;
+        reply.header("etag")?.trim_matches('"').parse().ok()
+    }
+
+    /// The text of `/metrics` of a daemon; empty if it does not answer.
+    pub async fn metrics(&self, daemon: &DaemonProcess) -> String {
+        let call = HttpCall::new(Method::GET, daemon.operators(), "/metrics", "");
+        let reply = self.client.send(call).await;
+        reply.map(|reply| reply.text()).unwrap_or_default()
+    }
+
+    /// Shuts all daemons down in good order, waits for them and removes the folder.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when one has to be killed.
+    pub async fn stop(mut self) -> Result<()> {
+        for daemon in self.daemons.iter().filter(|daemon| daemon.is_running()) {
+            // A frozen daemon reads the signal once it continues.
+            let _ = (daemon.request_shutdown(), daemon.thaw());
+        }
+        let mut result = Ok(());
+        for daemon in &mut self.daemons {
+            if !daemon.is_running() {
+                continue;
+            }
+            if let Err(report) = daemon.wait().await {
+                daemon.kill().await?;
+                result = Err(report.attach(format!("{} was killed", daemon.name())));
+            }
+        }
+        for relay in self.relays {
+            relay.stop().await;
+        }
+        fs::remove_dir_all(&self.folder).change_context(BenchError::Io)?;
+        result
+    }
+
+    fn running(&self) -> Result<&DaemonProcess> {
+        let mut daemons = self.daemons.iter();
+        match daemons.find(|daemon| daemon.is_running()) {
+            Some(daemon) => Ok(daemon),
+            None => bail!(BenchError::Daemon),
+        }
+    }
+}
+
+fn new_folder() -> Result<PathBuf> {
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("fulmarweir-bench-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    fs::create_dir_all(&folder).change_context(BenchError::Io)?;
+    Ok(folder)
+}
+
+const LOG_END_LINES: usize = 12;
+
+fn log_end(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().collect();
+    lines[lines.len().saturating_sub(LOG_END_LINES)..].join("\n")
+}
--- /dev/null
+++ b/crates/bench/src/tier/relay.rs
@@ -0,0 +1,252 @@
+//! A TCP relay that can delay, hold back or reset what passes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::{Instant, sleep_until},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::error::BenchError;
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+const CHUNK_BYTES: usize = 16 << 10;
+/// Chunks under way in one direction; then reading pauses, as TCP's window would.
+const CHUNKS_MAX: usize = 256;
+
+/// What a link does to the connections that pass through it.
+///
+/// Held bytes are sent when the link is whole again, as TCP would resend them.
+/// A new connection on a held link opens but stays silent.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LinkState {
+    /// One-way delay.
+    pub delay: Duration,
+    /// Holds back bytes from the side that connected.
+    pub hold_forward: bool,
+    /// Holds back bytes towards the side that connected.
+    pub hold_backward: bool,
+    /// Closes every connection, and new ones at once.
+    pub reset: bool,
+}
+
+impl LinkState {
+    /// A silent cut in both directions.
+    #[must_use]
+    pub const fn cut() -> Self {
+        Self {
+            delay: Duration::ZERO,
+            hold_forward: true,
+            hold_backward: true,
+            reset: false,
+        }
+    }
+
+    /// A whole link with a one-way delay.
+    #[must_use]
+    pub const fn delayed(delay: Duration) -> Self {
+        Self {
+            delay,
+            hold_forward: false,
+            hold_backward: false,
+            reset: false,
+        }
+    }
+}
+
+/// Chooses the link of a new connection by the address of the side that connected.
+pub(crate) type LinkChooser = Box<dyn Fn(SocketAddr) -> watch::Receiver<LinkState> + Send + Sync>;
+
+/// A relay in front of one listening address.
+#[derive(Debug)]
+pub struct LinkProxy {
+    address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Drop for LinkProxy {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl LinkProxy {
+    /// Listens on `listen` (port 0 picks one) and relays to `upstream`.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Io`] when `listen` cannot be bound.
+    pub async fn start(listen: SocketAddr, upstream: SocketAddr) -> Result<Self> {
+        let state = watch::Sender::new(LinkState::default());
+        let link = state.clone();
+        let choose = Box::new(move |_| link.subscribe());
+        Self::start_with(listen, upstream, state, choose).await
+    }
+
+    pub(crate) async fn start_with(
+        listen: SocketAddr,
+        upstream: SocketAddr,
+        state: watch::Sender<LinkState>,
+        choose: LinkChooser,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind(listen)
+            .await
+            .change_context(BenchError::Io)?;
+        let address = listener.local_addr().change_context(BenchError::Io)?;
+        let proxy = Self {
+            address,
+            state,
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        let accept = accept_links(
+            listener,
+            upstream,
+            choose,
+            proxy.stop.clone(),
+            proxy.tasks.clone(),
+        );
+        proxy.tasks.spawn(accept);
+        Ok(proxy)
+    }
+
+    /// Address to connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the link does, also for open connections.
+    pub fn set_state(&self, state: LinkState) {
+        self.state.send_replace(state);
+    }
+
+    /// Closes all connections and waits for all tasks.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+async fn accept_links(
+    listener: TcpListener,
+    upstream: SocketAddr,
+    choose: LinkChooser,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) {
+    let choose = Arc::new(choose);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((client, source)) = accepted else {
+            continue;
+        };
+        let stop = stop.clone();
+        let choose = Arc::clone(&choose);
+        tasks.spawn(async move {
+            let link = choose(source);
+            tokio::select! {
+                () = relay_connection(client, upstream, link) => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
+async fn relay_connection(
+    client: TcpStream,
+    upstream: SocketAddr,
+    mut link: watch::Receiver<LinkState>,
+) {
+    if link.borrow().reset {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(upstream).await else {
+        return;
+    };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let forward = relay_way(client_read, server_write, link.clone(), |s| s.hold_forward);
+    let backward = relay_way(server_read, client_write, link.clone(), |s| s.hold_backward);
+    let relays = async { tokio::join!(forward, backward) };
+    tokio::select! {
+        _ = relays => {}
+        _ = link.wait_for(|state| state.reset) => {}
+    }
+}
+
+/// A piece of the stream and the time at which it may go on.
+struct TimedChunk {
+    due: Instant,
+    bytes: Bytes,
+}
+
+async fn relay_way(
+    read: OwnedReadHalf,
+    write: OwnedWriteHalf,
+    link: watch::Receiver<LinkState>,
+    held: fn(&LinkState) -> bool,
+) {
+    let (sender, receiver) = mpsc::channel(CHUNKS_MAX);
+    let reading = read_chunks(read, sender, link.clone());
+    let writing = write_chunks(write, receiver, link, held);
+    tokio::join!(reading, writing);
+}
+
+async fn read_chunks(
+    mut read: OwnedReadHalf,
+    sender: mpsc::Sender<TimedChunk>,
+    link: watch::Receiver<LinkState>,
+) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let count = match read.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => count,
+        };
+        let chunk = TimedChunk {
+            due: Instant::now() + link.borrow().delay,
+            bytes: Bytes::copy_from_slice(&buffer[..count]),
+        };
+        if sender.send(chunk).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn write_chunks(
+    mut write: OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<TimedChunk>,
+    mut link: watch::Receiver<LinkState>,
+    held: fn(&LinkState) -> bool,
+) {
+    while let Some(chunk) = receiver.recv().await {
+        sleep_until(chunk.due).await;
+        if link.wait_for(|state| !held(state)).await.is_err() {
+            return;
+        }
+        if write.write_all(&chunk.bytes).await.is_err() {
+            return;
+        }
+    }
+    // The end of the stream is held back like its bytes.
+    if link.wait_for(|state| !held(state)).await.is_ok() {
+        let _ = write.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/bench/src/tier/settings.rs
@@ -0,0 +1,228 @@
+//! Settings files of the daemons of one tier.
+
+use std::{
+    fmt::Write as _,
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use error_stack::{Report, ResultExt};
+use fulmarweir_base::{CentreName, RegionName, VmName};
+
+use crate::error::BenchError;
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+const CALLERS_PORT: u16 = 7000;
+const TARGETS_PORT: u16 = 7001;
+const OPERATORS_PORT: u16 = 7002;
+const PEERS_PORT: u16 = 7003;
+const PROXIED_PEERS_PORT: u16 = 7004;
+
+/// Loopback addresses reserved for the daemons of one process.
+const ADDRESSES_PER_PROCESS: u32 = 64;
+const SEEDS_PER_CENTRE: usize = 2;
+
+/// One data centre of a tier.
+#[derive(Clone, Debug)]
+pub struct CentrePlan {
+    /// Name of the data centre.
+    pub name: CentreName,
+    /// Its region.
+    pub region: RegionName,
+    /// Daemons in it.
+    pub vms: u32,
+}
+
+/// What a tier consists of.
+#[derive(Clone, Debug)]
+pub struct TierSettings {
+    /// The daemon program.
+    pub program: PathBuf,
+    /// Data centres.
+    pub centres: Vec<CentrePlan>,
+    /// VMs that have a data folder and vote, spread over the data centres.
+    pub voters: u32,
+    /// Whether links between daemons pass through relays that can delay and cut them.
+    pub relay_peers: bool,
+    /// Least severe level that the daemons log.
+    pub log_level: String,
+    /// Text appended to each settings file.
+    pub extra_settings: String,
+}
+
+impl TierSettings {
+    /// One data centre with `vms` daemons, of which the first three vote.
+    ///
+    /// # Panics
+    ///
+    /// Never: the names are constants.
+    #[must_use]
+    pub fn single_centre(program: PathBuf, vms: u32) -> Self {
+        let centre = CentrePlan {
+            name: "ub-sukhbaatar".parse().expect("a valid name"),
+            region: "ub".parse().expect("a valid name"),
+            vms,
+        };
+        Self {
+            program,
+            centres: vec![centre],
+            voters: vms.min(3),
+            relay_peers: false,
+            log_level: "info".to_owned(),
+            extra_settings: String::new(),
+        }
+    }
+}
+
+/// Addresses and files of one daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct VmPlan {
+    pub(crate) name: VmName,
+    pub(crate) centre: CentreName,
+    pub(crate) region: RegionName,
+    pub(crate) address: IpAddr,
+    pub(crate) data_folder: Option<PathBuf>,
+    pub(crate) settings_file: PathBuf,
+    pub(crate) log_file: PathBuf,
+    pub(crate) relayed: bool,
+}
+
+impl VmPlan {
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, CALLERS_PORT)
+    }
+
+    pub(crate) fn targets(&self) -> SocketAddr {
+        SocketAddr::new(self.address, TARGETS_PORT)
+    }
+
+    pub(crate) fn operators(&self) -> SocketAddr {
+        SocketAddr::new(self.address, OPERATORS_PORT)
+    }
+
+    /// Where the daemon listens to other daemons.
+    pub(crate) fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, PEERS_PORT)
+    }
+
+    /// Where other daemons reach it.
+    pub(crate) fn advertised_peers(&self) -> SocketAddr {
+        let port = if self.relayed {
+            PROXIED_PEERS_PORT
+        } else {
+            PEERS_PORT
+        };
+        SocketAddr::new(self.address, port)
+    }
+}
+
+/// Plans every daemon: the voters go round the data centres in turn.
+pub(crate) fn plan_vms(settings: &TierSettings, folder: &Path) -> Result<Vec<VmPlan>> {
+    let mut plans = Vec::new();
+    for centre in &settings.centres {
+        for number in 1..=centre.vms {
+            let name = format!("{}-{number}", centre.name);
+            plans.push(VmPlan {
+                settings_file: folder.join(format!("{name}.ini")),
+                log_file: folder.join(format!("{name}.log")),
+                name: name.parse().change_context(BenchError::Settings)?,
+                centre: centre.name.clone(),
+                region: centre.region.clone(),
+                address: free_loopback_address()?,
+                data_folder: None,
+                relayed: settings.relay_peers,
+            });
+        }
+    }
+    place_voters(&mut plans, settings, folder);
+    Ok(plans)
+}
+
+fn place_voters(plans: &mut [VmPlan], settings: &TierSettings, folder: &Path) {
+    let mut left = settings.voters;
+    let most = settings.centres.iter().map(|centre| centre.vms).max();
+    for round in 0..most.unwrap_or(0) as usize {
+        for centre in &settings.centres {
+            let of_centre = plans.iter_mut().filter(|plan| plan.centre == centre.name);
+            let Some(plan) = of_centre.skip(round).find(|_| left > 0) else {
+                continue;
+            };
+            plan.data_folder = Some(folder.join(format!("{}.data", plan.name)));
+            left -= 1;
+        }
+    }
+}
+
+/// The settings text of `plan` among all `plans`.
+pub(crate) fn settings_text(plan: &VmPlan, plans: &[VmPlan], settings: &TierSettings) -> String {
+    let mut text = format!(
+        "[vm]\nname = {}\ndata-centre = {}\nregion = {}\n",
+        plan.name, plan.centre, plan.region
+    );
+    if let Some(folder) = &plan.data_folder {
+        let _ = writeln!(text, "data-folder = {}", folder.display());
+    }
+    let _ = write!(
+        text,
+        "[listen]\ncallers = {}\ntargets = {}\noperators = {}\npeers = {}\n",
+        plan.callers(),
+        plan.targets(),
+        plan.operators(),
+        plan.peers()
+    );
+    if plan.relayed {
+        let _ = writeln!(text, "advertise-peers = {}", plan.advertised_peers());
+    }
+    let seeds: Vec<String> = seeds(plan, plans).iter().map(ToString::to_string).collect();
+    let voters = plans.iter().filter(|other| other.data_folder.is_some());
+    let voters: Vec<String> = voters
+        .map(|voter| format!("{} {}", voter.name, voter.advertised_peers()))
+        .collect();
+    text.push_str("[peers]\n");
+    if !seeds.is_empty() {
+        let _ = writeln!(text, "seeds = {}", seeds.join(", "));
+    }
+    if !voters.is_empty() {
+        let _ = writeln!(text, "voters = {}", voters.join(", "));
+    }
+    let _ = writeln!(text, "[log]\nlevel = {}", settings.log_level);
+    text.push_str(&settings.extra_settings);
+    text
+}
+
+/// A few daemons of every data centre to join through.
+fn seeds(plan: &VmPlan, plans: &[VmPlan]) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    let others = plans.iter().filter(|other| other.name != plan.name);
+    let mut taken: Vec<&CentreName> = Vec::new();
+    for other in others {
+        let of_centre = taken.iter().filter(|centre| **centre == &other.centre);
+        if of_centre.count() < SEEDS_PER_CENTRE {
+            taken.push(&other.centre);
+            seeds.push(other.advertised_peers());
+        }
+    }
+    seeds
+}
+
+static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address of 127.0.0.0/8 on which the daemon's fixed ports are free.
+///
+/// Fixed ports below the ephemeral range cannot be taken by an outgoing
+/// connection between this check and the start of the daemon.
+fn free_loopback_address() -> Result<IpAddr> {
+    let base = std::process::id().wrapping_mul(ADDRESSES_PER_PROCESS);
+    for _ in 0..ADDRESSES_PER_PROCESS * 4 {
+        let number = base.wrapping_add(NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed));
+        let [_, b, c, d] = number.to_be_bytes();
+        let address = Ipv4Addr::new(127, b, c, d);
+        let is_edge = d == 0 || d == u8::MAX || address == Ipv4Addr::LOCALHOST;
+        if !is_edge && TcpListener::bind((address, CALLERS_PORT)).is_ok() {
+            return Ok(address.into());
+        }
+    }
+    Err(Report::new(BenchError::Io)).attach("no free loopback address")
+}
