--- /dev/null
+++ b/crates/daemon/src/act.rs
@@ -0,0 +1,289 @@
+//! Carries one act to its target, at most once.
+
+use std::{sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, RunVerdict, ServiceName, lock};
+use fulmarweir_conf::ServicePlan;
+use fulmarweir_fleet::MemberStatus;
+use fulmarweir_quorum::{
+    ActClaim, ActKey, ActOutcome as StoredOutcome, ActState, ClaimOutcome, QuorumError,
+};
+use fulmarweir_route::{
+    ActAsk, ActOutcome, ActReply, ActRun, AdmissionAsk, RefusalReason, RouteRefusal,
+};
+use sha2::{Digest, Sha256};
+use slog::warn;
+use tokio::time::sleep;
+
+use crate::{
+    carrier::{RunCarrier, RunEvent, RunRequest},
+    node::NodeState,
+};
+
+/// Share of an act's time that its claim may take.
+const CLAIM_DIVISOR: u32 = 2;
+/// Time in which the outcome of an act is recorded, in milliseconds.
+const RECORD_TIMEOUT_MS: u64 = 10_000;
+const POLL_MIN_MS: u64 = 10;
+const POLL_MAX_MS: u64 = 100;
+const STATUS_OK: u16 = 200;
+
+/// How an act ended for its caller.
+pub(crate) enum ActEnd {
+    /// It ran; `replayed` says whether by an earlier request with the same key.
+    Ran { reply: ActReply, replayed: bool },
+    /// It was refused or failed.
+    Refused(RouteRefusal),
+    /// The idempotency key was used with another body.
+    OtherBody,
+    /// No quorum of voters took the claim; nothing was sent.
+    NoClaim,
+}
+
+/// An act as its caller asked for it.
+pub(crate) struct ActRequest {
+    pub(crate) plan: Arc<ServicePlan>,
+    pub(crate) ask: ActAsk,
+    pub(crate) run: RunRequest,
+    pub(crate) idempotency_key: Option<Arc<str>>,
+}
+
+/// Runs an act to its end, whether or not its caller stays.
+pub(crate) async fn run_act(node: Arc<NodeState>, request: ActRequest) -> ActEnd {
+    let arrived = node.timer.now();
+    let own = arrived + request.plan.deadline;
+    let deadline = request.ask.deadline.unwrap_or(own).min(own);
+    let Some(key) = request.idempotency_key.clone() else {
+        return end_of(run_attempts(&node, &request, arrived).await);
+    };
+    let claimed = ClaimedAct {
+        key: ActKey {
+            service: request.plan.name.clone(),
+            key,
+        },
+        claim: new_claim(&node, &request),
+    };
+    claimed.run(&node, &request, arrived, deadline).await
+}
+
+/// An act under an idempotency key.
+struct ClaimedAct {
+    key: ActKey,
+    claim: ActClaim,
+}
+
+impl ClaimedAct {
+    async fn run(
+        self,
+        node: &Arc<NodeState>,
+        request: &ActRequest,
+        arrived: MonoTime,
+        deadline: MonoTime,
+    ) -> ActEnd {
+        let patience = deadline.since(arrived) / CLAIM_DIVISOR;
+        let claimed = node
+            .quorum
+            .claim(self.key.clone(), &self.claim, patience)
+            .await;
+        match claimed {
+            Ok(ClaimOutcome::Granted) => self.run_granted(node, request, arrived).await,
+            Ok(ClaimOutcome::Finished(outcome)) => replay(outcome),
+            Ok(ClaimOutcome::OtherBody) => ActEnd::OtherBody,
+            Ok(ClaimOutcome::HeldBy(holder)) => self.await_holder(node, holder, deadline).await,
+            Err(report) => {
+                if report.current_context().verdict() != RunVerdict::NotRun {
+                    self.release(node);
+                }
+                ActEnd::NoClaim
+            }
+        }
+    }
+
+    async fn run_granted(
+        self,
+        node: &Arc<NodeState>,
+        request: &ActRequest,
+        arrived: MonoTime,
+    ) -> ActEnd {
+        let ended = run_attempts(node, request, arrived).await;
+        match &ended {
+            Ok(reply) => self.record(node, reply).await,
+            Err(refusal) if refusal.verdict == RunVerdict::NotRun => self.release(node),
+            // The claim stays: the act may have run, and must not run again.
+            Err(_) => {}
+        }
+        end_of(ended)
+    }
+
+    /// Records the outcome before the caller learns of it, so that a resent request finds it.
+    async fn record(&self, node: &NodeState, reply: &ActReply) {
+        let outcome = StoredOutcome {
+            status: STATUS_OK,
+            body: reply.body.clone(),
+        };
+        let patience = Duration::from_millis(RECORD_TIMEOUT_MS);
+        let recorded = node
+            .quorum
+            .record(self.key.clone(), &self.claim, &outcome, patience)
+            .await;
+        if let Err(report) = recorded {
+            log_unsettled(node, "outcome-not-recorded", report.current_context());
+        }
+    }
+
+    /// Gives the claim back behind the answer; until then a resent request is told "may have run".
+    fn release(self, node: &Arc<NodeState>) {
+        let worker = Arc::clone(node);
+        node.tasks.spawn(async move {
+            let patience = Duration::from_millis(RECORD_TIMEOUT_MS);
+            let released = worker
+                .quorum
+                .release(self.key.clone(), &self.claim, patience)
+                .await;
+            if let Err(report) = released {
+                log_unsettled(&worker, "claim-not-released", report.current_context());
+            }
+        });
+    }
+
+    /// Waits for the outcome of the request that holds the claim, while its VM lives.
+    async fn await_holder(
+        &self,
+        node: &NodeState,
+        holder: ActClaim,
+        deadline: MonoTime,
+    ) -> ActEnd {
+        let mut pause = Duration::from_millis(POLL_MIN_MS);
+        while is_running(node, &holder) && node.timer.now() + pause < deadline {
+            sleep(pause).await;
+            pause = (pause * 2).min(Duration::from_millis(POLL_MAX_MS));
+            let patience = deadline.since(node.timer.now());
+            match node.quorum.read_act(self.key.clone(), patience).await {
+                Ok(Some(ActState::Finished { outcome, .. })) => return replay(outcome),
+                Ok(Some(ActState::Claimed(now_held))) if now_held == holder => {}
+                // Released, or claimed anew: this caller may ask again.
+                _ => break,
+            }
+        }
+        ActEnd::Refused(RouteRefusal {
+            reason: RefusalReason::Undecided,
+            verdict: RunVerdict::MayHaveRun,
+            retry_after: None,
+        })
+    }
+}
+
+fn log_unsettled(node: &NodeState, event: &'static str, error: &QuorumError) {
+    warn!(node.log, "{}", event; "error" => %error);
+}
+
+fn end_of(ended: Result<ActReply, RouteRefusal>) -> ActEnd {
+    match ended {
+        Ok(reply) => ActEnd::Ran {
+            reply,
+            replayed: false,
+        },
+        Err(refusal) => ActEnd::Refused(refusal),
+    }
+}
+
+fn replay(outcome: StoredOutcome) -> ActEnd {
+    let reply = ActReply {
+        version: 0,
+        body: outcome.body,
+    };
+    ActEnd::Ran {
+        reply,
+        replayed: true,
+    }
+}
+
+fn new_claim(node: &NodeState, request: &ActRequest) -> ActClaim {
+    let mut hasher = Sha256::new();
+    hasher.update(request.ask.key.as_bytes());
+    hasher.update([0]);
+    hasher.update(&request.run.body);
+    ActClaim {
+        vm: node.settings.name.clone(),
+        incarnation: node.incarnation,
+        attempt: node.new_number(),
+        body: hasher.finalize().into(),
+    }
+}
+
+/// Whether the VM that holds the claim may still be working on it.
+fn is_running(node: &NodeState, holder: &ActClaim) -> bool {
+    if holder.vm == node.settings.name {
+        return holder.incarnation == node.incarnation;
+    }
+    let members = lock(&node.fleet).members();
+    let known = members
+        .iter()
+        .find(|member| member.identity.name == holder.vm);
+    match known {
+        Some(member) => {
+            member.identity.boot == holder.incarnation && member.status <= MemberStatus::Suspect
+        }
+        // A VM of another data centre is not among the members.
+        None => true,
+    }
+}
+
+async fn run_attempts(
+    node: &NodeState,
+    request: &ActRequest,
+    arrived: MonoTime,
+) -> Result<ActReply, RouteRefusal> {
+    let plan = &request.plan;
+    let no_targets = RouteRefusal::not_run(RefusalReason::NoTargets, None);
+    let view = node.views.get(&plan.name).ok_or(no_targets)?;
+    let own = arrived + plan.deadline;
+    let deadline = request.ask.deadline.unwrap_or(own).min(own);
+    let desk = node.desks.get(&plan.name);
+    desk.state.observe_view(&view.targets);
+    let permit = desk
+        .admit(AdmissionAsk::keyed(deadline), node.timer.now())
+        .await?;
+    let ask = ActAsk {
+        arrived: Some(arrived),
+        ..request.ask.clone()
+    };
+    let targets = Arc::clone(&view.targets);
+    let now = node.timer.now();
+    let started = ActRun::start(
+        permit,
+        Arc::clone(plan),
+        targets,
+        &ask,
+        now,
+        &mut rand::rng(),
+    );
+    let (mut run, actions) = started?;
+    let mut carrier = RunCarrier::new(node, view, &request.run);
+    let mut outcome: Option<ActOutcome> = carrier.perform(actions);
+    while outcome.is_none() {
+        let event = carrier.next().await;
+        let now = node.timer.now();
+        let actions = match event {
+            RunEvent::Ended(id, ended) => run.on_reply(id, ended, now, &mut rand::rng()),
+            RunEvent::Wake => run.on_wake(now),
+            RunEvent::ViewChanged => {
+                run.on_view(Arc::clone(&carrier.view().targets));
+                Vec::new()
+            }
+        };
+        outcome = carrier.perform(actions);
+    }
+    drop(run);
+    desk.poll(node.timer.now());
+    match outcome {
+        Some(outcome) => outcome.reply,
+        None => Err(no_targets),
+    }
+}
+
+/// Names the service for logs and labels.
+#[must_use]
+pub(crate) fn service_of(request: &ActRequest) -> &ServiceName {
+    &request.plan.name
+}
--- /dev/null
+++ b/crates/daemon/src/carrier.rs
@@ -0,0 +1,260 @@
+//! Carries the attempts of one run: sends, cancels, and waits for what happens next.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bytes::Bytes;
+use fulmarweir_base::{MonoTime, RunVerdict, ServiceName};
+use fulmarweir_pool::{RequestKind, TargetAnswer, TargetError, TargetFault, TargetRequest};
+use fulmarweir_route::{
+    AttemptId, AttemptKind, AttemptOutcome, ReportedLoad, RouteAction, SendOrder, parse_hits,
+};
+use futures::{
+    StreamExt,
+    future::{AbortHandle, Abortable, BoxFuture},
+    stream::FuturesUnordered,
+};
+
+use crate::{
+    dispatch::send_attempt,
+    metrics::{KindLabel, ReasonLabel},
+    node::NodeState,
+    views::ServiceView,
+};
+
+/// Share of an act's time that is kept for asking the target whether it ran.
+const ACT_CANCEL_DIVISOR: u32 = 4;
+const ACT_CANCEL_MAX_MS: u64 = 60;
+
+/// What every attempt of a run has in common.
+pub(crate) struct RunRequest {
+    pub(crate) service: ServiceName,
+    pub(crate) kind: RequestKind,
+    pub(crate) request: Arc<str>,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) body: Bytes,
+}
+
+/// What a run has to be told.
+pub(crate) enum RunEvent {
+    /// An attempt has ended.
+    Ended(AttemptId, AttemptOutcome),
+    /// The time that the run asked for has come.
+    Wake,
+    /// The targets of the service have changed.
+    ViewChanged,
+}
+
+type EndedAttempt = (AttemptId, AttemptOutcome);
+type AttemptWork<'a> = Abortable<BoxFuture<'a, EndedAttempt>>;
+
+/// The attempts of one run. Dropping it cancels all that are in flight.
+pub(crate) struct RunCarrier<'a> {
+    node: &'a NodeState,
+    view: Arc<ServiceView>,
+    request: &'a RunRequest,
+    attempts: FuturesUnordered<AttemptWork<'a>>,
+    handles: HashMap<AttemptId, AbortHandle>,
+    wake_at: Option<MonoTime>,
+    changes: tokio::sync::watch::Receiver<u64>,
+}
+
+impl<'a> RunCarrier<'a> {
+    pub(crate) fn new(
+        node: &'a NodeState,
+        view: Arc<ServiceView>,
+        request: &'a RunRequest,
+    ) -> Self {
+        Self {
+            node,
+            view,
+            request,
+            attempts: FuturesUnordered::new(),
+            handles: HashMap::new(),
+            wake_at: None,
+            changes: node.views.subscribe(),
+        }
+    }
+
+    /// Performs the actions; gives the outcome when the run has finished.
+    pub(crate) fn perform<O>(&mut self, actions: Vec<RouteAction<O>>) -> Option<O> {
+        for action in actions {
+            match action {
+                RouteAction::Send(order) => self.send(order),
+                RouteAction::Cancel(id) => {
+                    if let Some(handle) = self.handles.remove(&id) {
+                        handle.abort();
+                    }
+                }
+                RouteAction::Wake(at) => self.wake_at = Some(at),
+                RouteAction::Finish(outcome) => return Some(outcome),
+            }
+        }
+        None
+    }
+
+    /// Waits for the next event.
+    pub(crate) async fn next(&mut self) -> RunEvent {
+        loop {
+            let wake_at = self.wake_at;
+            let wake = async {
+                match wake_at {
+                    Some(at) => self.node.timer.sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                Some(ended) = self.attempts.next() => {
+                    // An aborted attempt has been given up by the run already.
+                    if let Ok((id, outcome)) = ended {
+                        self.handles.remove(&id);
+                        return RunEvent::Ended(id, outcome);
+                    }
+                }
+                () = wake => {
+                    self.wake_at = None;
+                    return RunEvent::Wake;
+                }
+                Ok(()) = self.changes.changed() => {
+                    if self.take_new_view() {
+                        return RunEvent::ViewChanged;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The newest view of the service's targets.
+    pub(crate) fn view(&self) -> &ServiceView {
+        &self.view
+    }
+
+    fn take_new_view(&mut self) -> bool {
+        let Some(view) = self.node.views.get(&self.request.service) else {
+            return false;
+        };
+        let changed = !Arc::ptr_eq(&view, &self.view);
+        self.view = view;
+        changed
+    }
+
+    fn send(&mut self, order: SendOrder) {
+        self.count_attempt(order.kind);
+        let id = order.attempt;
+        let request = self.target_request(&order);
+        let node = self.node;
+        let kind = self.request.kind;
+        let view = Arc::clone(&self.view);
+        let work: BoxFuture<'a, EndedAttempt> = Box::pin(async move {
+            let ended = send_attempt(node, &view, &order.target.name, request).await;
+            (id, attempt_outcome(node, kind, ended))
+        });
+        let (handle, registration) = AbortHandle::new_pair();
+        self.handles.insert(id, handle);
+        self.attempts.push(Abortable::new(work, registration));
+    }
+
+    fn target_request(&self, order: &SendOrder) -> TargetRequest {
+        let common = self.request;
+        TargetRequest {
+            service: common.service.clone(),
+            kind: common.kind,
+            request: Arc::clone(&common.request),
+            attempt: self.node.new_attempt_id(),
+            version: order.version,
+            shard: order.shard,
+            of: order.of,
+            deadline: self.target_deadline(order.deadline),
+            key: common.key.clone(),
+            body: common.body.clone(),
+        }
+    }
+
+    /// An act's attempt ends early enough to ask the target whether it ran.
+    fn target_deadline(&self, deadline: MonoTime) -> MonoTime {
+        if self.request.kind == RequestKind::Search {
+            return deadline;
+        }
+        let now = self.node.timer.now();
+        let left = deadline.since(now);
+        let longest = std::time::Duration::from_millis(ACT_CANCEL_MAX_MS);
+        let kept = longest.min(left / ACT_CANCEL_DIVISOR);
+        now + left.saturating_sub(kept)
+    }
+
+    fn count_attempt(&self, kind: AttemptKind) {
+        let metrics = &self.node.metrics;
+        let label = KindLabel {
+            kind: kind.as_str(),
+        };
+        metrics.attempts.get_or_create(&label).inc();
+        if let AttemptKind::Retry(reason) = kind {
+            let reason = ReasonLabel {
+                reason: reason.as_str(),
+            };
+            metrics.retries.get_or_create(&reason).inc();
+        }
+    }
+}
+
+/// Translates the end of an attempt for the run, and counts failures.
+fn attempt_outcome(
+    node: &NodeState,
+    kind: RequestKind,
+    ended: Result<TargetAnswer, TargetError>,
+) -> AttemptOutcome {
+    match ended {
+        Ok(answer) => answer_outcome(node, kind, answer),
+        Err(error) => {
+            count_failure(node, error.fault.as_str());
+            failure_outcome(error)
+        }
+    }
+}
+
+fn answer_outcome(node: &NodeState, kind: RequestKind, answer: TargetAnswer) -> AttemptOutcome {
+    let load = answer.load.map(|load| ReportedLoad {
+        in_flight: load.in_flight,
+        slots: load.slots,
+        queued: load.queued,
+    });
+    if kind == RequestKind::Act {
+        let body = answer.body;
+        return AttemptOutcome::Done { body, load };
+    }
+    match parse_hits(&answer.body) {
+        Ok(hits) => AttemptOutcome::Hits { hits, load },
+        Err(_) => {
+            count_failure(node, "bad-body");
+            AttemptOutcome::Failed {
+                verdict: RunVerdict::Ran,
+                retried_below: false,
+            }
+        }
+    }
+}
+
+fn failure_outcome(error: TargetError) -> AttemptOutcome {
+    match error.fault {
+        TargetFault::VersionGone => AttemptOutcome::VersionGone,
+        TargetFault::BadEcho => AttemptOutcome::BadEcho,
+        TargetFault::Timeout if error.verdict != RunVerdict::NotRun => AttemptOutcome::TimedOut,
+        TargetFault::Shed | TargetFault::QueueFull => AttemptOutcome::Refused {
+            shedding: true,
+            retry_after: error.retry_after,
+        },
+        TargetFault::NoShare | TargetFault::QueueTimeout => AttemptOutcome::Refused {
+            shedding: false,
+            retry_after: error.retry_after,
+        },
+        _ => AttemptOutcome::Failed {
+            verdict: error.verdict,
+            retried_below: false,
+        },
+    }
+}
+
+fn count_failure(node: &NodeState, reason: &'static str) {
+    let label = ReasonLabel { reason };
+    node.metrics.attempt_failures.get_or_create(&label).inc();
+}
--- a/crates/daemon/src/search.rs
+++ b/crates/daemon/src/search.rs
@@ -1,90 +1,128 @@
-//! Runs one search: one attempt for each shard of the newest version.
+//! Carries one search from admission to its answer.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
-use bytes::Bytes;
-use fulmarweir_base::{MonoTime, TargetRecord};
+use fulmarweir_base::{MonoTime, TimerService};
 use fulmarweir_conf::ServicePlan;
-use fulmarweir_pool::{RequestKind, TargetRequest};
-use futures::future::join_all;
-use serde_json::Value;
+use fulmarweir_route::{
+    AdmissionAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, SearchOutcome, SearchRun,
+    ServiceState,
+};
 
-use crate::{dispatch::send_attempt, node::NodeState};
+use crate::{
+    carrier::{RunCarrier, RunEvent, RunRequest},
+    metrics::{OutcomeLabel, ServiceLabel},
+    node::NodeState,
+};
 
-/// What an answer covers, and its hits.
-pub(crate) struct SearchAnswer {
-    pub(crate) version: u64,
-    pub(crate) shards: u32,
-    pub(crate) missing: Vec<u32>,
-    pub(crate) hits: Vec<Value>,
+/// Gives a search up when its caller leaves.
+struct RunGuard {
+    run: SearchRun,
+    timer: TimerService,
 }
 
-/// Searches all shards of the newest version that any usable target holds.
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        // The carrier, dropped as well, cancels the attempts.
+        drop(self.run.abandon(self.timer.now()));
+    }
+}
+
+/// Runs a search. Dropping the future cancels it at the targets.
 pub(crate) async fn run_search(
     node: &NodeState,
-    plan: &ServicePlan,
-    body: Bytes,
-    deadline: MonoTime,
-) -> Option<SearchAnswer> {
-    let targets = node.registry.usable(node.timer.now());
-    let (version, of, holders) = newest_version(plan, &targets)?;
-    let request_id = node.new_request_id();
-    let attempts = holders.into_iter().map(|(shard, target)| {
-        let request = TargetRequest {
-            service: plan.name.clone(),
-            kind: RequestKind::Search,
-            request: Arc::clone(&request_id),
-            attempt: format!("{request_id}-{shard}").into(),
-            version,
-            shard,
-            of,
-            deadline,
-            key: None,
-            body: body.clone(),
-        };
-        async move {
-            let answer = send_attempt(node, plan, &target, request).await;
-            (shard, answer)
-        }
-    });
-    let mut hits = Vec::new();
-    let mut missing: Vec<u32> = (0..of).collect();
-    for (shard, answer) in join_all(attempts).await {
-        let Ok(answer) = answer else {
-            continue;
-        };
-        let Ok(Value::Object(mut body)) = serde_json::from_slice(&answer.body) else {
-            continue;
-        };
-        if let Some(Value::Array(found)) = body.remove("hits") {
-            hits.extend(found);
-            missing.retain(|other| *other != shard);
-        }
+    plan: Arc<ServicePlan>,
+    mut ask: SearchAsk,
+    request: RunRequest,
+) -> Result<SearchAnswer, RouteRefusal> {
+    let started = node.timer.now();
+    ask.arrived = Some(started);
+    let Some(view) = node.views.get(&plan.name) else {
+        return Err(RouteRefusal::not_run(RefusalReason::NoTargets, None));
+    };
+    let desk = node.desks.get(&plan.name);
+    desk.state.observe_view(&view.targets);
+    let admission = admission_ask(&plan, &ask, &view.targets, started);
+    let permit = desk.admit(admission, started).await?;
+    let label = ServiceLabel {
+        service: plan.name.to_string(),
+    };
+
+    let now = node.timer.now();
+    let targets = Arc::clone(&view.targets);
+    let started_run = SearchRun::start(permit, plan, targets, ask, now, &mut rand::rng());
+    let (run, actions) = started_run?;
+    let mut carrier = RunCarrier::new(node, view, &request);
+    let mut guard = RunGuard {
+        run,
+        timer: node.timer.clone(),
+    };
+    let mut outcome = carrier.perform(actions);
+    while outcome.is_none() {
+        let event = carrier.next().await;
+        let actions = step(&mut guard.run, event, &carrier, node.timer.now());
+        outcome = carrier.perform(actions);
     }
-    Some(SearchAnswer {
-        version,
-        shards: of,
-        missing,
-        hits,
-    })
+    drop(carrier);
+    drop(guard);
+    desk.poll(node.timer.now());
+    let Some(outcome) = outcome else {
+        return Err(RouteRefusal::not_run(RefusalReason::NoTargets, None));
+    };
+    record_outcome(node, &label, &outcome, started);
+    outcome.answer
 }
 
-type ShardHolders = BTreeMap<u32, Arc<TargetRecord>>;
+fn step(
+    run: &mut SearchRun,
+    event: RunEvent,
+    carrier: &RunCarrier<'_>,
+    now: MonoTime,
+) -> Vec<fulmarweir_route::SearchAction> {
+    let rng = &mut rand::rng();
+    match event {
+        RunEvent::Ended(id, ended) => run.on_reply(id, ended, now, rng),
+        RunEvent::Wake => run.on_wake(now, rng),
+        RunEvent::ViewChanged => run.on_view(Arc::clone(&carrier.view().targets), now, rng),
+    }
+}
 
-fn newest_version(
+fn admission_ask(
     plan: &ServicePlan,
-    targets: &[Arc<TargetRecord>],
-) -> Option<(u64, u32, ShardHolders)> {
-    let own = || targets.iter().filter(|target| target.service == plan.name);
-    let holdings = own().flat_map(|target| &target.versions);
-    let newest = holdings.max_by_key(|holding| holding.version)?;
-    let mut holders = ShardHolders::new();
-    for target in own() {
-        for holding in &target.versions {
-            if holding.version == newest.version {
-                holders.insert(holding.shard, Arc::clone(target));
-            }
+    ask: &SearchAsk,
+    targets: &fulmarweir_route::TargetView,
+    now: MonoTime,
+) -> AdmissionAsk {
+    let own = now + plan.deadline;
+    let deadline = ask.deadline.unwrap_or(own).min(own);
+    let answer_by = ServiceState::answer_by(plan, deadline, now);
+    if ask.key.is_some() {
+        return AdmissionAsk::keyed(answer_by);
+    }
+    let shards = targets.pin(ask.min_version).map_or(1, |index| index.of);
+    AdmissionAsk::wide(shards as usize, answer_by)
+}
+
+fn record_outcome(
+    node: &NodeState,
+    label: &ServiceLabel,
+    outcome: &SearchOutcome,
+    started: MonoTime,
+) {
+    let metrics = &node.metrics;
+    let lost = u64::from(outcome.stats.hedges.saturating_sub(outcome.stats.hedge_wins));
+    let won = u64::from(outcome.stats.hedge_wins);
+    for (outcome, count) in [("won", won), ("lost", lost)] {
+        if count > 0 {
+            let label = OutcomeLabel { outcome };
+            metrics.hedges.get_or_create(&label).inc_by(count);
         }
     }
-    Some((newest.version, newest.of, holders))
+    let Ok(answer) = &outcome.answer else {
+        return;
+    };
+    let elapsed = node.timer.now().since(started).as_secs_f64();
+    metrics.latency.get_or_create(label).observe(elapsed);
+    let coverage = f64::from(answer.answered) / f64::from(answer.shards.max(1));
+    metrics.coverage.get_or_create(label).observe(coverage);
 }
