Add replicated registers with claims, configuration and voter changes

State must survive the loss of any minority of disks without a leader that a partition can cut off silently. Each register is changed by its own prepare and accept round; an accept may carry the promise for the proposer's next ballot, so recording an outcome after a claim needs one exchange. Ballots start with the epoch of the voter set, so a round that only a minority of an old set saw never outranks one of a later set.

--- /dev/null
+++ b/crates/quorum/src/acceptor.rs
@@ -0,0 +1,326 @@
+//! A voter's state: pure, with time passed in and durable records passed out.
+
+mod shard;
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError, RwLock},
+    time::Duration,
+};
+
+use fulmarweir_base::{MonoTime, VmName};
+
+use crate::{
+    acceptor::shard::{RecordSink, RegisterShard, ShardClock},
+    key::{REGISTER_SHARDS, RegisterKey},
+    member::{EpochState, VoterIdentity, VoterSet},
+    message::{PageCursor, RegisterCopy, RequestBody, VoterReply, VoterRequest},
+    record::VoterRecord,
+    value::AcceptedValue,
+};
+
+/// Registers in one page of a copy.
+const PAGE_REGISTERS: usize = 512;
+
+/// Bytes of values after which a page ends.
+const PAGE_BYTES: usize = 256 << 10;
+
+/// Expired registers that one request removes at most.
+const REMOVALS_PER_REQUEST: usize = 4;
+
+/// The registers and voter sets of one voter.
+///
+/// [`Acceptor::handle`] passes each durable record to a sink in the order in
+/// which the records must reach the log. An answer may leave only once
+/// everything passed to the sink before it is durable.
+#[derive(Debug)]
+pub struct Acceptor {
+    name: VmName,
+    identity: VoterIdentity,
+    retention: Duration,
+    // Read while registers are used, written while the voter sets change.
+    epoch: RwLock<EpochState>,
+    shards: Vec<Mutex<RegisterShard>>,
+}
+
+impl Acceptor {
+    /// A voter without registers that knows the set of epoch 0.
+    ///
+    /// Registers of finished and released acts are removed `retention` after their last change.
+    #[must_use]
+    pub fn new(
+        name: VmName,
+        identity: VoterIdentity,
+        first_set: VoterSet,
+        retention: Duration,
+    ) -> Self {
+        let epoch = EpochState {
+            current: first_set,
+            next: None,
+        };
+        Self {
+            name,
+            identity,
+            retention,
+            epoch: RwLock::new(epoch),
+            shards: (0..REGISTER_SHARDS).map(|_| Mutex::default()).collect(),
+        }
+    }
+
+    /// Identity of the voter's log.
+    #[must_use]
+    pub const fn identity(&self) -> VoterIdentity {
+        self.identity
+    }
+
+    /// The voter sets that the voter knows.
+    #[must_use]
+    pub fn epoch_state(&self) -> EpochState {
+        self.read_epoch().clone()
+    }
+
+    /// Number of registers held.
+    #[must_use]
+    pub fn register_count(&self) -> usize {
+        (0..REGISTER_SHARDS)
+            .map(|shard| self.shard(shard).len())
+            .sum()
+    }
+
+    /// Applies a durable record after a restart.
+    pub fn replay(&self, now: MonoTime, record: VoterRecord) {
+        let shard = match &record {
+            VoterRecord::Epoch(epoch) => {
+                epoch.clone_into(&mut self.write_epoch());
+                return;
+            }
+            VoterRecord::Floor { shard, .. } => *shard,
+            VoterRecord::Promise { key, .. } | VoterRecord::Remove { key, .. } => key.shard(),
+            VoterRecord::Register(copy) => copy.key.shard(),
+        };
+        self.shard(shard).replay(self.clock(now), record);
+    }
+
+    /// Answers a request.
+    pub fn handle(
+        &self,
+        now: MonoTime,
+        request: &VoterRequest,
+        sink: &mut dyn FnMut(VoterRecord),
+    ) -> VoterReply {
+        if let RequestBody::Identify = request.body {
+            let epoch = self.epoch_state();
+            let identity = self.identity;
+            return VoterReply::Identity { identity, epoch };
+        }
+        if !self.is_addressed(request) {
+            let identity = self.identity;
+            return VoterReply::Stranger { identity };
+        }
+        match &request.body {
+            RequestBody::Seal { next } => self.seal(next, sink),
+            RequestBody::Install { registers } => self.install(now, request.epoch, registers, sink),
+            RequestBody::Complete => self.complete(request.epoch, sink),
+            RequestBody::ReadPage { from } => self.read_page(request.epoch, from),
+            RequestBody::Accept { key, .. }
+            | RequestBody::Prepare { key, .. }
+            | RequestBody::Read { key } => self.vote(now, request, key, sink),
+            RequestBody::Identify => VoterReply::Stopped,
+        }
+    }
+
+    /// Calls `finish` with the records that rebuild the voter, while no request is handled.
+    pub fn snapshot<T>(&self, finish: impl FnOnce(Vec<VoterRecord>) -> T) -> T {
+        let epoch = self.write_epoch();
+        let mut records = vec![VoterRecord::Epoch(epoch.clone())];
+        for shard in 0..REGISTER_SHARDS {
+            let sink = &mut |record| records.push(record);
+            self.shard(shard).snapshot(shard, sink);
+        }
+        finish(records)
+    }
+
+    /// Removes registers whose retention has passed, at most `limit` in each shard.
+    ///
+    /// Does nothing during a change of voters, while copies are taken.
+    pub fn remove_expired(
+        &self,
+        now: MonoTime,
+        limit: usize,
+        sink: &mut dyn FnMut(VoterRecord),
+    ) -> usize {
+        let epoch = self.read_epoch();
+        if epoch.next.is_some() {
+            return 0;
+        }
+        let clock = self.clock(now);
+        (0..REGISTER_SHARDS)
+            .map(|shard| self.shard(shard).remove_expired(clock, limit, sink))
+            .sum()
+    }
+
+    fn is_addressed(&self, request: &VoterRequest) -> bool {
+        let unknown = request.to == VoterIdentity::UNKNOWN && request.epoch == 0;
+        unknown || request.to == self.identity
+    }
+
+    fn vote(
+        &self,
+        now: MonoTime,
+        request: &VoterRequest,
+        key: &RegisterKey,
+        sink: RecordSink<'_>,
+    ) -> VoterReply {
+        let epoch = self.read_epoch();
+        if let Some(refusal) = self.refusal(&epoch, request.epoch) {
+            return refusal;
+        }
+        let clock = self.clock(now);
+        let mut shard = self.shard(key.shard());
+        shard.remove_expired(clock, REMOVALS_PER_REQUEST, sink);
+        match &request.body {
+            RequestBody::Prepare { ballot, .. } => shard.prepare(clock, key, *ballot, sink),
+            RequestBody::Accept {
+                ballot,
+                value,
+                next,
+                ..
+            } => {
+                let accepted = AcceptedValue {
+                    ballot: *ballot,
+                    value: value.clone(),
+                };
+                shard.accept(clock, key, accepted, *next, sink)
+            }
+            _ => VoterReply::ReadValue {
+                accepted: shard.accepted(key),
+            },
+        }
+    }
+
+    /// Why the voter cannot vote in `asked`, if it cannot.
+    fn refusal(&self, epoch: &EpochState, asked: u64) -> Option<VoterReply> {
+        if epoch.latest().epoch > asked {
+            let epoch = epoch.clone();
+            return Some(VoterReply::Moved { epoch });
+        }
+        if epoch.current.epoch != asked {
+            let epoch = epoch.clone();
+            return Some(VoterReply::NotWhole { epoch });
+        }
+        let is_member = match asked {
+            0 => epoch.current.contains_name(&self.name),
+            _ => epoch.current.contains(self.identity),
+        };
+        let identity = self.identity;
+        (!is_member).then_some(VoterReply::Stranger { identity })
+    }
+
+    fn seal(&self, next: &VoterSet, sink: RecordSink<'_>) -> VoterReply {
+        let mut epoch = self.write_epoch();
+        if epoch.latest().epoch > next.epoch {
+            let epoch = epoch.clone();
+            return VoterReply::Moved { epoch };
+        }
+        if epoch.latest().epoch < next.epoch {
+            epoch.next = Some(next.clone());
+            sink(VoterRecord::Epoch(epoch.clone()));
+        }
+        let whole_for = epoch.current.epoch;
+        VoterReply::Sealed { whole_for }
+    }
+
+    fn install(
+        &self,
+        now: MonoTime,
+        asked: u64,
+        registers: &[RegisterCopy],
+        sink: RecordSink<'_>,
+    ) -> VoterReply {
+        let epoch = self.read_epoch();
+        if let Some(reply) = Self::not_joining(&epoch, asked) {
+            return reply;
+        }
+        let clock = self.clock(now);
+        for copy in registers {
+            self.shard(copy.key.shard()).merge(clock, copy, sink);
+        }
+        VoterReply::Installed
+    }
+
+    fn complete(&self, asked: u64, sink: RecordSink<'_>) -> VoterReply {
+        let mut epoch = self.write_epoch();
+        if let Some(reply) = Self::not_joining(&epoch, asked) {
+            return reply;
+        }
+        if let Some(next) = epoch.next.take() {
+            epoch.current = next;
+        }
+        sink(VoterRecord::Epoch(epoch.clone()));
+        VoterReply::Whole
+    }
+
+    /// The answer to a copying step if the voter is not on the way to epoch `asked`.
+    fn not_joining(epoch: &EpochState, asked: u64) -> Option<VoterReply> {
+        if epoch.next.is_none() && epoch.current.epoch == asked {
+            return Some(VoterReply::Whole);
+        }
+        if epoch.latest().epoch > asked {
+            let epoch = epoch.clone();
+            return Some(VoterReply::Moved { epoch });
+        }
+        if epoch.latest().epoch < asked {
+            let epoch = epoch.clone();
+            return Some(VoterReply::NotWhole { epoch });
+        }
+        None
+    }
+
+    fn read_page(&self, asked: u64, from: &PageCursor) -> VoterReply {
+        let epoch = self.read_epoch();
+        let is_whole = epoch.current.epoch == asked;
+        let is_frozen = epoch.current.epoch + 1 == asked && epoch.latest().epoch == asked;
+        if !is_whole && !is_frozen {
+            let epoch = epoch.clone();
+            return VoterReply::NotWhole { epoch };
+        }
+        if from.shard >= REGISTER_SHARDS {
+            return VoterReply::Page {
+                registers: Vec::new(),
+                next: None,
+            };
+        }
+        let shard = self.shard(from.shard);
+        let registers = shard.page(from.after.as_ref(), PAGE_REGISTERS, PAGE_BYTES);
+        let next = match registers.last() {
+            Some(last) => Some(PageCursor {
+                shard: from.shard,
+                after: Some(last.key.clone()),
+            }),
+            None => (from.shard + 1 < REGISTER_SHARDS).then_some(PageCursor {
+                shard: from.shard + 1,
+                after: None,
+            }),
+        };
+        VoterReply::Page { registers, next }
+    }
+
+    const fn clock(&self, now: MonoTime) -> ShardClock {
+        ShardClock {
+            now,
+            retention: self.retention,
+        }
+    }
+
+    fn shard(&self, number: u32) -> MutexGuard<'_, RegisterShard> {
+        let shard = &self.shards[(number % REGISTER_SHARDS) as usize];
+        shard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read_epoch(&self) -> std::sync::RwLockReadGuard<'_, EpochState> {
+        self.epoch.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write_epoch(&self) -> std::sync::RwLockWriteGuard<'_, EpochState> {
+        self.epoch.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/acceptor/shard.rs
@@ -0,0 +1,268 @@
+//! A part of a voter's registers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+    sync::Arc,
+    time::Duration,
+};
+
+use fulmarweir_base::MonoTime;
+
+use crate::{
+    ballot::Ballot,
+    key::RegisterKey,
+    message::{RegisterCopy, VoterReply},
+    record::VoterRecord,
+    value::{AcceptedValue, RegisterValue},
+};
+
+/// One register.
+#[derive(Debug)]
+struct RegisterSlot {
+    promised: Ballot,
+    accepted: Option<AcceptedValue>,
+    /// When the slot appeared or last accepted a value.
+    touched: MonoTime,
+    /// Whether the removal queue holds an entry for it.
+    queued: bool,
+}
+
+/// Registers by key, and the queue of those that may be removed later.
+#[derive(Debug, Default)]
+pub(crate) struct RegisterShard {
+    slots: BTreeMap<RegisterKey, RegisterSlot>,
+    removals: BTreeSet<(MonoTime, RegisterKey)>,
+    /// Absent registers behave as if they had promised this ballot, so that a delayed
+    /// request of a round before their removal cannot bring an old value back.
+    floor: Ballot,
+}
+
+/// Where a shard's durable records go.
+pub(crate) type RecordSink<'a> = &'a mut dyn FnMut(VoterRecord);
+
+/// Time and retention that a shard's steps need.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ShardClock {
+    pub(crate) now: MonoTime,
+    pub(crate) retention: Duration,
+}
+
+impl RegisterShard {
+    pub(crate) fn prepare(
+        &mut self,
+        clock: ShardClock,
+        key: &RegisterKey,
+        ballot: Ballot,
+        sink: RecordSink<'_>,
+    ) -> VoterReply {
+        let promised = self.promised(key);
+        if ballot <= promised {
+            return VoterReply::Conflict { promised };
+        }
+        sink(VoterRecord::Promise {
+            key: key.clone(),
+            ballot,
+        });
+        self.set_promise(clock, key, ballot);
+        let accepted = self.accepted(key);
+        VoterReply::Promised { accepted }
+    }
+
+    pub(crate) fn accept(
+        &mut self,
+        clock: ShardClock,
+        key: &RegisterKey,
+        accepted: AcceptedValue,
+        next: Option<Ballot>,
+        sink: RecordSink<'_>,
+    ) -> VoterReply {
+        let promised = self.promised(key);
+        let absent = !self.slots.contains_key(key);
+        let ballot = accepted.ballot;
+        if ballot < promised || (absent && ballot == promised) {
+            return VoterReply::Conflict { promised };
+        }
+        let copy = RegisterCopy {
+            key: key.clone(),
+            promised: next.map_or(ballot, |next| next.max(ballot)),
+            accepted: Some(accepted),
+        };
+        sink(VoterRecord::Register(copy.clone()));
+        self.replace(clock, copy);
+        VoterReply::Accepted
+    }
+
+    pub(crate) fn accepted(&self, key: &RegisterKey) -> Option<AcceptedValue> {
+        self.slots.get(key).and_then(|slot| slot.accepted.clone())
+    }
+
+    /// Takes over whatever of `copy` is newer.
+    pub(crate) fn merge(&mut self, clock: ShardClock, copy: &RegisterCopy, sink: RecordSink<'_>) {
+        let mut merged = copy.clone();
+        if let Some(slot) = self.slots.get(&copy.key) {
+            let own = slot.accepted.as_ref();
+            let newer = own.map(|own| own.ballot) >= copy.accepted.as_ref().map(|c| c.ballot);
+            if newer && slot.promised >= copy.promised {
+                return;
+            }
+            merged.promised = slot.promised.max(copy.promised);
+            if newer {
+                merged.accepted.clone_from(&slot.accepted);
+            }
+        }
+        sink(VoterRecord::Register(merged.clone()));
+        self.replace(clock, merged);
+    }
+
+    /// Applies a durable record after a restart.
+    pub(crate) fn replay(&mut self, clock: ShardClock, record: VoterRecord) {
+        match record {
+            VoterRecord::Promise { key, ballot } => self.set_promise(clock, &key, ballot),
+            VoterRecord::Register(copy) => self.replace(clock, copy),
+            VoterRecord::Remove { key, floor } => {
+                self.slots.remove(&key);
+                self.floor = floor;
+            }
+            VoterRecord::Floor { floor, .. } => self.floor = floor,
+            VoterRecord::Epoch(_) => {}
+        }
+    }
+
+    /// Removes at most `limit` registers whose retention has passed.
+    pub(crate) fn remove_expired(
+        &mut self,
+        clock: ShardClock,
+        limit: usize,
+        sink: RecordSink<'_>,
+    ) -> usize {
+        let mut removed = 0;
+        for _ in 0..limit {
+            let due = self
+                .removals
+                .first()
+                .is_some_and(|(at, _)| *at <= clock.now);
+            let Some((_, key)) = due.then(|| self.removals.pop_first()).flatten() else {
+                break;
+            };
+            removed += usize::from(self.remove_if_expired(clock, key, sink));
+        }
+        removed
+    }
+
+    fn remove_if_expired(
+        &mut self,
+        clock: ShardClock,
+        key: RegisterKey,
+        sink: RecordSink<'_>,
+    ) -> bool {
+        let Some(slot) = self.slots.get_mut(&key) else {
+            return false;
+        };
+        let due = slot.touched + clock.retention;
+        if due > clock.now {
+            self.removals.insert((due, key));
+            return false;
+        }
+        let expires = |accepted: &AcceptedValue| accepted.value.expires();
+        if !slot.accepted.as_ref().is_none_or(expires) {
+            // Queued again when it accepts its next value.
+            slot.queued = false;
+            return false;
+        }
+        self.floor = self.floor.max(slot.promised);
+        self.slots.remove(&key);
+        let floor = self.floor;
+        sink(VoterRecord::Remove { key, floor });
+        true
+    }
+
+    /// The registers after `after`, at most `limit` and about `limit_bytes` of values.
+    pub(crate) fn page(
+        &self,
+        after: Option<&RegisterKey>,
+        limit: usize,
+        limit_bytes: usize,
+    ) -> Vec<RegisterCopy> {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut bytes = 0;
+        self.slots
+            .range::<RegisterKey, _>((start, Bound::Unbounded))
+            .take(limit)
+            .take_while(|(_, slot)| {
+                let fits = bytes < limit_bytes;
+                bytes += slot.accepted.as_ref().map_or(0, value_bytes);
+                fits
+            })
+            .map(|(key, slot)| copy_of(key, slot))
+            .collect()
+    }
+
+    /// Records that rebuild the shard.
+    pub(crate) fn snapshot(&self, shard: u32, sink: RecordSink<'_>) {
+        let floor = self.floor;
+        sink(VoterRecord::Floor { shard, floor });
+        for (key, slot) in &self.slots {
+            sink(VoterRecord::Register(copy_of(key, slot)));
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    fn promised(&self, key: &RegisterKey) -> Ballot {
+        self.slots.get(key).map_or(self.floor, |slot| slot.promised)
+    }
+
+    fn set_promise(&mut self, clock: ShardClock, key: &RegisterKey, ballot: Ballot) {
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.promised = slot.promised.max(ballot);
+            return;
+        }
+        let copy = RegisterCopy {
+            key: key.clone(),
+            promised: ballot,
+            accepted: None,
+        };
+        self.replace(clock, copy);
+    }
+
+    fn replace(&mut self, clock: ShardClock, copy: RegisterCopy) {
+        let queued = self.slots.get(&copy.key).is_some_and(|slot| slot.queued);
+        let is_act = matches!(copy.key, RegisterKey::Act(_));
+        if is_act && !queued {
+            let due = clock.now + clock.retention;
+            self.removals.insert((due, copy.key.clone()));
+        }
+        let slot = RegisterSlot {
+            promised: copy.promised,
+            accepted: copy.accepted,
+            touched: clock.now,
+            queued: is_act,
+        };
+        self.slots.insert(copy.key, slot);
+    }
+}
+
+fn copy_of(key: &RegisterKey, slot: &RegisterSlot) -> RegisterCopy {
+    RegisterCopy {
+        key: key.clone(),
+        promised: slot.promised,
+        accepted: slot.accepted.clone(),
+    }
+}
+
+/// Rough size of a value, to bound a page.
+fn value_bytes(accepted: &AcceptedValue) -> usize {
+    const FIXED_BYTES: usize = 64;
+    let value: &Arc<RegisterValue> = &accepted.value;
+    FIXED_BYTES
+        + match &**value {
+            RegisterValue::Act(crate::act::ActState::Finished { outcome, .. }) => {
+                outcome.body.len()
+            }
+            RegisterValue::Config(state) => state.text.len() + FIXED_BYTES * state.outcomes.len(),
+            RegisterValue::Act(_) | RegisterValue::Voters(_) => 0,
+        }
+}
--- /dev/null
+++ b/crates/quorum/src/client.rs
@@ -0,0 +1,339 @@
+//! The client of the registers, used by every VM.
+
+mod calls;
+mod carrier;
+mod change;
+mod copy;
+mod settings;
+mod view;
+
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use error_stack::Report;
+use fulmarweir_base::{MonoTime, RunVerdict, TimerService};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use self::{carrier::RequestCarrier, view::VoterView};
+pub use self::{
+    change::{ChangeOutcome, VoterHealth},
+    settings::{ClientSettings, VoterTransport},
+};
+use crate::{
+    ballot::{Ballot, BallotSource},
+    error::{QuorumError, Result},
+    key::RegisterKey,
+    member::{EpochState, VoterSet},
+    message::VoterRequest,
+    round::{ProposalRound, RoundFailure, RoundStep},
+    value::{RegisterChange, RegisterValue},
+};
+
+/// Rounds that the client may go on from without preparing again.
+const OPEN_ROUNDS_MAX: usize = 4096;
+
+/// Runs changes and reads of registers on the voters.
+///
+/// Each call takes the time after which it gives up. A call that timed out
+/// says whether its change may have been made; to learn more, call again with
+/// the same change ID or claim.
+pub struct QuorumClient {
+    carrier: RequestCarrier,
+    settings: ClientSettings,
+    timer: TimerService,
+    view: Mutex<VoterView>,
+    state: Mutex<ProposerState>,
+}
+
+/// Ballots, random pauses and open rounds of the proposer.
+struct ProposerState {
+    ballots: BallotSource,
+    generator: Pcg64Mcg,
+    open_rounds: HashMap<RegisterKey, OpenRound>,
+}
+
+/// A round that a quorum promised along with this proposer's last accept.
+#[derive(Clone, Debug)]
+struct OpenRound {
+    ballot: Ballot,
+    value: Arc<RegisterValue>,
+}
+
+/// A round whose ballot a quorum has promised.
+struct PreparedRound {
+    round: ProposalRound,
+    value: Option<Arc<RegisterValue>>,
+    /// Whether the value is certainly chosen.
+    chosen: bool,
+}
+
+/// How a round or its first phase ended.
+enum RoundEnd<T> {
+    Done(T),
+    Failed(RoundFailure),
+}
+
+impl fmt::Debug for QuorumClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("QuorumClient")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A change under way: when it gives up, and whether it may have been made.
+#[derive(Debug)]
+pub(crate) struct CallProgress {
+    deadline: MonoTime,
+    verdict: RunVerdict,
+    disturbed: u32,
+}
+
+impl QuorumClient {
+    /// A client that reaches the voters through `transport`.
+    #[must_use]
+    pub fn new(settings: ClientSettings, transport: VoterTransport, timer: TimerService) -> Self {
+        let state = ProposerState {
+            ballots: BallotSource::new(settings.proposer),
+            generator: Pcg64Mcg::seed_from_u64(settings.seed),
+            open_rounds: HashMap::new(),
+        };
+        Self {
+            carrier: RequestCarrier::new(transport, settings.attempt_timeout),
+            view: Mutex::new(VoterView::new(settings.first_set.clone())),
+            settings,
+            timer,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// The latest voter set that the client knows.
+    #[must_use]
+    pub fn voters(&self) -> VoterSet {
+        self.lock_view().latest.clone()
+    }
+
+    /// Adopts a voter set that was learned elsewhere, if it is later.
+    pub fn learn_voters(&self, set: &VoterSet) {
+        let epoch = EpochState {
+            current: set.clone(),
+            next: None,
+        };
+        self.lock_view().observe(&epoch);
+    }
+
+    /// Waits for requests that are still under way.
+    pub async fn close(&self) {
+        self.carrier.close().await;
+    }
+
+    pub(crate) fn start_call(&self, patience: Duration) -> CallProgress {
+        CallProgress {
+            deadline: self.timer.now() + patience,
+            verdict: RunVerdict::NotRun,
+            disturbed: 0,
+        }
+    }
+
+    /// Applies `change` to a register, in as many rounds as it takes.
+    pub(crate) async fn run_change<T>(
+        &self,
+        key: RegisterKey,
+        patience: Duration,
+        change: impl Fn(Option<&RegisterValue>) -> RegisterChange<T> + Send + Sync,
+    ) -> Result<T>
+    where
+        T: Send,
+    {
+        let mut call = self.start_call(patience);
+        loop {
+            let set = self.usable_set(&mut call).await?;
+            let end = self.run_round(&mut call, set, &key, &change).await?;
+            match end {
+                RoundEnd::Done(outcome) => return Ok(outcome),
+                RoundEnd::Failed(failure) => self.recover(&mut call, failure).await?,
+            }
+        }
+    }
+
+    /// The voter set to use, after electing epoch 1 if there is none yet.
+    async fn usable_set(&self, call: &mut CallProgress) -> Result<VoterSet> {
+        let set = self.voters();
+        if set.members.is_empty() {
+            return Err(Report::new(QuorumError::NoVoters));
+        }
+        if set.epoch > 0 {
+            return Ok(set);
+        }
+        self.elect_first_set(call).await
+    }
+
+    pub(crate) async fn run_round_of<T>(
+        &self,
+        call: &mut CallProgress,
+        set: VoterSet,
+        key: &RegisterKey,
+        change: &(impl Fn(Option<&RegisterValue>) -> RegisterChange<T> + Send + Sync),
+    ) -> Result<Option<T>> {
+        match self.run_round(call, set, key, change).await? {
+            RoundEnd::Done(outcome) => Ok(Some(outcome)),
+            RoundEnd::Failed(failure) => {
+                self.recover(call, failure).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    async fn run_round<T>(
+        &self,
+        call: &mut CallProgress,
+        set: VoterSet,
+        key: &RegisterKey,
+        change: &(impl Fn(Option<&RegisterValue>) -> RegisterChange<T> + Send + Sync),
+    ) -> Result<RoundEnd<T>> {
+        let epoch = set.epoch;
+        let mut prepared = match self.prepare(call, set, key).await? {
+            RoundEnd::Done(prepared) => prepared,
+            RoundEnd::Failed(failure) => return Ok(RoundEnd::Failed(failure)),
+        };
+        let (proposal, outcome) = match change(prepared.value.as_deref()) {
+            RegisterChange::Write(value, outcome) => {
+                call.verdict = RunVerdict::MayHaveRun;
+                (Arc::new(value), outcome)
+            }
+            RegisterChange::Keep(outcome) => match prepared.value {
+                // Others may not see a value that no quorum has accepted yet.
+                Some(value) if !prepared.chosen => (value, outcome),
+                _ => return Ok(RoundEnd::Done(outcome)),
+            },
+        };
+        let next = self.lock_state().ballots.draw(epoch);
+        let round = &mut prepared.round;
+        let requests = round.propose(Arc::clone(&proposal), Some(next));
+        let step = self.collect(call, round, requests).await?;
+        if let RoundStep::Failed(failure) = step {
+            return Ok(RoundEnd::Failed(failure));
+        }
+        self.keep_open_round(key, next, proposal);
+        Ok(RoundEnd::Done(outcome))
+    }
+
+    /// Goes on from this proposer's last round if that is open, else prepares a new one.
+    async fn prepare(
+        &self,
+        call: &CallProgress,
+        set: VoterSet,
+        key: &RegisterKey,
+    ) -> Result<RoundEnd<PreparedRound>> {
+        if let Some(open) = self.take_open_round(key, set.epoch) {
+            return Ok(RoundEnd::Done(PreparedRound {
+                round: ProposalRound::prepared(set, key.clone(), open.ballot),
+                value: Some(open.value),
+                // Another proposer may have prepared since; only an accept tells.
+                chosen: false,
+            }));
+        }
+        let ballot = self.lock_state().ballots.draw(set.epoch);
+        let mut round = ProposalRound::prepare(set, key.clone(), ballot);
+        let requests = round.prepare_requests();
+        match self.collect(call, &mut round, requests).await? {
+            RoundStep::Prepared { value, chosen } => Ok(RoundEnd::Done(PreparedRound {
+                round,
+                value,
+                chosen,
+            })),
+            RoundStep::Failed(failure) => Ok(RoundEnd::Failed(failure)),
+            RoundStep::Wait | RoundStep::Chosen => Err(call.timeout()),
+        }
+    }
+
+    /// Sends one phase of a round and waits until its end is clear.
+    async fn collect(
+        &self,
+        call: &CallProgress,
+        round: &mut ProposalRound,
+        requests: Vec<VoterRequest>,
+    ) -> Result<RoundStep> {
+        let mut replies = self.carrier.send_all(&round.voters().members, requests);
+        loop {
+            let reply = tokio::select! {
+                biased;
+                reply = replies.recv() => reply,
+                () = self.timer.sleep_until(call.deadline) => return Err(call.timeout()),
+            };
+            let Some((index, reply)) = reply else {
+                return Err(call.timeout());
+            };
+            let step = round.on_reply(index, reply);
+            if step != RoundStep::Wait {
+                return Ok(step);
+            }
+        }
+    }
+
+    /// Prepares for the next round after a failed one.
+    async fn recover(&self, call: &mut CallProgress, failure: RoundFailure) -> Result<()> {
+        if let Some(above) = failure.above {
+            self.lock_state().ballots.observe(above);
+        }
+        if let Some(epoch) = &failure.epoch {
+            self.lock_view().observe(epoch);
+            self.finish_known_change(call).await?;
+        }
+        self.back_off(call).await
+    }
+
+    /// Pauses for a random time that grows with each disturbed round.
+    pub(crate) async fn back_off(&self, call: &mut CallProgress) -> Result<()> {
+        call.disturbed += 1;
+        let exponent = call.disturbed.min(16);
+        let limit = self.settings.backoff_min * 2_u32.pow(exponent);
+        let limit = limit.min(self.settings.backoff_max);
+        let share: f64 = self.lock_state().generator.random();
+        let wake = self.timer.now() + self.settings.backoff_min + limit.mul_f64(share);
+        if wake >= call.deadline {
+            self.timer.sleep_until(call.deadline).await;
+            return Err(call.timeout());
+        }
+        self.timer.sleep_until(wake).await;
+        Ok(())
+    }
+
+    fn take_open_round(&self, key: &RegisterKey, epoch: u64) -> Option<OpenRound> {
+        let open = self.lock_state().open_rounds.remove(key)?;
+        (open.ballot.epoch == epoch).then_some(open)
+    }
+
+    fn keep_open_round(&self, key: &RegisterKey, ballot: Ballot, value: Arc<RegisterValue>) {
+        let settled = matches!(&*value, RegisterValue::Act(_)) && value.expires();
+        let mut state = self.lock_state();
+        if !settled && state.open_rounds.len() < OPEN_ROUNDS_MAX {
+            let open = OpenRound { ballot, value };
+            state.open_rounds.insert(key.clone(), open);
+        }
+    }
+
+    fn lock_view(&self) -> MutexGuard<'_, VoterView> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_state(&self) -> MutexGuard<'_, ProposerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl CallProgress {
+    pub(crate) fn timeout(&self) -> Report<QuorumError> {
+        let verdict = self.verdict;
+        Report::new(QuorumError::Timeout { verdict })
+    }
+
+    pub(crate) const fn deadline(&self) -> MonoTime {
+        self.deadline
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/client/carrier.rs
@@ -0,0 +1,80 @@
+//! Sends requests to voters and collects the answers.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    task::JoinSet,
+    time::timeout,
+};
+
+use crate::{
+    client::settings::VoterTransport,
+    member::VoterMember,
+    message::{VoterReply, VoterRequest},
+};
+
+/// The answer of the voter at an index, `None` when it was lost.
+pub(crate) type IndexedReply = (usize, Option<VoterReply>);
+
+/// Sends requests, and sees them through also when nobody waits for the answer any more:
+/// a voter that is left out of a round would fall behind.
+pub(crate) struct RequestCarrier {
+    transport: VoterTransport,
+    attempt_timeout: Duration,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+impl RequestCarrier {
+    pub(crate) fn new(transport: VoterTransport, attempt_timeout: Duration) -> Self {
+        Self {
+            transport,
+            attempt_timeout,
+            tasks: Mutex::default(),
+        }
+    }
+
+    /// Sends each request to the voter of the same index.
+    pub(crate) fn send_all(
+        &self,
+        members: &[VoterMember],
+        requests: Vec<VoterRequest>,
+    ) -> UnboundedReceiver<IndexedReply> {
+        let (sender, receiver) = unbounded_channel();
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        while tasks.try_join_next().is_some() {}
+        for (index, (member, request)) in members.iter().zip(requests).enumerate() {
+            let answer = (self.transport)(member.clone(), request);
+            let sender = sender.clone();
+            let limit = self.attempt_timeout;
+            tasks.spawn(async move {
+                let reply = timeout(limit, answer).await.ok().flatten();
+                // The caller may have seen enough answers.
+                let _ = sender.send((index, reply));
+            });
+        }
+        receiver
+    }
+
+    /// Sends one request and waits for its answer.
+    pub(crate) async fn ask(
+        &self,
+        member: &VoterMember,
+        request: VoterRequest,
+    ) -> Option<VoterReply> {
+        let answer = (self.transport)(member.clone(), request);
+        timeout(self.attempt_timeout, answer).await.ok().flatten()
+    }
+
+    /// Waits for requests that are still under way.
+    pub(crate) async fn close(&self) {
+        let mut tasks = {
+            let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+            std::mem::take(&mut *tasks)
+        };
+        while tasks.join_next().await.is_some() {}
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/client/change.rs
@@ -0,0 +1,351 @@
+//! Changing the voters, and finishing changes that others began.
+
+use std::time::Duration;
+
+use error_stack::Report;
+
+use crate::{
+    client::{CallProgress, QuorumClient, copy::CopyPlan},
+    error::{QuorumError, Result},
+    key::RegisterKey,
+    member::{VoterIdentity, VoterMember, VoterSet},
+    message::{RequestBody, VoterReply, VoterRequest},
+    round::requests_to_all,
+    value::{RegisterChange, RegisterValue},
+};
+
+/// Most voters of a set.
+const VOTERS_MAX: usize = 7;
+
+/// How a change of voters ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeOutcome {
+    /// The set in force.
+    pub set: VoterSet,
+    /// Kept voters that do not hold all registers yet, see [`QuorumClient::heal_voters`].
+    pub lagging: Vec<VoterMember>,
+}
+
+/// What a voter answered when asked for its state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VoterHealth {
+    /// The voter.
+    pub member: VoterMember,
+    /// Whether it answered, under the identity that the set names.
+    pub reachable: bool,
+    /// Whether it holds all registers and votes in the latest epoch.
+    pub whole: bool,
+}
+
+impl QuorumClient {
+    /// Replaces a voter by a VM that does not vote yet.
+    ///
+    /// Succeeds only once the new voter holds every register durably and votes. Any VM can
+    /// finish the change once it is decided; calling again does so.
+    ///
+    /// # Errors
+    /// [`QuorumError::OtherChange`] when another change came first, [`QuorumError::Timeout`] when
+    /// the change was not finished in time.
+    pub async fn replace_voter(
+        &self,
+        gone: VoterIdentity,
+        spare: VoterMember,
+        patience: Duration,
+    ) -> Result<ChangeOutcome> {
+        let mut call = self.start_call(patience);
+        loop {
+            let set = self.usable_set(&mut call).await?;
+            if !set.contains(gone) {
+                if set.contains(spare.identity) {
+                    return self.finish_until_whole(&mut call, None, set).await;
+                }
+                return Err(Report::new(QuorumError::OtherChange));
+            }
+            let kept = set.members.iter().filter(|member| member.identity != gone);
+            let members = kept.cloned().chain([spare.clone()]).collect();
+            if let Some(outcome) = self.decide_change(&mut call, set, members).await? {
+                return Ok(outcome);
+            }
+        }
+    }
+
+    /// Makes `members` the voters.
+    ///
+    /// # Errors
+    /// [`QuorumError::BadVoterSet`] for a set that cannot vote, else like
+    /// [`QuorumClient::replace_voter`].
+    pub async fn change_voters(
+        &self,
+        members: Vec<VoterMember>,
+        patience: Duration,
+    ) -> Result<ChangeOutcome> {
+        let mut call = self.start_call(patience);
+        loop {
+            let set = self.usable_set(&mut call).await?;
+            let wanted = VoterSet::new(set.epoch, members.clone());
+            if wanted == set {
+                return self.finish_until_whole(&mut call, None, set).await;
+            }
+            let decided = self.decide_change(&mut call, set, members.clone());
+            if let Some(outcome) = decided.await? {
+                return Ok(outcome);
+            }
+        }
+    }
+
+    /// Brings voters that missed a change up to the latest set.
+    ///
+    /// # Errors
+    /// [`QuorumError::Timeout`] when some voter that the last change added is not whole in time.
+    pub async fn heal_voters(&self, patience: Duration) -> Result<ChangeOutcome> {
+        let mut call = self.start_call(patience);
+        let set = self.usable_set(&mut call).await?;
+        let previous = self.lock_view().previous.clone();
+        self.finish_until_whole(&mut call, previous, set).await
+    }
+
+    /// Tells a voter, such as one that returns after a long time, of the latest set.
+    ///
+    /// Returns whether it answered.
+    pub async fn inform_voter(&self, member: &VoterMember) -> bool {
+        let next = self.voters();
+        if next.epoch == 0 {
+            return false;
+        }
+        let request = VoterRequest {
+            to: member.identity,
+            epoch: next.epoch,
+            body: RequestBody::Seal { next },
+        };
+        let reply = self.carrier.ask(member, request).await;
+        if let Some(VoterReply::Moved { epoch }) = &reply {
+            self.lock_view().observe(epoch);
+        }
+        reply.is_some()
+    }
+
+    /// Asks every voter of the latest set for its state.
+    pub async fn voter_health(&self) -> Vec<VoterHealth> {
+        let set = self.voters();
+        let replies = self.identify(&set).await;
+        let health = |(member, reply): (&VoterMember, &Option<VoterReply>)| {
+            let (reachable, whole) = match reply {
+                Some(VoterReply::Identity { identity, epoch }) => {
+                    let unknown = member.identity == VoterIdentity::UNKNOWN;
+                    let same = unknown || member.identity == *identity;
+                    (same, same && epoch.current.epoch == set.epoch)
+                }
+                _ => (false, false),
+            };
+            VoterHealth {
+                member: member.clone(),
+                reachable,
+                whole,
+            }
+        };
+        set.members.iter().zip(&replies).map(health).collect()
+    }
+
+    /// Elects epoch 1: the voters of the settings with the identities of their logs.
+    pub(crate) async fn elect_first_set(&self, call: &mut CallProgress) -> Result<VoterSet> {
+        loop {
+            let unborn = self.voters();
+            if unborn.epoch > 0 {
+                return Ok(unborn);
+            }
+            let replies = self.identify(&unborn).await;
+            let members = self.identified_members(&unborn, &replies);
+            if self.voters().epoch > 0 {
+                self.finish_known_change(call).await?;
+                return Ok(self.voters());
+            }
+            if let Some(members) = members {
+                let decided = self.decide_set(call, unborn.clone(), members).await?;
+                if let Some(next) = decided {
+                    self.finish_change(call, Some(&unborn), &next).await?;
+                    continue;
+                }
+            }
+            self.back_off(call).await?;
+        }
+    }
+
+    /// Finishes the change that the view says may be unfinished.
+    pub(crate) async fn finish_known_change(&self, call: &mut CallProgress) -> Result<()> {
+        let (previous, latest) = {
+            let view = self.lock_view();
+            (view.previous.clone(), view.latest.clone())
+        };
+        if previous.is_some() {
+            self.finish_change(call, previous.as_ref(), &latest).await?;
+        }
+        Ok(())
+    }
+
+    async fn decide_change(
+        &self,
+        call: &mut CallProgress,
+        set: VoterSet,
+        members: Vec<VoterMember>,
+    ) -> Result<Option<ChangeOutcome>> {
+        let wanted = VoterSet::new(set.epoch + 1, members);
+        check_set(&wanted)?;
+        let decided = self.decide_set(call, set.clone(), wanted.members.clone());
+        let Some(decided) = decided.await? else {
+            return Ok(None);
+        };
+        let is_wanted = decided == wanted;
+        let outcome = self.finish_until_whole(call, Some(set), decided).await?;
+        if !is_wanted {
+            return Err(Report::new(QuorumError::OtherChange));
+        }
+        Ok(Some(outcome))
+    }
+
+    /// Decides the successor of `set`; `None` when the round must be repeated.
+    async fn decide_set(
+        &self,
+        call: &mut CallProgress,
+        set: VoterSet,
+        members: Vec<VoterMember>,
+    ) -> Result<Option<VoterSet>> {
+        let epoch = set.epoch;
+        let next = VoterSet::new(epoch + 1, members);
+        let change = |value: Option<&RegisterValue>| match value {
+            Some(RegisterValue::Voters(decided)) if decided.epoch > epoch => {
+                RegisterChange::Keep(decided.clone())
+            }
+            _ => RegisterChange::Write(RegisterValue::Voters(next.clone()), next.clone()),
+        };
+        self.run_round_of(call, set, &RegisterKey::Voters, &change)
+            .await
+    }
+
+    async fn finish_until_whole(
+        &self,
+        call: &mut CallProgress,
+        old: Option<VoterSet>,
+        next: VoterSet,
+    ) -> Result<ChangeOutcome> {
+        loop {
+            let finished = self.finish_change(call, old.as_ref(), &next).await?;
+            if let Some(outcome) = finished {
+                return Ok(outcome);
+            }
+            if self.voters().epoch > next.epoch {
+                return Err(Report::new(QuorumError::OtherChange));
+            }
+            self.back_off(call).await?;
+        }
+    }
+
+    /// Tries once to bring a decided set into force; `None` when voters were missing.
+    async fn finish_change(
+        &self,
+        call: &mut CallProgress,
+        old: Option<&VoterSet>,
+        next: &VoterSet,
+    ) -> Result<Option<ChangeOutcome>> {
+        if self.timer.now() >= call.deadline() {
+            return Err(call.timeout());
+        }
+        let Some(mut plan) = self.seal_voters(old, next).await else {
+            return Ok(None);
+        };
+        self.copy_registers(call, &mut plan).await?;
+        self.complete_voters(&mut plan).await;
+        if plan.whole.len() < next.quorum() {
+            return Ok(None);
+        }
+        {
+            let mut view = self.lock_view();
+            if view.latest.epoch <= next.epoch {
+                view.latest = next.clone();
+                view.previous = None;
+            }
+        }
+        let is_whole = |member: &VoterMember| plan.whole.contains(&member.identity);
+        let lagging: Vec<_> = next
+            .members
+            .iter()
+            .filter(|member| !is_whole(member))
+            .cloned()
+            .collect();
+        let was_voter = |member: &VoterMember| {
+            old.is_none_or(|old| old.epoch == 0 || old.contains(member.identity))
+        };
+        let added_are_whole = lagging.iter().all(was_voter);
+        Ok(added_are_whole.then(|| ChangeOutcome {
+            set: next.clone(),
+            lagging,
+        }))
+    }
+
+    /// Seals the old voters, tells the new ones, and plans who is copied from where.
+    async fn seal_voters(&self, old: Option<&VoterSet>, next: &VoterSet) -> Option<CopyPlan> {
+        let mut everyone = next.clone();
+        if let Some(old) = old.filter(|old| old.epoch > 0) {
+            let leaving = old.members.iter().filter(|m| !next.contains(m.identity));
+            everyone.members.extend(leaving.cloned());
+        }
+        let body = RequestBody::Seal { next: next.clone() };
+        let requests = requests_to_all(&everyone, &body);
+        let mut replies = self.carrier.send_all(&everyone.members, requests);
+        let mut plan = CopyPlan::new(next.epoch);
+        while let Some((index, reply)) = replies.recv().await {
+            let member = &everyone.members[index];
+            match reply {
+                Some(VoterReply::Sealed { whole_for }) => {
+                    plan.add_sealed(member, whole_for, next);
+                }
+                Some(VoterReply::Moved { epoch }) => self.lock_view().observe(&epoch),
+                _ => {}
+            }
+        }
+        plan.choose_sources(old, next).then_some(plan)
+    }
+
+    async fn identify(&self, set: &VoterSet) -> Vec<Option<VoterReply>> {
+        let requests = requests_to_all(set, &RequestBody::Identify);
+        let mut receiver = self.carrier.send_all(&set.members, requests);
+        let mut replies = vec![None; set.members.len()];
+        while let Some((index, reply)) = receiver.recv().await {
+            replies[index] = reply;
+        }
+        replies
+    }
+
+    /// The members with the identities that they told, if all did.
+    fn identified_members(
+        &self,
+        set: &VoterSet,
+        replies: &[Option<VoterReply>],
+    ) -> Option<Vec<VoterMember>> {
+        let mut members = Vec::new();
+        for (member, reply) in set.members.iter().zip(replies) {
+            if let Some(VoterReply::Identity { identity, epoch }) = reply {
+                if epoch.latest().epoch > 0 {
+                    self.lock_view().observe(epoch);
+                }
+                let identity = *identity;
+                members.push(VoterMember {
+                    identity,
+                    ..member.clone()
+                });
+            }
+        }
+        (members.len() == set.members.len()).then_some(members)
+    }
+}
+
+fn check_set(set: &VoterSet) -> Result<()> {
+    let mut identities: Vec<_> = set.members.iter().map(|member| member.identity).collect();
+    identities.sort_unstable();
+    identities.dedup();
+    let distinct = identities.len() == set.members.len();
+    let known = !identities.contains(&VoterIdentity::UNKNOWN);
+    if distinct && known && (1..=VOTERS_MAX).contains(&identities.len()) {
+        return Ok(());
+    }
+    Err(Report::new(QuorumError::BadVoterSet))
+}
--- /dev/null
+++ b/crates/quorum/src/error.rs
@@ -0,0 +1,56 @@
+//! Errors of proposals and voters.
+
+use std::fmt;
+
+use error_stack::Report;
+use fulmarweir_base::RunVerdict;
+
+/// Result of this crate's fallible functions.
+pub type Result<T> = std::result::Result<T, Report<QuorumError>>;
+
+/// Why a call on the registers failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuorumError {
+    /// The voter's log could not be opened or read.
+    Log,
+    /// No voters are known.
+    NoVoters,
+    /// The proposed voter set is empty, too large or names an unknown identity.
+    BadVoterSet,
+    /// Another change of voters was decided first; it is finished, this one has no effect.
+    OtherChange,
+    /// No quorum answered in time.
+    Timeout {
+        /// Whether the change may have been made, or may still be made.
+        verdict: RunVerdict,
+    },
+}
+
+impl QuorumError {
+    /// Whether the change that the call stood for was made.
+    #[must_use]
+    pub const fn verdict(self) -> RunVerdict {
+        match self {
+            Self::Log | Self::NoVoters | Self::BadVoterSet | Self::OtherChange => {
+                RunVerdict::NotRun
+            }
+            Self::Timeout { verdict } => verdict,
+        }
+    }
+}
+
+impl fmt::Display for QuorumError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Log => f.write_str("the voter's log is unusable"),
+            Self::NoVoters => f.write_str("no voters are known"),
+            Self::BadVoterSet => f.write_str("the voter set is not usable"),
+            Self::OtherChange => f.write_str("another change of voters came first"),
+            Self::Timeout { verdict } => {
+                write!(f, "no quorum of voters answered in time ({verdict})")
+            }
+        }
+    }
+}
+
+impl std::error::Error for QuorumError {}
--- /dev/null
+++ b/crates/quorum/src/record.rs
@@ -0,0 +1,49 @@
+//! Durable records of a voter.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ballot::Ballot, key::RegisterKey, member::EpochState, message::RegisterCopy};
+
+/// A step of a voter that must be durable before it is answered.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum VoterRecord {
+    /// The voter sets changed.
+    Epoch(EpochState),
+    /// Absent registers behave as if they had promised this ballot.
+    Floor {
+        /// Shard of the registers.
+        shard: u32,
+        /// The ballot.
+        floor: Ballot,
+    },
+    /// A ballot was promised.
+    Promise {
+        /// The register.
+        key: RegisterKey,
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// A register was replaced.
+    Register(RegisterCopy),
+    /// A register was removed.
+    Remove {
+        /// The register.
+        key: RegisterKey,
+        /// Floor of its shard from then on.
+        floor: Ballot,
+    },
+}
+
+impl VoterRecord {
+    /// The record as bytes for the log.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard())
+            .expect("encoding a record into memory does not fail")
+    }
+
+    /// The record from bytes of the log; `None` if they are not one.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
+        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+        decoded.ok().map(|(record, _)| record)
+    }
+}
