--- a/crates/quorum/src/service.rs
+++ b/crates/quorum/src/service.rs
@@ -23,7 +23,7 @@
 };
 
 /// How long registers of finished acts are kept by default, in seconds.
-pub const ACT_RETENTION_SECS: u64 = 24 * 3600;
+pub const ACT_RETENTION_SECS: u64 = 24 * 60 * 60;
 
 /// A log is compacted once it exceeds this size and twice its last compaction.
 const COMPACT_MIN_BYTES: u64 = 8 << 20;
