--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, RunVerdict, ServiceName, lock};
+use fulmarweir_base::{MonoTime, RunVerdict, lock};
 use fulmarweir_conf::ServicePlan;
 use fulmarweir_fleet::MemberStatus;
 use fulmarweir_quorum::{
@@ -282,8 +282,3 @@
     }
 }
 
-/// Names the service for logs and labels.
-#[must_use]
-pub(crate) fn service_of(request: &ActRequest) -> &ServiceName {
-    &request.plan.name
-}
--- a/crates/daemon/src/announce_api.rs
+++ b/crates/daemon/src/announce_api.rs
@@ -4,18 +4,21 @@
 
 use axum::{
     Json, Router,
+    body::Bytes,
     extract::{DefaultBodyLimit, State},
     http::StatusCode,
     response::{IntoResponse, Response},
     routing::post,
 };
 use fulmarweir_base::TargetRecord;
+use fulmarweir_fleet::{AnnounceReply, TargetRefusal};
 use serde_json::json;
 
 use crate::{
-    caller_error::CallerError,
+    caller_error::{CallerError, Result},
+    fleet_driver::take_announcement,
+    metrics::OutcomeLabel,
     node::NodeState,
-    registry::{LEASE_MS, NEXT_MS},
 };
 
 /// Largest announcement in bytes.
@@ -29,14 +32,40 @@
         .with_state(node)
 }
 
-async fn handle_announcement(
-    State(node): State<Arc<NodeState>>,
-    Json(record): Json<TargetRecord>,
-) -> Response {
-    if node.registry.announce(record, node.timer.now()) {
-        let at = node.settings.listen.targets.to_string();
-        return Json(json!({"lease_ms": LEASE_MS, "next_ms": NEXT_MS, "at": at})).into_response();
+async fn handle_announcement(State(node): State<Arc<NodeState>>, body: Bytes) -> Response {
+    let result = announce(&node, &body);
+    let outcome = match &result {
+        Ok(_) => "accepted",
+        Err(error) => error.reason,
+    };
+    let label = OutcomeLabel { outcome };
+    node.metrics.announcements.get_or_create(&label).inc();
+    match result {
+        Ok(reply) => {
+            let body = json!({
+                "lease_ms": reply.lease_ms,
+                "next_ms": reply.next_ms,
+                "at": reply.at.to_string(),
+            });
+            Json(body).into_response()
+        }
+        Err(error) => error.into_response(),
     }
-    let status = StatusCode::CONFLICT;
-    CallerError::refused(status, "old-incarnation", "a newer incarnation is known").into_response()
+}
+
+fn announce(node: &Arc<NodeState>, body: &[u8]) -> Result<AnnounceReply> {
+    let record: TargetRecord = serde_json::from_slice(body)
+        .map_err(|error| CallerError::bad_request(format!("announcement: {error}")))?;
+    take_announcement(node, record).map_err(|refusal| refusal_error(&refusal))
+}
+
+fn refusal_error(refusal: &TargetRefusal) -> CallerError {
+    let (status, reason) = match refusal {
+        TargetRefusal::StaleIncarnation(_) => (StatusCode::CONFLICT, "stale-incarnation"),
+        TargetRefusal::TooManyHoldings(_) => (StatusCode::BAD_REQUEST, "too-many-holdings"),
+        TargetRefusal::ShardOutOfRange { .. } => (StatusCode::BAD_REQUEST, "shard-out-of-range"),
+        TargetRefusal::NoCapacity => (StatusCode::BAD_REQUEST, "no-capacity"),
+        TargetRefusal::NotTakingPart => (StatusCode::SERVICE_UNAVAILABLE, "not-taking-part"),
+    };
+    CallerError::refused(status, reason, refusal.to_string())
 }
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -1,35 +1,33 @@
 //! The callers' interface: searches and acts.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use axum::{
-    Json, Router,
-    body::Bytes,
+    Router,
+    body::{Body, Bytes},
     extract::{DefaultBodyLimit, Path, Query, State},
-    http::{HeaderMap, HeaderValue, StatusCode},
+    http::{HeaderMap, HeaderValue, StatusCode, header},
     response::{IntoResponse, Response},
     routing::post,
 };
-use fulmarweir_base::ServiceName;
-use fulmarweir_conf::ServicePlan;
-use serde::Deserialize;
-use serde_json::json;
+use fulmarweir_base::RunVerdict;
+use fulmarweir_conf::ServiceKind;
+use fulmarweir_route::{ActAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, write_hits};
+use serde::Serialize;
 
 use crate::{
+    act::{ActEnd, ActRequest, run_act},
     caller_error::{CallerError, Result},
+    caller_request::{AskQuery, CallerRequest},
     node::NodeState,
-    search::{SearchAnswer, run_search},
+    search::run_search,
 };
 
-#[derive(Deserialize)]
-pub(crate) struct AskQuery {
-    pub(crate) limit: Option<usize>,
-}
-
 /// Routes of the callers' listener.
 pub(crate) fn caller_router(node: Arc<NodeState>) -> Router {
     Router::new()
         .route("/v1/search/{*service}", post(handle_search))
+        .route("/v1/act/{*service}", post(handle_act))
         .layer(DefaultBodyLimit::max(node.settings.body_max_bytes))
         .with_state(node)
 }
@@ -37,79 +35,160 @@
 async fn handle_search(
     State(node): State<Arc<NodeState>>,
     Path(service): Path<String>,
-    Query(ask): Query<AskQuery>,
+    Query(query): Query<AskQuery>,
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    match search_service(&node, &service, &ask, &headers, body).await {
-        Ok(answer) => answer_response(&answer),
-        Err(error) => {
-            node.metrics.count_refusal(error.reason);
-            error.into_response()
-        }
-    }
+    let result = search_service(&node, &service, query, &headers, body).await;
+    respond(&node, result.map(|answer| answer_response(&answer)))
+}
+
+async fn handle_act(
+    State(node): State<Arc<NodeState>>,
+    Path(service): Path<String>,
+    Query(query): Query<AskQuery>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let result = act_service(&node, &service, query, &headers, body).await;
+    respond(&node, result)
+}
+
+fn respond(node: &NodeState, result: Result<Response>) -> Response {
+    result.unwrap_or_else(|error| {
+        node.metrics.count_refusal(error.reason);
+        error.into_response()
+    })
 }
 
 async fn search_service(
     node: &NodeState,
     service: &str,
-    ask: &AskQuery,
+    query: AskQuery,
     headers: &HeaderMap,
     body: Bytes,
 ) -> Result<SearchAnswer> {
-    let plan = find_plan(node, service)?;
-    let patience = caller_patience(headers, &plan)?;
-    let deadline = node.timer.now() + patience;
-    let Some(mut answer) = run_search(node, &plan, body, deadline).await else {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(CallerError::refused(
-            status,
-            "no-target",
-            "no target of the service is in use",
-        ));
+    let request = CallerRequest::read(node, service, query, headers, ServiceKind::Search)?;
+    let ask = SearchAsk {
+        key: request.key.clone(),
+        min_version: request.min_version,
+        deadline: request.deadline,
+        limit: request.limit,
+        nested: request.nested,
+        repeated: false,
+        arrived: None,
     };
-    answer.hits.truncate(ask.limit.unwrap_or(usize::MAX));
-    Ok(answer)
+    let plan = Arc::clone(&request.plan);
+    let run = request.into_run(node, body);
+    let answer = run_search(node, plan, ask, run).await;
+    answer.map_err(|refusal| refusal_error(&refusal))
 }
 
-fn find_plan(node: &NodeState, service: &str) -> Result<Arc<ServicePlan>> {
-    let name: ServiceName = service
-        .parse()
-        .map_err(|error| CallerError::bad_request(format!("{error}")))?;
-    let status = StatusCode::NOT_FOUND;
-    node.config.plan(&name).ok_or_else(|| {
-        CallerError::refused(status, "unknown-service", format!("no service {name}"))
-    })
+async fn act_service(
+    node: &Arc<NodeState>,
+    service: &str,
+    query: AskQuery,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<Response> {
+    let request = CallerRequest::read(node, service, query, headers, ServiceKind::Act)?;
+    let Some(key) = request.key.clone() else {
+        return Err(CallerError::bad_request("an act needs ?key=K"));
+    };
+    let act = ActRequest {
+        plan: Arc::clone(&request.plan),
+        ask: ActAsk {
+            key,
+            deadline: request.deadline,
+            repeated: false,
+            arrived: None,
+        },
+        idempotency_key: request.idempotency_key.clone(),
+        run: request.into_run(node, body),
+    };
+    // The act goes on when its caller leaves, so that its outcome is recorded.
+    let work = node.tasks.spawn(run_act(Arc::clone(node), act));
+    let end = work.await.unwrap_or(ActEnd::Refused(RouteRefusal {
+        reason: RefusalReason::Undecided,
+        verdict: RunVerdict::MayHaveRun,
+        retry_after: None,
+    }));
+    act_response(end)
+}
+
+fn act_response(end: ActEnd) -> Result<Response> {
+    match end {
+        ActEnd::Ran { reply, replayed } => {
+            let mut response = json_response(reply.body);
+            let headers = response.headers_mut();
+            headers.insert("fulmarweir-run", HeaderValue::from_static("ran"));
+            if replayed {
+                headers.insert("fulmarweir-replayed", HeaderValue::from_static("true"));
+            } else {
+                headers.insert("fulmarweir-version", HeaderValue::from(reply.version));
+            }
+            Ok(response)
+        }
+        ActEnd::Refused(refusal) => Err(refusal_error(&refusal)),
+        ActEnd::OtherBody => Err(CallerError::refused(
+            StatusCode::CONFLICT,
+            "other-body",
+            "the idempotency key was used with another key or body",
+        )),
+        ActEnd::NoClaim => Err(CallerError::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-claim",
+            "no majority of voters took the claim; nothing was sent to a target",
+        )),
+    }
 }
 
-fn caller_patience(headers: &HeaderMap, plan: &ServicePlan) -> Result<Duration> {
-    let Some(value) = headers.get("fulmarweir-deadline-ms") else {
-        return Ok(plan.deadline);
+fn refusal_error(refusal: &RouteRefusal) -> CallerError {
+    let status = match refusal.reason {
+        RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::Deadline | RefusalReason::Undecided => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
     };
-    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-    let millis = millis.ok_or_else(|| {
-        CallerError::bad_request("fulmarweir-deadline-ms: expected whole milliseconds")
-    })?;
-    Ok(plan.deadline.min(Duration::from_millis(millis)))
+    CallerError {
+        status,
+        reason: refusal.reason.as_str(),
+        verdict: refusal.verdict,
+        message: refusal.to_string(),
+        retry_after: refusal.retry_after,
+    }
+}
+
+#[derive(Serialize)]
+struct CoverageBody<'a> {
+    shards: u32,
+    answered: u32,
+    missing: &'a [u32],
 }
 
 fn answer_response(answer: &SearchAnswer) -> Response {
-    let answered = answer.shards - u32::try_from(answer.missing.len()).unwrap_or_default();
-    let body = json!({
-        "version": answer.version,
-        "coverage": {
-            "shards": answer.shards,
-            "answered": answered,
-            "missing": answer.missing,
-        },
-        "hits": answer.hits,
-    });
-    let mut response = Json(body).into_response();
+    let coverage = CoverageBody {
+        shards: answer.shards,
+        answered: answer.answered,
+        missing: &answer.missing,
+    };
+    // A struct of numbers always serializes.
+    let coverage = serde_json::to_string(&coverage).unwrap_or_default();
+    let version = answer.version;
+    let head = format!("{{\"version\":{version},\"coverage\":{coverage},\"hits\":");
+    let mut body = head.into_bytes();
+    write_hits(&answer.hits, &mut body);
+    body.push(b'}');
+    let mut response = json_response(body.into());
     let headers = response.headers_mut();
-    let coverage = format!("{answered}/{}", answer.shards);
-    if let Ok(coverage) = HeaderValue::from_str(&coverage) {
-        headers.insert("fulmarweir-coverage", coverage);
+    let ratio = format!("{}/{}", answer.answered, answer.shards);
+    if let Ok(ratio) = HeaderValue::from_str(&ratio) {
+        headers.insert("fulmarweir-coverage", ratio);
     }
-    headers.insert("fulmarweir-version", HeaderValue::from(answer.version));
+    headers.insert("fulmarweir-version", HeaderValue::from(version));
     response
 }
+
+fn json_response(body: Bytes) -> Response {
+    let content_type = HeaderValue::from_static("application/json");
+    ([(header::CONTENT_TYPE, content_type)], Body::from(body)).into_response()
+}
--- /dev/null
+++ b/crates/daemon/src/caller_request.rs
@@ -0,0 +1,142 @@
+//! What a caller asks, read from path, query and headers.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::http::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use fulmarweir_base::{MonoTime, ServiceName};
+use fulmarweir_conf::{ServiceKind, ServicePlan};
+use fulmarweir_pool::RequestKind;
+use serde::Deserialize;
+
+use crate::{
+    caller_error::{CallerError, Result},
+    carrier::RunRequest,
+    node::NodeState,
+};
+
+/// Longest key, idempotency key or request id in bytes.
+const TOKEN_MAX_BYTES: usize = 256;
+
+/// The query part of the address.
+#[derive(Debug, Deserialize)]
+pub(crate) struct AskQuery {
+    key: Option<String>,
+    limit: Option<usize>,
+}
+
+/// A checked request of a caller.
+pub(crate) struct CallerRequest {
+    pub(crate) plan: Arc<ServicePlan>,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) limit: Option<usize>,
+    pub(crate) min_version: u64,
+    pub(crate) deadline: Option<MonoTime>,
+    pub(crate) idempotency_key: Option<Arc<str>>,
+    /// Whether a target sent it while it served a request itself.
+    pub(crate) nested: bool,
+    request_id: Option<Arc<str>>,
+}
+
+impl CallerRequest {
+    /// Reads and checks a request for a service of `kind`.
+    pub(crate) fn read(
+        node: &NodeState,
+        service: &str,
+        query: AskQuery,
+        headers: &HeaderMap,
+        kind: ServiceKind,
+    ) -> Result<Self> {
+        let plan = find_plan(node, service)?;
+        if plan.kind != kind {
+            let message = format!("{} is not a service of this kind", plan.name);
+            let status = StatusCode::BAD_REQUEST;
+            return Err(CallerError::refused(status, "wrong-kind", message));
+        }
+        let patience = number_header(headers, "fulmarweir-deadline-ms")?;
+        let now = node.timer.now();
+        Ok(Self {
+            nested: check_dependency(node, &plan, headers)?,
+            key: query.key.map(|key| check_token("key", &key)).transpose()?,
+            limit: query.limit,
+            min_version: number_header(headers, "fulmarweir-min-version")?.unwrap_or_default(),
+            deadline: patience.map(|millis| now + Duration::from_millis(millis)),
+            idempotency_key: token_header(headers, "idempotency-key")?,
+            request_id: token_header(headers, "fulmarweir-request")?,
+            plan,
+        })
+    }
+
+    /// What the attempts of this request have in common.
+    pub(crate) fn into_run(self, node: &NodeState, body: Bytes) -> RunRequest {
+        let kind = match self.plan.kind {
+            ServiceKind::Search => RequestKind::Search,
+            ServiceKind::Act => RequestKind::Act,
+        };
+        RunRequest {
+            service: self.plan.name.clone(),
+            kind,
+            request: self.request_id.unwrap_or_else(|| node.new_request_id()),
+            key: self.key,
+            body,
+        }
+    }
+}
+
+fn find_plan(node: &NodeState, service: &str) -> Result<Arc<ServicePlan>> {
+    let name: ServiceName = service
+        .parse()
+        .map_err(|error| CallerError::bad_request(format!("{error}")))?;
+    let status = StatusCode::NOT_FOUND;
+    node.config.plan(&name).ok_or_else(|| {
+        CallerError::refused(status, "unknown-service", format!("no service {name}"))
+    })
+}
+
+/// Whether the request is nested; refused when the calling service does not declare it.
+fn check_dependency(node: &NodeState, plan: &ServicePlan, headers: &HeaderMap) -> Result<bool> {
+    let Some(from) = token_header(headers, "fulmarweir-from")? else {
+        return Ok(false);
+    };
+    let from: ServiceName = from
+        .parse()
+        .map_err(|error| CallerError::bad_request(format!("fulmarweir-from: {error}")))?;
+    let declared = node
+        .config
+        .plan(&from)
+        .is_some_and(|caller| caller.depends.contains(&plan.name));
+    if declared {
+        return Ok(true);
+    }
+    let message = format!("{from} does not declare that it depends on {}", plan.name);
+    let status = StatusCode::FORBIDDEN;
+    Err(CallerError::refused(status, "not-declared", message))
+}
+
+fn number_header(headers: &HeaderMap, name: &'static str) -> Result<Option<u64>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    let fault = || CallerError::bad_request(format!("{name}: expected a whole number"));
+    number.map(Some).ok_or_else(fault)
+}
+
+fn token_header(headers: &HeaderMap, name: &'static str) -> Result<Option<Arc<str>>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    check_token(name, text).map(Some)
+}
+
+/// Keys and ids travel in headers, so they must be visible ASCII.
+fn check_token(name: &'static str, text: &str) -> Result<Arc<str>> {
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if visible && (1..=TOKEN_MAX_BYTES).contains(&text.len()) {
+        return Ok(text.into());
+    }
+    Err(CallerError::bad_request(format!(
+        "{name}: expected 1 to {TOKEN_MAX_BYTES} visible ASCII characters"
+    )))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,21 +2,31 @@
 //! daemons. Decisions are made by the `route`, `fleet` and `quorum` crates; the
 //! code here performs them.
 
+mod act;
+mod admission;
 mod announce_api;
 mod caller_api;
 mod caller_error;
+mod caller_request;
+mod carrier;
+mod config_change;
+mod config_disk;
 mod config_keeper;
 mod dispatch;
 mod error;
+mod fleet_driver;
 mod lifecycle;
 mod listener;
 mod logging;
 mod metrics;
 mod node;
 mod operator_api;
-mod registry;
+mod peer_api;
+mod peer_message;
 mod run;
 mod search;
+mod status;
+mod views;
 
 pub use error::{DaemonError, Result};
 pub use run::run;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,62 +1,239 @@
 //! What lives as long as the process and is shared by all its parts.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering::Relaxed},
+use std::{
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use error_stack::ResultExt;
 use fulmarweir_base::TimerService;
-use fulmarweir_conf::{ConfigVersion, VmSettings};
+use fulmarweir_conf::{PolicySettings as PolicySwitches, VmSettings};
+use fulmarweir_fleet::{ConfigStamp, FleetSettings, FleetState, VmIdentity};
 use fulmarweir_pool::LinkTable;
+use fulmarweir_quorum::{
+    ClientSettings, QuorumClient, VoterService, VoterSet, VoterSettings, VoterTransport,
+};
+use fulmarweir_route::{PolicySettings, ReplicaPolicy, RetryPolicy};
+use fulmarweir_wire::{PeerClient, TrafficClass, TrafficMeter};
+use futures::FutureExt;
 use slog::Logger;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    config_keeper::ConfigKeeper, lifecycle::LifeCycle, metrics::MetricSet, registry::TargetRegistry,
+    admission::DeskTable,
+    config_disk::ConfigDisk,
+    config_keeper::ConfigKeeper,
+    error::{DaemonError, Result},
+    lifecycle::LifeCycle,
+    metrics::MetricSet,
+    peer_message::{PeerReply, PeerRequest},
+    views::ViewTable,
 };
 
+const VOTER_FOLDER: &str = "voter";
+/// Time that a voter gets for its answer on the network, in milliseconds.
+const VOTER_TIMEOUT_MS: u64 = 1000;
+
+/// Calls to other daemons.
+pub(crate) type DaemonPeers = PeerClient<PeerRequest, PeerReply>;
+
 /// The shared state of one daemon.
 pub(crate) struct NodeState {
     pub(crate) settings: VmSettings,
+    /// Number of this start of the process; a later start has a higher one.
     pub(crate) incarnation: u64,
     pub(crate) log: Logger,
     pub(crate) timer: TimerService,
     pub(crate) metrics: MetricSet,
+    pub(crate) meter: Arc<TrafficMeter>,
     pub(crate) life: LifeCycle,
     pub(crate) config: ConfigKeeper,
-    pub(crate) registry: TargetRegistry,
+    pub(crate) disk: ConfigDisk,
+    pub(crate) fleet: Mutex<FleetState>,
+    pub(crate) views: ViewTable,
+    pub(crate) sync_turn: Mutex<()>,
     pub(crate) links: LinkTable,
+    pub(crate) desks: DeskTable,
+    pub(crate) peers: DaemonPeers,
+    pub(crate) quorum: QuorumClient,
+    /// The voter of this VM, if it has a data folder.
+    pub(crate) voter: Option<Arc<VoterService>>,
     /// Work that outlives its request, such as acts whose caller has left.
     pub(crate) tasks: TaskTracker,
     /// Ends everything at once.
     pub(crate) halt: CancellationToken,
-    next_request: AtomicU64,
+    next_number: AtomicU64,
 }
 
 impl NodeState {
-    pub(crate) fn new(settings: VmSettings, log: Logger, timer: TimerService) -> Arc<Self> {
-        let links = LinkTable::new(timer.clone());
-        Arc::new(Self {
-            settings,
-            incarnation: rand::random(),
-            log,
-            timer,
+    pub(crate) fn new(settings: VmSettings, log: Logger, timer: TimerService) -> Result<Arc<Self>> {
+        let incarnation = new_incarnation();
+        let folder = settings.data_folder.as_deref();
+        let (disk, version) = ConfigDisk::open(folder, incarnation, log.clone())?;
+        let first_set = first_voters(&settings);
+        let voter = open_voter(folder, &settings, &first_set, &timer, &log)?;
+        let meter = Arc::new(TrafficMeter::default());
+        let peers = PeerClient::new(Arc::clone(&meter));
+        let transport = voter_transport(peers.clone(), voter.clone(), &settings);
+        let quorum = QuorumClient::new(ClientSettings::new(first_set), transport, timer.clone());
+        let stamp = ConfigStamp::of(version.version, &version.text);
+        let fleet = FleetState::new(
+            identity(&settings, incarnation),
+            fleet_settings(&settings),
+            stamp,
+            rand::random(),
+            timer.now(),
+        );
+        Ok(Arc::new(Self {
+            incarnation,
             metrics: MetricSet::new(),
+            meter,
             life: LifeCycle::new(),
-            config: ConfigKeeper::new(ConfigVersion::empty()),
-            registry: TargetRegistry::default(),
-            links,
+            config: ConfigKeeper::new(version),
+            disk,
+            fleet: Mutex::new(fleet),
+            views: ViewTable::default(),
+            sync_turn: Mutex::default(),
+            links: LinkTable::new(timer.clone()),
+            desks: DeskTable::new(route_policy(&settings.policy)),
+            peers,
+            quorum,
+            voter,
             tasks: TaskTracker::new(),
             halt: CancellationToken::new(),
-            next_request: AtomicU64::new(0),
-        })
+            next_number: AtomicU64::new(0),
+            settings,
+            log,
+            timer,
+        }))
+    }
+
+    /// A number that is unique within this incarnation.
+    pub(crate) fn new_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Relaxed)
     }
 
     /// A request id that no other VM or incarnation gives.
     pub(crate) fn new_request_id(&self) -> Arc<str> {
-        let number = self.next_request.fetch_add(1, Relaxed);
+        self.unique_id("r")
+    }
+
+    /// An attempt id that no other VM or incarnation gives.
+    pub(crate) fn new_attempt_id(&self) -> Arc<str> {
+        self.unique_id("a")
+    }
+
+    fn unique_id(&self, prefix: &str) -> Arc<str> {
+        let number = self.new_number();
         let vm = &self.settings.name;
         let incarnation = self.incarnation;
-        format!("{vm}-{incarnation:x}-{number:x}").into()
+        format!("{prefix}-{vm}-{incarnation:x}-{number:x}").into()
+    }
+}
+
+/// The wall clock only makes later starts higher; no decision waits on it.
+fn new_incarnation() -> u64 {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(now.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn identity(settings: &VmSettings, incarnation: u64) -> VmIdentity {
+    VmIdentity {
+        name: settings.name.clone(),
+        centre: settings.centre.clone(),
+        region: settings.region.clone(),
+        boot: incarnation,
+        peers: settings.peer_address(),
+        targets: settings.listen.targets,
+    }
+}
+
+fn fleet_settings(settings: &VmSettings) -> FleetSettings {
+    let own = settings.peer_address();
+    let seeds = settings.peers.seeds.iter().copied();
+    let mut fleet = FleetSettings {
+        seeds: seeds.filter(|seed| *seed != own).collect(),
+        ..FleetSettings::default()
+    };
+    if let Some(most) = settings.policy.brokers_max {
+        fleet.brokers_max = most;
+    }
+    fleet
+}
+
+fn route_policy(switches: &PolicySwitches) -> PolicySettings {
+    let mut policy = PolicySettings {
+        hedge: switches.hedge,
+        ..PolicySettings::default()
+    };
+    if switches.naive_retry {
+        policy.retry = RetryPolicy::Naive;
     }
+    if switches.random_replica {
+        policy.replica = ReplicaPolicy::Random;
+    }
+    policy
+}
+
+/// The voters of the settings. A VM with a disk and no voters named is its own voter.
+fn first_voters(settings: &VmSettings) -> VoterSet {
+    let listed = settings.peers.voters.iter();
+    let listed: Vec<_> = listed
+        .map(|voter| (voter.name.clone(), voter.address))
+        .collect();
+    if !listed.is_empty() || settings.data_folder.is_none() {
+        return VoterSet::from_settings(listed);
+    }
+    VoterSet::from_settings([(settings.name.clone(), settings.peer_address())])
+}
+
+fn open_voter(
+    folder: Option<&Path>,
+    settings: &VmSettings,
+    first_set: &VoterSet,
+    timer: &TimerService,
+    log: &Logger,
+) -> Result<Option<Arc<VoterService>>> {
+    let Some(folder) = folder else {
+        return Ok(None);
+    };
+    let folder = folder.join(VOTER_FOLDER);
+    let voter = VoterSettings::new(settings.name.clone(), &folder, first_set.clone());
+    let voter = VoterService::open(voter, timer.clone(), log.clone())
+        .change_context(DaemonError::Storage)?;
+    Ok(Some(voter))
+}
+
+/// Carries a request to a voter: over the network, or within this process.
+fn voter_transport(
+    peers: DaemonPeers,
+    voter: Option<Arc<VoterService>>,
+    settings: &VmSettings,
+) -> VoterTransport {
+    let own = settings.peer_address();
+    Arc::new(move |member, request| {
+        let peers = peers.clone();
+        let voter = voter.clone().filter(|_| member.address == own);
+        async move {
+            if let Some(voter) = voter {
+                return Some(voter.handle(request).await);
+            }
+            let call = PeerRequest::Voter(Box::new(request));
+            let patience = Duration::from_millis(VOTER_TIMEOUT_MS);
+            let reply = peers
+                .call(member.address, TrafficClass::Control, &call, patience)
+                .await;
+            match reply {
+                Ok(PeerReply::Voter(reply)) => reply.map(|reply| *reply),
+                _ => None,
+            }
+        }
+        .boxed()
+    })
 }
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -4,31 +4,65 @@
 
 use axum::{
     Json, Router,
-    extract::{DefaultBodyLimit, State},
+    extract::{DefaultBodyLimit, Request, State},
     http::{HeaderMap, HeaderValue, StatusCode, header},
+    middleware::{self, Next},
     response::{IntoResponse, Response},
     routing::get,
 };
-use fulmarweir_conf::{ConfigVersion, TEXT_MAX_BYTES};
+use fulmarweir_conf::TEXT_MAX_BYTES;
 use serde_json::json;
 
 use crate::{
     caller_error::{CallerError, Result},
+    config_change::{ChangeEnd, ChangeRequest, read_changes, submit_change},
     lifecycle::LifePhase,
     node::NodeState,
+    status::{status_report, target_report, update_gauges},
 };
 
+/// Longest change id in bytes.
+const CHANGE_ID_MAX_BYTES: usize = 128;
+
 /// Routes of the operators' listener.
 pub(crate) fn operator_router(node: Arc<NodeState>) -> Router {
+    let guarded = Router::new()
+        .route("/v1/config", get(show_config).put(handle_change))
+        .route("/v1/config/history", get(show_history))
+        .route("/v1/status", get(show_status))
+        .route("/v1/targets", get(show_targets))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&node),
+            check_token,
+        ));
     Router::new()
-        .route("/v1/config", get(show_config).put(submit_config))
+        .merge(guarded)
         .route("/metrics", get(show_metrics))
         .route("/healthz", get(async || "ok\n"))
         .route("/readyz", get(show_readiness))
-        .layer(DefaultBodyLimit::max(TEXT_MAX_BYTES))
+        .layer(DefaultBodyLimit::max(TEXT_MAX_BYTES + 1))
         .with_state(node)
 }
 
+async fn check_token(State(node): State<Arc<NodeState>>, request: Request, next: Next) -> Response {
+    let Some(token) = &node.settings.operator_token else {
+        return next.run(request).await;
+    };
+    let given = request.headers().get(header::AUTHORIZATION);
+    let expected = format!("Bearer {token}");
+    if given.is_some_and(|given| constant_time_eq(given.as_bytes(), expected.as_bytes())) {
+        return next.run(request).await;
+    }
+    let status = StatusCode::UNAUTHORIZED;
+    CallerError::refused(status, "no-token", "expected the operators' bearer token").into_response()
+}
+
+/// Compares without telling by the time taken how much was right.
+fn constant_time_eq(a: &[u8], b: &[u8]) -> bool {
+    let differing = a.iter().zip(b).fold(0, |sum, (x, y)| sum | (x ^ y));
+    a.len() == b.len() && differing == 0
+}
+
 async fn show_config(State(node): State<Arc<NodeState>>) -> Response {
     let current = node.config.current();
     let mut response = current.text.to_string().into_response();
@@ -39,49 +73,77 @@
     response
 }
 
-async fn submit_config(
+async fn handle_change(
     State(node): State<Arc<NodeState>>,
     headers: HeaderMap,
     text: String,
 ) -> Response {
-    match apply_change(&node, &headers, &text) {
-        Ok(response) => response,
-        Err(error) => error.into_response(),
+    let request = match read_change(&headers, text) {
+        Ok(request) => request,
+        Err(error) => return error.into_response(),
+    };
+    match submit_change(&node, request).await {
+        ChangeEnd::Accepted { version } => Json(json!({"version": version})).into_response(),
+        ChangeEnd::Conflict { current } => {
+            let body = Json(json!({"version": current}));
+            (StatusCode::CONFLICT, body).into_response()
+        }
+        ChangeEnd::Faulty(faults) => {
+            let body = Json(json!({"faults": faults.faults(), "omitted": faults.omitted()}));
+            (StatusCode::UNPROCESSABLE_ENTITY, body).into_response()
+        }
+        ChangeEnd::NoQuorum(verdict) => {
+            let mut error = CallerError::refused(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no-quorum",
+                "no majority of voters answered in time; resend with the same change id",
+            );
+            error.verdict = verdict;
+            error.into_response()
+        }
     }
 }
 
-fn apply_change(node: &NodeState, headers: &HeaderMap, text: &str) -> Result<Response> {
-    let at = expected_version(headers)?;
-    let current = node.config.current().version;
-    if at != current {
-        let body = Json(json!({"version": current}));
-        return Ok((StatusCode::CONFLICT, body).into_response());
-    }
-    match ConfigVersion::compile(at + 1, text) {
-        Ok(version) => {
-            node.config.apply(version);
-            Ok(Json(json!({"version": at + 1})).into_response())
-        }
-        Err(faults) => {
-            let body = Json(json!({"faults": faults.faults()}));
-            Ok((StatusCode::UNPROCESSABLE_ENTITY, body).into_response())
-        }
+fn read_change(headers: &HeaderMap, text: String) -> Result<ChangeRequest> {
+    let at_version = headers
+        .get(header::IF_MATCH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim_matches('"').parse().ok())
+        .ok_or_else(|| CallerError::bad_request("if-match: expected \"VERSION\""))?;
+    let change_id = headers
+        .get("change-id")
+        .and_then(|value| value.to_str().ok())
+        .filter(|id| (1..=CHANGE_ID_MAX_BYTES).contains(&id.len()))
+        .ok_or_else(|| CallerError::bad_request("change-id: expected 1 to 128 characters"))?;
+    Ok(ChangeRequest {
+        at_version,
+        change_id: change_id.into(),
+        text: text.into(),
+    })
+}
+
+async fn show_history(State(node): State<Arc<NodeState>>) -> Response {
+    match read_changes(&node).await {
+        Some(changes) => Json(json!({"changes": changes})).into_response(),
+        None => CallerError::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-quorum",
+            "no majority of voters answered in time",
+        )
+        .into_response(),
     }
 }
 
-fn expected_version(headers: &HeaderMap) -> Result<u64> {
-    let text = headers.get(header::IF_MATCH).and_then(|v| v.to_str().ok());
-    text.and_then(|text| text.trim_matches('"').parse().ok())
-        .ok_or_else(|| CallerError::bad_request("if-match: expected \"VERSION\""))
+async fn show_status(State(node): State<Arc<NodeState>>) -> Response {
+    Json(status_report(&node).await).into_response()
+}
+
+async fn show_targets(State(node): State<Arc<NodeState>>) -> Response {
+    Json(target_report(&node)).into_response()
 }
 
 async fn show_metrics(State(node): State<Arc<NodeState>>) -> String {
-    node.metrics
-        .config_version
-        .set(node.config.current().version);
-    node.metrics
-        .connections
-        .set(u64::from(node.links.usage().connections));
+    update_gauges(&node);
     node.metrics.render()
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,8 +5,10 @@
 use error_stack::ResultExt;
 use fulmarweir_base::TimerService;
 use fulmarweir_conf::VmSettings;
+use fulmarweir_wire::PeerServer;
 use slog::{info, warn};
 use tokio::{
+    net::TcpListener,
     signal::unix::{SignalKind, signal},
     task::JoinHandle,
     time::{sleep, timeout},
@@ -14,14 +16,18 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admission::run_desks,
     announce_api::announce_router,
     caller_api::caller_router,
+    config_change::run_config_reads,
     error::{DaemonError, Result},
+    fleet_driver::{leave_fleet, run_fleet},
     lifecycle::LifeEvent,
     listener::{bind, serve_http},
     logging::build_logger,
     node::NodeState,
     operator_api::operator_router,
+    peer_api::answer_peer,
 };
 
 const EXIT_SECOND_SIGNAL: i32 = 130;
@@ -39,39 +45,58 @@
     runtime.block_on(run_node(settings))
 }
 
-struct Listeners {
+/// What runs until the listeners have finished, and what runs longer.
+struct RunningParts {
+    /// Ends the listeners of callers, targets and peers.
     stop: CancellationToken,
-    tasks: Vec<JoinHandle<()>>,
+    listeners: Vec<JoinHandle<()>>,
+    loops: Vec<JoinHandle<()>>,
 }
 
 async fn run_node(mut settings: VmSettings) -> Result<()> {
     let log = build_logger(settings.log_level, settings.name.as_str());
-    let (callers, callers_address) = bind(settings.listen.callers).await?;
-    let (targets, targets_address) = bind(settings.listen.targets).await?;
-    let (operators, operators_address) = bind(settings.listen.operators).await?;
-    settings.listen.callers = callers_address;
-    settings.listen.targets = targets_address;
-    settings.listen.operators = operators_address;
+    let listen = &mut settings.listen;
+    let (callers, callers_address) = bind(listen.callers).await?;
+    let (targets, targets_address) = bind(listen.targets).await?;
+    let (operators, operators_address) = bind(listen.operators).await?;
+    let (peers, peers_address) = bind(listen.peers).await?;
+    listen.callers = callers_address;
+    listen.targets = targets_address;
+    listen.operators = operators_address;
+    listen.peers = peers_address;
     info!(log, "listening"; "callers" => %callers_address, "targets" => %targets_address,
-        "operators" => %operators_address);
+        "operators" => %operators_address, "peers" => %peers_address);
 
-    let node = NodeState::new(settings, log.clone(), TimerService::new());
+    let node = NodeState::new(settings, log, TimerService::new())?;
     let stop = CancellationToken::new();
     let serve = |listener, router| tokio::spawn(serve_http(listener, router, stop.clone()));
-    let listeners = Listeners {
-        tasks: vec![
-            serve(callers, caller_router(Arc::clone(&node))),
-            serve(targets, announce_router(Arc::clone(&node))),
-            serve(operators, operator_router(Arc::clone(&node))),
-        ],
+    let listeners = vec![
+        serve(callers, caller_router(Arc::clone(&node))),
+        serve(targets, announce_router(Arc::clone(&node))),
+        serve(operators, operator_router(Arc::clone(&node))),
+        tokio::spawn(serve_peers(Arc::clone(&node), peers, stop.clone())),
+    ];
+    let loops = vec![
+        tokio::spawn(run_fleet(Arc::clone(&node))),
+        tokio::spawn(run_desks(Arc::clone(&node))),
+        tokio::spawn(run_config_reads(Arc::clone(&node))),
+    ];
+    let parts = RunningParts {
         stop,
+        listeners,
+        loops,
     };
-    node.life.handle(&LifeEvent::ConfigHeld);
     wait_for_signal().await?;
-    shut_down(&node, listeners).await;
+    shut_down(&node, parts).await;
     Ok(())
 }
 
+async fn serve_peers(node: Arc<NodeState>, listener: TcpListener, stop: CancellationToken) {
+    let meter = Arc::clone(&node.meter);
+    let handler = move |address, request| answer_peer(&node, address, request);
+    PeerServer::new(handler, meter, stop).serve(listener).await;
+}
+
 async fn wait_for_signal() -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).change_context(DaemonError::Runtime)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(DaemonError::Runtime)?;
@@ -89,25 +114,36 @@
     Ok(())
 }
 
-async fn shut_down(node: &NodeState, listeners: Listeners) {
+/// Stops in this order: no new requests, then those in flight, then the parts that they need.
+async fn shut_down(node: &Arc<NodeState>, parts: RunningParts) {
     let limits = node.settings.shutdown;
     node.life.handle(&LifeEvent::StopAsked);
     info!(node.log, "settling"; "settle_ms" => limits.settle.as_millis());
+    // Peers send sub-queries to other brokers from here on, and targets announce elsewhere.
+    leave_fleet(node).await;
     sleep(limits.settle).await;
     node.life.handle(&LifeEvent::Settled);
-    listeners.stop.cancel();
-    let finish = async {
-        for task in listeners.tasks {
-            let _ = task.await;
-        }
-        node.tasks.close();
-        node.tasks.wait().await;
-        node.links.close().await;
-        node.timer.close().await;
-    };
+    let finish = finish_parts(node, parts);
     if timeout(limits.drain_max, finish).await.is_err() {
         warn!(node.log, "drain-cut-short"; "drain_max_ms" => limits.drain_max.as_millis());
+        node.halt.cancel();
     }
-    node.halt.cancel();
     info!(node.log, "stopped");
 }
+
+async fn finish_parts(node: &Arc<NodeState>, parts: RunningParts) {
+    parts.stop.cancel();
+    for listener in parts.listeners {
+        let _ = listener.await;
+    }
+    node.tasks.close();
+    node.tasks.wait().await;
+    node.halt.cancel();
+    for part in parts.loops {
+        let _ = part.await;
+    }
+    node.links.close().await;
+    node.quorum.close().await;
+    node.peers.close().await;
+    node.timer.close().await;
+}
--- a/crates/daemon/src/views.rs
+++ b/crates/daemon/src/views.rs
@@ -10,6 +10,7 @@
 use fulmarweir_fleet::{FleetState, TargetEntry, TargetKey, TargetLimits, TargetTable, VmIdentity};
 use fulmarweir_pool::LinkShare;
 use fulmarweir_route::TargetView;
+use tokio::sync::watch;
 
 use crate::node::NodeState;
 
@@ -54,6 +55,7 @@
 #[derive(Default)]
 pub(crate) struct ViewTable {
     views: Mutex<HashMap<ServiceName, Arc<ServiceView>>>,
+    changes: watch::Sender<u64>,
 }
 
 impl ViewTable {
@@ -62,19 +64,31 @@
         lock(&self.views).get(service).cloned()
     }
 
+    /// Tells when any view changes; the value counts the changes.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
     /// Rebuilds the views of the services whose targets changed.
     fn update(&self, table: &TargetTable, services: &[Arc<ServicePlan>]) {
         let known = lock(&self.views).clone();
         let mut views = HashMap::with_capacity(services.len());
+        let mut changed = known.len() != services.len();
         for plan in services {
             let entries = table.of_service(&plan.name);
             let view = match known.get(&plan.name) {
                 Some(view) if view.is_of(entries) => Arc::clone(view),
-                _ => Arc::new(ServiceView::build(entries)),
+                _ => {
+                    changed = true;
+                    Arc::new(ServiceView::build(entries))
+                }
             };
             views.insert(plan.name.clone(), view);
         }
-        *lock(&self.views) = views;
+        if changed {
+            *lock(&self.views) = views;
+            self.changes.send_modify(|count| *count += 1);
+        }
     }
 }
 
