--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -127,32 +127,27 @@
             .record(self.key.clone(), &self.claim, &outcome, patience)
             .await;
         if let Err(report) = recorded {
-            log_unsettled(node, "outcome-not-recorded", report.current_context());
+            log_unsettled(node, "outcome-not-recorded", *report.current_context());
         }
     }
 
     /// Gives the claim back behind the answer; until then a resent request is told "may have run".
     fn release(self, node: &Arc<NodeState>) {
         let worker = Arc::clone(node);
-        node.tasks.spawn(async move {
+        node.acts.spawn(async move {
             let patience = Duration::from_millis(RECORD_TIMEOUT_MS);
             let released = worker
                 .quorum
                 .release(self.key.clone(), &self.claim, patience)
                 .await;
             if let Err(report) = released {
-                log_unsettled(&worker, "claim-not-released", report.current_context());
+                log_unsettled(&worker, "claim-not-released", *report.current_context());
             }
         });
     }
 
     /// Waits for the outcome of the request that holds the claim, while its VM lives.
-    async fn await_holder(
-        &self,
-        node: &NodeState,
-        holder: ActClaim,
-        deadline: MonoTime,
-    ) -> ActEnd {
+    async fn await_holder(&self, node: &NodeState, holder: ActClaim, deadline: MonoTime) -> ActEnd {
         let mut pause = Duration::from_millis(POLL_MIN_MS);
         while is_running(node, &holder) && node.timer.now() + pause < deadline {
             sleep(pause).await;
@@ -173,7 +168,7 @@
     }
 }
 
-fn log_unsettled(node: &NodeState, event: &'static str, error: &QuorumError) {
+fn log_unsettled(node: &NodeState, event: &'static str, error: QuorumError) {
     warn!(node.log, "{}", event; "error" => %error);
 }
 
@@ -281,4 +276,3 @@
         None => Err(no_targets),
     }
 }
-
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -107,7 +107,7 @@
         run: request.into_run(node, body),
     };
     // The act goes on when its caller leaves, so that its outcome is recorded.
-    let work = node.tasks.spawn(run_act(Arc::clone(node), act));
+    let work = node.acts.spawn(run_act(Arc::clone(node), act));
     let end = work.await.unwrap_or(ActEnd::Refused(RouteRefusal {
         reason: RefusalReason::Undecided,
         verdict: RunVerdict::MayHaveRun,
--- a/crates/daemon/src/carrier.rs
+++ b/crates/daemon/src/carrier.rs
@@ -222,15 +222,13 @@
         let body = answer.body;
         return AttemptOutcome::Done { body, load };
     }
-    match parse_hits(&answer.body) {
-        Ok(hits) => AttemptOutcome::Hits { hits, load },
-        Err(_) => {
-            count_failure(node, "bad-body");
-            AttemptOutcome::Failed {
-                verdict: RunVerdict::Ran,
-                retried_below: false,
-            }
-        }
+    if let Ok(hits) = parse_hits(&answer.body) {
+        return AttemptOutcome::Hits { hits, load };
+    }
+    count_failure(node, "bad-body");
+    AttemptOutcome::Failed {
+        verdict: RunVerdict::Ran,
+        retried_below: false,
     }
 }
 
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -100,11 +100,11 @@
         }),
         Ok(PeerReply::SubQuery(Err(error))) => Err(error),
         Ok(_) => Err(TargetError::may_have_run(TargetFault::Broken)),
-        Err(error) => Err(broker_error(&error)),
+        Err(error) => Err(broker_error(error)),
     }
 }
 
-fn broker_error(error: &WireError) -> TargetError {
+fn broker_error(error: WireError) -> TargetError {
     let fault = match error.fault {
         WireFault::Timeout => TargetFault::Timeout,
         WireFault::Connect | WireFault::Refused => TargetFault::Connect,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -62,7 +62,9 @@
     pub(crate) quorum: QuorumClient,
     /// The voter of this VM, if it has a data folder.
     pub(crate) voter: Option<Arc<VoterService>>,
-    /// Work that outlives its request, such as acts whose caller has left.
+    /// Acts and what settles them, which go on when their caller leaves.
+    pub(crate) acts: TaskTracker,
+    /// Messages and fetches of the fleet protocols.
     pub(crate) tasks: TaskTracker,
     /// Ends everything at once.
     pub(crate) halt: CancellationToken,
@@ -103,6 +105,7 @@
             peers,
             quorum,
             voter,
+            acts: TaskTracker::new(),
             tasks: TaskTracker::new(),
             halt: CancellationToken::new(),
             next_number: AtomicU64::new(0),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -45,11 +45,14 @@
     runtime.block_on(run_node(settings))
 }
 
-/// What runs until the listeners have finished, and what runs longer.
+/// The tasks of the daemon, in the order in which they end.
 struct RunningParts {
-    /// Ends the listeners of callers, targets and peers.
+    /// Ends the listeners of callers, targets and operators.
     stop: CancellationToken,
     listeners: Vec<JoinHandle<()>>,
+    /// Ends the listener of peers, which outlives this VM's links to targets.
+    stop_peers: CancellationToken,
+    peers: JoinHandle<()>,
     loops: Vec<JoinHandle<()>>,
 }
 
@@ -74,8 +77,9 @@
         serve(callers, caller_router(Arc::clone(&node))),
         serve(targets, announce_router(Arc::clone(&node))),
         serve(operators, operator_router(Arc::clone(&node))),
-        tokio::spawn(serve_peers(Arc::clone(&node), peers, stop.clone())),
     ];
+    let stop_peers = CancellationToken::new();
+    let peers = tokio::spawn(serve_peers(Arc::clone(&node), peers, stop_peers.clone()));
     let loops = vec![
         tokio::spawn(run_fleet(Arc::clone(&node))),
         tokio::spawn(run_desks(Arc::clone(&node))),
@@ -84,6 +88,8 @@
     let parts = RunningParts {
         stop,
         listeners,
+        stop_peers,
+        peers,
         loops,
     };
     wait_for_signal().await?;
@@ -119,8 +125,6 @@
     let limits = node.settings.shutdown;
     node.life.handle(&LifeEvent::StopAsked);
     info!(node.log, "settling"; "settle_ms" => limits.settle.as_millis());
-    // Peers send sub-queries to other brokers from here on, and targets announce elsewhere.
-    leave_fleet(node).await;
     sleep(limits.settle).await;
     node.life.handle(&LifeEvent::Settled);
     let finish = finish_parts(node, parts);
@@ -136,13 +140,20 @@
     for listener in parts.listeners {
         let _ = listener.await;
     }
-    node.tasks.close();
-    node.tasks.wait().await;
+    node.acts.close();
+    node.acts.wait().await;
+    // Peers are told from here on to use other brokers; what they have in flight here finishes.
+    node.links.close().await;
+    // Others may take this VM's connections over only once they are closed.
+    leave_fleet(node).await;
+    parts.stop_peers.cancel();
+    let _ = parts.peers.await;
     node.halt.cancel();
     for part in parts.loops {
         let _ = part.await;
     }
-    node.links.close().await;
+    node.tasks.close();
+    node.tasks.wait().await;
     node.quorum.close().await;
     node.peers.close().await;
     node.timer.close().await;
--- a/crates/daemon/src/views.rs
+++ b/crates/daemon/src/views.rs
@@ -12,7 +12,7 @@
 use fulmarweir_route::TargetView;
 use tokio::sync::watch;
 
-use crate::node::NodeState;
+use crate::{lifecycle::LifePhase, node::NodeState};
 
 /// The targets of one service at one moment.
 pub(crate) struct ServiceView {
@@ -106,15 +106,23 @@
         (table, shares)
     };
     node.views.update(&table, &plans);
+    let usable = table.iter().filter(|entry| entry.usable).count();
+    node.metrics.targets.set(usable as u64);
+    if node.life.phase() == LifePhase::Draining {
+        // Links only close from here on.
+        return;
+    }
     let kept: HashSet<_> = shares.iter().map(BrokeredTarget::link_key).collect();
     node.links.retain(&kept);
     for brokered in shares {
         let record = &brokered.entry.record;
-        node.links
-            .set_share(&record.service, &record.name, record.address, brokered.share);
+        node.links.set_share(
+            &record.service,
+            &record.name,
+            record.address,
+            brokered.share,
+        );
     }
-    let usable = table.iter().filter(|entry| entry.usable).count();
-    node.metrics.targets.set(usable as u64);
 }
 
 /// A target that this VM is a broker of.
