Add the load generator, scenarios, comparison and demo

The load is open loop with latency counted from the drawn start, so that a slow answer does not thin out the requests after it. Answers are checked against what the targets must have sent, acts against the runs that targets logged.

--- /dev/null
+++ b/crates/bench/src/bare.rs
@@ -0,0 +1,113 @@
+//! A bare fan-out without any decision, as the base for the cost of a sub-query.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use error_stack::Report;
+use http::{Method, StatusCode};
+use rand::SeedableRng;
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    client::{HttpCall, HttpClient},
+    error::BenchError,
+    scenario::FIRST_VERSION,
+    tier::own_usage,
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+const BARE_DEADLINE_MS: u64 = 2_000;
+
+/// What the bare fan-out sends.
+#[derive(Clone, Debug)]
+pub struct BareSettings {
+    /// One target for each shard, in order.
+    pub targets: Vec<SocketAddr>,
+    /// Service that the targets belong to.
+    pub service: String,
+    /// Queries a second.
+    pub rate_per_sec: f64,
+    /// Length of the run.
+    pub duration: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// What the bare fan-out cost.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BareReport {
+    /// Queries sent.
+    pub queries: u64,
+    /// Sub-queries answered with 200.
+    pub answered: u64,
+    /// Processor time of the process for each answered sub-query, in microseconds.
+    pub cpu_us_per_sub_query: f64,
+}
+
+/// Sends each query to all targets and waits for all replies.
+///
+/// # Errors
+///
+/// [`BenchError::Settings`] when the rate is not positive or there is no target.
+pub async fn run_bare(settings: &BareSettings) -> Result<BareReport> {
+    let gap = Exp::new(settings.rate_per_sec);
+    let (Ok(gap), false) = (gap, settings.targets.is_empty()) else {
+        return Err(Report::new(BenchError::Settings));
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+    let client = HttpClient::new();
+    let before = own_usage();
+    let start = Instant::now();
+    let mut clock = Duration::ZERO;
+    let mut queries = 0_u64;
+    let mut calls = JoinSet::new();
+    loop {
+        clock += Duration::from_secs_f64(gap.sample(&mut rng));
+        if clock >= settings.duration {
+            break;
+        }
+        sleep_until(start + clock).await;
+        queries += 1;
+        for shard in 0..settings.targets.len() {
+            let call = sub_query(settings, shard, queries);
+            let client = client.clone();
+            calls.spawn(async move { is_answered(&client, call).await });
+        }
+    }
+    let answered = calls.join_all().await.into_iter().filter(|ok| *ok).count();
+    let cpu_secs = own_usage().cpu_secs - before.cpu_secs;
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    let cpu_us_per_sub_query = cpu_secs * 1e6 / answered.max(1) as f64;
+    Ok(BareReport {
+        queries,
+        answered: answered as u64,
+        cpu_us_per_sub_query,
+    })
+}
+
+fn sub_query(settings: &BareSettings, shard: usize, number: u64) -> HttpCall {
+    let body = Bytes::from(format!("{{\"q\":{number}}}"));
+    HttpCall::new(Method::POST, settings.targets[shard], "/query", body)
+        .header("fulmarweir-request", &number.to_string())
+        .header("fulmarweir-attempt", &format!("{number}-{shard}"))
+        .header("fulmarweir-service", &settings.service)
+        .header("fulmarweir-version", &FIRST_VERSION.to_string())
+        .header(
+            "fulmarweir-shard",
+            &format!("{shard}/{}", settings.targets.len()),
+        )
+        .header("fulmarweir-deadline-ms", &BARE_DEADLINE_MS.to_string())
+        .header("fulmarweir-kind", "search")
+}
+
+async fn is_answered(client: &HttpClient, call: HttpCall) -> bool {
+    let reply = client.send(call).await;
+    reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,14 +14,35 @@
 //! # });
 //! ```
 
+mod bare;
 mod client;
+mod command;
+mod compare;
+mod demo;
 mod error;
+mod flags;
+mod load;
 mod lock;
+mod output;
+mod rig;
+mod scenario;
 mod stand_in;
 mod tier;
 
+pub use bare::{BareReport, BareSettings, run_bare};
 pub use client::{HttpCall, HttpClient, HttpReply};
+pub use command::run_command_line;
+pub use compare::{CompareReport, CompareVariant, RatioSpread, compare_table, run_compare};
 pub use error::BenchError;
+pub use load::{
+    ActReport, FaultCount, KindReport, LoadReport, LoadSettings, RefusalCount, RequestKind,
+    RequestMix, WorkReport, metric_sum, run_load,
+};
+pub use output::{report_tables, write_json, write_plot};
+pub use rig::TestRig;
+pub use scenario::{
+    FIRST_VERSION, HITS_PER_SHARD, Scenario, ScenarioName, ScenarioService, ScenarioSettings,
+};
 pub use stand_in::{
     AnswerCheck, AnswerCoverage, AnswerFault, ColdStart, FaultShare, HUGE_BODY_BYTES, HitList,
     KeyRuns, ReplyFault, ReportHonesty, SearchAnswer, ServiceTime, StandIn, StandInBehaviour,
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,244 @@
+//! The open-loop load generator.
+
+mod arrivals;
+mod metrics;
+mod outcome;
+mod report;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use error_stack::Report;
+use http::Method;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use self::{
+    arrivals::{ArrivalPlan, PlannedRequest},
+    outcome::{RequestEnding, RequestOutcome},
+    report::{act_report, fault_counts, kind_reports, latencies, refusal_counts},
+};
+use crate::{
+    client::{HttpCall, HttpClient},
+    error::BenchError,
+    rig::TestRig,
+    stand_in::{StandIn, StandInCounters},
+};
+
+pub use self::{
+    arrivals::{RequestKind, RequestMix},
+    metrics::metric_sum,
+    report::{ActReport, FaultCount, KindReport, LoadReport, RefusalCount, WorkReport},
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+/// How much longer than its deadline a caller waits for the tier's verdict.
+const PATIENCE: Duration = Duration::from_secs(2);
+const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
+const ATTEMPTS_METRIC: &str = "fulmarweir_attempts_total";
+
+/// What to offer and for how long.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Name of the run in its report.
+    pub label: String,
+    /// Requests a second over all daemons.
+    pub rate_per_sec: f64,
+    /// Length of the run.
+    pub duration: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Kinds of requests.
+    pub mix: RequestMix,
+    /// Whether progress is written to standard error.
+    pub progress: bool,
+}
+
+/// Offers the load to a rig and sums up what came of it.
+///
+/// Requests start at their drawn times whether or not earlier ones have been
+/// answered, and latency counts from the drawn time.
+///
+/// # Errors
+///
+/// [`BenchError::Settings`] when there is nothing to send.
+pub async fn run_load(rig: &TestRig, settings: &LoadSettings) -> Result<LoadReport> {
+    let before = WorkSample::take(rig).await;
+    let outcomes = offer(rig, settings).await?;
+    let after = WorkSample::take(rig).await;
+    let answered = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome.ending, RequestEnding::Answered { .. }))
+        .count() as u64;
+    Ok(LoadReport {
+        label: settings.label.clone(),
+        seed: settings.seed,
+        rate_per_sec: settings.rate_per_sec,
+        seconds: settings.duration.as_secs_f64(),
+        kinds: kind_reports(&outcomes, rig.scenario.deadline_ms()),
+        refusals: refusal_counts(&outcomes),
+        faults: fault_counts(&outcomes),
+        acts: act_report(&outcomes, &runs_by_body(&rig.targets)),
+        work: after.since(&before, answered),
+        latencies: latencies(&outcomes),
+    })
+}
+
+async fn offer(rig: &TestRig, settings: &LoadSettings) -> Result<Vec<RequestOutcome>> {
+    let entries = rig.entries();
+    let plan = ArrivalPlan::new(
+        settings.seed,
+        settings.rate_per_sec,
+        settings.mix,
+        &entries,
+        rig.scenario.services(),
+    );
+    let Some(plan) = plan else {
+        return Err(Report::new(BenchError::Settings));
+    };
+    let caller = Arc::new(LoadCaller {
+        client: HttpClient::new(),
+        link_delay: rig.scenario.client_delay(),
+        deadline_ms: rig.scenario.deadline_ms(),
+        done: AtomicU64::new(0),
+    });
+    let start = Instant::now();
+    let mut next_progress = start + PROGRESS_PERIOD;
+    let mut calls = JoinSet::new();
+    for request in plan.take_while(|request| request.start < settings.duration) {
+        let due = start + request.start;
+        sleep_until(due).await;
+        if settings.progress && due >= next_progress {
+            next_progress += PROGRESS_PERIOD;
+            let done = caller.done.load(Ordering::Relaxed);
+            eprintln!(
+                "{}: {:.0} s of {:.0} s, sent {}, ended {done}",
+                settings.label,
+                request.start.as_secs_f64(),
+                settings.duration.as_secs_f64(),
+                request.number
+            );
+        }
+        let caller = Arc::clone(&caller);
+        calls.spawn(async move { caller.call(request, due).await });
+    }
+    Ok(calls.join_all().await)
+}
+
+/// The side of the callers.
+struct LoadCaller {
+    client: HttpClient,
+    link_delay: Duration,
+    deadline_ms: u64,
+    done: AtomicU64,
+}
+
+impl LoadCaller {
+    async fn call(&self, request: PlannedRequest, due: Instant) -> RequestOutcome {
+        sleep(self.link_delay).await;
+        let body = request.body();
+        let mut call = HttpCall::new(Method::POST, request.entry, &request.path(), body.clone())
+            .header("fulmarweir-deadline-ms", &self.deadline_ms.to_string());
+        if let Some(key) = request.idempotency_key() {
+            call = call.header("idempotency-key", &key);
+        }
+        call.timeout = Duration::from_millis(self.deadline_ms) + PATIENCE;
+        let reply = self.client.send(call).await.ok();
+        sleep(self.link_delay).await;
+        self.done.fetch_add(1, Ordering::Relaxed);
+        RequestOutcome {
+            kind: request.kind,
+            body,
+            latency: due.elapsed(),
+            ending: RequestEnding::from_reply(&request, reply.as_ref()),
+        }
+    }
+}
+
+fn runs_by_body(targets: &[StandIn]) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for act in targets.iter().flat_map(StandIn::runs) {
+        *runs.entry(act.body).or_default() += act.runs;
+    }
+    runs
+}
+
+/// Counters of daemons and targets at one moment.
+#[derive(Debug, Default)]
+struct WorkSample {
+    first: f64,
+    hedges: f64,
+    retries: f64,
+    cpu_secs: f64,
+    rss_max_kib: u64,
+    targets: Vec<StandInCounters>,
+}
+
+impl WorkSample {
+    async fn take(rig: &TestRig) -> Self {
+        let mut sample = Self {
+            targets: rig.target_counters(),
+            ..Self::default()
+        };
+        for daemon in rig.tier.daemons() {
+            let text = rig.tier.metrics(daemon).await;
+            sample.first += metric_sum(&text, ATTEMPTS_METRIC, "kind=\"first\"");
+            sample.hedges += metric_sum(&text, ATTEMPTS_METRIC, "kind=\"hedge\"");
+            sample.retries += metric_sum(&text, ATTEMPTS_METRIC, "kind=\"retry\"");
+            let usage = daemon.usage();
+            sample.cpu_secs += usage.cpu_secs;
+            sample.rss_max_kib = sample.rss_max_kib.max(usage.rss_kib);
+        }
+        sample
+    }
+
+    fn sum(&self, field: fn(&StandInCounters) -> u64) -> u64 {
+        self.targets.iter().map(field).sum()
+    }
+
+    fn max(&self, field: fn(&StandInCounters) -> u64) -> u64 {
+        self.targets.iter().map(field).max().unwrap_or_default()
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    fn since(&self, before: &Self, answered: u64) -> WorkReport {
+        let delta = |field| self.sum(field) - before.sum(field);
+        let first = self.first - before.first;
+        let hedges = self.hedges - before.hedges;
+        let retries = self.retries - before.retries;
+        let requests = delta(|c| c.requests);
+        let runs = delta(|c| c.runs);
+        let cpu_secs = self.cpu_secs - before.cpu_secs;
+        let attempts_per_first = if first > 0.0 {
+            (first + hedges + retries) / first
+        } else {
+            0.0
+        };
+        WorkReport {
+            first_attempts: first,
+            hedges,
+            retries,
+            attempts_per_first,
+            target_requests: requests,
+            target_runs: runs,
+            runs_per_answer: runs as f64 / answered.max(1) as f64,
+            target_shed: delta(|c| c.shed),
+            target_cancels: delta(|c| c.cancels),
+            connections_max: self.max(|c| c.connections_max),
+            connections_refused: delta(|c| c.connections_refused),
+            repeated_attempts: delta(|c| c.repeated_attempts),
+            cpu_secs,
+            cpu_us_per_target_request: cpu_secs * 1e6 / requests.max(1) as f64,
+            rss_max_kib: self.rss_max_kib,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/arrivals.rs
@@ -0,0 +1,138 @@
+//! Seeded arrivals: when each request starts, where and what it asks.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+use crate::scenario::ScenarioService;
+
+/// What a request is.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestKind {
+    /// Search of all shards.
+    Search,
+    /// Search of the one shard of a key.
+    Lookup,
+    /// Act on a key.
+    Act,
+}
+
+/// Shares of the kinds of requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestMix {
+    /// Share of lookups, 0 to 1.
+    pub lookups: f64,
+    /// Share of acts, 0 to 1.
+    pub acts: f64,
+}
+
+/// One request to send.
+#[derive(Clone, Debug)]
+pub(crate) struct PlannedRequest {
+    pub(crate) number: u64,
+    /// Intended start after the start of the run.
+    pub(crate) start: Duration,
+    pub(crate) entry: SocketAddr,
+    pub(crate) kind: RequestKind,
+    pub(crate) service: ScenarioService,
+}
+
+impl PlannedRequest {
+    /// Body of the request, different for each.
+    pub(crate) fn body(&self) -> String {
+        format!("{{\"q\":{}}}", self.number)
+    }
+
+    /// Idempotency key of every other act, so that both ways of running one are used.
+    pub(crate) fn idempotency_key(&self) -> Option<String> {
+        let keyed = self.kind == RequestKind::Act && self.number.is_multiple_of(2);
+        keyed.then(|| format!("bench-{}", self.number))
+    }
+
+    /// Path and query of the request.
+    pub(crate) fn path(&self) -> String {
+        let service = &self.service.name;
+        match self.kind {
+            RequestKind::Search => format!("/v1/search/{service}"),
+            RequestKind::Lookup => format!("/v1/search/{service}?key=k{}", self.number),
+            RequestKind::Act => format!("/v1/act/{service}?key=k{}", self.number),
+        }
+    }
+}
+
+/// An endless Poisson process over entries and services.
+#[derive(Debug)]
+pub(crate) struct ArrivalPlan<'a> {
+    rng: Pcg64Mcg,
+    gap: Exp<f64>,
+    mix: RequestMix,
+    entries: &'a [SocketAddr],
+    searches: Vec<&'a ScenarioService>,
+    acts: Vec<&'a ScenarioService>,
+    clock: Duration,
+    number: u64,
+}
+
+impl<'a> ArrivalPlan<'a> {
+    /// Plans arrivals; `None` when the rate, the entries or the services leave nothing to send.
+    pub(crate) fn new(
+        seed: u64,
+        rate_per_sec: f64,
+        mix: RequestMix,
+        entries: &'a [SocketAddr],
+        services: &'a [ScenarioService],
+    ) -> Option<Self> {
+        let (acts, searches): (Vec<_>, Vec<_>) = services.iter().partition(|s| s.is_act);
+        if searches.is_empty() || entries.is_empty() || rate_per_sec <= 0.0 {
+            return None;
+        }
+        Some(Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            gap: Exp::new(rate_per_sec).ok()?,
+            mix,
+            entries,
+            searches,
+            acts,
+            clock: Duration::ZERO,
+            number: 0,
+        })
+    }
+
+    fn draw_kind(&mut self) -> RequestKind {
+        let draw: f64 = self.rng.random();
+        if draw < self.mix.acts && !self.acts.is_empty() {
+            RequestKind::Act
+        } else if draw < self.mix.acts + self.mix.lookups {
+            RequestKind::Lookup
+        } else {
+            RequestKind::Search
+        }
+    }
+}
+
+impl Iterator for ArrivalPlan<'_> {
+    type Item = PlannedRequest;
+
+    fn next(&mut self) -> Option<PlannedRequest> {
+        self.clock += Duration::from_secs_f64(self.gap.sample(&mut self.rng));
+        self.number += 1;
+        let kind = self.draw_kind();
+        let services = match kind {
+            RequestKind::Act => &self.acts,
+            RequestKind::Lookup | RequestKind::Search => &self.searches,
+        };
+        let service = services[self.rng.random_range(0..services.len())];
+        let entry = self.entries[self.rng.random_range(0..self.entries.len())];
+        Some(PlannedRequest {
+            number: self.number,
+            start: self.clock,
+            entry,
+            kind,
+            service: service.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/load/metrics.rs
@@ -0,0 +1,22 @@
+//! Reads single counters from the Prometheus text of a daemon.
+
+/// Sum of all samples of `name` whose labels contain `label`.
+///
+/// The text format is line based, so that one sum needs no parser of the whole format.
+#[must_use]
+pub fn metric_sum(text: &str, name: &str, label: &str) -> f64 {
+    let samples = text.lines().filter_map(|line| sample(line, name, label));
+    samples.sum()
+}
+
+fn sample(line: &str, name: &str, label: &str) -> Option<f64> {
+    let rest = line.strip_prefix(name)?;
+    let (labels, value) = match rest.strip_prefix('{') {
+        Some(rest) => rest.split_once('}')?,
+        None => ("", rest.strip_prefix(' ')?),
+    };
+    if !labels.contains(label) {
+        return None;
+    }
+    value.split_ascii_whitespace().next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/bench/src/load/report.rs
@@ -0,0 +1,249 @@
+//! The report of one load run.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::{
+    arrivals::RequestKind,
+    outcome::{RefusalNote, RequestEnding, RequestOutcome},
+};
+use crate::stand_in::AnswerFault;
+
+/// Three significant digits are more than a run of this length can tell apart.
+const HISTOGRAM_DIGITS: u8 = 3;
+
+/// Results of one kind of request, or of all.
+#[derive(Clone, Debug, Serialize)]
+pub struct KindReport {
+    /// Kind, or `all`.
+    pub kind: String,
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered with 200.
+    pub answered: u64,
+    /// Share of the sent ones answered within the deadline, from the intended start.
+    pub in_time_share: f64,
+    /// Median latency of answers in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile in milliseconds.
+    pub p99_ms: f64,
+    /// 99.9th percentile in milliseconds.
+    pub p999_ms: f64,
+    /// Slowest answer in milliseconds.
+    pub max_ms: f64,
+    /// Mean coverage of answers.
+    pub coverage_mean: f64,
+    /// Share of answers that cover all shards.
+    pub full_share: f64,
+}
+
+/// How often one reason was given.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct RefusalCount {
+    /// Reason.
+    pub reason: String,
+    /// Run verdict.
+    pub run: String,
+    /// Refusals.
+    pub count: u64,
+}
+
+/// How often one fault was found in answers.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct FaultCount {
+    /// The fault.
+    pub fault: AnswerFault,
+    /// Answers with it.
+    pub count: u64,
+}
+
+/// What the targets and the daemons did for the run.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct WorkReport {
+    /// Attempts that the daemons count as first ones.
+    pub first_attempts: f64,
+    /// Hedged attempts.
+    pub hedges: f64,
+    /// Retried attempts.
+    pub retries: f64,
+    /// All attempts for each first one; zero when there were none.
+    pub attempts_per_first: f64,
+    /// Requests that reached targets.
+    pub target_requests: u64,
+    /// Requests that took a slot at targets.
+    pub target_runs: u64,
+    /// Target runs for each answered request.
+    pub runs_per_answer: f64,
+    /// Requests that targets shed.
+    pub target_shed: u64,
+    /// Cancels that targets saw.
+    pub target_cancels: u64,
+    /// Most connections that one target held.
+    pub connections_max: u64,
+    /// Connections that targets refused because of their limit.
+    pub connections_refused: u64,
+    /// Attempts that reached a target more than once.
+    pub repeated_attempts: u64,
+    /// Processor time of all daemons in seconds.
+    pub cpu_secs: f64,
+    /// Processor time of the daemons for each request that reached a target, in microseconds.
+    pub cpu_us_per_target_request: f64,
+    /// Largest resident memory of a daemon in KiB.
+    pub rss_max_kib: u64,
+}
+
+/// Checks of acts against what the targets logged.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct ActReport {
+    /// Acts that ran more than once.
+    pub repeated: u64,
+    /// Acts refused as not run that ran all the same.
+    pub falsely_not_run: u64,
+    /// Acts answered as done that never ran.
+    pub falsely_done: u64,
+}
+
+/// Everything that one run measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadReport {
+    /// Name of the variant.
+    pub label: String,
+    /// Seed of arrivals and targets.
+    pub seed: u64,
+    /// Offered requests a second.
+    pub rate_per_sec: f64,
+    /// Length of the run in seconds.
+    pub seconds: f64,
+    /// All requests first, then each kind.
+    pub kinds: Vec<KindReport>,
+    /// Refusals by reason and verdict.
+    pub refusals: Vec<RefusalCount>,
+    /// Faults of answers.
+    pub faults: Vec<FaultCount>,
+    /// Acts against the targets' logs.
+    pub acts: ActReport,
+    /// Work of targets and daemons.
+    pub work: WorkReport,
+    /// Latency of all answers, for the plot.
+    #[serde(skip)]
+    pub latencies: Histogram<u64>,
+}
+
+/// An empty histogram of microseconds.
+pub(crate) fn new_histogram() -> Histogram<u64> {
+    Histogram::new(HISTOGRAM_DIGITS).expect("the number of digits is valid")
+}
+
+/// Sums up outcomes.
+pub(crate) fn kind_reports(outcomes: &[RequestOutcome], deadline_ms: u64) -> Vec<KindReport> {
+    let kinds = [
+        ("search", RequestKind::Search),
+        ("lookup", RequestKind::Lookup),
+        ("act", RequestKind::Act),
+    ];
+    let mut reports = vec![kind_report("all", outcomes.iter(), deadline_ms)];
+    for (name, kind) in kinds {
+        let of_kind = outcomes.iter().filter(|outcome| outcome.kind == kind);
+        reports.push(kind_report(name, of_kind, deadline_ms));
+    }
+    reports.retain(|report| report.sent > 0);
+    reports
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn kind_report<'a>(
+    name: &str,
+    outcomes: impl Iterator<Item = &'a RequestOutcome>,
+    deadline_ms: u64,
+) -> KindReport {
+    let mut latencies = new_histogram();
+    let (mut sent, mut in_time, mut full) = (0_u64, 0_u64, 0_u64);
+    let mut coverage_sum = 0.0;
+    for outcome in outcomes {
+        sent += 1;
+        let RequestEnding::Answered { coverage, .. } = outcome.ending else {
+            continue;
+        };
+        latencies.saturating_record(micros(outcome));
+        in_time += u64::from(outcome.latency.as_millis() <= u128::from(deadline_ms));
+        full += u64::from(coverage >= 1.0);
+        coverage_sum += coverage;
+    }
+    let answered = latencies.len();
+    let millis = |quantile| latencies.value_at_quantile(quantile) as f64 / 1000.0;
+    KindReport {
+        kind: name.to_owned(),
+        sent,
+        answered,
+        in_time_share: in_time as f64 / sent.max(1) as f64,
+        p50_ms: millis(0.5),
+        p99_ms: millis(0.99),
+        p999_ms: millis(0.999),
+        max_ms: latencies.max() as f64 / 1000.0,
+        coverage_mean: coverage_sum / answered.max(1) as f64,
+        full_share: full as f64 / answered.max(1) as f64,
+    }
+}
+
+pub(crate) fn latencies(outcomes: &[RequestOutcome]) -> Histogram<u64> {
+    let mut latencies = new_histogram();
+    for outcome in outcomes {
+        if matches!(outcome.ending, RequestEnding::Answered { .. }) {
+            latencies.saturating_record(micros(outcome));
+        }
+    }
+    latencies
+}
+
+fn micros(outcome: &RequestOutcome) -> u64 {
+    u64::try_from(outcome.latency.as_micros()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn refusal_counts(outcomes: &[RequestOutcome]) -> Vec<RefusalCount> {
+    let mut counts: BTreeMap<&RefusalNote, u64> = BTreeMap::new();
+    for outcome in outcomes {
+        if let RequestEnding::Refused(note) = &outcome.ending {
+            *counts.entry(note).or_default() += 1;
+        }
+    }
+    let count = |(note, count): (&RefusalNote, u64)| RefusalCount {
+        reason: note.reason.clone(),
+        run: note.run.clone(),
+        count,
+    };
+    counts.into_iter().map(count).collect()
+}
+
+pub(crate) fn fault_counts(outcomes: &[RequestOutcome]) -> Vec<FaultCount> {
+    let mut counts: BTreeMap<AnswerFault, u64> = BTreeMap::new();
+    for outcome in outcomes {
+        if let RequestEnding::Answered { faults, .. } = &outcome.ending {
+            for fault in faults {
+                *counts.entry(*fault).or_default() += 1;
+            }
+        }
+    }
+    let counts = counts.into_iter();
+    counts
+        .map(|(fault, count)| FaultCount { fault, count })
+        .collect()
+}
+
+/// Compares what callers were told about acts with the runs at the targets, by body.
+pub(crate) fn act_report(outcomes: &[RequestOutcome], runs: &BTreeMap<String, u64>) -> ActReport {
+    let mut report = ActReport::default();
+    let acts = outcomes.iter().filter(|o| o.kind == RequestKind::Act);
+    for act in acts {
+        let count = runs.get(&act.body).copied().unwrap_or_default();
+        report.repeated += u64::from(count > 1);
+        match &act.ending {
+            RequestEnding::Answered { .. } => report.falsely_done += u64::from(count == 0),
+            RequestEnding::Refused(note) => {
+                report.falsely_not_run += u64::from(note.run == "not-run" && count > 0);
+            }
+        }
+    }
+    report
+}
--- /dev/null
+++ b/crates/bench/src/rig.rs
@@ -0,0 +1,144 @@
+//! A whole set-up on one machine: daemons, their configuration and stand-in targets.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    client::{HttpCall, HttpClient},
+    error::BenchError,
+    scenario::Scenario,
+    stand_in::{StandIn, StandInCounters},
+    tier::{DaemonProcess, Tier},
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// The part of an answer that says whether the tier knows all targets.
+#[derive(Debug, Deserialize)]
+struct SettledAnswer {
+    coverage: SettledCoverage,
+}
+
+#[derive(Debug, Deserialize)]
+struct SettledCoverage {
+    shards: u32,
+    answered: u32,
+}
+
+/// Running daemons and stand-in targets of one scenario.
+#[derive(Debug)]
+pub struct TestRig {
+    /// The daemons.
+    pub tier: Tier,
+    /// The stand-in targets of all data centres.
+    pub targets: Vec<StandIn>,
+    /// What they stand for.
+    pub scenario: Scenario,
+}
+
+impl TestRig {
+    /// Starts the daemons, submits the configuration, starts the targets and
+    /// waits until every daemon gives whole answers for every search service.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when the daemons do not come up, or do not see all targets in time.
+    pub async fn start(scenario: Scenario, program: PathBuf) -> Result<Self> {
+        let settings = scenario.tier(program);
+        let tier = Tier::start(&settings).await?;
+        tier.submit_config(&scenario.config_text(), 0).await?;
+        let mut targets = Vec::new();
+        for (index, centre) in settings.centres.iter().enumerate() {
+            let of_centre = tier.daemons().iter().filter(|d| d.centre() == &centre.name);
+            let vms: Vec<SocketAddr> = of_centre.map(DaemonProcess::targets).collect();
+            for target in scenario.targets(index, &vms)? {
+                targets.push(StandIn::start(target).await?);
+            }
+        }
+        let rig = Self {
+            tier,
+            targets,
+            scenario,
+        };
+        rig.settle().await?;
+        Ok(rig)
+    }
+
+    /// Addresses for callers of all daemons.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let daemons = self.tier.daemons().iter();
+        daemons.map(DaemonProcess::callers).collect()
+    }
+
+    /// What all targets have seen.
+    #[must_use]
+    pub fn target_counters(&self) -> Vec<StandInCounters> {
+        self.targets.iter().map(StandIn::counters).collect()
+    }
+
+    /// Ends the daemons, then the targets.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when a daemon did not end in good order.
+    pub async fn stop(self) -> Result<()> {
+        let stopped = self.tier.stop().await;
+        for target in self.targets {
+            target.stop().await;
+        }
+        stopped
+    }
+
+    async fn settle(&self) -> Result<()> {
+        let client = HttpClient::new();
+        let give_up = Instant::now() + SETTLE_TIMEOUT;
+        for entry in self.entries() {
+            for service in self.scenario.services().iter().filter(|s| !s.is_act) {
+                let path = format!("/v1/search/{}", service.name);
+                let mut last = String::new();
+                while !is_whole(&client, entry, &path, service.shards, &mut last).await {
+                    if Instant::now() > give_up {
+                        return Err(Report::new(BenchError::Daemon)).attach_with(|| {
+                            format!(
+                                "{} is not whole at {entry}; last answer: {last}",
+                                service.name
+                            )
+                        });
+                    }
+                    sleep(SETTLE_PAUSE).await;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn is_whole(
+    client: &HttpClient,
+    entry: SocketAddr,
+    path: &str,
+    shards: u32,
+    last: &mut String,
+) -> bool {
+    let call = HttpCall::new(Method::POST, entry, path, "{}");
+    let Ok(reply) = client.send(call).await else {
+        "no reply".clone_into(last);
+        return false;
+    };
+    *last = reply.text();
+    if reply.status != StatusCode::OK {
+        return false;
+    }
+    let answer: std::result::Result<SettledAnswer, _> =
+        serde_json::from_slice(&reply.body).change_context(BenchError::Http);
+    answer
+        .is_ok_and(|answer| answer.coverage.shards == shards && answer.coverage.answered == shards)
+}
--- /dev/null
+++ b/crates/bench/src/scenario.rs
@@ -0,0 +1,376 @@
+//! Sizes, delays and services of the first users, scaled to one machine.
+
+use std::{fmt::Write as _, path::PathBuf, str::FromStr, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use fulmarweir_base::{ServiceName, ShardHolding};
+
+use crate::{
+    error::BenchError,
+    stand_in::{ServiceTime, StandInBehaviour, StandInSettings},
+    tier::{CentrePlan, TierSettings},
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+/// Index version that all targets hold at the start.
+pub const FIRST_VERSION: u64 = 42;
+/// Hits that each shard returns.
+pub const HITS_PER_SHARD: u32 = 5;
+const VOTERS: u32 = 3;
+const QUEUE_PER_SLOT: usize = 4;
+
+/// A named scenario.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ScenarioName {
+    /// The Permits Office: tail latency first.
+    Permits,
+    /// The Consorcio: coverage first.
+    Consorcio,
+}
+
+impl FromStr for ScenarioName {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        match text {
+            "permits" => Ok(Self::Permits),
+            "consorcio" => Ok(Self::Consorcio),
+            _ => Err(format!("{text:?} is not a scenario: permits or consorcio")),
+        }
+    }
+}
+
+/// A group of like services.
+#[derive(Clone, Copy, Debug)]
+struct ServiceGroup {
+    name: &'static str,
+    services: u32,
+    /// Targets of each service in each data centre.
+    searchers: u32,
+    /// Replicas of each shard in each data centre.
+    replicas: u32,
+    slots: u32,
+    connections: u32,
+    connect_ms: u64,
+    is_act: bool,
+}
+
+const fn wide_group(name: &'static str, services: u32) -> ServiceGroup {
+    ServiceGroup {
+        name,
+        services,
+        searchers: 3,
+        replicas: 1,
+        slots: 3,
+        connections: 30,
+        connect_ms: 6,
+        is_act: false,
+    }
+}
+
+const fn desk_group(name: &'static str, connections: u32) -> ServiceGroup {
+    ServiceGroup {
+        name,
+        services: 1,
+        searchers: 10,
+        replicas: 2,
+        slots: 6,
+        connections,
+        connect_ms: 1,
+        is_act: false,
+    }
+}
+
+const fn ledger_group(name: &'static str, connections: u32) -> ServiceGroup {
+    ServiceGroup {
+        name,
+        services: 1,
+        searchers: 5,
+        replicas: 1,
+        slots: 6,
+        connections,
+        connect_ms: 1,
+        is_act: true,
+    }
+}
+
+/// How far and how to change a scenario.
+#[derive(Clone, Debug)]
+pub struct ScenarioSettings {
+    /// Which one.
+    pub name: ScenarioName,
+    /// Share of the services of each group, 0 to 1; each group keeps at least one.
+    pub scale: f64,
+    /// Data centres, 1 to 3.
+    pub centres: usize,
+    /// Daemons in each data centre.
+    pub vms: u32,
+    /// Replicas of each shard in a data centre, instead of the scenario's own.
+    pub replicas: Option<u32>,
+    /// Service times of all targets.
+    pub service_time: ServiceTime,
+    /// Keys of every search service in the operators' text, as `KEY = VALUE` lines.
+    pub overrides: Vec<String>,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// One service of a scenario.
+#[derive(Clone, Debug)]
+pub struct ScenarioService {
+    /// Name.
+    pub name: ServiceName,
+    /// Whether it is called by acts.
+    pub is_act: bool,
+    /// Shards of its index.
+    pub shards: u32,
+    group: ServiceGroup,
+}
+
+/// A scenario worked out for one machine.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    settings: ScenarioSettings,
+    services: Vec<ScenarioService>,
+}
+
+impl Scenario {
+    /// Works out the services.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Settings`] when the scale or the number of data centres is out of range.
+    pub fn new(settings: ScenarioSettings) -> Result<Self> {
+        let scale_fits = settings.scale > 0.0 && settings.scale <= 1.0;
+        if !scale_fits || !(1..=3).contains(&settings.centres) || settings.vms == 0 {
+            return Err(Report::new(BenchError::Settings))
+                .attach("expected a scale in 0 to 1, 1 to 3 data centres and at least one VM");
+        }
+        let mut services = Vec::new();
+        for group in groups(settings.name) {
+            for number in 1..=scaled(group.services, settings.scale) {
+                let name = format!("{}/s{number}", group.name);
+                let replicas = settings.replicas.unwrap_or(group.replicas).max(1);
+                services.push(ScenarioService {
+                    name: name.parse().change_context(BenchError::Settings)?,
+                    is_act: group.is_act,
+                    shards: (group.searchers / replicas).max(1),
+                    group,
+                });
+            }
+        }
+        Ok(Self { settings, services })
+    }
+
+    /// Its services.
+    #[must_use]
+    pub fn services(&self) -> &[ScenarioService] {
+        &self.services
+    }
+
+    /// The settings that it was worked out from.
+    #[must_use]
+    pub fn settings(&self) -> &ScenarioSettings {
+        &self.settings
+    }
+
+    /// One-way delay between callers and daemons.
+    #[must_use]
+    pub fn client_delay(&self) -> Duration {
+        match self.settings.name {
+            ScenarioName::Permits => Duration::from_millis(1),
+            ScenarioName::Consorcio => Duration::from_millis(3),
+        }
+    }
+
+    /// One-way delay between daemons and targets of the same data centre.
+    #[must_use]
+    pub fn target_delay(&self) -> Duration {
+        match self.settings.name {
+            ScenarioName::Permits => Duration::from_micros(500),
+            ScenarioName::Consorcio => Duration::from_millis(1),
+        }
+    }
+
+    /// One-way delay between data centres, each of which is a region of its own.
+    #[must_use]
+    pub fn region_delay(&self) -> Duration {
+        match self.settings.name {
+            ScenarioName::Permits => Duration::from_millis(8),
+            ScenarioName::Consorcio => Duration::from_millis(20),
+        }
+    }
+
+    /// Deadline of every request in milliseconds.
+    #[must_use]
+    pub fn deadline_ms(&self) -> u64 {
+        match self.settings.name {
+            ScenarioName::Permits => 300,
+            ScenarioName::Consorcio => 1_000,
+        }
+    }
+
+    /// The daemons of the scenario.
+    ///
+    /// # Panics
+    ///
+    /// Never: the names are constants.
+    #[must_use]
+    pub fn tier(&self, program: PathBuf) -> TierSettings {
+        let plan = |name: &&str| CentrePlan {
+            name: name.parse().expect("a valid name"),
+            region: name.parse().expect("a valid name"),
+            vms: self.settings.vms,
+        };
+        let names = centre_names(self.settings.name);
+        let centres: Vec<CentrePlan> = names[..self.settings.centres].iter().map(plan).collect();
+        let vms: u32 = centres.iter().map(|centre| centre.vms).sum();
+        TierSettings {
+            program,
+            centres,
+            voters: VOTERS.min(vms),
+            relay_peers: false,
+            log_level: "warning".to_owned(),
+            extra_settings: String::new(),
+        }
+    }
+
+    /// The operators' text.
+    #[must_use]
+    pub fn config_text(&self) -> String {
+        let mut text = String::new();
+        for service in &self.services {
+            self.write_service(&mut text, service);
+        }
+        text
+    }
+
+    fn write_service(&self, text: &mut String, service: &ScenarioService) {
+        let group = service.group;
+        let kind = if group.is_act { "act" } else { "search" };
+        let prefer = match self.settings.name {
+            ScenarioName::Permits => "latency",
+            ScenarioName::Consorcio => "coverage",
+        };
+        let deadline = self.deadline_ms();
+        let mut lines = vec![
+            format!("kind = {kind}"),
+            format!("deadline-ms = {deadline}"),
+            format!("slots = {}", group.slots),
+            format!("connections = {}", group.connections),
+            format!("connect-ms = {}", group.connect_ms),
+        ];
+        if !group.is_act {
+            lines.push(format!("prefer = {prefer}"));
+            lines.push(format!("soft-deadline-ms = {}", deadline / 2));
+            lines.push("extra-load = 0.05".to_owned());
+            for line in &self.settings.overrides {
+                replace_line(&mut lines, line);
+            }
+        }
+        let _ = writeln!(text, "[service {}]\n{}\n", service.name, lines.join("\n"));
+    }
+
+    /// The stand-in targets of one data centre, which announce to the daemons at `vms`.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Settings`] when a name becomes too long.
+    pub fn targets(
+        &self,
+        centre: usize,
+        vms: &[std::net::SocketAddr],
+    ) -> Result<Vec<StandInSettings>> {
+        let mut targets = Vec::new();
+        for service in &self.services {
+            for number in 0..service.group.searchers {
+                let serial = targets.len();
+                let mut target = self.target(service, centre, number)?;
+                target.vms = rotated(vms, serial);
+                target.seed = self.settings.seed ^ ((centre as u64) << 32) ^ serial as u64;
+                targets.push(target);
+            }
+        }
+        Ok(targets)
+    }
+
+    fn target(
+        &self,
+        service: &ScenarioService,
+        centre: usize,
+        number: u32,
+    ) -> Result<StandInSettings> {
+        let group = service.group;
+        let name = format!("{}-c{centre}-t{number}", service.name);
+        let name = name.parse().change_context(BenchError::Settings)?;
+        let holding = ShardHolding {
+            version: FIRST_VERSION,
+            shard: number % service.shards,
+            of: service.shards,
+        };
+        let mut target = StandInSettings::new(name, service.name.clone(), holding);
+        target.slots = group.slots;
+        target.queue = group.slots as usize * QUEUE_PER_SLOT;
+        target.connections = group.connections;
+        target.connect_delay = Duration::from_millis(group.connect_ms);
+        target.link_delay = self.target_delay();
+        target.hits = HITS_PER_SHARD;
+        target.behaviour = StandInBehaviour {
+            service_time: self.settings.service_time,
+            ..StandInBehaviour::default()
+        };
+        Ok(target)
+    }
+}
+
+fn groups(name: ScenarioName) -> [ServiceGroup; 4] {
+    match name {
+        ScenarioName::Permits => [
+            wide_group("street-app", 10),
+            wide_group("renewals", 15),
+            desk_group("counter-desk", 100),
+            ledger_group("fee-ledger", 100),
+        ],
+        ScenarioName::Consorcio => [
+            wide_group("tienda-socios", 10),
+            wide_group("tablero-horno", 15),
+            desk_group("reparto-ruta", 50),
+            ledger_group("cobro-cuotas", 50),
+        ],
+    }
+}
+
+fn centre_names(name: ScenarioName) -> [&'static str; 3] {
+    match name {
+        ScenarioName::Permits => ["ub-sukhbaatar", "dk-central", "er-bayan"],
+        ScenarioName::Consorcio => ["capital-z1", "paysandu-z1", "punta-z1"],
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share of a small positive count"
+)]
+fn scaled(count: u32, scale: f64) -> u32 {
+    ((f64::from(count) * scale).round() as u32).max(1)
+}
+
+/// Replaces the line with the same key, or adds the line.
+fn replace_line(lines: &mut Vec<String>, line: &str) {
+    let key = |line: &str| line.split('=').next().map(|key| key.trim().to_owned());
+    let wanted = key(line);
+    lines.retain(|old| key(old) != wanted);
+    lines.push(line.to_owned());
+}
+
+/// Spreads first announcements over the VMs.
+fn rotated(vms: &[std::net::SocketAddr], by: usize) -> Vec<std::net::SocketAddr> {
+    let mut vms = vms.to_vec();
+    if !vms.is_empty() {
+        let by = by % vms.len();
+        vms.rotate_left(by);
+    }
+    vms
+}
