cli: show other data centres and wait for them too

A status lists the VMs of its own data centre one by one and other data centres as a whole. Waiting for a version now covers both, leaves out VMs that have left, and counts a dead VM as lagging, as it may be cut off and serve an older version.

--- a/crates/cli/src/answers.rs
+++ b/crates/cli/src/answers.rs
@@ -13,8 +13,10 @@
     pub(crate) centre: Option<String>,
     pub(crate) region: Option<String>,
     pub(crate) ready: Option<bool>,
+    pub(crate) phase: Option<String>,
     pub(crate) config: ConfigState,
     pub(crate) members: Vec<MemberState>,
+    pub(crate) centres: Vec<CentreState>,
     pub(crate) voters: VoterSet,
     pub(crate) targets: TargetCounts,
 }
@@ -28,7 +30,7 @@
     pub(crate) highest_known: Option<u64>,
 }
 
-/// Another VM.
+/// Another VM of the data centre.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct MemberState {
@@ -39,6 +41,16 @@
     pub(crate) config_version: Option<u64>,
 }
 
+/// Another data centre.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct CentreState {
+    pub(crate) centre: Option<String>,
+    pub(crate) live_vms: Option<u64>,
+    pub(crate) config_version: Option<u64>,
+    pub(crate) contacts: Vec<String>,
+}
+
 /// The voters of an epoch.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
--- a/crates/cli/src/inspect.rs
+++ b/crates/cli/src/inspect.rs
@@ -42,16 +42,12 @@
 
 fn status_text(status: &StatusAnswer) -> String {
     let mut text = String::new();
-    let ready = match status.ready {
-        Some(true) => "ready",
-        Some(false) => "not ready",
-        None => "readiness unknown",
-    };
     let line = format!(
-        "{} in data centre {}, region {}: {ready}",
+        "{} in data centre {}, region {}: {}",
         cell(status.vm.as_ref()),
         cell(status.centre.as_ref()),
         cell(status.region.as_ref()),
+        readiness(status),
     );
     let _ = writeln!(text, "{}", printable(&line));
     let config = &status.config;
@@ -67,10 +63,24 @@
     let _ = writeln!(text, "targets: {usable} usable of {known} known");
     let epoch = cell(status.voters.epoch.as_ref());
     let _ = writeln!(text, "\nvoters of epoch {epoch}\n{}", voters_table(status));
-    let _ = write!(text, "\nother VMs\n{}", members_table(status));
+    let _ = writeln!(text, "\nVMs of this data centre\n{}", members_table(status));
+    let _ = write!(text, "\nother data centres\n{}", centres_table(status));
     text
 }
 
+/// Whether the VM takes requests, and its phase if that says more.
+fn readiness(status: &StatusAnswer) -> String {
+    let ready = match status.ready {
+        Some(true) => "ready",
+        Some(false) => "not ready",
+        None => "readiness unknown",
+    };
+    match &status.phase {
+        Some(phase) if phase != ready => format!("{ready}, {phase}"),
+        _ => ready.to_owned(),
+    }
+}
+
 fn voters_table(status: &StatusAnswer) -> CellTable {
     let mut table = CellTable::new(&["voter", "address", "state"]);
     for voter in &status.voters.set {
@@ -97,6 +107,19 @@
     table
 }
 
+fn centres_table(status: &StatusAnswer) -> CellTable {
+    let mut table = CellTable::new(&["data centre", "live VMs", "configuration", "contacts"]);
+    for centre in &status.centres {
+        table.row([
+            cell(centre.centre.as_ref()),
+            cell(centre.live_vms.as_ref()),
+            cell(centre.config_version.as_ref()),
+            centre.contacts.join(", "),
+        ]);
+    }
+    table
+}
+
 fn targets_text(answer: &TargetsAnswer) -> String {
     let header = [
         "service", "target", "address", "state", "usable", "versions", "brokers", "owner",
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -19,6 +19,7 @@
     report::{CommandReport, printable},
 };
 
+const LEFT_STATE: &str = "left";
 const POLL_PERIOD_MS: u64 = 200;
 const CHANGE_HEADER: HeaderName = HeaderName::from_static("change-id");
 
@@ -115,24 +116,43 @@
     }
 }
 
-/// VMs that the first answering VM does not know to have `version`.
+/// Where the first answering VM does not know `version` to be in force.
 async fn find_laggards(vms: &VmList, version: u64) -> Vec<String> {
     let json = match vms.read("/v1/status").await {
         Ok(json) => json,
         Err(error) => return vec![format!("unknown, no VM tells its status: {error}")],
     };
     let status: StatusAnswer = read_answer(&json);
+    laggards_of(&status, version)
+}
+
+/// VMs and data centres that a status doesn't show with `version`.
+///
+/// A dead VM is one that can't be reached: it may be cut off and still serve an
+/// older version. Only one that has left is of no concern.
+fn laggards_of(status: &StatusAnswer, version: u64) -> Vec<String> {
     let has_version = |known: Option<u64>| known.is_some_and(|known| known >= version);
     let mut laggards = Vec::new();
     if !has_version(status.config.version) {
         laggards.push(laggard(status.vm.as_deref(), None, status.config.version));
     }
-    for member in &status.members {
-        if !has_version(member.config_version) {
-            let state = member.state.as_deref();
+    let others = status
+        .members
+        .iter()
+        .filter(|member| member.vm != status.vm);
+    for member in others {
+        let state = member.state.as_deref();
+        if state != Some(LEFT_STATE) && !has_version(member.config_version) {
             laggards.push(laggard(member.vm.as_deref(), state, member.config_version));
         }
     }
+    for centre in &status.centres {
+        if centre.centre != status.centre && !has_version(centre.config_version) {
+            let name = centre.centre.as_deref().unwrap_or("unnamed");
+            let name = format!("data centre {name}");
+            laggards.push(laggard(Some(&name), None, centre.config_version));
+        }
+    }
     laggards
 }
 
--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -167,7 +167,9 @@
             return ok(r#"{"version":8}"#);
         }
         ok(r#"{"vm":"ub-1","config":{"version":8},"members":[
-            {"vm":"ub-2","state":"alive","config_version":7},{"vm":"ub-3"}]}"#)
+            {"vm":"ub-2","state":"alive","config_version":7},{"vm":"ub-3"},
+            {"vm":"ub-4","state":"left","config_version":7}],
+            "centres":[{"centre":"dk-central","config_version":6}]}"#)
     });
     let file = TempFile::new("lag.ini", TEXT);
     let args = [&submit_args(&file)[..], &["--wait", "0"]].concat();
@@ -183,6 +185,9 @@
             .contains("not yet in force on ub-3 (version unknown)"),
         "{run:?}"
     );
+    let centre = "not yet in force on data centre dk-central (version 6)";
+    assert!(run.stdout.contains(centre), "{run:?}");
+    assert!(!run.stdout.contains("ub-4"), "{run:?}");
 }
 
 #[test]
--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -147,12 +147,7 @@
     }
 
     /// Waits for the outcome of the request that holds the claim, while its VM lives.
-    async fn await_holder(
-        &self,
-        node: &NodeState,
-        holder: ActClaim,
-        deadline: MonoTime,
-    ) -> ActEnd {
+    async fn await_holder(&self, node: &NodeState, holder: ActClaim, deadline: MonoTime) -> ActEnd {
         let mut pause = Duration::from_millis(POLL_MIN_MS);
         while is_running(node, &holder) && node.timer.now() + pause < deadline {
             sleep(pause).await;
@@ -281,4 +276,3 @@
         None => Err(no_targets),
     }
 }
-
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -124,9 +124,7 @@
 
 /// Looks after requests that wait until the process halts.
 pub(crate) async fn run_desks(node: Arc<NodeState>) {
-    let mut ticks = node
-        .timer
-        .subscribe(Duration::from_millis(QUEUE_PERIOD_MS));
+    let mut ticks = node.timer.subscribe(Duration::from_millis(QUEUE_PERIOD_MS));
     loop {
         let now = tokio::select! {
             () = node.halt.cancelled() => return,
--- a/crates/daemon/src/search.rs
+++ b/crates/daemon/src/search.rs
@@ -110,7 +110,12 @@
     started: MonoTime,
 ) {
     let metrics = &node.metrics;
-    let lost = u64::from(outcome.stats.hedges.saturating_sub(outcome.stats.hedge_wins));
+    let lost = u64::from(
+        outcome
+            .stats
+            .hedges
+            .saturating_sub(outcome.stats.hedge_wins),
+    );
     let won = u64::from(outcome.stats.hedge_wins);
     for (outcome, count) in [("won", won), ("lost", lost)] {
         if count > 0 {
--- a/crates/daemon/src/views.rs
+++ b/crates/daemon/src/views.rs
@@ -110,8 +110,12 @@
     node.links.retain(&kept);
     for brokered in shares {
         let record = &brokered.entry.record;
-        node.links
-            .set_share(&record.service, &record.name, record.address, brokered.share);
+        node.links.set_share(
+            &record.service,
+            &record.name,
+            record.address,
+            brokered.share,
+        );
     }
     let usable = table.iter().filter(|entry| entry.usable).count();
     node.metrics.targets.set(usable as u64);
