Tune hedges and admission by a seeded queueing loop

Hedges went to a slow replica when the other one was busy; slow targets are now passed over while another holder is left, and a target counts as loaded once requests wait for its slots. A second hedge waited as long as the first; it now waits half as long.

--- /dev/null
+++ b/crates/route/examples/policy_tail/main.rs
@@ -0,0 +1,193 @@
+//! Measures the policies in a seeded queueing loop and prints a table.
+//!
+//! Run with `cargo run --release -p fulmarweir-route --example policy_tail`.
+//! `--default-only` leaves out the baselines, `--refusals` adds the reasons of refusals.
+
+mod target;
+mod world;
+
+use std::time::Duration;
+
+use fulmarweir_conf::{AnswerPreference, ServiceKind, ServicePlan};
+use fulmarweir_route::{AdmissionPolicy, PolicySettings, ReplicaPolicy, RetryPolicy};
+
+use crate::world::{Report, Scenario, World};
+
+const SEEDS: [u64; 3] = [11, 22, 33];
+const TAIL_LOAD: f64 = 0.4;
+const WARM_UP: Duration = Duration::from_secs(6);
+const LENGTH: Duration = Duration::from_secs(6);
+
+fn plan(prefer: AnswerPreference) -> ServicePlan {
+    ServicePlan {
+        name: "street-app/pitches".parse().expect("a valid name"),
+        depends: Vec::new(),
+        kind: ServiceKind::Search,
+        prefer,
+        deadline: Duration::from_millis(300),
+        soft_deadline: Duration::from_millis(150),
+        min_coverage: 0.0,
+        extra_load: 0.05,
+        slots: world::SLOTS,
+        connections: 30,
+        connect: Duration::from_millis(6),
+    }
+}
+
+fn scenario(policy: PolicySettings, load: f64) -> Scenario {
+    Scenario {
+        plan: plan(AnswerPreference::Coverage),
+        policy,
+        load,
+        late_share: 0.0,
+        slow_replica: false,
+        warm_up: WARM_UP,
+        length: LENGTH,
+        seed: 0,
+    }
+}
+
+/// Figures of one scenario over all seeds.
+struct Row {
+    p50_ms: f64,
+    p99_ms: f64,
+    whole_per_second: f64,
+    coverage_per_second: f64,
+    attempts_per_first: f64,
+    refused_share: f64,
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn summarize(reports: &[Report]) -> Row {
+    let mut latencies: Vec<Duration> = reports
+        .iter()
+        .flat_map(|report| report.latencies.iter().copied())
+        .collect();
+    latencies.sort_unstable();
+    let at = |percent: usize| {
+        let place = latencies.len() * percent / 100;
+        latencies
+            .get(place)
+            .map_or(f64::NAN, |latency| latency.as_secs_f64() * 1000.0)
+    };
+    let seconds = LENGTH.as_secs_f64() * reports.len() as f64;
+    let sum = |value: fn(&Report) -> u64| reports.iter().map(value).sum::<u64>() as f64;
+    let firsts = sum(|report| report.firsts);
+    let extras = sum(|report| report.hedges + report.retries);
+    let refused = sum(|report| report.refused.values().sum());
+    Row {
+        p50_ms: at(50),
+        p99_ms: at(99),
+        whole_per_second: sum(|report| report.whole) / seconds,
+        coverage_per_second: reports.iter().map(|report| report.coverage).sum::<f64>() / seconds,
+        attempts_per_first: (firsts + extras) / firsts,
+        refused_share: refused / sum(|report| report.offered),
+    }
+}
+
+fn measure(label: &str, scenario: &Scenario) -> Row {
+    let runs = SEEDS.map(|seed| {
+        let mut scenario = scenario.clone();
+        scenario.seed = seed;
+        std::thread::spawn(move || World::run(scenario))
+    });
+    let reports = runs.map(|run| run.join().expect("the loop ended"));
+    let row = summarize(&reports);
+    println!(
+        "{label:34} {:8.1} {:8.1} {:10.1} {:10.1} {:9.4} {:8.3}",
+        row.p50_ms,
+        row.p99_ms,
+        row.whole_per_second,
+        row.coverage_per_second,
+        row.attempts_per_first,
+        row.refused_share,
+    );
+    if std::env::args().any(|arg| arg == "--refusals") {
+        println!("    {:?}", reports[0].refused);
+    }
+    row
+}
+
+fn print_header(title: &str) {
+    println!("\n{title}");
+    println!(
+        "{:34} {:>8} {:>8} {:>10} {:>10} {:>9} {:>8}",
+        "", "p50 ms", "p99 ms", "whole/s", "coverage/s", "attempts", "refused"
+    );
+}
+
+fn print_tail(policies: &[(&str, PolicySettings)]) {
+    print_header(&format!(
+        "Tail at {TAIL_LOAD} of capacity, 1 in 100 sub-queries 200 ms late"
+    ));
+    let clean = measure("no stragglers, no hedge", &scenario(no_hedge(), TAIL_LOAD));
+    let hedged = measure(
+        "no stragglers, default",
+        &scenario(PolicySettings::default(), TAIL_LOAD),
+    );
+    for (label, policy) in policies {
+        let mut late = scenario(*policy, TAIL_LOAD);
+        late.late_share = 0.01;
+        let row = measure(&format!("stragglers, {label}"), &late);
+        let mut slow = scenario(*policy, TAIL_LOAD);
+        slow.slow_replica = true;
+        let slow_row = measure(&format!("one slow replica, {label}"), &slow);
+        println!(
+            "    p99 ratios to no stragglers (no hedge; default): stragglers {:.2}; {:.2}, slow replica {:.2}; {:.2}",
+            row.p99_ms / clean.p99_ms,
+            row.p99_ms / hedged.p99_ms,
+            slow_row.p99_ms / clean.p99_ms,
+            slow_row.p99_ms / hedged.p99_ms,
+        );
+    }
+}
+
+fn print_overload(policies: &[(&str, PolicySettings)], prefer: AnswerPreference) {
+    print_header(&format!("Overload, prefer {prefer:?}"));
+    for (label, policy) in policies {
+        let rows = [1.0, 3.0].map(|load| {
+            let mut scenario = scenario(*policy, load);
+            scenario.plan = plan(prefer);
+            measure(&format!("{load}x capacity, {label}"), &scenario)
+        });
+        println!(
+            "    3x to 1x: whole answers {:.2}, covered shards {:.2}",
+            rows[1].whole_per_second / rows[0].whole_per_second,
+            rows[1].coverage_per_second / rows[0].coverage_per_second,
+        );
+    }
+}
+
+fn no_hedge() -> PolicySettings {
+    PolicySettings {
+        hedge: false,
+        ..PolicySettings::default()
+    }
+}
+
+fn main() {
+    let default = PolicySettings::default();
+    let naive = PolicySettings {
+        retry: RetryPolicy::Naive,
+        ..default
+    };
+    let random = PolicySettings {
+        replica: ReplicaPolicy::Random,
+        ..default
+    };
+    let open = PolicySettings {
+        admission: AdmissionPolicy::Open,
+        ..naive
+    };
+    let mut tail = vec![("default", default)];
+    let mut overload = tail.clone();
+    if std::env::args().all(|arg| arg != "--default-only") {
+        tail.push(("no hedge", no_hedge()));
+        tail.push(("naive retry", naive));
+        tail.push(("random replica", random));
+        overload.push(("naive retry, no admission", open));
+    }
+    print_tail(&tail);
+    print_overload(&overload, AnswerPreference::Coverage);
+    print_overload(&overload, AnswerPreference::Latency);
+}
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -15,8 +15,10 @@
 const QUEUE_LENGTH_MAX: usize = 512;
 /// Weight of the latest run in the mean run time.
 const RUN_TIME_WEIGHT: f64 = 0.05;
-/// Share of the mean run time that must be left at the start of a run.
-const RUN_TIME_SHARE: f64 = 0.8;
+/// Mean deviations above the mean run time that must be left at the start of a run.
+const RUN_TIME_DEVIATIONS: f64 = 3.0;
+/// Share of the time left that a request may be expected to wait for admission.
+const WAIT_SHARE_MAX: f64 = 0.25;
 const RATE_WINDOW_MS: u64 = 200;
 const RETRY_AFTER_MIN_MS: u64 = 20;
 const RETRY_AFTER_MAX_MS: u64 = 5_000;
@@ -88,7 +90,8 @@
     in_flight: usize,
     waiting: BTreeMap<QueueTicket, AdmissionAsk>,
     waiting_units: usize,
-    run_time: Duration,
+    run_time: f64,
+    run_deviation: f64,
     window_start: MonoTime,
     window_units: usize,
     /// Units that end in a second.
@@ -96,8 +99,16 @@
 }
 
 impl BreadthLane {
-    fn needs_until(&self, now: MonoTime) -> MonoTime {
-        now + self.run_time.mul_f64(RUN_TIME_SHARE)
+    /// When a run that starts now will most likely have ended.
+    ///
+    /// An idle lane says `now`, so that estimates from an overload that is over
+    /// cannot refuse everyone.
+    fn ends_by(&self, now: MonoTime) -> MonoTime {
+        if self.in_flight == 0 {
+            return now;
+        }
+        let secs = self.run_time + RUN_TIME_DEVIATIONS * self.run_deviation;
+        now + Duration::from_secs_f64(secs)
     }
 
     fn expected_wait(&self, units: usize) -> Option<Duration> {
@@ -117,11 +128,9 @@
 
     fn run_ended(&mut self, units: usize, run_time: Duration, now: MonoTime) {
         self.in_flight = self.in_flight.saturating_sub(units);
-        self.run_time = if self.run_time.is_zero() {
-            run_time
-        } else {
-            self.run_time.mul_f64(1.0 - RUN_TIME_WEIGHT) + run_time.mul_f64(RUN_TIME_WEIGHT)
-        };
+        let error = run_time.as_secs_f64() - self.run_time;
+        self.run_time += RUN_TIME_WEIGHT * error;
+        self.run_deviation += RUN_TIME_WEIGHT * (error.abs() - self.run_deviation);
         self.window_units += units;
         let elapsed = now.since(self.window_start);
         if elapsed < Duration::from_millis(RATE_WINDOW_MS) {
@@ -206,7 +215,8 @@
             return GateAnswer::Refused(refusal);
         }
         let wait = lane.expected_wait(ask.units).unwrap_or_default();
-        if lane.needs_until(now + wait) > ask.answer_by {
+        let longest = ask.answer_by.since(now).mul_f64(WAIT_SHARE_MAX);
+        if wait > longest || lane.ends_by(now + wait) > ask.answer_by {
             let refusal = RouteRefusal::not_run(RefusalReason::TooLate, retry_after);
             return GateAnswer::Refused(refusal);
         }
@@ -240,7 +250,7 @@
         events: &mut Vec<GateEvent>,
     ) {
         while let Some((&ticket, &ask)) = self.lane(breadth).waiting.first_key_value() {
-            if self.lane(breadth).needs_until(now) > ask.answer_by {
+            if self.lane(breadth).ends_by(now) > ask.answer_by {
                 let retry_after = Some(self.lane(breadth).retry_after(ask.units));
                 self.lane(breadth).remove(ticket);
                 let refusal = RouteRefusal::not_run(RefusalReason::TooLate, retry_after);
--- a/crates/route/src/latency.rs
+++ b/crates/route/src/latency.rs
@@ -9,6 +9,8 @@
 const WINDOW_MIN_SAMPLES: u64 = 200;
 const HIGHEST_MICROS: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 2;
+/// Share of the extra load that goes to first hedges; the rest is for second ones and retries.
+const HEDGE_BUDGET_SHARE: f64 = 0.8;
 /// Samples between two computations of the quantiles.
 const REFRESH_SAMPLES: u32 = 128;
 
@@ -19,13 +21,13 @@
     previous: Histogram<u32>,
     rotated: MonoTime,
     unread: u32,
-    hedge_quantile: f64,
+    slow_share: f64,
     median: Option<Duration>,
     hedge: Option<Duration>,
 }
 
-impl LatencyEstimate {
-    pub(crate) fn new(hedge_quantile: f64) -> Self {
+impl Default for LatencyEstimate {
+    fn default() -> Self {
         let empty = Histogram::new_with_bounds(1, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
             .expect("constant bounds are valid");
         Self {
@@ -33,11 +35,18 @@
             previous: empty,
             rotated: MonoTime::ZERO,
             unread: 0,
-            hedge_quantile,
+            slow_share: 0.0,
             median: None,
             hedge: None,
         }
     }
+}
+
+impl LatencyEstimate {
+    /// Sets the share of extra attempts, which bounds the share that may count as slow.
+    pub(crate) fn set_extra_load(&mut self, extra_load: f64) {
+        self.slow_share = extra_load.clamp(0.0, 1.0) * HEDGE_BUDGET_SHARE;
+    }
 
     /// Adds one sample.
     pub(crate) fn record(&mut self, now: MonoTime, latency: Duration) {
@@ -90,6 +99,6 @@
         let at = |quantile| Duration::from_micros(source.value_at_quantile(quantile));
         self.median = Some(at(0.5));
         let enough = source.len() >= WINDOW_MIN_SAMPLES;
-        self.hedge = enough.then(|| at(self.hedge_quantile));
+        self.hedge = enough.then(|| at(1.0 - self.slow_share));
     }
 }
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -18,6 +18,10 @@
 const LATENCY_HALF_LIFE_MS: f64 = 3_000.0;
 /// Latencies below this multiple of the service's median count as equal.
 const LATENCY_BAND: f64 = 2.0;
+/// Requests beyond its slots from which a target counts as loaded.
+const WAITING_MAX: f64 = 1.0;
+/// Factor from which a target is passed over while another holder is left.
+const SLOW_FACTOR: f64 = 2.0;
 const LATENCY_FACTOR_MAX: f64 = 64.0;
 const SLOW_START_MS: f64 = 5_000.0;
 /// How many times its load a target that has just started counts for.
@@ -66,8 +70,10 @@
     pub(crate) standing: TargetStanding,
     /// Lower is better.
     pub(crate) score: f64,
-    /// Whether its slots are taken.
+    /// Whether requests wait for its slots.
     pub(crate) loaded: bool,
+    /// Whether it takes much longer than the service's other targets.
+    pub(crate) slow: bool,
     /// Whether it said that it no longer holds the version asked for.
     pub(crate) gone: bool,
 }
@@ -158,7 +164,8 @@
         let load = self.expected_load(now);
         let slots = f64::from(self.slots);
         let refused = now < self.refused_until;
-        let mut score = (load + 1.0) / slots * self.latency_factor(median, now);
+        let latency_factor = self.latency_factor(median, now);
+        let mut score = (load + 1.0) / slots * latency_factor;
         score *= self.cold_factor(now);
         if refused {
             score *= REFUSED_FACTOR;
@@ -166,7 +173,8 @@
         TargetRating {
             standing: self.standing(now),
             score,
-            loaded: refused || load >= slots,
+            loaded: refused || load >= slots + WAITING_MAX,
+            slow: latency_factor >= SLOW_FACTOR,
             gone: self.lacks(version, now),
         }
     }
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -19,7 +19,7 @@
 pub(crate) enum ChoicePurpose {
     /// An attempt that must be sent somewhere.
     Needed,
-    /// A hedge, which is not worth a target whose slots are taken.
+    /// A hedge, which is not worth a place in a target's queue.
     Spare,
 }
 
@@ -28,6 +28,13 @@
     rating: TargetRating,
 }
 
+impl RatedTarget<'_> {
+    /// Neither ejected nor much slower than the others.
+    fn is_healthy(&self) -> bool {
+        self.rating.standing == TargetStanding::Normal && !self.rating.slow
+    }
+}
+
 /// Chooses among `holders` of a shard of `version`, leaving out `tried`.
 ///
 /// Ejected targets are passed over while another holder is left, so that no
@@ -56,7 +63,7 @@
         return pick_any(&rated, rng);
     }
     if purpose == ChoicePurpose::Spare {
-        rated.retain(|one| !one.rating.loaded && one.rating.standing == TargetStanding::Normal);
+        rated.retain(|one| one.is_healthy() && !one.rating.loaded);
         return lower_of_two(&rated, rng);
     }
     let to_probe = rated
@@ -67,11 +74,8 @@
     {
         return Some(Arc::clone(probe.target));
     }
-    let healthy = rated
-        .iter()
-        .any(|one| one.rating.standing == TargetStanding::Normal);
-    if healthy {
-        rated.retain(|one| one.rating.standing == TargetStanding::Normal);
+    if rated.iter().any(RatedTarget::is_healthy) {
+        rated.retain(RatedTarget::is_healthy);
     }
     lower_of_two(&rated, rng)
 }
--- a/crates/route/src/search.rs
+++ b/crates/route/src/search.rs
@@ -247,7 +247,9 @@
     }
 
     fn credit_budget(&mut self) {
-        let mut budget = lock(&self.permit.state().budget);
+        let state = self.permit.state();
+        lock(&state.latency).set_extra_load(self.plan.extra_load);
+        let mut budget = lock(&state.budget);
         if self.ask.repeated {
             budget.charge(self.attempts.open_count());
         } else {
--- a/crates/route/src/search/extra.rs
+++ b/crates/route/src/search/extra.rs
@@ -13,12 +13,16 @@
 
 /// Hedges for one shard of one search.
 const HEDGES_MAX: u32 = 2;
+/// Time from the first hedge of a shard to the second, as a share of the hedge delay.
+const SECOND_HEDGE_SHARE: f64 = 0.5;
 /// Pause before targets that have all been asked are asked again, times the retries so far.
 const RETRY_PAUSE_MS: u64 = 10;
 /// Pause until an empty budget is asked again.
 const BUDGET_RECHECK_MS: u64 = 5;
 /// Retries of one shard in the baseline without a budget.
 const NAIVE_RETRIES_MAX: u32 = 3;
+/// Time-out of that baseline as a share of the deadline.
+const NAIVE_TIMEOUT_SHARE: f64 = 0.1;
 /// Hedge delay as a share of the soft deadline while latencies are unknown.
 const HEDGE_DELAY_SHARE: f64 = 0.5;
 
@@ -103,7 +107,7 @@
 
     fn take_for_retry(&self, place: usize, reason: RetryReason) -> bool {
         let state = self.permit.state();
-        if state.settings.retry == RetryPolicy::Naive {
+        if self.is_naive() {
             return self.shards[place].retries < NAIVE_RETRIES_MAX;
         }
         let mut budget = lock(&state.budget);
@@ -126,12 +130,12 @@
         if due.is_empty() {
             return;
         }
-        if !lock(&state.budget).try_take(due.len()) {
+        if !self.is_naive() && !lock(&state.budget).try_take(due.len()) {
             return;
         }
         let mut unsent = 0;
         for place in due {
-            match self.choose(place, true, step) {
+            match self.choose(place, !self.is_naive(), step) {
                 Some(target) => self.send(place, target, AttemptKind::Hedge, step),
                 None => unsent += 1,
             }
@@ -139,22 +143,37 @@
         lock(&self.permit.state().budget).refund(unsent);
     }
 
+    fn is_naive(&self) -> bool {
+        self.permit.state().settings.retry == RetryPolicy::Naive
+    }
+
     fn hedge_candidates(&self, now: MonoTime) -> Vec<usize> {
         let delay = self.hedge_delay();
         let is_due = |place: &usize| {
             let progress = &self.shards[*place];
             progress.is_waiting()
                 && progress.hedges < HEDGES_MAX
-                && now.since(progress.sent_at) >= delay
+                && now.since(progress.sent_at) >= Self::hedge_pause(progress.hedges, delay)
         };
         (0..self.shards.len()).filter(is_due).collect()
     }
 
     pub(crate) fn hedge_delay(&self) -> Duration {
+        if self.is_naive() {
+            return self.plan.deadline.mul_f64(NAIVE_TIMEOUT_SHARE);
+        }
         let measured = lock(&self.permit.state().latency).hedge_delay();
         measured.unwrap_or_else(|| self.plan.soft_deadline.mul_f64(HEDGE_DELAY_SHARE))
     }
 
+    /// Time from the last attempt of a shard to its next hedge.
+    fn hedge_pause(hedges: u32, delay: Duration) -> Duration {
+        if hedges == 0 {
+            return delay;
+        }
+        delay.mul_f64(SECOND_HEDGE_SHARE)
+    }
+
     /// The next time at which a hedge or retry may be due.
     pub(crate) fn next_extra(&self, now: MonoTime) -> Option<MonoTime> {
         let recheck = now + Duration::from_millis(BUDGET_RECHECK_MS);
@@ -168,7 +187,7 @@
                 return Some(retry.at);
             }
             let hedgeable = hedges && progress.in_flight > 0 && progress.hedges < HEDGES_MAX;
-            hedgeable.then(|| progress.sent_at + delay)
+            hedgeable.then(|| progress.sent_at + Self::hedge_pause(progress.hedges, delay))
         };
         let next = self.shards.iter().filter_map(next_of).min()?;
         Some(if next <= now { recheck } else { next })
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -20,7 +20,6 @@
 
 /// Attempts in flight that the targets' slots are taken to hold, as a multiple of the slots.
 const SLOTS_CEILING: f64 = 2.0;
-const DEFAULT_HEDGE_QUANTILE: f64 = 0.95;
 
 /// State of one service that all its requests on this VM share.
 ///
@@ -110,7 +109,7 @@
         Self {
             settings,
             budget: Mutex::default(),
-            latency: Mutex::new(LatencyEstimate::new(DEFAULT_HEDGE_QUANTILE)),
+            latency: Mutex::default(),
             table: LoadTable::default(),
             gate: Mutex::new(AdmissionGate::new(settings.admission)),
         }
