Test voters that crash, restart and are replaced under load

Clients no longer all finish a change that they meet: each waits until it has been unfinished for a second or two, and those told so never do.

A new set without a member of the old one could not be finished by a client that knew neither: nobody there could name the old set. Sealing now tells it.

--- a/crates/quorum/src/acceptor.rs
+++ b/crates/quorum/src/acceptor.rs
@@ -10,7 +10,7 @@
 use fulmarweir_base::{MonoTime, VmName};
 
 use crate::{
-    acceptor::shard::{RecordSink, RegisterShard, ShardClock},
+    acceptor::shard::{RecordSink, RegisterPage, RegisterShard, ShardClock},
     key::{REGISTER_SHARDS, RegisterKey},
     member::{EpochState, VoterIdentity, VoterSet},
     message::{PageCursor, RegisterCopy, RequestBody, VoterReply, VoterRequest},
@@ -18,12 +18,6 @@
     value::AcceptedValue,
 };
 
-/// Registers in one page of a copy.
-const PAGE_REGISTERS: usize = 512;
-
-/// Bytes of values after which a page ends.
-const PAGE_BYTES: usize = 256 << 10;
-
 /// Expired registers that one request removes at most.
 const REMOVALS_PER_REQUEST: usize = 4;
 
@@ -53,10 +47,7 @@
         first_set: VoterSet,
         retention: Duration,
     ) -> Self {
-        let epoch = EpochState {
-            current: first_set,
-            next: None,
-        };
+        let epoch = EpochState::settled(first_set);
         Self {
             name,
             identity,
@@ -117,7 +108,7 @@
             return VoterReply::Stranger { identity };
         }
         match &request.body {
-            RequestBody::Seal { next } => self.seal(next, sink),
+            RequestBody::Seal { next, previous } => self.seal(next, previous.as_ref(), sink),
             RequestBody::Install { registers } => self.install(now, request.epoch, registers, sink),
             RequestBody::Complete => self.complete(request.epoch, sink),
             RequestBody::ReadPage { from } => self.read_page(request.epoch, from),
@@ -215,14 +206,22 @@
         (!is_member).then_some(VoterReply::Stranger { identity })
     }
 
-    fn seal(&self, next: &VoterSet, sink: RecordSink<'_>) -> VoterReply {
+    fn seal(
+        &self,
+        next: &VoterSet,
+        previous: Option<&VoterSet>,
+        sink: RecordSink<'_>,
+    ) -> VoterReply {
         let mut epoch = self.write_epoch();
         if epoch.latest().epoch > next.epoch {
             let epoch = epoch.clone();
             return VoterReply::Moved { epoch };
         }
-        if epoch.latest().epoch < next.epoch {
+        let is_later = epoch.latest().epoch < next.epoch;
+        let tells_previous = epoch.next.is_some() && epoch.previous.is_none() && previous.is_some();
+        if is_later || tells_previous {
             epoch.next = Some(next.clone());
+            epoch.previous = previous.cloned();
             sink(VoterRecord::Epoch(epoch.clone()));
         }
         let whole_for = epoch.current.epoch;
@@ -253,7 +252,7 @@
             return reply;
         }
         if let Some(next) = epoch.next.take() {
-            epoch.current = next;
+            *epoch = EpochState::settled(next);
         }
         sink(VoterRecord::Epoch(epoch.clone()));
         VoterReply::Whole
@@ -283,27 +282,29 @@
             let epoch = epoch.clone();
             return VoterReply::NotWhole { epoch };
         }
-        if from.shard >= REGISTER_SHARDS {
-            return VoterReply::Page {
-                registers: Vec::new(),
-                next: None,
-            };
-        }
-        let shard = self.shard(from.shard);
-        let registers = shard.page(from.after.as_ref(), PAGE_REGISTERS, PAGE_BYTES);
-        let next = match registers.last() {
-            Some(last) => Some(PageCursor {
-                shard: from.shard,
-                after: Some(last.key.clone()),
-            }),
-            None => (from.shard + 1 < REGISTER_SHARDS).then_some(PageCursor {
-                shard: from.shard + 1,
-                after: None,
-            }),
-        };
+        let (registers, next) = self.page_from(from);
         VoterReply::Page { registers, next }
     }
 
+    /// Registers from a place on, over as many shards as fit into a page.
+    fn page_from(&self, from: &PageCursor) -> (Vec<RegisterCopy>, Option<PageCursor>) {
+        let mut page = RegisterPage::default();
+        let mut after = from.after.as_ref();
+        for number in from.shard..REGISTER_SHARDS {
+            let is_whole = self.shard(number).fill_page(after.take(), &mut page);
+            if !is_whole {
+                let last = page.registers.last().map(|copy| copy.key.clone());
+                let after = last.filter(|key| key.shard() == number);
+                let next = PageCursor {
+                    shard: number,
+                    after,
+                };
+                return (page.registers, Some(next));
+            }
+        }
+        (page.registers, None)
+    }
+
     const fn clock(&self, now: MonoTime) -> ShardClock {
         ShardClock {
             now,
--- a/crates/quorum/src/acceptor/shard.rs
+++ b/crates/quorum/src/acceptor/shard.rs
@@ -17,6 +17,12 @@
     value::{AcceptedValue, RegisterValue},
 };
 
+/// Registers in one page of a copy.
+const PAGE_REGISTERS: usize = 512;
+
+/// Bytes of values after which a page ends.
+const PAGE_BYTES: usize = 256 << 10;
+
 /// One register.
 #[derive(Debug)]
 struct RegisterSlot {
@@ -38,6 +44,24 @@
     floor: Ballot,
 }
 
+/// Registers on their way to another voter.
+#[derive(Debug, Default)]
+pub(crate) struct RegisterPage {
+    pub(crate) registers: Vec<RegisterCopy>,
+    value_bytes: usize,
+}
+
+impl RegisterPage {
+    const fn is_full(&self) -> bool {
+        self.registers.len() >= PAGE_REGISTERS || self.value_bytes >= PAGE_BYTES
+    }
+
+    fn push(&mut self, copy: RegisterCopy) {
+        self.value_bytes += copy.accepted.as_ref().map_or(0, value_bytes);
+        self.registers.push(copy);
+    }
+}
+
 /// Where a shard's durable records go.
 pub(crate) type RecordSink<'a> = &'a mut dyn FnMut(VoterRecord);
 
@@ -177,25 +201,19 @@
         true
     }
 
-    /// The registers after `after`, at most `limit` and about `limit_bytes` of values.
-    pub(crate) fn page(
-        &self,
-        after: Option<&RegisterKey>,
-        limit: usize,
-        limit_bytes: usize,
-    ) -> Vec<RegisterCopy> {
+    /// Adds the registers after `after` to the page; returns whether all fitted.
+    pub(crate) fn fill_page(&self, after: Option<&RegisterKey>, page: &mut RegisterPage) -> bool {
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let mut bytes = 0;
-        self.slots
-            .range::<RegisterKey, _>((start, Bound::Unbounded))
-            .take(limit)
-            .take_while(|(_, slot)| {
-                let fits = bytes < limit_bytes;
-                bytes += slot.accepted.as_ref().map_or(0, value_bytes);
-                fits
-            })
-            .map(|(key, slot)| copy_of(key, slot))
-            .collect()
+        let slots = self
+            .slots
+            .range::<RegisterKey, _>((start, Bound::Unbounded));
+        for (key, slot) in slots {
+            if page.is_full() {
+                return false;
+            }
+            page.push(copy_of(key, slot));
+        }
+        true
     }
 
     /// Records that rebuild the shard.
--- a/crates/quorum/src/client.rs
+++ b/crates/quorum/src/client.rs
@@ -120,11 +120,7 @@
 
     /// Adopts a voter set that was learned elsewhere, if it is later.
     pub fn learn_voters(&self, set: &VoterSet) {
-        let epoch = EpochState {
-            current: set.clone(),
-            next: None,
-        };
-        self.lock_view().observe(&epoch);
+        self.observe_epoch(&EpochState::settled(set.clone()));
     }
 
     /// Waits for requests that are still under way.
@@ -282,8 +278,8 @@
             self.lock_state().ballots.observe(above);
         }
         if let Some(epoch) = &failure.epoch {
-            self.lock_view().observe(epoch);
-            self.finish_known_change(call).await?;
+            self.observe_epoch(epoch);
+            self.finish_abandoned_change(call).await?;
         }
         self.back_off(call).await
     }
@@ -318,6 +314,11 @@
         }
     }
 
+    pub(crate) fn observe_epoch(&self, epoch: &EpochState) {
+        let now = self.timer.now();
+        self.lock_view().observe(now, epoch);
+    }
+
     fn lock_view(&self) -> MutexGuard<'_, VoterView> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/quorum/src/client/change.rs
+++ b/crates/quorum/src/client/change.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use rand::RngExt as _;
 
 use crate::{
     client::{CallProgress, QuorumClient, copy::CopyPlan},
@@ -108,18 +109,21 @@
     ///
     /// Returns whether it answered.
     pub async fn inform_voter(&self, member: &VoterMember) -> bool {
-        let next = self.voters();
+        let (next, previous) = {
+            let view = self.lock_view();
+            (view.latest.clone(), view.previous.clone())
+        };
         if next.epoch == 0 {
             return false;
         }
         let request = VoterRequest {
             to: member.identity,
             epoch: next.epoch,
-            body: RequestBody::Seal { next },
+            body: RequestBody::Seal { next, previous },
         };
         let reply = self.carrier.ask(member, request).await;
         if let Some(VoterReply::Moved { epoch }) = &reply {
-            self.lock_view().observe(epoch);
+            self.observe_epoch(epoch);
         }
         reply.is_some()
     }
@@ -156,7 +160,7 @@
             let replies = self.identify(&unborn).await;
             let members = self.identified_members(&unborn, &replies);
             if self.voters().epoch > 0 {
-                self.finish_known_change(call).await?;
+                self.finish_abandoned_change(call).await?;
                 return Ok(self.voters());
             }
             if let Some(members) = members {
@@ -170,13 +174,18 @@
         }
     }
 
-    /// Finishes the change that the view says may be unfinished.
-    pub(crate) async fn finish_known_change(&self, call: &mut CallProgress) -> Result<()> {
-        let (previous, latest) = {
+    /// Finishes a change that has been seen unfinished for long enough.
+    pub(crate) async fn finish_abandoned_change(&self, call: &mut CallProgress) -> Result<()> {
+        let (previous, latest, since) = {
             let view = self.lock_view();
-            (view.previous.clone(), view.latest.clone())
+            let previous = view.previous.clone();
+            (previous, view.latest.clone(), view.unfinished_since)
         };
-        if previous.is_some() {
+        let Some(grace) = self.settings.finish_after.filter(|_| previous.is_some()) else {
+            return Ok(());
+        };
+        let share: f64 = self.lock_state().generator.random();
+        if self.timer.now() >= since + grace.mul_f64(1.0 + share) {
             self.finish_change(call, previous.as_ref(), &latest).await?;
         }
         Ok(())
@@ -288,7 +297,10 @@
             let leaving = old.members.iter().filter(|m| !next.contains(m.identity));
             everyone.members.extend(leaving.cloned());
         }
-        let body = RequestBody::Seal { next: next.clone() };
+        let body = RequestBody::Seal {
+            next: next.clone(),
+            previous: old.cloned(),
+        };
         let requests = requests_to_all(&everyone, &body);
         let mut replies = self.carrier.send_all(&everyone.members, requests);
         let mut plan = CopyPlan::new(next.epoch);
@@ -298,7 +310,7 @@
                 Some(VoterReply::Sealed { whole_for }) => {
                     plan.add_sealed(member, whole_for, next);
                 }
-                Some(VoterReply::Moved { epoch }) => self.lock_view().observe(&epoch),
+                Some(VoterReply::Moved { epoch }) => self.observe_epoch(&epoch),
                 _ => {}
             }
         }
@@ -325,7 +337,7 @@
         for (member, reply) in set.members.iter().zip(replies) {
             if let Some(VoterReply::Identity { identity, epoch }) = reply {
                 if epoch.latest().epoch > 0 {
-                    self.lock_view().observe(epoch);
+                    self.observe_epoch(epoch);
                 }
                 let identity = *identity;
                 members.push(VoterMember {
--- a/crates/quorum/src/client/settings.rs
+++ b/crates/quorum/src/client/settings.rs
@@ -23,6 +23,9 @@
 /// Longest pause between rounds, in milliseconds.
 const BACKOFF_MAX_MS: u64 = 200;
 
+/// Time after which a change of voters counts as abandoned, in milliseconds.
+const FINISH_AFTER_MS: u64 = 1000;
+
 /// What a client is started with.
 #[derive(Clone)]
 pub struct ClientSettings {
@@ -36,6 +39,9 @@
     pub backoff_min: Duration,
     /// Longest pause between rounds.
     pub backoff_max: Duration,
+    /// Time after which this client finishes a change of voters that another began; up to twice
+    /// as long at random, so that few do it at once. `None`: never.
+    pub finish_after: Option<Duration>,
     /// Seed of the random pauses.
     pub seed: u64,
 }
@@ -50,6 +56,7 @@
             attempt_timeout: Duration::from_millis(ATTEMPT_TIMEOUT_MS),
             backoff_min: Duration::from_millis(BACKOFF_MIN_MS),
             backoff_max: Duration::from_millis(BACKOFF_MAX_MS),
+            finish_after: Some(Duration::from_millis(FINISH_AFTER_MS)),
             seed: rand::random(),
         }
     }
--- a/crates/quorum/src/client/view.rs
+++ b/crates/quorum/src/client/view.rs
@@ -1,5 +1,7 @@
 //! What a client knows of the voter sets.
 
+use fulmarweir_base::MonoTime;
+
 use crate::member::{EpochState, VoterSet};
 
 /// The latest voter set, and the one before while the change may be unfinished.
@@ -7,6 +9,8 @@
 pub(crate) struct VoterView {
     pub(crate) latest: VoterSet,
     pub(crate) previous: Option<VoterSet>,
+    /// When the change was first seen unfinished.
+    pub(crate) unfinished_since: MonoTime,
 }
 
 impl VoterView {
@@ -14,22 +18,27 @@
         Self {
             latest,
             previous: None,
+            unfinished_since: MonoTime::ZERO,
         }
     }
 
     /// Adopts what a voter knows, if it is later.
-    pub(crate) fn observe(&mut self, epoch: &EpochState) {
+    pub(crate) fn observe(&mut self, now: MonoTime, epoch: &EpochState) {
         let latest = epoch.latest();
         if latest.epoch < self.latest.epoch || latest.members.is_empty() {
             return;
         }
         let precedes = epoch.current.epoch + 1 == latest.epoch;
+        let current = precedes.then_some(&epoch.current);
+        let previous = epoch.previous.as_ref().or(current);
         if latest.epoch > self.latest.epoch {
             self.latest = latest.clone();
             self.previous = None;
         }
-        if precedes && !epoch.current.members.is_empty() {
-            self.previous = Some(epoch.current.clone());
+        let previous = previous.filter(|previous| !previous.members.is_empty());
+        if self.previous.is_none() && previous.is_some() {
+            self.previous = previous.cloned();
+            self.unfinished_since = now;
         }
     }
 }
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -93,9 +93,21 @@
     pub current: VoterSet,
     /// A later set. The voter no longer votes in the current one.
     pub next: Option<VoterSet>,
+    /// The set just before `next`, which the registers for `next` are copied from.
+    pub previous: Option<VoterSet>,
 }
 
 impl EpochState {
+    /// A voter whole for `current` that knows no later set.
+    #[must_use]
+    pub const fn settled(current: VoterSet) -> Self {
+        Self {
+            current,
+            next: None,
+            previous: None,
+        }
+    }
+
     /// The latest known set.
     #[must_use]
     pub fn latest(&self) -> &VoterSet {
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -66,6 +66,8 @@
     Seal {
         /// The later set.
         next: VoterSet,
+        /// The set just before it, as far as the change may be unfinished.
+        previous: Option<VoterSet>,
     },
 }
 
--- /dev/null
+++ b/crates/quorum/tests/chaos.rs
@@ -0,0 +1,339 @@
+//! Seeded runs in which messages are lost, repeated and reordered while voters crash, restart and
+//! are replaced. What callers were told must hold whatever happened.
+
+mod sim;
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use fulmarweir_quorum::{
+    ActClaim, ActKey, ActOutcome, ClaimOutcome, ConfigState, QuorumClient, SettleOutcome,
+    SubmitOutcome,
+};
+use sim::{CALM, STORMY, SimNet, address, for_seeds, vm};
+use tokio::task::LocalSet;
+
+const VMS: u16 = 6;
+const VOTERS: u16 = 3;
+const CALLERS: u64 = 4;
+const STEPS: u64 = 25;
+const KEYS: u64 = 5;
+const PATIENCE: Duration = Duration::from_secs(2);
+const CALM_PATIENCE: Duration = Duration::from_mins(1);
+const RETENTION: Duration = Duration::from_hours(24);
+
+/// What callers were told, checked as it comes in.
+#[derive(Default)]
+struct History {
+    /// Change and text by version, as accepted or read.
+    texts: BTreeMap<u64, Arc<str>>,
+    accepted: BTreeMap<Arc<str>, u64>,
+    /// Highest version that a finished call has told.
+    known_version: u64,
+    runs: BTreeMap<Arc<str>, u64>,
+    holders: BTreeMap<Arc<str>, ActClaim>,
+    outcomes: BTreeMap<Arc<str>, ActOutcome>,
+    finished_calls: u64,
+}
+
+impl History {
+    fn told_version(&mut self, version: u64, text: &Arc<str>) {
+        let known = self
+            .texts
+            .entry(version)
+            .or_insert_with(|| Arc::clone(text));
+        assert_eq!(known, text, "version {version} has two texts");
+        self.known_version = self.known_version.max(version);
+    }
+
+    fn read(&mut self, known_before: u64, state: &ConfigState) {
+        assert!(state.version >= known_before, "a read went back");
+        if state.version > 0 {
+            self.told_version(state.version, &state.text);
+        }
+        for (change, version) in &self.accepted {
+            let kept = state.outcomes.iter().any(|record| {
+                record.change == *change
+                    && record.outcome == SubmitOutcome::Accepted { version: *version }
+            });
+            assert!(
+                kept || *version > known_before,
+                "{change} was accepted and lost"
+            );
+        }
+    }
+
+    fn submitted(&mut self, known_before: u64, change: &Arc<str>, outcome: SubmitOutcome) {
+        match outcome {
+            SubmitOutcome::Accepted { version } => {
+                let first = *self.accepted.entry(Arc::clone(change)).or_insert(version);
+                assert_eq!(first, version, "{change} was told two versions");
+                self.told_version(version, change);
+            }
+            SubmitOutcome::Conflict { current } => {
+                assert!(current >= known_before || !self.accepted.contains_key(change));
+                assert!(
+                    !self.accepted.contains_key(change),
+                    "{change} was accepted before"
+                );
+            }
+        }
+    }
+
+    fn granted(&mut self, key: &Arc<str>, claim: &ActClaim) {
+        let other = self.holders.insert(Arc::clone(key), claim.clone());
+        assert_eq!(other, None, "{key} was granted twice");
+        assert!(
+            !self.outcomes.contains_key(key),
+            "{key} was granted after its outcome"
+        );
+    }
+
+    fn ran(&mut self, key: &Arc<str>) {
+        let runs = self.runs.entry(Arc::clone(key)).or_default();
+        *runs += 1;
+        assert_eq!(*runs, 1, "{key} ran twice");
+    }
+}
+
+/// One caller: a client that may restart, and the history that all share.
+struct Caller {
+    number: u16,
+    net: SimNet,
+    client: Arc<QuorumClient>,
+    history: Rc<RefCell<History>>,
+    attempts: u64,
+}
+
+impl Caller {
+    async fn run(mut self) {
+        for _ in 0..STEPS {
+            match self.net.below(10) {
+                0..=2 => self.submit().await,
+                3 => self.read().await,
+                4 => self.client = self.net.client(self.number.into()),
+                _ => self.act().await,
+            }
+            let pause = self.net.below(40);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    async fn submit(&mut self) {
+        self.attempts += 1;
+        let change: Arc<str> = format!("{}-{}", self.number, self.attempts).into();
+        let known = self.history.borrow().known_version;
+        // Sometimes one version ahead, which must be refused for good.
+        let at = known + u64::from(self.net.chance(0.1));
+        for _ in 0..3 {
+            let (change, text) = (Arc::clone(&change), Arc::clone(&change));
+            let result = self
+                .client
+                .submit_config(at, change.clone(), text, PATIENCE)
+                .await;
+            if let Ok(outcome) = result {
+                let mut history = self.history.borrow_mut();
+                history.submitted(known, &change, outcome);
+                history.finished_calls += 1;
+            }
+        }
+    }
+
+    async fn read(&mut self) {
+        let known = self.history.borrow().known_version;
+        if let Ok(state) = self.client.read_config(PATIENCE).await {
+            self.history.borrow_mut().read(known, &state);
+        }
+    }
+
+    async fn act(&mut self) {
+        self.attempts += 1;
+        let key: Arc<str> = format!("key-{}", self.net.below(KEYS)).into();
+        let act = ActKey {
+            service: "fees/pay".parse().unwrap(),
+            key: Arc::clone(&key),
+        };
+        let claim = ActClaim {
+            vm: vm(self.number),
+            incarnation: 1,
+            attempt: self.attempts,
+            body: [0; 32],
+        };
+        let known = self.history.borrow().outcomes.get(&key).cloned();
+        let claimed = self.client.claim(act.clone(), &claim, PATIENCE).await;
+        match claimed {
+            Ok(ClaimOutcome::Granted) => self.hold(act, &claim).await,
+            Ok(ClaimOutcome::Finished(outcome)) => {
+                let mut history = self.history.borrow_mut();
+                let first = history
+                    .outcomes
+                    .entry(key)
+                    .or_insert_with(|| outcome.clone());
+                assert_eq!(*first, outcome);
+            }
+            Ok(ClaimOutcome::HeldBy(_)) => assert_eq!(known, None, "{key} lost its outcome"),
+            Ok(ClaimOutcome::OtherBody) => panic!("all bodies are the same"),
+            // Not to be run; the claim may stand, so it is given back.
+            Err(_) => drop(self.client.release(act, &claim, PATIENCE).await),
+        }
+    }
+
+    async fn hold(&mut self, act: ActKey, claim: &ActClaim) {
+        let key = Arc::clone(&act.key);
+        self.history.borrow_mut().granted(&key, claim);
+        if self.net.chance(0.6) {
+            // Not run: from here on another claim may be granted.
+            self.history.borrow_mut().holders.remove(&key);
+            let _ = self.client.release(act, claim, PATIENCE).await;
+            return;
+        }
+        self.history.borrow_mut().ran(&key);
+        let body = Bytes::from(format!("{}-{}", self.number, self.attempts));
+        let outcome = ActOutcome { status: 200, body };
+        let recorded = self.client.record(act, claim, &outcome, PATIENCE).await;
+        if let Ok(settled) = recorded {
+            assert_eq!(
+                settled,
+                SettleOutcome::Settled,
+                "{key} was taken from its holder"
+            );
+            let mut history = self.history.borrow_mut();
+            history.outcomes.insert(key, outcome);
+            history.finished_calls += 1;
+        }
+    }
+}
+
+/// Crashes, restarts, cuts and replaces voters until told to stop.
+async fn disturb(net: SimNet, stop: Rc<RefCell<bool>>, change_voters: bool) {
+    let operator = net.client(100);
+    let mut changes = Vec::new();
+    while !*stop.borrow() {
+        let number = u16::try_from(net.below(VMS.into())).unwrap();
+        match net.below(8) {
+            0 | 1 if net.is_up(number) => net.crash(number),
+            0..=3 if !net.is_up(number) => net.restart(number),
+            4 => {
+                let caller = net.below(CALLERS);
+                net.lock().cuts.insert((caller, address(number)));
+            }
+            5 => net.lock().cuts.clear(),
+            6 if change_voters => {
+                let (net, operator) = (net.clone(), Arc::clone(&operator));
+                changes.push(tokio::task::spawn_local(change_at_random(net, operator)));
+            }
+            _ => {}
+        }
+        let pause = net.below(150);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    for change in changes {
+        let _ = change.await;
+    }
+}
+
+async fn change_at_random(net: SimNet, operator: Arc<QuorumClient>) {
+    let client = if net.chance(0.5) {
+        operator
+    } else {
+        net.client(101)
+    };
+    let count = if net.chance(0.3) { 5 } else { 3 };
+    let mut numbers = BTreeSet::new();
+    while numbers.len() < count {
+        numbers.insert(u16::try_from(net.below(VMS.into())).unwrap());
+    }
+    let members = numbers
+        .into_iter()
+        .map(|number| net.member(number))
+        .collect();
+    let _ = client.change_voters(members, Duration::from_secs(4)).await;
+}
+
+async fn run_chaos(seed: u64, change_voters: bool) {
+    let net = SimNet::new(seed, VMS, VOTERS, RETENTION);
+    net.client(0).read_config(CALM_PATIENCE).await.unwrap();
+    net.lock().faults = STORMY;
+    let history = Rc::new(RefCell::new(History::default()));
+    let stop = Rc::new(RefCell::new(false));
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let disturber = disturb(net.clone(), Rc::clone(&stop), change_voters);
+            let disturber = tokio::task::spawn_local(disturber);
+            let callers: Vec<_> = (0..CALLERS)
+                .map(|number| {
+                    let caller = Caller {
+                        number: u16::try_from(number).unwrap(),
+                        net: net.clone(),
+                        client: net.client(number),
+                        history: Rc::clone(&history),
+                        attempts: 0,
+                    };
+                    tokio::task::spawn_local(caller.run())
+                })
+                .collect();
+            for caller in callers {
+                caller.await.unwrap();
+            }
+            *stop.borrow_mut() = true;
+            disturber.await.unwrap();
+        })
+        .await;
+    check_after_heal(&net, &history).await;
+}
+
+/// Once everything is back, every call succeeds and nothing that was told is lost.
+async fn check_after_heal(net: &SimNet, history: &Rc<RefCell<History>>) {
+    net.lock().faults = CALM;
+    net.lock().cuts.clear();
+    for number in 0..VMS {
+        if !net.is_up(number) {
+            net.restart(number);
+        }
+    }
+    let client = net.client(200);
+    let state = client.read_config(CALM_PATIENCE).await.expect("heals");
+    let known = history.borrow().known_version;
+    history.borrow_mut().read(known, &state);
+    let outcomes = history.borrow().outcomes.clone();
+    for (key, outcome) in outcomes {
+        let act = ActKey {
+            service: "fees/pay".parse().unwrap(),
+            key,
+        };
+        let late = ActClaim {
+            vm: vm(9),
+            incarnation: 1,
+            attempt: 1,
+            body: [0; 32],
+        };
+        let claimed = client
+            .claim(act, &late, CALM_PATIENCE)
+            .await
+            .expect("heals");
+        assert_eq!(claimed, ClaimOutcome::Finished(outcome));
+    }
+    let healed = client.heal_voters(CALM_PATIENCE).await.expect("heals");
+    assert!(healed.lagging.is_empty());
+    assert!(
+        history.borrow().finished_calls > 0,
+        "the run showed nothing"
+    );
+}
+
+#[test]
+fn told_outcomes_hold_while_voters_crash() {
+    for_seeds(8, |seed| run_chaos(seed, false));
+}
+
+#[test]
+fn told_outcomes_hold_while_voters_crash_and_change() {
+    for_seeds(5, |seed| run_chaos(seed, true));
+}
