--- a/crates/conf/src/settings_parse.rs
+++ b/crates/conf/src/settings_parse.rs
@@ -30,7 +30,7 @@
 ];
 
 const SEEDS_MAX: usize = 64;
-const VOTERS_MAX: usize = 9;
+const VOTERS_MAX: usize = 7;
 
 const BODY_DEFAULT_BYTES: usize = 1024 * 1024;
 const BODY_RANGE_BYTES: RangeInclusive<usize> = 1024..=64 * 1024 * 1024;
