--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -127,21 +127,21 @@
             .record(self.key.clone(), &self.claim, &outcome, patience)
             .await;
         if let Err(report) = recorded {
-            log_unsettled(node, "outcome-not-recorded", report.current_context());
+            log_unsettled(node, "outcome-not-recorded", *report.current_context());
         }
     }
 
     /// Gives the claim back behind the answer; until then a resent request is told "may have run".
     fn release(self, node: &Arc<NodeState>) {
         let worker = Arc::clone(node);
-        node.tasks.spawn(async move {
+        node.acts.spawn(async move {
             let patience = Duration::from_millis(RECORD_TIMEOUT_MS);
             let released = worker
                 .quorum
                 .release(self.key.clone(), &self.claim, patience)
                 .await;
             if let Err(report) = released {
-                log_unsettled(&worker, "claim-not-released", report.current_context());
+                log_unsettled(&worker, "claim-not-released", *report.current_context());
             }
         });
     }
@@ -168,7 +168,7 @@
     }
 }
 
-fn log_unsettled(node: &NodeState, event: &'static str, error: &QuorumError) {
+fn log_unsettled(node: &NodeState, event: &'static str, error: QuorumError) {
     warn!(node.log, "{}", event; "error" => %error);
 }
 
