--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -118,7 +118,8 @@
         let error = body.as_ref().and_then(|body| body.get("error"));
         let field = |name| error.and_then(|e| e.get(name)).and_then(Value::as_str);
         let status_text = self.status.canonical_reason().unwrap_or("unknown status");
-        let reason = printable(field("reason").unwrap_or(status_text));
+        let status_label = status_text.to_lowercase().replace(' ', "-");
+        let reason = printable(field("reason").unwrap_or(&status_label));
         let message = printable(field("message").unwrap_or(status_text));
         Err(RequestFailure {
             verdict: self.verdict(call, field("run")),
--- a/crates/cli/src/inspect.rs
+++ b/crates/cli/src/inspect.rs
@@ -109,7 +109,8 @@
 
 fn centres_table(status: &StatusAnswer) -> CellTable {
     let mut table = CellTable::new(&["data centre", "live VMs", "configuration", "contacts"]);
-    for centre in &status.centres {
+    let others = status.centres.iter().filter(|c| c.centre != status.centre);
+    for centre in others {
         table.row([
             cell(centre.centre.as_ref()),
             cell(centre.live_vms.as_ref()),
