Open connection shares once every other VM has confirmed the newcomer

A site of two VMs that was started whole answered nothing for 15 s: each VM waited for the hand-over time, and with the seeds of all data centres counted in, the reserve of a joining VM came to 0 connections. Slow spread and lost seeds were ruled out: members were known within 1 s.

A VM now opens its share as soon as every other member has answered its probes with the same live members for 1 s, all seeds of its data centre among them; else it waits as before. The reserve is divided among the seeds of its own data centre only.

--- a/crates/fleet/src/broker.rs
+++ b/crates/fleet/src/broker.rs
@@ -90,6 +90,17 @@
     }
 }
 
+/// What a plan is told besides the members.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlanFacts {
+    /// Whether this VM hears any seed or peer.
+    pub(crate) connected: bool,
+    /// Seeds that may stand in this data centre.
+    pub(crate) home_seeds: usize,
+    /// Since when all others have shown that they know the same live members.
+    pub(crate) agreed_since: Option<MonoTime>,
+}
+
 /// The present base and how long this VM has been a settled part of it.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokerPlan {
@@ -99,6 +110,9 @@
     /// Counts the changes of the base, for caches.
     pub(crate) generation: u64,
     joined_at: MonoTime,
+    /// Whether all others have confirmed that they count this VM in, since it joined.
+    confirmed: bool,
+    home_seeds: usize,
     updated_at: MonoTime,
     majority_since: Option<MonoTime>,
     minority_since: Option<MonoTime>,
@@ -111,26 +125,32 @@
             released: BTreeSet::new(),
             generation: 0,
             joined_at: now,
+            confirmed: false,
+            home_seeds: 0,
             updated_at: now,
             majority_since: None,
             minority_since: None,
         }
     }
 
-    /// Takes the present members over. `connected` says whether this VM hears any seed or peer.
+    /// Takes the present members over.
     pub(crate) fn update(
         &mut self,
         members: &MemberTable,
-        connected: bool,
+        facts: PlanFacts,
         settings: &FleetSettings,
         now: MonoTime,
     ) {
         if now.since(self.updated_at) >= settings.give_up {
             // This process was suspended; the others may have given its share away.
-            self.joined_at = now;
+            self.join_anew(now);
         }
         self.updated_at = now;
-        self.update_majority(members, connected, settings.give_up, now);
+        self.home_seeds = facts.home_seeds;
+        self.confirmed |= facts
+            .agreed_since
+            .is_some_and(|since| now.since(since.max(self.joined_at)) >= settings.confirmed_for);
+        self.update_majority(members, facts.connected, settings.give_up, now);
         self.release(members, settings.share_kept, now);
         let names: Vec<_> = self.base_names(members).cloned().collect();
         if self.base.iter().map(|member| &member.name).ne(names.iter()) {
@@ -157,8 +177,9 @@
         settings: &FleetSettings,
         now: MonoTime,
     ) -> u32 {
-        let reserve = self.reserve_share(limits, settings);
-        let joining = !settings.seeds.is_empty() && now.since(self.joined_at) < settings.hand_over;
+        let reserve = self.reserve_share(limits);
+        let waited = self.confirmed || now.since(self.joined_at) >= settings.hand_over;
+        let joining = !settings.seeds.is_empty() && !waited;
         if joining || self.has_given_up(settings.give_up, now) {
             return reserve;
         }
@@ -178,8 +199,13 @@
             .is_some_and(|since| now.since(since) >= give_up)
     }
 
-    fn reserve_share(&self, limits: TargetLimits, settings: &FleetSettings) -> u32 {
-        let base = self.base.len().max(settings.seeds.len() + 1);
+    fn join_anew(&mut self, now: MonoTime) {
+        self.joined_at = now;
+        self.confirmed = false;
+    }
+
+    fn reserve_share(&self, limits: TargetLimits) -> u32 {
+        let base = self.base.len().max(self.home_seeds + 1);
         let base = u32::try_from(base).unwrap_or(u32::MAX);
         limits.reserve() / base.saturating_mul(RESERVE_CLAIMANTS)
     }
@@ -212,7 +238,7 @@
             return;
         }
         if self.has_given_up(give_up, now) {
-            self.joined_at = now;
+            self.join_anew(now);
         }
         self.majority_since.get_or_insert(now);
         self.minority_since = None;
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -79,6 +79,8 @@
         let Some(probe) = self.probes.acknowledge(ack.sequence, &ack.sender, now) else {
             return;
         };
+        self.members
+            .note_agreement(&ack.sender, ack.digest.members, now);
         self.settle_contested(from, &ack.sender, now);
         if let Some((asker, sequence)) = probe.relay {
             let probed = IndirectProbe {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -25,6 +25,8 @@
     pub(crate) trusted: bool,
     /// Configuration that it had in force when last heard.
     pub(crate) config: ConfigStamp,
+    /// Since when its answers to probes show the same live members as the own table.
+    pub(crate) agreed_at: Option<MonoTime>,
 }
 
 impl MemberEntry {
@@ -140,13 +142,43 @@
                 .filter(|_| same_boot)
                 .map(|known| known.config)
                 .unwrap_or_default(),
+            agreed_at: None,
         };
         self.digest ^= known.map_or(0, MemberEntry::digest) ^ entry.digest();
         self.entries.insert(update.identity.name.clone(), entry);
         self.rebuild_live();
+        for entry in self.entries.values_mut() {
+            entry.agreed_at = None;
+        }
         true
     }
 
+    /// Notes whether the member `name` has just shown the same live members as this table.
+    pub(crate) fn note_agreement(&mut self, name: &VmName, other_digest: u64, now: MonoTime) {
+        let agrees = other_digest == self.digest;
+        if let Some(entry) = self.entries.get_mut(name) {
+            let since = entry.agreed_at.unwrap_or(now);
+            entry.agreed_at = agrees.then_some(since);
+        }
+    }
+
+    /// Since when all other members have agreed with this table, if all are alive and do.
+    pub(crate) fn agreed_since(&self) -> Option<MonoTime> {
+        let others = self
+            .entries
+            .values()
+            .filter(|entry| entry.update.identity.name != self.own_name)
+            .filter(|entry| entry.update.status != MemberStatus::Left);
+        let mut since = MonoTime::ZERO;
+        for entry in others {
+            if entry.update.status != MemberStatus::Alive {
+                return None;
+            }
+            since = since.max(entry.agreed_at?);
+        }
+        Some(since)
+    }
+
     /// Withdraws trust from members that have been in doubt for longer than `grace`.
     pub(crate) fn withdraw_trust(&mut self, grace: Duration, now: MonoTime) {
         for entry in self.entries.values_mut() {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -46,6 +46,8 @@
     pub give_up: Duration,
     /// Time for which a VM must have been a broker before it opens its full share.
     pub hand_over: Duration,
+    /// Time for which all others must have confirmed a joining VM that opens its share early.
+    pub confirmed_for: Duration,
     /// Time for which a majority must have missed a VM before its share is given to others.
     pub share_kept: Duration,
     /// Least time between two reports that this VM is behind the same configuration.
@@ -82,6 +84,7 @@
             brokers_max: 16,
             give_up: Duration::from_secs(6),
             hand_over: Duration::from_secs(20),
+            confirmed_for: Duration::from_secs(1),
             share_kept: Duration::from_mins(1),
             config_retry: Duration::from_millis(500),
             config_fan_out: 8,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -10,7 +10,7 @@
     BrokerShare, CentreNews, CentreRecord, ConfigStamp, FleetAction, FleetMessage, FleetSettings,
     HoldingRecord, MemberStatus, MemberUpdate, ReadyPhase, SpreadNews, TargetKey, TargetLimits,
     TargetTable, VmIdentity,
-    broker::{BrokerPlan, concurrency_share},
+    broker::{BrokerPlan, PlanFacts, concurrency_share},
     centre::CentreTable,
     config::ConfigSpread,
     join::ContestedJoin,
@@ -354,10 +354,29 @@
 
     pub(crate) fn update_plan(&mut self, now: MonoTime) {
         let alone = self.settings.seeds.is_empty() || self.joined;
-        let connected = alone && !self.is_isolated(now);
+        let facts = PlanFacts {
+            connected: alone && !self.is_isolated(now),
+            home_seeds: self.home_seeds().count(),
+            agreed_since: self.agreed_since(),
+        };
         let generation = self.plan.generation;
-        self.plan
-            .update(&self.members, connected, &self.settings, now);
+        self.plan.update(&self.members, facts, &self.settings, now);
         self.targets_dirty |= generation != self.plan.generation;
     }
+
+    /// Seeds that are not known to stand in another data centre.
+    fn home_seeds(&self) -> impl Iterator<Item = &SocketAddr> {
+        let seeds = self.settings.seeds.iter();
+        seeds.filter(|seed| !self.foreign_seeds.contains_key(seed))
+    }
+
+    /// Since when all other VMs of the data centre have agreed on the members, all seeds among them.
+    fn agreed_since(&self) -> Option<MonoTime> {
+        let is_member = |seed: &SocketAddr| {
+            let mut live = self.members.live().iter();
+            live.any(|member| member.peers == *seed)
+        };
+        let met = self.home_seeds().all(is_member);
+        self.members.agreed_since().filter(|_| met)
+    }
 }
--- a/crates/fleet/tests/brokers.rs
+++ b/crates/fleet/tests/brokers.rs
@@ -49,6 +49,30 @@
     assert_eq!(shares(&net), [3]);
 }
 
+#[test]
+fn a_site_that_starts_whole_has_its_shares_in_seconds() {
+    for seed in 0..10 {
+        let mut net = TestNet::new(&[3, 3], seed);
+        net.add_target(with_limits(30, 3), 0);
+        net.run(4_000);
+        assert_eq!(net.connections(0), 21, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_vm_that_misses_a_seed_waits_for_the_hand_over() {
+    let mut net = TestNet::new(&[3], 1);
+    net.settings.seeds.push(net::peer_address(9));
+    for index in 0..3 {
+        net.restart(index);
+    }
+    net.add_target(with_limits(30, 3), 0);
+    net.run(10_000);
+    assert!(net.connections(0) <= 7);
+    net.run(10_000);
+    assert_eq!(net.connections(0), 21);
+}
+
 #[test]
 fn in_a_small_centre_every_vm_is_a_broker() {
     let net = settled_net(&[3], with_limits(30, 3), 1);
