Finish a change whose old set nobody names

Any voter that is not whole for the latest set now starts the wait after which a client finishes the copy; a whole voter is source enough.

--- a/crates/quorum/src/client/change.rs
+++ b/crates/quorum/src/client/change.rs
@@ -176,18 +176,18 @@
 
     /// Finishes a change that has been seen unfinished for long enough.
     pub(crate) async fn finish_abandoned_change(&self, call: &mut CallProgress) -> Result<()> {
-        let (previous, latest, since) = {
-            let view = self.lock_view();
-            let previous = view.previous.clone();
-            (previous, view.latest.clone(), view.unfinished_since)
-        };
-        let Some(grace) = self.settings.finish_after.filter(|_| previous.is_some()) else {
+        let view = self.lock_view().clone();
+        let (Some(grace), Some(since)) = (self.settings.finish_after, view.unfinished_since) else {
             return Ok(());
         };
         let share: f64 = self.lock_state().generator.random();
-        if self.timer.now() >= since + grace.mul_f64(1.0 + share) {
-            self.finish_change(call, previous.as_ref(), &latest).await?;
+        if self.timer.now() < since + grace.mul_f64(1.0 + share) {
+            return Ok(());
         }
+        // Without success the grace starts again with the next voter that is not whole.
+        self.lock_view().unfinished_since = None;
+        let previous = view.previous.as_ref();
+        self.finish_change(call, previous, &view.latest).await?;
         Ok(())
     }
 
@@ -271,6 +271,7 @@
             if view.latest.epoch <= next.epoch {
                 view.latest = next.clone();
                 view.previous = None;
+                view.unfinished_since = None;
             }
         }
         let is_whole = |member: &VoterMember| plan.whole.contains(&member.identity);
--- a/crates/quorum/src/client/view.rs
+++ b/crates/quorum/src/client/view.rs
@@ -9,8 +9,8 @@
 pub(crate) struct VoterView {
     pub(crate) latest: VoterSet,
     pub(crate) previous: Option<VoterSet>,
-    /// When the change was first seen unfinished.
-    pub(crate) unfinished_since: MonoTime,
+    /// When a voter was first seen that is not whole for the latest set.
+    pub(crate) unfinished_since: Option<MonoTime>,
 }
 
 impl VoterView {
@@ -18,13 +18,16 @@
         Self {
             latest,
             previous: None,
-            unfinished_since: MonoTime::ZERO,
+            unfinished_since: None,
         }
     }
 
     /// Adopts what a voter knows, if it is later.
     pub(crate) fn observe(&mut self, now: MonoTime, epoch: &EpochState) {
         let latest = epoch.latest();
+        if epoch.current.epoch < self.latest.epoch.max(latest.epoch) {
+            self.unfinished_since.get_or_insert(now);
+        }
         if latest.epoch < self.latest.epoch || latest.members.is_empty() {
             return;
         }
@@ -36,9 +39,8 @@
             self.previous = None;
         }
         let previous = previous.filter(|previous| !previous.members.is_empty());
-        if self.previous.is_none() && previous.is_some() {
+        if self.previous.is_none() {
             self.previous = previous.cloned();
-            self.unfinished_since = now;
         }
     }
 }
