Prove the runs' invariants over faulty networks, and ramp up cold targets

The tests of replica choice showed that a recovered target got nothing but probes at low load: a higher score for cold targets loses every comparison between idle replicas. A cold target is now left out at random, the colder the more often, so that its share grows steadily.

--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -24,8 +24,7 @@
 const SLOW_FACTOR: f64 = 2.0;
 const LATENCY_FACTOR_MAX: f64 = 64.0;
 const SLOW_START_MS: f64 = 5_000.0;
-/// How many times its load a target that has just started counts for.
-const COLD_FACTOR: f64 = 3.0;
+const WARMTH_MIN: f64 = 0.1;
 /// Time without new work for a target that refused and gave no hint.
 const REFUSED_PAUSE_MS: u64 = 50;
 const REFUSED_PAUSE_MAX_MS: u64 = 2_000;
@@ -74,6 +73,8 @@
     pub(crate) loaded: bool,
     /// Whether it takes much longer than the service's other targets.
     pub(crate) slow: bool,
+    /// Share of its normal work that it may get, below 1 during slow start.
+    pub(crate) warmth: f64,
     /// Whether it said that it no longer holds the version asked for.
     pub(crate) gone: bool,
 }
@@ -166,7 +167,6 @@
         let refused = now < self.refused_until;
         let latency_factor = self.latency_factor(median, now);
         let mut score = (load + 1.0) / slots * latency_factor;
-        score *= self.cold_factor(now);
         if refused {
             score *= REFUSED_FACTOR;
         }
@@ -175,6 +175,7 @@
             score,
             loaded: refused || load >= slots + WAITING_MAX,
             slow: latency_factor >= SLOW_FACTOR,
+            warmth: self.warmth(now),
             gone: self.lacks(version, now),
         }
     }
@@ -232,10 +233,10 @@
         (1.0 + excess).min(LATENCY_FACTOR_MAX)
     }
 
-    fn cold_factor(&self, now: MonoTime) -> f64 {
+    /// Share of its normal work that the target may get since it started or recovered.
+    fn warmth(&self, now: MonoTime) -> f64 {
         let start = self.ejection.inner().restored().unwrap_or(self.first_seen);
-        let warmth = (millis(now.since(start)) / SLOW_START_MS).min(1.0);
-        COLD_FACTOR - (COLD_FACTOR - 1.0) * warmth
+        (millis(now.since(start)) / SLOW_START_MS).clamp(WARMTH_MIN, 1.0)
     }
 
     fn add_latency(&mut self, latency_ms: f64, now: MonoTime) {
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -77,6 +77,7 @@
     if rated.iter().any(RatedTarget::is_healthy) {
         rated.retain(RatedTarget::is_healthy);
     }
+    pass_over_cold(&mut rated, rng);
     lower_of_two(&rated, rng)
 }
 
@@ -92,6 +93,18 @@
         .any(|target| !state.table.rate(target, version, None, now).gone)
 }
 
+/// Leaves out targets in slow start, the colder the more often; the warmest always stay.
+fn pass_over_cold(rated: &mut Vec<RatedTarget<'_>>, rng: &mut dyn Rng) {
+    let warmest = rated
+        .iter()
+        .map(|one| one.rating.warmth)
+        .fold(0.0, f64::max);
+    rated.retain(|one| {
+        let share = one.rating.warmth / warmest;
+        share >= 1.0 || rng.random_bool(share)
+    });
+}
+
 fn pick_any(rated: &[RatedTarget<'_>], rng: &mut dyn Rng) -> Option<Arc<TargetRecord>> {
     if rated.is_empty() {
         return None;
--- /dev/null
+++ b/crates/route/tests/replicas.rs
@@ -0,0 +1,156 @@
+//! Replica choice and ejection.
+
+mod support;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, RunVerdict, TargetName};
+use fulmarweir_route::{
+    AttemptOutcome, ReportedLoad, SearchAsk, SearchRun, SendOrder, ServiceState, TargetView,
+};
+use rand_pcg::Pcg64Mcg;
+use support::{
+    EventQueue, answer_to, drive_search, grid_view, new_state, permit, seeded, service_plan,
+};
+
+const QUICK: Duration = Duration::from_millis(5);
+const SPACING: Duration = Duration::from_millis(20);
+/// Long enough for slow start to be over.
+const WARM: MonoTime = MonoTime::from_millis(10_000);
+
+/// A service that is searched again and again over the same view.
+struct Searcher {
+    state: Arc<ServiceState>,
+    view: Arc<TargetView>,
+    rng: Pcg64Mcg,
+    now: MonoTime,
+    sent: BTreeMap<TargetName, u32>,
+}
+
+impl Searcher {
+    fn new(view: Arc<TargetView>) -> Self {
+        Self {
+            state: new_state(),
+            view,
+            rng: seeded(9),
+            now: WARM,
+            sent: BTreeMap::new(),
+        }
+    }
+
+    /// Runs `count` searches and counts their attempts by target.
+    fn search(
+        &mut self,
+        count: usize,
+        network: &mut dyn FnMut(&SendOrder) -> (Duration, AttemptOutcome),
+    ) {
+        self.sent.clear();
+        for _ in 0..count {
+            let permit = permit(&self.state, self.now);
+            let view = Arc::clone(&self.view);
+            let plan = Arc::new(service_plan());
+            let ask = SearchAsk::default();
+            let run = SearchRun::start(permit, plan, view, ask, self.now, &mut self.rng);
+            let mut answer = |order: &SendOrder, _: MonoTime| vec![network(order)];
+            let events = EventQueue::default();
+            let trace = drive_search(run.unwrap(), self.now, events, &mut answer, &mut self.rng);
+            for order in trace.sent {
+                *self.sent.entry(order.target.name.clone()).or_default() += 1;
+            }
+            self.now = trace.finished_at + SPACING;
+        }
+    }
+
+    fn sent_to(&self, name: &str) -> u32 {
+        self.sent.get(name).copied().unwrap_or_default()
+    }
+
+    fn is_ejected(&self, name: &str) -> bool {
+        let name = name.parse().unwrap();
+        self.state
+            .target_gauges(&name)
+            .is_some_and(|gauges| gauges.ejected)
+    }
+}
+
+fn fails(order: &SendOrder, bad: &[&str]) -> (Duration, AttemptOutcome) {
+    if bad.contains(&order.target.name.as_str()) {
+        let outcome = AttemptOutcome::Failed {
+            verdict: RunVerdict::MayHaveRun,
+            retried_below: false,
+        };
+        return (Duration::from_micros(300), outcome);
+    }
+    (QUICK, answer_to(order))
+}
+
+#[test]
+fn a_target_that_fails_fast_is_ejected_and_probed_back_in() {
+    let mut searcher = Searcher::new(grid_view(1, 1, 3));
+    searcher.search(40, &mut |order| fails(order, &["0-1"]));
+    assert!(searcher.is_ejected("0-1"));
+    searcher.search(20, &mut |order| fails(order, &["0-1"]));
+    assert!(searcher.sent_to("0-1") <= 2, "{:?}", searcher.sent);
+    // Healthy again: probes find out once the ejection is over.
+    searcher.now = searcher.now + Duration::from_mins(1);
+    searcher.search(200, &mut |order| fails(order, &[]));
+    assert!(!searcher.is_ejected("0-1"));
+    assert!(searcher.sent_to("0-1") > 5, "{:?}", searcher.sent);
+}
+
+#[test]
+fn crossed_replies_eject_too() {
+    let mut searcher = Searcher::new(grid_view(1, 1, 3));
+    searcher.search(40, &mut |order| {
+        if order.target.name.as_str() == "0-2" {
+            return (QUICK, AttemptOutcome::BadEcho);
+        }
+        (QUICK, answer_to(order))
+    });
+    assert!(searcher.is_ejected("0-2"));
+}
+
+#[test]
+fn ejection_never_leaves_a_shard_without_a_replica() {
+    let mut searcher = Searcher::new(grid_view(1, 2, 2));
+    let bad = ["0-0", "0-1"];
+    searcher.search(60, &mut |order| fails(order, &bad));
+    assert!(bad.iter().all(|name| searcher.is_ejected(name)));
+    searcher.search(10, &mut |order| fails(order, &bad));
+    assert!(searcher.sent_to("0-0") + searcher.sent_to("0-1") >= 10);
+    // Healthy again: the shard answers at once, as it is still asked.
+    searcher.search(1, &mut |order| fails(order, &[]));
+    assert!(searcher.sent_to("0-0") + searcher.sent_to("0-1") >= 1);
+}
+
+#[test]
+fn a_slow_target_is_passed_over() {
+    let mut searcher = Searcher::new(grid_view(1, 1, 3));
+    searcher.search(300, &mut |order| {
+        let slow = order.target.name.as_str() == "0-0";
+        let delay = if slow { QUICK * 20 } else { QUICK };
+        (delay, answer_to(order))
+    });
+    assert!(searcher.sent_to("0-0") < 15, "{:?}", searcher.sent);
+}
+
+#[test]
+fn a_target_that_reports_load_gets_less() {
+    let mut searcher = Searcher::new(grid_view(1, 1, 2));
+    searcher.search(200, &mut |order| {
+        let busy = order.target.name.as_str() == "0-0";
+        let load = ReportedLoad {
+            in_flight: if busy { 3 } else { 0 },
+            slots: 3,
+            queued: if busy { u32::MAX } else { 0 },
+        };
+        let AttemptOutcome::Hits { hits, .. } = answer_to(order) else {
+            unreachable!("an answer has hits")
+        };
+        let load = Some(load);
+        (QUICK, AttemptOutcome::Hits { hits, load })
+    });
+    // It is still asked from time to time, as its reports age out.
+    let busy = searcher.sent_to("0-0");
+    assert!((2..40).contains(&busy), "{:?}", searcher.sent);
+}
--- /dev/null
+++ b/crates/route/tests/search_properties.rs
@@ -0,0 +1,288 @@
+//! Properties of searches over networks that lose, delay, double and refuse.
+
+mod support;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use arbtest::arbitrary::{Result, Unstructured};
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord};
+use fulmarweir_conf::{AnswerPreference, ServicePlan};
+use fulmarweir_route::{
+    AttemptKind, AttemptOutcome, RetryReason, SearchAnswer, SearchAsk, SearchRun, SendOrder,
+    ServiceState, TargetView,
+};
+use support::{
+    EventQueue, LoopEvent, RunTrace, START, answer_to, drive_search, grid, new_state, permit,
+    seeded, service_plan,
+};
+
+const SEEDS: u64 = 250;
+/// Enough to use up the burst that a fresh budget allows.
+const SEARCHES_ON_ONE_BUDGET: usize = 30;
+/// Extra attempts that a fresh budget allows at once.
+const BURST: f64 = 24.0;
+
+/// How a network treats attempts, in shares of 100.
+#[derive(Clone, Copy, Debug)]
+struct NetworkFaults {
+    lost: u8,
+    late: u8,
+    doubled: u8,
+    failed: u8,
+    refused: u8,
+    gone: u8,
+}
+
+fn share(u: &mut Unstructured<'_>, most: u8) -> Result<u8> {
+    u.int_in_range(0..=most)
+}
+
+fn chance(u: &mut Unstructured<'_>, percent: u8) -> Result<bool> {
+    Ok(u.int_in_range(0..=99)? < percent)
+}
+
+impl NetworkFaults {
+    fn draw(u: &mut Unstructured<'_>) -> Result<Self> {
+        Ok(Self {
+            lost: share(u, 30)?,
+            late: share(u, 30)?,
+            doubled: share(u, 30)?,
+            failed: share(u, 15)?,
+            refused: share(u, 15)?,
+            gone: share(u, 20)?,
+        })
+    }
+
+    fn answer(
+        self,
+        u: &mut Unstructured<'_>,
+        order: &SendOrder,
+    ) -> Result<Vec<(Duration, AttemptOutcome)>> {
+        let mut delay = Duration::from_micros(u.int_in_range(500..=20_000)?);
+        if chance(u, self.lost)? {
+            return Ok(Vec::new());
+        }
+        if chance(u, self.late)? {
+            delay += Duration::from_millis(u.int_in_range(50..=400)?);
+        }
+        let outcome = self.outcome(u, order)?;
+        if chance(u, self.doubled)? {
+            let second = self.outcome(u, order)?;
+            return Ok(vec![(delay, outcome), (delay * 2, second)]);
+        }
+        Ok(vec![(delay, outcome)])
+    }
+
+    fn outcome(self, u: &mut Unstructured<'_>, order: &SendOrder) -> Result<AttemptOutcome> {
+        if chance(u, self.gone)? {
+            return Ok(AttemptOutcome::VersionGone);
+        }
+        if chance(u, self.refused)? {
+            return Ok(AttemptOutcome::Refused {
+                shedding: u.arbitrary()?,
+                retry_after: None,
+            });
+        }
+        if !chance(u, self.failed)? {
+            return Ok(answer_to(order));
+        }
+        let failed = |verdict, retried_below| AttemptOutcome::Failed {
+            verdict,
+            retried_below,
+        };
+        let choices = [
+            AttemptOutcome::BadEcho,
+            AttemptOutcome::TimedOut,
+            failed(RunVerdict::NotRun, false),
+            failed(RunVerdict::MayHaveRun, true),
+        ];
+        u.choose(&choices).cloned()
+    }
+}
+
+/// A version rolled out over the old one, perhaps with another number of shards.
+fn later_view(u: &mut Unstructured<'_>, old: &[TargetRecord], version: u64) -> Result<TargetView> {
+    let mut records: Vec<TargetRecord> = Vec::new();
+    for record in old {
+        if u.ratio(4_u8, 5_u8)? {
+            records.push(record.clone());
+        }
+    }
+    let shards = u.int_in_range(1..=9)?;
+    for mut record in grid(version + 1, shards, 2) {
+        if u.ratio(9_u8, 10_u8)? {
+            record.name = format!("new-{}", record.name).parse().unwrap();
+            records.push(record);
+        }
+    }
+    Ok(TargetView::build(records))
+}
+
+fn draw_plan(u: &mut Unstructured<'_>) -> Result<ServicePlan> {
+    let mut plan = service_plan();
+    if u.arbitrary()? {
+        plan.prefer = AnswerPreference::Latency;
+    }
+    plan.min_coverage = *u.choose(&[0.0, 0.5, 1.0])?;
+    plan.extra_load = *u.choose(&[0.0, 0.05, 0.2])?;
+    Ok(plan)
+}
+
+fn draw_ask(u: &mut Unstructured<'_>) -> Result<SearchAsk> {
+    let key: bool = u.ratio(1_u8, 5_u8)?;
+    let early: bool = u.ratio(1_u8, 5_u8)?;
+    Ok(SearchAsk {
+        key: key.then(|| "permit-12".into()),
+        deadline: early.then(|| START + Duration::from_millis(40)),
+        nested: u.arbitrary()?,
+        ..SearchAsk::default()
+    })
+}
+
+/// A state, a plan, and a search on them with everything that can go wrong.
+struct Case {
+    state: Arc<ServiceState>,
+    plan: Arc<ServicePlan>,
+    firsts: u32,
+    extras: u32,
+}
+
+impl Case {
+    fn draw(u: &mut Unstructured<'_>) -> Result<Self> {
+        Ok(Self {
+            state: new_state(),
+            plan: Arc::new(draw_plan(u)?),
+            firsts: 0,
+            extras: 0,
+        })
+    }
+
+    fn search(&mut self, u: &mut Unstructured<'_>) -> Result<(SearchAsk, RunTrace)> {
+        let old = grid(5, u.int_in_range(1..=9)?, u.int_in_range(1..=3)?);
+        let view = Arc::new(TargetView::build(old.clone()));
+        let ask = draw_ask(u)?;
+        let mut events = EventQueue::default();
+        if u.arbitrary()? {
+            let at = START + Duration::from_millis(u.int_in_range(1..=100)?);
+            events.push(at, LoopEvent::View(Arc::new(later_view(u, &old, 5)?)));
+        }
+        let faults = NetworkFaults::draw(u)?;
+        let mut rng = seeded(u.arbitrary()?);
+        let permit = permit(&self.state, START);
+        let plan = Arc::clone(&self.plan);
+        let run = SearchRun::start(permit, plan, view, ask.clone(), START, &mut rng).unwrap();
+        let mut network = |order: &SendOrder, _: MonoTime| faults.answer(u, order).unwrap();
+        let trace = drive_search(run, START, events, &mut network, &mut rng);
+        self.count(&trace);
+        Ok((ask, trace))
+    }
+
+    fn count(&mut self, trace: &RunTrace) {
+        for order in &trace.sent {
+            match order.kind {
+                AttemptKind::First => self.firsts += 1,
+                AttemptKind::Retry(RetryReason::VersionGone) | AttemptKind::Restart => {}
+                AttemptKind::Hedge | AttemptKind::Retry(_) => self.extras += 1,
+            }
+        }
+    }
+}
+
+/// Runs `property` once for each fixed seed.
+fn for_seeds(property: fn(&mut Unstructured<'_>) -> Result<()>) {
+    for seed in 1..=SEEDS {
+        arbtest::arbtest(property).seed((seed << 32) | 32_768);
+    }
+}
+
+fn shards_of_hits(answer: &SearchAnswer) -> BTreeSet<u32> {
+    let shard = |id: &str| id.split('/').nth(1).unwrap().parse().unwrap();
+    answer.hits.iter().map(|hit| shard(&hit.id)).collect()
+}
+
+fn finishes_by_its_deadline(u: &mut Unstructured<'_>) -> Result<()> {
+    // The loop itself fails when a run finishes twice or never.
+    let (ask, trace) = Case::draw(u)?.search(u)?;
+    let own = START + service_plan().deadline;
+    let deadline = ask.deadline.unwrap_or(own).min(own);
+    assert!(trace.finished_at <= deadline);
+    Ok(())
+}
+
+#[test]
+fn every_search_finishes_once_and_by_its_deadline() {
+    for_seeds(finishes_by_its_deadline);
+}
+
+fn answer_is_one_snapshot(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut case = Case::draw(u)?;
+    let (_, trace) = case.search(u)?;
+    let Ok(answer) = trace.outcome.answer else {
+        return Ok(());
+    };
+    let prefix = format!("{}/", answer.version);
+    assert!(answer.hits.iter().all(|hit| hit.id.starts_with(&prefix)));
+    let ids: BTreeSet<&str> = answer.hits.iter().map(|hit| &*hit.id).collect();
+    assert_eq!(ids.len(), answer.hits.len());
+    let included = shards_of_hits(&answer);
+    let missing: BTreeSet<u32> = answer.missing.iter().copied().collect();
+    assert_eq!(included.len(), answer.answered as usize);
+    assert!(included.is_disjoint(&missing));
+    assert_eq!(included.len() + missing.len(), answer.shards as usize);
+    let coverage = f64::from(answer.answered) / f64::from(answer.shards);
+    assert!(coverage >= case.plan.min_coverage && answer.answered > 0);
+    Ok(())
+}
+
+#[test]
+fn every_answer_is_one_snapshot_with_true_coverage() {
+    for_seeds(answer_is_one_snapshot);
+}
+
+fn extra_attempts_stay_within_budget(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut case = Case::draw(u)?;
+    for _ in 0..SEARCHES_ON_ONE_BUDGET {
+        case.search(u)?;
+        let allowed = BURST + f64::from(case.firsts) * case.plan.extra_load;
+        assert!(f64::from(case.extras) <= allowed);
+    }
+    Ok(())
+}
+
+#[test]
+fn hedges_and_retries_stay_within_the_budget() {
+    for_seeds(extra_attempts_stay_within_budget);
+}
+
+fn leaves_nothing_behind(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut case = Case::draw(u)?;
+    let (_, trace) = case.search(u)?;
+    assert_eq!(case.state.gauges().in_flight, 0);
+    for order in &trace.sent {
+        let gauges = case.state.target_gauges(&order.target.name).unwrap();
+        assert_eq!(gauges.in_flight, 0);
+    }
+    Ok(())
+}
+
+#[test]
+fn a_finished_search_leaves_no_attempt_counted() {
+    for_seeds(leaves_nothing_behind);
+}
+
+fn refusal_tells_the_truth(u: &mut Unstructured<'_>) -> Result<()> {
+    let (_, trace) = Case::draw(u)?.search(u)?;
+    let Err(refusal) = trace.outcome.answer else {
+        return Ok(());
+    };
+    if refusal.verdict == RunVerdict::NotRun {
+        // Each attempt had ended by the target's word, so none was left to cancel.
+        assert!(trace.cancelled.is_empty());
+    }
+    Ok(())
+}
+
+#[test]
+fn a_refusal_as_not_run_leaves_no_open_attempt() {
+    for_seeds(refusal_tells_the_truth);
+}
