--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -11,6 +11,8 @@
 };
 use crate::stand_in::AnswerFault;
 
+/// Longest latency that is told apart from longer ones.
+const LATENCY_MAX_US: u64 = 60_000_000;
 /// Three significant digits are more than a run of this length can tell apart.
 const HISTOGRAM_DIGITS: u8 = 3;
 
@@ -133,7 +135,8 @@
 
 /// An empty histogram of microseconds.
 pub(crate) fn new_histogram() -> Histogram<u64> {
-    Histogram::new(HISTOGRAM_DIGITS).expect("the number of digits is valid")
+    let latencies = Histogram::new_with_bounds(1, LATENCY_MAX_US, HISTOGRAM_DIGITS);
+    latencies.expect("the bounds are valid")
 }
 
 /// Sums up outcomes.
