Spill missing shards to other data centres and replace lost voters

A service without a complete version in a data centre is completed by routes to the contacts of data centres that hold the missing shards; the receiver picks the target, and verdicts come back as from a broker. A voter that has not answered for 30 s is replaced by a VM with a disk that does not vote yet; the spare volunteers, so nobody needs a list of disks.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends one attempt to a target: over this VM's own link, or through a broker.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::{RunVerdict, TargetName};
 use fulmarweir_fleet::VmIdentity;
@@ -13,8 +13,8 @@
     views::ServiceView,
 };
 
-/// Brokers tried after one that has surely not passed the attempt on.
-const OTHER_BROKERS_MAX: usize = 2;
+/// VMs or targets tried after one that has surely not passed the attempt on.
+const OTHERS_MAX: usize = 2;
 /// Time beyond the attempt's deadline in which a broker still tells how it ended.
 const BROKER_GRACE_MS: u64 = 75;
 
@@ -27,6 +27,9 @@
     target: &TargetName,
     request: TargetRequest,
 ) -> Result<TargetAnswer, TargetError> {
+    if let Some(route) = view.spill_route(target) {
+        return send_to_any(node, &route.contacts, None, &request).await;
+    }
     let own = &node.settings.name;
     let brokers = view.brokers_of(target);
     if brokers.iter().any(|broker| broker.name == *own) {
@@ -36,16 +39,47 @@
             ended => return ended,
         }
     }
+    let others = brokers.iter().filter(|broker| broker.name != *own);
+    let others: Vec<_> = others.cloned().collect();
+    send_to_any(node, &others, Some(target), &request).await
+}
+
+/// Takes an attempt of another data centre: any target here that holds the shard may run it.
+pub(crate) async fn send_to_holder(
+    node: &NodeState,
+    request: TargetRequest,
+) -> Result<TargetAnswer, TargetError> {
+    let no_share = TargetError::not_run(TargetFault::NoShare);
+    let view = node.views.get(&request.service).ok_or(no_share)?;
+    let index = view.local.version(request.version);
+    let index = index.filter(|index| index.of == request.of);
+    let gone = TargetError::not_run(TargetFault::VersionGone);
+    let holders = index.ok_or(gone)?.holders(request.shard);
+    let start = usize::from(rand::random::<u16>());
+    let mut last = gone;
+    for offset in 0..holders.len().min(1 + OTHERS_MAX) {
+        let holder = &holders[(start + offset) % holders.len()];
+        match send_attempt(node, &view, &holder.name, request.clone()).await {
+            Err(error) if error.verdict == RunVerdict::NotRun => last = error,
+            ended => return ended,
+        }
+    }
+    Err(last)
+}
+
+/// Sends the attempt to one of `vms`, and to another when the first has not passed it on.
+async fn send_to_any(
+    node: &NodeState,
+    vms: &[Arc<VmIdentity>],
+    target: Option<&TargetName>,
+    request: &TargetRequest,
+) -> Result<TargetAnswer, TargetError> {
     let start = usize::from(rand::random::<u16>());
-    let others: Vec<_> = brokers
-        .iter()
-        .filter(|broker| broker.name != *own)
-        .collect();
     let mut last = TargetError::not_run(TargetFault::NoShare);
-    for offset in 0..others.len().min(1 + OTHER_BROKERS_MAX) {
-        let broker = others[(start + offset) % others.len()];
-        match send_to_broker(node, broker, target, &request).await {
-            Err(error) if passes_on(&error) => last = error,
+    for offset in 0..vms.len().min(1 + OTHERS_MAX) {
+        let vm = &vms[(start + offset) % vms.len()];
+        match send_to_vm(node, vm, target, request).await {
+            Err(error) if is_not_passed_on(error) => last = error,
             ended => return ended,
         }
     }
@@ -53,12 +87,13 @@
 }
 
 /// Whether the broker has not passed the attempt on, so that another one may.
-fn passes_on(error: &TargetError) -> bool {
+fn is_not_passed_on(error: TargetError) -> bool {
     error.verdict == RunVerdict::NotRun
         && matches!(error.fault, TargetFault::NoShare | TargetFault::Connect)
 }
 
-async fn send_over_link(
+/// Sends an attempt over this VM's own link to a target.
+pub(crate) async fn send_over_link(
     node: &NodeState,
     target: &TargetName,
     request: TargetRequest,
@@ -69,29 +104,19 @@
     }
 }
 
-async fn send_to_broker(
+async fn send_to_vm(
     node: &NodeState,
-    broker: &Arc<VmIdentity>,
-    target: &TargetName,
+    vm: &VmIdentity,
+    target: Option<&TargetName>,
     request: &TargetRequest,
 ) -> Result<TargetAnswer, TargetError> {
     let now = node.timer.now();
-    let query = SubQuery::new(target.clone(), request, now);
+    let query = SubQuery::new(target.cloned(), request, now);
     let patience = request.deadline.since(now) + Duration::from_millis(BROKER_GRACE_MS);
-    send_sub_query(node, broker.peers, query, patience).await
-}
-
-/// Sends an attempt to the broker at `address` and waits for its end.
-pub(crate) async fn send_sub_query(
-    node: &NodeState,
-    address: SocketAddr,
-    query: SubQuery,
-    patience: Duration,
-) -> Result<TargetAnswer, TargetError> {
     let call = PeerRequest::SubQuery(Box::new(query));
     let reply = node
         .peers
-        .call(address, TrafficClass::Query, &call, patience)
+        .call(vm.peers, TrafficClass::Query, &call, patience)
         .await;
     match reply {
         Ok(PeerReply::SubQuery(Ok(answer))) => Ok(TargetAnswer {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,8 +25,10 @@
 mod peer_message;
 mod run;
 mod search;
+mod spill;
 mod status;
 mod views;
+mod voter_repair;
 
 pub use error::{DaemonError, Result};
 pub use run::run;
--- a/crates/daemon/src/peer_api.rs
+++ b/crates/daemon/src/peer_api.rs
@@ -2,10 +2,11 @@
 
 use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc};
 
-use fulmarweir_pool::{TargetError, TargetFault};
+use fulmarweir_pool::TargetError;
 use fulmarweir_wire::TrafficClass;
 
 use crate::{
+    dispatch::{send_over_link, send_to_holder},
     fleet_driver::receive_message,
     node::NodeState,
     peer_message::{ConfigCopy, PeerReply, PeerRequest, SubAnswer, SubQuery},
@@ -59,10 +60,10 @@
 async fn run_sub_query(node: &NodeState, query: SubQuery) -> Result<SubAnswer, TargetError> {
     let target = query.target.clone();
     let request = query.into_request(node.timer.now());
-    let Some(link) = node.links.get(&request.service, &target) else {
-        return Err(TargetError::not_run(TargetFault::NoShare));
+    let answer = match target {
+        Some(target) => send_over_link(node, &target, request).await?,
+        None => send_to_holder(node, request).await?,
     };
-    let answer = link.send(request).await?;
     Ok(SubAnswer {
         body: answer.body,
         load: answer.load,
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -52,8 +52,8 @@
 /// An attempt on its way to a broker.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct SubQuery {
-    /// Target to ask.
-    pub(crate) target: TargetName,
+    /// Target to ask; none lets the receiver choose among those of its data centre.
+    pub(crate) target: Option<TargetName>,
     service: ServiceName,
     kind: RequestKind,
     request: Arc<str>,
@@ -77,7 +77,7 @@
 }
 
 impl SubQuery {
-    pub(crate) fn new(target: TargetName, request: &TargetRequest, now: MonoTime) -> Self {
+    pub(crate) fn new(target: Option<TargetName>, request: &TargetRequest, now: MonoTime) -> Self {
         Self {
             target,
             service: request.service.clone(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -28,6 +28,7 @@
     node::NodeState,
     operator_api::operator_router,
     peer_api::answer_peer,
+    voter_repair::run_voter_repair,
 };
 
 const EXIT_SECOND_SIGNAL: i32 = 130;
@@ -84,6 +85,7 @@
         tokio::spawn(run_fleet(Arc::clone(&node))),
         tokio::spawn(run_desks(Arc::clone(&node))),
         tokio::spawn(run_config_reads(Arc::clone(&node))),
+        tokio::spawn(run_voter_repair(Arc::clone(&node))),
     ];
     let parts = RunningParts {
         stop,
--- a/crates/daemon/src/views.rs
+++ b/crates/daemon/src/views.rs
@@ -5,33 +5,48 @@
     sync::{Arc, Mutex},
 };
 
-use fulmarweir_base::{MonoTime, ServiceName, TargetName, lock};
+use fulmarweir_base::{CentreName, MonoTime, ServiceName, TargetName, lock};
 use fulmarweir_conf::ServicePlan;
 use fulmarweir_fleet::{FleetState, TargetEntry, TargetKey, TargetLimits, TargetTable, VmIdentity};
 use fulmarweir_pool::LinkShare;
 use fulmarweir_route::TargetView;
 use tokio::sync::watch;
 
-use crate::{lifecycle::LifePhase, node::NodeState};
+use crate::{
+    lifecycle::LifePhase,
+    node::NodeState,
+    spill::{SpillRoute, spill_routes},
+};
 
 /// The targets of one service at one moment.
 pub(crate) struct ServiceView {
-    /// Where the shards are.
+    /// Where the shards are, other data centres included where this one lacks them.
     pub(crate) targets: Arc<TargetView>,
+    /// Where the shards are within this data centre.
+    pub(crate) local: Arc<TargetView>,
     brokers: HashMap<TargetName, Arc<[Arc<VmIdentity>]>>,
+    spill: Vec<SpillRoute>,
     entries: Vec<TargetEntry>,
 }
 
 impl ServiceView {
-    fn build(entries: &[TargetEntry]) -> Self {
+    fn build(entries: &[TargetEntry], local: Arc<TargetView>, spill: Vec<SpillRoute>) -> Self {
         let usable = || entries.iter().filter(|entry| entry.usable);
-        let records = usable().map(|entry| (*entry.record).clone()).collect();
         let brokers = usable()
             .map(|entry| (entry.record.name.clone(), Arc::clone(&entry.brokers)))
             .collect();
+        let targets = if spill.is_empty() {
+            Arc::clone(&local)
+        } else {
+            let records = usable().map(|entry| (*entry.record).clone());
+            let stand_ins = spill.iter().map(|route| route.record.clone());
+            Arc::new(TargetView::build(records.chain(stand_ins).collect()))
+        };
         Self {
-            targets: Arc::new(TargetView::build(records)),
+            targets,
+            local,
             brokers,
+            spill,
             entries: entries.to_vec(),
         }
     }
@@ -41,16 +56,28 @@
         self.brokers.get(target).map_or(&[], |brokers| brokers)
     }
 
+    /// The route that stands among the targets as `target`, if it is one.
+    pub(crate) fn spill_route(&self, target: &TargetName) -> Option<&SpillRoute> {
+        let mut routes = self.spill.iter();
+        routes.find(|route| route.record.name == *target)
+    }
+
     fn is_of(&self, entries: &[TargetEntry]) -> bool {
         self.entries.len() == entries.len()
             && self.entries.iter().zip(entries).all(|(known, entry)| {
                 known.usable == entry.usable
                     && Arc::ptr_eq(&known.record, &entry.record)
-                    && Arc::ptr_eq(&known.brokers, &entry.brokers)
+                    && known.brokers == entry.brokers
             })
     }
 }
 
+fn local_view(entries: &[TargetEntry]) -> Arc<TargetView> {
+    let usable = entries.iter().filter(|entry| entry.usable);
+    let records = usable.map(|entry| (*entry.record).clone()).collect();
+    Arc::new(TargetView::build(records))
+}
+
 /// Views by service.
 #[derive(Default)]
 pub(crate) struct ViewTable {
@@ -69,18 +96,22 @@
         self.changes.subscribe()
     }
 
-    /// Rebuilds the views of the services whose targets changed.
-    fn update(&self, table: &TargetTable, services: &[Arc<ServicePlan>]) {
+    /// Rebuilds the views of the services whose targets or routes changed.
+    fn update(&self, fleet: &FleetState, own: &CentreName, services: &[Arc<ServicePlan>]) {
+        let table = fleet.targets();
         let known = lock(&self.views).clone();
         let mut views = HashMap::with_capacity(services.len());
         let mut changed = known.len() != services.len();
         for plan in services {
             let entries = table.of_service(&plan.name);
-            let view = match known.get(&plan.name) {
-                Some(view) if view.is_of(entries) => Arc::clone(view),
+            let same = known.get(&plan.name).filter(|view| view.is_of(entries));
+            let local = same.map_or_else(|| local_view(entries), |view| Arc::clone(&view.local));
+            let spill = spill_routes(fleet, own, &plan.name, &local);
+            let view = match same {
+                Some(view) if view.spill == spill => Arc::clone(view),
                 _ => {
                     changed = true;
-                    Arc::new(ServiceView::build(entries))
+                    Arc::new(ServiceView::build(entries, local, spill))
                 }
             };
             views.insert(plan.name.clone(), view);
@@ -103,9 +134,9 @@
         let fleet = lock(&node.fleet);
         let table = fleet.targets();
         let shares = broker_shares(&fleet, &table, &plans, now);
+        node.views.update(&fleet, &node.settings.centre, &plans);
         (table, shares)
     };
-    node.views.update(&table, &plans);
     let usable = table.iter().filter(|entry| entry.usable).count();
     node.metrics.targets.set(usable as u64);
     if node.life.phase() == LifePhase::Draining {
--- /dev/null
+++ b/crates/daemon/src/voter_repair.rs
@@ -0,0 +1,122 @@
+//! Replaces a voter that has been gone for too long by this VM, if it has a disk and does not vote.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use fulmarweir_base::MonoTime;
+use fulmarweir_quorum::{QuorumError, VoterHealth, VoterIdentity, VoterMember, VoterService};
+use slog::{info, warn};
+
+use crate::node::NodeState;
+
+/// Time between two looks at the voters, in milliseconds.
+const CHECK_PERIOD_MS: u64 = 2000;
+/// Absence after which a voter is replaced; longer than a restart takes.
+const GONE_MS: u64 = 30_000;
+/// Absence of a voter under this VM's own name, whose log is lost for certain.
+const OWN_LOG_LOST_MS: u64 = 2000;
+/// Most time that spares wait at random, so that they rarely race.
+const STAGGER_MAX_MS: u64 = 5000;
+const CHANGE_TIMEOUT_MS: u64 = 20_000;
+
+/// Since when each voter has not answered.
+type AbsenceTable = HashMap<VoterIdentity, MonoTime>;
+
+/// Looks at the voters until the process halts.
+pub(crate) async fn run_voter_repair(node: Arc<NodeState>) {
+    let Some(voter) = node.voter.clone() else {
+        return;
+    };
+    let stagger = Duration::from_millis(rand::random_range(0..STAGGER_MAX_MS));
+    let mut absences = AbsenceTable::new();
+    loop {
+        tokio::select! {
+            () = node.halt.cancelled() => return,
+            () = tokio::time::sleep(Duration::from_millis(CHECK_PERIOD_MS)) => {}
+        }
+        if node.quorum.voters().epoch == 0 {
+            continue;
+        }
+        let health = node.quorum.voter_health().await;
+        tokio::select! {
+            () = node.halt.cancelled() => return,
+            () = repair(&node, &voter, &health, &mut absences, stagger) => {}
+        }
+    }
+}
+
+async fn repair(
+    node: &NodeState,
+    voter: &VoterService,
+    health: &[VoterHealth],
+    absences: &mut AbsenceTable,
+    stagger: Duration,
+) {
+    let now = node.timer.now();
+    note_absences(absences, health, now);
+    let own = voter.identity();
+    if health.iter().any(|state| state.member.identity == own) {
+        heal_lagging(node, health).await;
+        return;
+    }
+    let gone = health.iter().find(|state| {
+        let since = absences.get(&state.member.identity);
+        since.is_some_and(|since| now.since(*since) >= patience(node, &state.member) + stagger)
+    });
+    if let Some(gone) = gone {
+        take_over(node, voter, &gone.member).await;
+    }
+}
+
+fn note_absences(absences: &mut AbsenceTable, health: &[VoterHealth], now: MonoTime) {
+    absences.retain(|identity, _| {
+        let absent = |state: &VoterHealth| state.member.identity == *identity && !state.reachable;
+        health.iter().any(absent)
+    });
+    for state in health.iter().filter(|state| !state.reachable) {
+        absences.entry(state.member.identity).or_insert(now);
+    }
+}
+
+fn patience(node: &NodeState, member: &VoterMember) -> Duration {
+    if member.name == node.settings.name {
+        Duration::from_millis(OWN_LOG_LOST_MS)
+    } else {
+        Duration::from_millis(GONE_MS)
+    }
+}
+
+/// A voter that answers and is not whole missed a change; any voter can bring it up to date.
+async fn heal_lagging(node: &NodeState, health: &[VoterHealth]) {
+    let lagging = health.iter().any(|state| state.reachable && !state.whole);
+    if !lagging {
+        return;
+    }
+    let patience = Duration::from_millis(CHANGE_TIMEOUT_MS);
+    if let Err(report) = node.quorum.heal_voters(patience).await {
+        log_failure(node, "voter-heal-failed", *report.current_context());
+    }
+}
+
+async fn take_over(node: &NodeState, voter: &VoterService, gone: &VoterMember) {
+    let spare = VoterMember {
+        name: node.settings.name.clone(),
+        identity: voter.identity(),
+        address: node.settings.peer_address(),
+    };
+    info!(node.log, "voter-replacing"; "gone" => %gone.name, "by" => %spare.name);
+    let patience = Duration::from_millis(CHANGE_TIMEOUT_MS);
+    let changed = node
+        .quorum
+        .replace_voter(gone.identity, spare, patience)
+        .await;
+    match changed {
+        Ok(outcome) => {
+            info!(node.log, "voter-replaced"; "gone" => %gone.name, "epoch" => outcome.set.epoch);
+        }
+        Err(report) => log_failure(node, "voter-not-replaced", *report.current_context()),
+    }
+}
+
+fn log_failure(node: &NodeState, event: &'static str, error: QuorumError) {
+    warn!(node.log, "{}", event; "error" => %error);
+}
