--- a/crates/route/examples/policy_tail/main.rs
+++ b/crates/route/examples/policy_tail/main.rs
@@ -15,6 +15,8 @@
 
 const SEEDS: [u64; 3] = [11, 22, 33];
 const TAIL_LOAD: f64 = 0.4;
+/// Lookups by key that arrive in a second during overload.
+const KEYED_RATE: f64 = 200.0;
 const WARM_UP: Duration = Duration::from_secs(6);
 const LENGTH: Duration = Duration::from_secs(6);
 
@@ -39,6 +41,7 @@
         plan: plan(AnswerPreference::Coverage),
         policy,
         load,
+        keyed_rate: 0.0,
         late_share: 0.0,
         slow_replica: false,
         warm_up: WARM_UP,
@@ -55,33 +58,39 @@
     coverage_per_second: f64,
     attempts_per_first: f64,
     refused_share: f64,
+    keyed_p99_ms: f64,
+    keyed_answered: f64,
+}
+
+fn quantile_ms(mut latencies: Vec<Duration>, percent: usize) -> f64 {
+    latencies.sort_unstable();
+    let place = latencies.len() * percent / 100;
+    let latency = latencies.get(place);
+    latency.map_or(f64::NAN, |latency| latency.as_secs_f64() * 1000.0)
 }
 
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
 fn summarize(reports: &[Report]) -> Row {
-    let mut latencies: Vec<Duration> = reports
-        .iter()
-        .flat_map(|report| report.latencies.iter().copied())
-        .collect();
-    latencies.sort_unstable();
-    let at = |percent: usize| {
-        let place = latencies.len() * percent / 100;
-        latencies
-            .get(place)
-            .map_or(f64::NAN, |latency| latency.as_secs_f64() * 1000.0)
+    let all = |of: fn(&Report) -> &Vec<Duration>| {
+        let latencies = reports.iter().flat_map(|report| of(report).iter().copied());
+        latencies.collect::<Vec<Duration>>()
     };
+    let latencies = all(|report| &report.latencies);
+    let keyed = all(|report| &report.keyed_latencies);
     let seconds = LENGTH.as_secs_f64() * reports.len() as f64;
     let sum = |value: fn(&Report) -> u64| reports.iter().map(value).sum::<u64>() as f64;
     let firsts = sum(|report| report.firsts);
     let extras = sum(|report| report.hedges + report.retries);
     let refused = sum(|report| report.refused.values().sum());
     Row {
-        p50_ms: at(50),
-        p99_ms: at(99),
+        p50_ms: quantile_ms(latencies.clone(), 50),
+        p99_ms: quantile_ms(latencies, 99),
         whole_per_second: sum(|report| report.whole) / seconds,
         coverage_per_second: reports.iter().map(|report| report.coverage).sum::<f64>() / seconds,
         attempts_per_first: (firsts + extras) / firsts,
         refused_share: refused / sum(|report| report.offered),
+        keyed_answered: keyed.len() as f64 / sum(|report| report.keyed_offered),
+        keyed_p99_ms: quantile_ms(keyed, 99),
     }
 }
 
@@ -102,6 +111,12 @@
         row.attempts_per_first,
         row.refused_share,
     );
+    if scenario.keyed_rate > 0.0 {
+        println!(
+            "    lookups by key: p99 {:.1} ms, answered {:.3}",
+            row.keyed_p99_ms, row.keyed_answered
+        );
+    }
     if std::env::args().any(|arg| arg == "--refusals") {
         println!("    {:?}", reports[0].refused);
     }
@@ -148,6 +163,7 @@
         let rows = [1.0, 3.0].map(|load| {
             let mut scenario = scenario(*policy, load);
             scenario.plan = plan(prefer);
+            scenario.keyed_rate = KEYED_RATE;
             measure(&format!("{load}x capacity, {label}"), &scenario)
         });
         println!(
--- a/crates/route/examples/policy_tail/world.rs
+++ b/crates/route/examples/policy_tail/world.rs
@@ -10,9 +10,9 @@
 use fulmarweir_base::{MonoTime, ShardHolding, TargetRecord, TargetState};
 use fulmarweir_conf::ServicePlan;
 use fulmarweir_route::{
-    Admission, AdmissionAsk, AdmissionPermit, AttemptId, AttemptOutcome, PolicySettings,
-    QueueEvent, QueueTicket, RouteAction, SearchAction, SearchAsk, SearchOutcome, SearchRun,
-    SendOrder, ServiceState, TargetView,
+    Admission, AdmissionPermit, AttemptId, AttemptOutcome, PolicySettings, QueueEvent, QueueTicket,
+    RouteAction, SearchAction, SearchAsk, SearchOutcome, SearchRun, SendOrder, ServiceState,
+    TargetView,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -37,6 +37,8 @@
     pub(crate) policy: PolicySettings,
     /// Offered load as a multiple of what the slots can do.
     pub(crate) load: f64,
+    /// Lookups by key that arrive in a second, besides.
+    pub(crate) keyed_rate: f64,
     /// Share of sub-queries that take longer by a fixed time.
     pub(crate) late_share: f64,
     /// Whether one replica is late each time.
@@ -50,6 +52,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Report {
     pub(crate) latencies: Vec<Duration>,
+    /// Answered lookups by key.
+    pub(crate) keyed_latencies: Vec<Duration>,
+    pub(crate) keyed_offered: u64,
     pub(crate) whole: u64,
     pub(crate) coverage: f64,
     pub(crate) refused: HashMap<&'static str, u64>,
@@ -62,6 +67,7 @@
 #[derive(Debug)]
 enum Event {
     Arrive,
+    ArriveKeyed,
     AtTarget(JobId),
     Done(JobId),
     CancelAt(JobId),
@@ -81,13 +87,14 @@
 struct Caller {
     run: SearchRun,
     daemon: usize,
+    keyed: bool,
     arrived: MonoTime,
     jobs: HashMap<AttemptId, JobId>,
 }
 
 struct Daemon {
     state: Arc<ServiceState>,
-    waiting: HashMap<QueueTicket, MonoTime>,
+    waiting: HashMap<QueueTicket, SearchAsk>,
 }
 
 pub(crate) struct World {
@@ -157,6 +164,9 @@
             scenario,
         };
         world.push(Duration::ZERO, Event::Arrive);
+        if world.scenario.keyed_rate > 0.0 {
+            world.push(Duration::ZERO, Event::ArriveKeyed);
+        }
         world.push(POLL_PERIOD, Event::Poll);
         while world.step() {}
         world.report
@@ -182,6 +192,7 @@
         };
         match event {
             Event::Arrive => self.arrive(),
+            Event::ArriveKeyed => self.arrive_keyed(),
             Event::AtTarget(job) => self.at_target(job),
             Event::Done(job) => self.done(job),
             Event::CancelAt(job) => self.cancel_at(job),
@@ -212,34 +223,54 @@
         let per_second = f64::from(REPLICAS * SLOTS) * 1000.0 / SERVICE_MS * self.scenario.load;
         let gap = self.exponential(1.0 / per_second);
         self.push(Duration::from_secs_f64(gap), Event::Arrive);
-        let now = self.now;
-        if self.is_measured(now) {
+        if self.is_measured(self.now) {
             self.report.offered += 1;
         }
+        self.offer(None);
+    }
+
+    fn arrive_keyed(&mut self) {
+        if self.is_over() {
+            return;
+        }
+        let gap = self.exponential(1.0 / self.scenario.keyed_rate);
+        self.push(Duration::from_secs_f64(gap), Event::ArriveKeyed);
+        if self.is_measured(self.now) {
+            self.report.keyed_offered += 1;
+        }
+        let number: u32 = self.rng.random();
+        self.offer(Some(number.to_string().into()));
+    }
+
+    fn offer(&mut self, key: Option<Arc<str>>) {
+        let now = self.now;
         let daemon = self.rng.random_range(0..DAEMONS);
-        let deadline = now + self.plan.deadline;
-        let answer_by = ServiceState::answer_by(&self.plan, deadline, now);
-        let ask = AdmissionAsk::wide(SHARDS as usize, answer_by);
-        match self.daemons[daemon].state.admit(ask, now) {
-            Admission::Granted(permit) => self.start(daemon, now, permit),
+        let ask = SearchAsk {
+            key,
+            arrived: Some(now),
+            ..SearchAsk::default()
+        };
+        let admission = ask.admission(&self.plan, &self.view, now);
+        match self.daemons[daemon].state.admit(admission, now) {
+            Admission::Granted(permit) => self.start(daemon, ask, permit),
             Admission::Queued(ticket) => {
-                self.daemons[daemon].waiting.insert(ticket, now);
+                self.daemons[daemon].waiting.insert(ticket, ask);
             }
-            Admission::Refused(refusal) => self.count_refusal(now, refusal.reason.as_str()),
+            Admission::Refused(refusal) => self.count_refusal(&ask, refusal.reason.as_str()),
         }
     }
 
-    fn count_refusal(&mut self, arrived: MonoTime, reason: &'static str) {
-        if self.is_measured(arrived) {
+    fn count_refusal(&mut self, ask: &SearchAsk, reason: &'static str) {
+        let measured = ask.arrived.is_some_and(|at| self.is_measured(at));
+        if measured && ask.key.is_none() {
             *self.report.refused.entry(reason).or_default() += 1;
         }
     }
 
-    fn start(&mut self, daemon: usize, arrived: MonoTime, permit: AdmissionPermit) {
-        let ask = SearchAsk {
-            arrived: Some(arrived),
-            ..SearchAsk::default()
-        };
+    fn start(&mut self, daemon: usize, ask: SearchAsk, permit: AdmissionPermit) {
+        let keyed = ask.key.is_some();
+        let arrived = ask.arrived.unwrap_or(self.now);
+        let refused = ask.clone();
         let plan = Arc::clone(&self.plan);
         let view = Arc::clone(&self.view);
         let rng = &mut self.policy_rng;
@@ -250,13 +281,14 @@
                 let caller = Caller {
                     run,
                     daemon,
+                    keyed,
                     arrived,
                     jobs: HashMap::new(),
                 };
                 self.callers.insert(number, caller);
                 self.carry_out(number, actions);
             }
-            Err(refusal) => self.count_refusal(arrived, refusal.reason.as_str()),
+            Err(refusal) => self.count_refusal(&refused, refusal.reason.as_str()),
         }
     }
 
@@ -293,25 +325,33 @@
         let Some(caller) = self.callers.remove(&number) else {
             return;
         };
-        if self.is_measured(caller.arrived) {
-            let stats = outcome.stats;
-            self.report.firsts += u64::from(stats.firsts);
-            self.report.hedges += u64::from(stats.hedges);
-            self.report.retries += u64::from(stats.retries);
-            if let Ok(answer) = &outcome.answer {
-                self.report.latencies.push(self.now.since(caller.arrived));
-                self.report.coverage += f64::from(answer.answered) / f64::from(answer.shards);
-                self.report.whole += u64::from(answer.is_whole());
-            }
-        }
-        if let Err(refusal) = &outcome.answer {
-            self.count_refusal(caller.arrived, refusal.reason.as_str());
-        }
+        self.count_answer(&caller, outcome);
         let daemon = caller.daemon;
         drop(caller);
         self.poll_daemon(daemon);
     }
 
+    fn count_answer(&mut self, caller: &Caller, outcome: &SearchOutcome) {
+        if !self.is_measured(caller.arrived) {
+            return;
+        }
+        let latency = self.now.since(caller.arrived);
+        let (stats, report) = (outcome.stats, &mut self.report);
+        report.firsts += u64::from(stats.firsts);
+        report.hedges += u64::from(stats.hedges);
+        report.retries += u64::from(stats.retries);
+        match &outcome.answer {
+            Ok(_) if caller.keyed => report.keyed_latencies.push(latency),
+            Ok(answer) => {
+                report.latencies.push(latency);
+                report.coverage += f64::from(answer.answered) / f64::from(answer.shards);
+                report.whole += u64::from(answer.is_whole());
+            }
+            Err(_) if caller.keyed => {}
+            Err(refusal) => *report.refused.entry(refusal.reason.as_str()).or_default() += 1,
+        }
+    }
+
     fn poll(&mut self) {
         for daemon in 0..DAEMONS {
             self.poll_daemon(daemon);
@@ -325,13 +365,13 @@
         for event in self.daemons[daemon].state.poll_queue(self.now) {
             match event {
                 QueueEvent::Granted(ticket, permit) => {
-                    if let Some(arrived) = self.daemons[daemon].waiting.remove(&ticket) {
-                        self.start(daemon, arrived, permit);
+                    if let Some(ask) = self.daemons[daemon].waiting.remove(&ticket) {
+                        self.start(daemon, ask, permit);
                     }
                 }
                 QueueEvent::Refused(ticket, refusal) => {
-                    if let Some(arrived) = self.daemons[daemon].waiting.remove(&ticket) {
-                        self.count_refusal(arrived, refusal.reason.as_str());
+                    if let Some(ask) = self.daemons[daemon].waiting.remove(&ticket) {
+                        self.count_refusal(&ask, refusal.reason.as_str());
                     }
                 }
             }
--- a/crates/route/src/act.rs
+++ b/crates/route/src/act.rs
@@ -8,8 +8,8 @@
 use rand::Rng;
 
 use crate::{
-    AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RefusalReason, RouteAction,
-    RouteRefusal, RunStats, SendOrder, TargetView,
+    AdmissionAsk, AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RefusalReason,
+    RouteAction, RouteRefusal, RunStats, SendOrder, TargetView,
     attempts::AttemptTable,
     refusal::Result,
     replica::{ChoicePurpose, choose_replica},
@@ -47,6 +47,19 @@
     pub stats: RunStats,
 }
 
+impl ActAsk {
+    /// What to ask admission for.
+    #[must_use]
+    pub fn admission(&self, plan: &ServicePlan, now: MonoTime) -> AdmissionAsk {
+        AdmissionAsk::keyed(self.deadline_in(plan, now))
+    }
+
+    fn deadline_in(&self, plan: &ServicePlan, now: MonoTime) -> MonoTime {
+        let own = self.arrived.unwrap_or(now) + plan.deadline;
+        self.deadline.unwrap_or(own).min(own)
+    }
+}
+
 /// Actions of an act.
 pub type ActAction = RouteAction<ActOutcome>;
 
@@ -82,8 +95,7 @@
         now: MonoTime,
         rng: &mut dyn Rng,
     ) -> Result<(Self, Vec<ActAction>)> {
-        let own_deadline = ask.arrived.unwrap_or(now) + plan.deadline;
-        let deadline = ask.deadline.unwrap_or(own_deadline).min(own_deadline);
+        let deadline = ask.deadline_in(&plan, now);
         if deadline <= now {
             return Err(RouteRefusal::not_run(RefusalReason::TooLate, None));
         }
@@ -276,3 +288,10 @@
         actions.push(RouteAction::Finish(ActOutcome { reply, stats }));
     }
 }
+
+impl Drop for ActRun {
+    fn drop(&mut self) {
+        let ended = self.permit.touched();
+        self.attempts.abandon_all(self.permit.state(), ended);
+    }
+}
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -90,6 +90,16 @@
         true
     }
 
+    /// Gives up all open attempts of a run that is dropped.
+    pub(crate) fn abandon_all(&mut self, state: &ServiceState, now: MonoTime) {
+        if self.open == 0 {
+            return;
+        }
+        for id in self.open_ids(None) {
+            self.abandon(id, state, now);
+        }
+    }
+
     /// Numbers of the open attempts, of one shard or of all.
     pub(crate) fn open_ids(&self, shard: Option<u32>) -> Vec<AttemptId> {
         let wanted = |attempt: &OpenAttempt| shard.is_none_or(|shard| attempt.shard == shard);
--- a/crates/route/src/search.rs
+++ b/crates/route/src/search.rs
@@ -14,8 +14,8 @@
 pub use self::finish::{RunStats, SearchAnswer, SearchOutcome};
 use self::progress::{ShardProgress, ShardState};
 use crate::{
-    AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RouteAction, SearchHit, SendOrder,
-    TargetView, attempts::AttemptTable, refusal::Result, table::lock,
+    AdmissionAsk, AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RouteAction, SearchHit,
+    SendOrder, TargetView, attempts::AttemptTable, refusal::Result, table::lock,
 };
 
 /// What a caller asks.
@@ -37,6 +37,28 @@
     pub arrived: Option<MonoTime>,
 }
 
+impl SearchAsk {
+    /// What to ask admission for: the sub-queries that the search starts with,
+    /// and the time by which `plan` wants it answered.
+    #[must_use]
+    pub fn admission(&self, plan: &ServicePlan, view: &TargetView, now: MonoTime) -> AdmissionAsk {
+        let deadline = self.deadline_in(plan, now);
+        let answer_by = match plan.prefer {
+            AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
+            AnswerPreference::Coverage => deadline,
+        };
+        match (&self.key, view.pin(self.min_version)) {
+            (None, Some(index)) => AdmissionAsk::wide(index.of as usize, answer_by),
+            _ => AdmissionAsk::keyed(answer_by),
+        }
+    }
+
+    fn deadline_in(&self, plan: &ServicePlan, now: MonoTime) -> MonoTime {
+        let own = self.arrived.unwrap_or(now) + plan.deadline;
+        self.deadline.unwrap_or(own).min(own)
+    }
+}
+
 /// Actions of a search.
 pub type SearchAction = RouteAction<SearchOutcome>;
 
@@ -58,7 +80,9 @@
 ///
 /// It is driven by the ends of its attempts, by its wake-ups and by new views,
 /// and says what to do. It finishes once, at its deadline at the latest. After
-/// `Finish` every call returns nothing.
+/// `Finish` every call returns nothing. Dropping it gives back its admission
+/// and no longer counts its attempts; only [`SearchRun::abandon`] and `Finish`
+/// name the attempts to cancel.
 #[derive(Debug)]
 pub struct SearchRun {
     permit: AdmissionPermit,
@@ -94,8 +118,7 @@
         rng: &mut dyn Rng,
     ) -> Result<(Self, Vec<SearchAction>)> {
         let arrived = ask.arrived.unwrap_or(now);
-        let own_deadline = arrived + plan.deadline;
-        let deadline = ask.deadline.unwrap_or(own_deadline).min(own_deadline);
+        let deadline = ask.deadline_in(&plan, now);
         let pinned = pin::choose_version(&view, &ask, deadline, now)?;
         let (version, of) = (pinned.version, pinned.of);
         let shards = pin::asked_shards(pinned, ask.key.as_deref());
@@ -135,6 +158,7 @@
         if self.finished {
             return step.actions;
         }
+        self.permit.touch(now);
         let state = self.permit.state();
         let Some(ended) = self.attempts.end(attempt, &outcome, state, now) else {
             return step.actions;
@@ -285,3 +309,10 @@
         self.plan.prefer == AnswerPreference::Latency
     }
 }
+
+impl Drop for SearchRun {
+    fn drop(&mut self) {
+        let ended = self.permit.touched();
+        self.attempts.abandon_all(self.permit.state(), ended);
+    }
+}
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -7,7 +7,6 @@
 };
 
 use fulmarweir_base::{MonoTime, TargetName};
-use fulmarweir_conf::{AnswerPreference, ServicePlan};
 
 use crate::{
     AdmissionAsk, PolicySettings, QueueTicket, RouteRefusal, TargetView,
@@ -67,6 +66,11 @@
         &self.state
     }
 
+    /// The last time noted.
+    pub(crate) fn touched(&self) -> MonoTime {
+        self.ended
+    }
+
     /// Notes the time, which counts as the end of the run if it is dropped now.
     pub(crate) fn touch(&mut self, now: MonoTime) {
         self.ended = self.ended.max(now);
@@ -179,15 +183,6 @@
         })
     }
 
-    /// The time by which a search of `plan` should be answered, for admission.
-    #[must_use]
-    pub fn answer_by(plan: &ServicePlan, deadline: MonoTime, now: MonoTime) -> MonoTime {
-        match plan.prefer {
-            AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
-            AnswerPreference::Coverage => deadline,
-        }
-    }
-
     pub(crate) fn signal_limit(&self, signal: LimitSignal, now: MonoTime) {
         lock(&self.gate).signal(signal, now);
     }
--- a/crates/route/tests/search_basics.rs
+++ b/crates/route/tests/search_basics.rs
@@ -233,3 +233,30 @@
         .collect();
     assert_eq!(restarted, BTreeSet::from([0, 1, 2]));
 }
+
+#[test]
+fn a_dropped_search_leaves_nothing_counted() {
+    let state = new_state();
+    let view = grid_view(7, 4, 1);
+    let plan = Arc::new(service_plan());
+    let mut rng = seeded(1);
+    let ask = SearchAsk::default();
+    let permit = permit(&state, START);
+    let run = SearchRun::start(permit, plan, view, ask, START, &mut rng).unwrap();
+    drop(run);
+    assert_eq!(state.gauges().in_flight, 0);
+    let name = "0-0".parse().unwrap();
+    assert_eq!(state.target_gauges(&name).unwrap().in_flight, 0);
+}
+
+#[test]
+fn an_abandoned_search_cancels_its_attempts() {
+    let view = grid_view(7, 4, 1);
+    let plan = Arc::new(service_plan());
+    let mut rng = seeded(1);
+    let ask = SearchAsk::default();
+    let permit = permit(&new_state(), START);
+    let (mut run, _) = SearchRun::start(permit, plan, view, ask, START, &mut rng).unwrap();
+    assert_eq!(run.abandon(START + QUICK).len(), 4);
+    assert!(run.on_wake(START + QUICK * 2, &mut rng).is_empty());
+}
