Keep searches whole while targets move, leave or refuse

Four decisions were too coarse: - A shard given up because another attempt was forbidden was asked again when a new view came. It now has a state of its own. - A search that prefers coverage ended as soon as its last holder of a shard had moved on to another version, a moment before the view showed where. It now waits until the soft deadline at most. - A hedge was sent although the answer was due before it could return. - Retries after an attempt that had cost its target nothing (not sent, or refused without shedding) had to wait for an empty budget, although a target that refuses is passed over at once. They may now run a debt of one burst.

The gate's lanes and the caller's ask have modules of their own.

--- a/crates/route/src/action.rs
+++ b/crates/route/src/action.rs
@@ -38,7 +38,9 @@
     Shed,
     /// The target no longer holds the version.
     VersionGone,
-    /// The attempt failed.
+    /// The attempt failed and has not run.
+    NotSent,
+    /// The attempt failed and may have run.
     Failed,
     /// The reply belonged to something else.
     BadEcho,
@@ -48,10 +50,11 @@
 
 impl RetryReason {
     /// Every reason, for metrics that list all labels from the start.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Refused,
         Self::Shed,
         Self::VersionGone,
+        Self::NotSent,
         Self::Failed,
         Self::BadEcho,
         Self::TimedOut,
@@ -64,6 +67,7 @@
             Self::Refused => "refused",
             Self::Shed => "shed",
             Self::VersionGone => "version-gone",
+            Self::NotSent => "not-sent",
             Self::Failed => "failed",
             Self::BadEcho => "bad-echo",
             Self::TimedOut => "timed-out",
@@ -210,6 +214,10 @@
             Self::VersionGone => RetryReason::VersionGone,
             Self::BadEcho => RetryReason::BadEcho,
             Self::TimedOut => RetryReason::TimedOut,
+            Self::Failed {
+                verdict: RunVerdict::NotRun,
+                ..
+            } => RetryReason::NotSent,
             Self::Failed { .. } | Self::Hits { .. } | Self::Done { .. } => RetryReason::Failed,
         }
     }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -36,6 +36,15 @@
         true
     }
 
+    /// Takes one extra attempt that costs the targets nothing, into debt of up to one burst.
+    pub(crate) fn try_borrow(&mut self) -> bool {
+        if self.tokens - 1.0 < -BURST_ATTEMPTS {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
     /// Charges `count` attempts that a caller repeats; may leave a debt of one burst.
     pub(crate) fn charge(&mut self, count: usize) {
         #[expect(clippy::cast_precision_loss, reason = "shard counts are small")]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -29,6 +29,7 @@
 mod eject;
 mod gate;
 mod hits;
+mod lane;
 mod latency;
 mod limit;
 mod load;
--- a/crates/route/src/search.rs
+++ b/crates/route/src/search.rs
@@ -1,5 +1,6 @@
 //! One search, from admission to the answer.
 
+mod ask;
 mod extra;
 mod finish;
 mod pin;
@@ -11,54 +12,14 @@
 use fulmarweir_conf::{AnswerPreference, ServicePlan};
 use rand::Rng;
 
+pub use self::ask::SearchAsk;
 pub use self::finish::{RunStats, SearchAnswer, SearchOutcome};
 use self::progress::{ShardProgress, ShardState};
 use crate::{
-    AdmissionAsk, AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RouteAction, SearchHit,
-    SendOrder, TargetView, attempts::AttemptTable, refusal::Result, table::lock,
+    AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RouteAction, SearchHit, SendOrder,
+    TargetView, attempts::AttemptTable, refusal::Result, table::lock,
 };
 
-/// What a caller asks.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct SearchAsk {
-    /// Asks only the shard that holds this key.
-    pub key: Option<Arc<str>>,
-    /// Oldest version that the caller accepts.
-    pub min_version: u64,
-    /// The caller's deadline; the service's own may be earlier.
-    pub deadline: Option<MonoTime>,
-    /// Most hits in the answer.
-    pub limit: Option<usize>,
-    /// Whether a target sends it while it serves a request itself.
-    pub nested: bool,
-    /// Whether the caller sends the same request again; it then adds nothing to the budget.
-    pub repeated: bool,
-    /// When the request arrived, if it has waited for admission.
-    pub arrived: Option<MonoTime>,
-}
-
-impl SearchAsk {
-    /// What to ask admission for: the sub-queries that the search starts with,
-    /// and the time by which `plan` wants it answered.
-    #[must_use]
-    pub fn admission(&self, plan: &ServicePlan, view: &TargetView, now: MonoTime) -> AdmissionAsk {
-        let deadline = self.deadline_in(plan, now);
-        let answer_by = match plan.prefer {
-            AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
-            AnswerPreference::Coverage => deadline,
-        };
-        match (&self.key, view.pin(self.min_version)) {
-            (None, Some(index)) => AdmissionAsk::wide(index.of as usize, answer_by),
-            _ => AdmissionAsk::keyed(answer_by),
-        }
-    }
-
-    fn deadline_in(&self, plan: &ServicePlan, now: MonoTime) -> MonoTime {
-        let own = self.arrived.unwrap_or(now) + plan.deadline;
-        self.deadline.unwrap_or(own).min(own)
-    }
-}
-
 /// Actions of a search.
 pub type SearchAction = RouteAction<SearchOutcome>;
 
@@ -97,6 +58,8 @@
     shards: Vec<ShardProgress>,
     replies: Vec<Vec<SearchHit>>,
     attempts: AttemptTable,
+    /// Whether a shard was lost because targets went on to another version.
+    rollout: bool,
     wake_at: Option<MonoTime>,
     stats: RunStats,
     finished: bool,
@@ -135,6 +98,7 @@
             replies: Vec::with_capacity(shards.len()),
             shards,
             attempts: AttemptTable::default(),
+            rollout: false,
             wake_at: None,
             stats: RunStats::default(),
             finished: false,
--- a/crates/route/src/search/extra.rs
+++ b/crates/route/src/search/extra.rs
@@ -39,12 +39,10 @@
             return;
         }
         if !self.may_retry(outcome) {
-            self.shards[place].state = ShardState::Lost;
+            self.shards[place].state = ShardState::Failed;
             return;
         }
-        let reason = outcome.retry_reason();
-        let at = step.now;
-        self.shards[place].retry = Some(PendingRetry { at, reason });
+        self.shards[place].retry = Some(PendingRetry::after(outcome, step.now));
         self.send_due_retry(place, step);
     }
 
@@ -80,43 +78,40 @@
             return;
         }
         let Some(target) = self.choose(place, false, step) else {
-            self.ask_all_again(place, retry.reason, step.now);
+            self.ask_all_again(place, retry, step.now);
             return;
         };
-        if !self.take_for_retry(place, retry.reason) {
-            let at = step.now + Duration::from_millis(BUDGET_RECHECK_MS);
-            let reason = retry.reason;
-            self.shards[place].retry = Some(PendingRetry { at, reason });
+        if !self.take_for_retry(place, retry) {
+            self.shards[place].retry = Some(retry.postponed(step.now, BUDGET_RECHECK_MS));
             return;
         }
         self.send(place, target, AttemptKind::Retry(retry.reason), step);
     }
 
     /// Every holder has been asked: pauses, then starts with the first again.
-    fn ask_all_again(&mut self, place: usize, reason: RetryReason, now: MonoTime) {
+    fn ask_all_again(&mut self, place: usize, retry: PendingRetry, now: MonoTime) {
         if !self.shard_has_holder(place, now) {
             self.shards[place].state = ShardState::Lost;
             return;
         }
         let progress = &mut self.shards[place];
         let pause = RETRY_PAUSE_MS * u64::from(progress.retries + 1);
-        let at = now + Duration::from_millis(pause);
         progress.tried.clear();
-        progress.retry = Some(PendingRetry { at, reason });
+        progress.retry = Some(retry.postponed(now, pause));
     }
 
-    fn take_for_retry(&self, place: usize, reason: RetryReason) -> bool {
+    fn take_for_retry(&self, place: usize, retry: PendingRetry) -> bool {
         let state = self.permit.state();
         if self.is_naive() {
             return self.shards[place].retries < NAIVE_RETRIES_MAX;
         }
         let mut budget = lock(&state.budget);
-        if reason == RetryReason::VersionGone {
+        if retry.reason == RetryReason::VersionGone {
             // Each target says so once and at no cost, and the answer depends on it.
             budget.charge(1);
             return true;
         }
-        budget.try_take(1)
+        budget.try_take(1) || (retry.free && budget.try_borrow())
     }
 
     /// Hedges the slow attempts, all or none: hedging some of the missing shards
@@ -149,6 +144,9 @@
 
     fn hedge_candidates(&self, now: MonoTime) -> Vec<usize> {
         let delay = self.hedge_delay();
+        if self.is_too_late_to_hedge(now) {
+            return Vec::new();
+        }
         let is_due = |place: &usize| {
             let progress = &self.shards[*place];
             progress.is_waiting()
@@ -158,6 +156,12 @@
         (0..self.shards.len()).filter(is_due).collect()
     }
 
+    /// Whether a hedge sent now would most likely come after the answer.
+    fn is_too_late_to_hedge(&self, now: MonoTime) -> bool {
+        let typical = lock(&self.permit.state().latency).median();
+        now + typical.unwrap_or_default() >= self.answer_due(now)
+    }
+
     pub(crate) fn hedge_delay(&self) -> Duration {
         if self.is_naive() {
             return self.plan.deadline.mul_f64(NAIVE_TIMEOUT_SHARE);
--- a/crates/route/src/search/finish.rs
+++ b/crates/route/src/search/finish.rs
@@ -89,10 +89,28 @@
         if self.prefers_latency() && now >= self.soft_deadline && self.covers_enough() {
             return true;
         }
+        if self.awaits_rollout(now) {
+            return false;
+        }
         // Nothing is in flight, and no target that could be asked is left.
         self.shards.iter().all(|one| one.state != ShardState::Open)
     }
 
+    /// Whether to wait for a view that shows where a shard that has just moved is.
+    fn awaits_rollout(&self, now: MonoTime) -> bool {
+        self.rollout && !self.prefers_latency() && now < self.soft_deadline
+    }
+
+    /// When the answer is due at the latest, as it stands now.
+    pub(crate) fn answer_due(&self, now: MonoTime) -> MonoTime {
+        let soft = self.prefers_latency() && now < self.soft_deadline && self.covers_enough();
+        if soft {
+            self.soft_deadline
+        } else {
+            self.deadline
+        }
+    }
+
     /// Whether at least one shard and the service's minimum coverage are in.
     fn covers_enough(&self) -> bool {
         #[expect(clippy::cast_precision_loss, reason = "shard counts are small")]
@@ -102,7 +120,7 @@
 
     fn next_wake(&self, now: MonoTime) -> MonoTime {
         let mut wake_at = self.deadline;
-        if self.prefers_latency() && self.soft_deadline > now {
+        if self.soft_deadline > now && (self.prefers_latency() || self.rollout) {
             wake_at = wake_at.min(self.soft_deadline);
         }
         self.next_extra(now)
--- a/crates/route/src/search/pin.rs
+++ b/crates/route/src/search/pin.rs
@@ -4,8 +4,8 @@
 
 use super::{RunStep, SearchAsk, SearchRun, ShardProgress, ShardState};
 use crate::{
-    AttemptKind, RefusalReason, RetryReason, RouteRefusal, TargetView, VersionIndex,
-    refusal::Result, replica::has_holder, search::progress::PendingRetry, table::lock,
+    AttemptKind, RefusalReason, RouteRefusal, TargetView, VersionIndex, refusal::Result,
+    replica::has_holder, search::progress::PendingRetry, table::lock,
 };
 
 /// How often one search may start over.
@@ -40,9 +40,7 @@
     /// A target said that it no longer holds the pinned version.
     pub(crate) fn version_gone(&mut self, place: usize, step: &mut RunStep<'_>) {
         if self.shard_has_holder(place, step.now) {
-            let reason = RetryReason::VersionGone;
-            let at = step.now;
-            self.shards[place].retry = Some(PendingRetry { at, reason });
+            self.shards[place].retry = Some(PendingRetry::version_gone(step.now));
             self.send_due_retry(place, step);
             return;
         }
@@ -50,6 +48,7 @@
             return;
         }
         self.shards[place].state = ShardState::Lost;
+        self.rollout = true;
         self.restart_if_better(step);
     }
 
@@ -62,9 +61,7 @@
             if self.shard_has_holder(place, step.now) {
                 let progress = &mut self.shards[place];
                 progress.state = ShardState::Open;
-                let reason = RetryReason::VersionGone;
-                let at = step.now;
-                progress.retry = Some(PendingRetry { at, reason });
+                progress.retry = Some(PendingRetry::version_gone(step.now));
                 self.send_due_retry(place, step);
             }
         }
@@ -97,6 +94,7 @@
         self.of = of;
         self.shards = shards;
         self.replies.clear();
+        self.rollout = false;
         self.soft_deadline = self.deadline.min(now + self.plan.soft_deadline);
         self.send_first(AttemptKind::Restart, step);
     }
--- a/crates/route/src/search/progress.rs
+++ b/crates/route/src/search/progress.rs
@@ -1,10 +1,10 @@
 //! How far one shard of a search has come.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, TargetRecord};
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord};
 
-use crate::{AttemptKind, RetryReason};
+use crate::{AttemptKind, AttemptOutcome, RetryReason};
 
 /// Whether a shard's hits are in.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,6 +15,8 @@
     Answered,
     /// No target in the view holds it in the pinned version.
     Lost,
+    /// An attempt ended in a way that forbids another.
+    Failed,
 }
 
 /// One shard of a search.
@@ -37,6 +39,38 @@
 pub(crate) struct PendingRetry {
     pub(crate) at: MonoTime,
     pub(crate) reason: RetryReason,
+    /// Whether the attempt before it cost its target nothing and was not shed.
+    pub(crate) free: bool,
+}
+
+impl PendingRetry {
+    /// A retry at once, after a target said that it no longer holds the version.
+    pub(crate) fn version_gone(now: MonoTime) -> Self {
+        Self {
+            at: now,
+            reason: RetryReason::VersionGone,
+            free: true,
+        }
+    }
+
+    /// A retry at once after `outcome`.
+    pub(crate) fn after(outcome: &AttemptOutcome, now: MonoTime) -> Self {
+        let reason = outcome.retry_reason();
+        let not_run = outcome.verdict() == RunVerdict::NotRun;
+        Self {
+            at: now,
+            reason,
+            free: not_run && reason != RetryReason::Shed,
+        }
+    }
+
+    /// The same retry, after a pause.
+    pub(crate) fn postponed(self, now: MonoTime, pause_ms: u64) -> Self {
+        Self {
+            at: now + Duration::from_millis(pause_ms),
+            ..self
+        }
+    }
 }
 
 impl ShardProgress {
--- a/crates/route/tests/replicas.rs
+++ b/crates/route/tests/replicas.rs
@@ -134,6 +134,17 @@
     assert!(searcher.sent_to("0-0") < 15, "{:?}", searcher.sent);
 }
 
+#[test]
+fn a_silent_target_is_passed_over() {
+    let mut searcher = Searcher::new(grid_view(1, 1, 3));
+    searcher.search(300, &mut |order| {
+        let silent = order.target.name.as_str() == "0-0";
+        let delay = if silent { SPACING * 1_000 } else { QUICK };
+        (delay, answer_to(order))
+    });
+    assert!(searcher.sent_to("0-0") < 30, "{:?}", searcher.sent);
+}
+
 #[test]
 fn a_target_that_reports_load_gets_less() {
     let mut searcher = Searcher::new(grid_view(1, 1, 2));
