Refuse unreadable and oversized input in the callers' form

Malformed input on real daemons showed: an announcement of a version with 4 billion shards grew the daemon from 15 MB to 1.4 GB in 2 s; a change at the last version number ended the connection; the HTTP layer's own refusals carried no verdict and were not counted; a reply without a length was taken as whole when its connection closed. The shard count is now bounded for announcements and peers alike, and all refusals pass through one type.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -23,7 +23,7 @@
     CentreName, NAME_MAX_BYTES, NameError, RegionName, ServiceName, TargetName, VmName,
 };
 pub use shard::shard_for_key;
-pub use target::{ShardHolding, TargetRecord, TargetState};
+pub use target::{SHARD_COUNT_MAX, ShardHolding, TargetRecord, TargetState};
 pub use time::MonoTime;
 pub use timer::{TimerService, TimerTicks};
 pub use verdict::RunVerdict;
--- a/crates/base/src/target.rs
+++ b/crates/base/src/target.rs
@@ -18,6 +18,11 @@
     Draining,
 }
 
+/// Most shards that an index version may have.
+///
+/// Summaries hold a bit for each shard, so the number must be bounded.
+pub const SHARD_COUNT_MAX: u32 = 16_384;
+
 /// One shard of one index version that a target holds.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ShardHolding {
--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -235,7 +235,7 @@
     let own = arrived + plan.deadline;
     let deadline = request.ask.deadline.unwrap_or(own).min(own);
     let desk = node.desks.get(&plan.name);
-    desk.state.observe_view(&view.targets);
+    desk.note_view(&view.targets);
     let permit = desk
         .admit(AdmissionAsk::keyed(deadline), node.timer.now())
         .await?;
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -9,7 +9,7 @@
 use fulmarweir_base::{MonoTime, ServiceName, lock};
 use fulmarweir_route::{
     Admission, AdmissionAsk, AdmissionPermit, PolicySettings, QueueEvent, QueueTicket,
-    RouteRefusal, ServiceState,
+    RouteRefusal, ServiceState, TargetView,
 };
 use tokio::sync::oneshot;
 
@@ -24,6 +24,8 @@
 pub(crate) struct ServiceDesk {
     pub(crate) state: Arc<ServiceState>,
     waiting: Mutex<HashMap<QueueTicket, oneshot::Sender<Verdict>>>,
+    /// The last view that the state has taken in.
+    noted: Mutex<Option<Arc<TargetView>>>,
 }
 
 /// Takes a request out of the queue when its caller leaves.
@@ -45,9 +47,20 @@
         Self {
             state: Arc::new(ServiceState::new(settings)),
             waiting: Mutex::default(),
+            noted: Mutex::default(),
         }
     }
 
+    /// Lets the state take in `view` if it is another one than last time.
+    pub(crate) fn note_view(&self, view: &Arc<TargetView>) {
+        let mut noted = lock(&self.noted);
+        if noted.as_ref().is_some_and(|known| Arc::ptr_eq(known, view)) {
+            return;
+        }
+        self.state.observe_view(view);
+        *noted = Some(Arc::clone(view));
+    }
+
     /// Waits until the request may start, or gives its refusal.
     pub(crate) async fn admit(&self, ask: AdmissionAsk, now: MonoTime) -> Verdict {
         let (ticket, receiver) = {
--- a/crates/daemon/src/announce_api.rs
+++ b/crates/daemon/src/announce_api.rs
@@ -5,7 +5,7 @@
 use axum::{
     Json, Router,
     body::Bytes,
-    extract::{DefaultBodyLimit, State},
+    extract::{DefaultBodyLimit, State, rejection::BytesRejection},
     http::StatusCode,
     response::{IntoResponse, Response},
     routing::post,
@@ -32,8 +32,12 @@
         .with_state(node)
 }
 
-async fn handle_announcement(State(node): State<Arc<NodeState>>, body: Bytes) -> Response {
-    let result = announce(&node, &body);
+async fn handle_announcement(
+    State(node): State<Arc<NodeState>>,
+    body: std::result::Result<Bytes, BytesRejection>,
+) -> Response {
+    let body = body.map_err(|fault| CallerError::unreadable(fault.status(), fault.body_text()));
+    let result = body.and_then(|body| announce(&node, &body));
     let outcome = match &result {
         Ok(_) => "accepted",
         Err(error) => error.reason,
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -5,8 +5,8 @@
 use axum::{
     Router,
     body::{Body, Bytes},
-    extract::{DefaultBodyLimit, Path, Query, State},
-    http::{HeaderMap, HeaderValue, StatusCode, header},
+    extract::{DefaultBodyLimit, State},
+    http::{HeaderValue, StatusCode, header},
     response::{IntoResponse, Response},
     routing::post,
 };
@@ -18,7 +18,7 @@
 use crate::{
     act::{ActEnd, ActRequest, run_act},
     caller_error::{CallerError, Result},
-    caller_request::{AskQuery, CallerRequest},
+    caller_request::{CallerCall, CallerRequest},
     node::NodeState,
     search::run_search,
 };
@@ -32,25 +32,13 @@
         .with_state(node)
 }
 
-async fn handle_search(
-    State(node): State<Arc<NodeState>>,
-    Path(service): Path<String>,
-    Query(query): Query<AskQuery>,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
-    let result = search_service(&node, &service, query, &headers, body).await;
+async fn handle_search(State(node): State<Arc<NodeState>>, call: CallerCall) -> Response {
+    let result = search_service(&node, call).await;
     respond(&node, result.map(|answer| answer_response(&answer)))
 }
 
-async fn handle_act(
-    State(node): State<Arc<NodeState>>,
-    Path(service): Path<String>,
-    Query(query): Query<AskQuery>,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
-    let result = act_service(&node, &service, query, &headers, body).await;
+async fn handle_act(State(node): State<Arc<NodeState>>, call: CallerCall) -> Response {
+    let result = act_service(&node, call).await;
     respond(&node, result)
 }
 
@@ -61,14 +49,8 @@
     })
 }
 
-async fn search_service(
-    node: &NodeState,
-    service: &str,
-    query: AskQuery,
-    headers: &HeaderMap,
-    body: Bytes,
-) -> Result<SearchAnswer> {
-    let request = CallerRequest::read(node, service, query, headers, ServiceKind::Search)?;
+async fn search_service(node: &NodeState, call: CallerCall) -> Result<SearchAnswer> {
+    let (request, body) = CallerRequest::read(node, call, ServiceKind::Search)?;
     let ask = SearchAsk {
         key: request.key.clone(),
         min_version: request.min_version,
@@ -84,14 +66,8 @@
     answer.map_err(|refusal| refusal_error(&refusal))
 }
 
-async fn act_service(
-    node: &Arc<NodeState>,
-    service: &str,
-    query: AskQuery,
-    headers: &HeaderMap,
-    body: Bytes,
-) -> Result<Response> {
-    let request = CallerRequest::read(node, service, query, headers, ServiceKind::Act)?;
+async fn act_service(node: &Arc<NodeState>, call: CallerCall) -> Result<Response> {
+    let (request, body) = CallerRequest::read(node, call, ServiceKind::Act)?;
     let Some(key) = request.key.clone() else {
         return Err(CallerError::bad_request("an act needs ?key=K"));
     };
--- a/crates/daemon/src/caller_error.rs
+++ b/crates/daemon/src/caller_error.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// A request that the HTTP layer could not read.
+    pub(crate) fn unreadable(status: StatusCode, message: String) -> Self {
+        let reason = match status {
+            StatusCode::PAYLOAD_TOO_LARGE => "too-large",
+            _ => "bad-request",
+        };
+        Self::refused(status, reason, message)
+    }
+
     pub(crate) fn bad_request(message: impl Into<String>) -> Self {
         Self::refused(StatusCode::BAD_REQUEST, "bad-request", message)
     }
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -1,8 +1,14 @@
 //! What a caller asks, read from path, query and headers.
 
-use std::{sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use axum::http::{HeaderMap, StatusCode};
+use axum::{
+    extract::{
+        FromRequest, FromRequestParts, Path, Query, Request,
+        rejection::{BytesRejection, PathRejection, QueryRejection},
+    },
+    http::{HeaderMap, StatusCode},
+};
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, ServiceName};
 use fulmarweir_conf::{ServiceKind, ServicePlan};
@@ -25,6 +31,36 @@
     limit: Option<usize>,
 }
 
+/// A request as it came in; its parts may be unreadable.
+pub(crate) struct CallerCall {
+    service: std::result::Result<Path<String>, PathRejection>,
+    query: std::result::Result<Query<AskQuery>, QueryRejection>,
+    headers: HeaderMap,
+    body: std::result::Result<Bytes, BytesRejection>,
+}
+
+impl<S: Send + Sync> FromRequest<S> for CallerCall {
+    type Rejection = Infallible;
+
+    async fn from_request(
+        request: Request,
+        state: &S,
+    ) -> std::result::Result<Self, Self::Rejection> {
+        let (mut parts, body) = request.into_parts();
+        let service = Path::from_request_parts(&mut parts, state).await;
+        let query = Query::from_request_parts(&mut parts, state).await;
+        let headers = parts.headers.clone();
+        let request = Request::from_parts(parts, body);
+        let body = Bytes::from_request(request, state).await;
+        Ok(Self {
+            service,
+            query,
+            headers,
+            body,
+        })
+    }
+}
+
 /// A checked request of a caller.
 pub(crate) struct CallerRequest {
     pub(crate) plan: Arc<ServicePlan>,
@@ -39,8 +75,26 @@
 }
 
 impl CallerRequest {
-    /// Reads and checks a request for a service of `kind`.
+    /// Reads and checks a request for a service of `kind`, and gives its body.
     pub(crate) fn read(
+        node: &NodeState,
+        call: CallerCall,
+        kind: ServiceKind,
+    ) -> Result<(Self, Bytes)> {
+        let Path(service) = call
+            .service
+            .map_err(|fault| CallerError::unreadable(fault.status(), fault.body_text()))?;
+        let Query(query) = call
+            .query
+            .map_err(|fault| CallerError::unreadable(fault.status(), fault.body_text()))?;
+        let body = call
+            .body
+            .map_err(|fault| CallerError::unreadable(fault.status(), fault.body_text()))?;
+        let request = Self::check(node, &service, query, &call.headers, kind)?;
+        Ok((request, body))
+    }
+
+    fn check(
         node: &NodeState,
         service: &str,
         query: AskQuery,
--- a/crates/daemon/src/carrier.rs
+++ b/crates/daemon/src/carrier.rs
@@ -218,12 +218,17 @@
         slots: load.slots,
         queued: load.queued,
     });
-    if kind == RequestKind::Act {
-        let body = answer.body;
-        return AttemptOutcome::Done { body, load };
-    }
-    if let Ok(hits) = parse_hits(&answer.body) {
-        return AttemptOutcome::Hits { hits, load };
+    match kind {
+        RequestKind::Act if is_json(&answer.body) => {
+            let body = answer.body;
+            return AttemptOutcome::Done { body, load };
+        }
+        RequestKind::Act => {}
+        RequestKind::Search => {
+            if let Ok(hits) = parse_hits(&answer.body) {
+                return AttemptOutcome::Hits { hits, load };
+            }
+        }
     }
     count_failure(node, "bad-body");
     AttemptOutcome::Failed {
@@ -232,6 +237,10 @@
     }
 }
 
+fn is_json(body: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
+}
+
 fn failure_outcome(error: TargetError) -> AttemptOutcome {
     match error.fault {
         TargetFault::VersionGone => AttemptOutcome::VersionGone,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,7 +24,7 @@
     match fulmarweir_daemon::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("fulmarweird: {error:?}");
+            eprintln!("fulmarweird: {error:#}");
             ExitCode::from(EXIT_FAILED)
         }
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,7 @@
 //! What lives as long as the process and is shared by all its parts.
 
 use std::{
+    net::SocketAddr,
     path::Path,
     sync::{
         Arc, Mutex,
@@ -153,10 +154,19 @@
         region: settings.region.clone(),
         boot: incarnation,
         peers: settings.peer_address(),
-        targets: settings.listen.targets,
+        targets: announced_targets(settings),
     }
 }
 
+/// Where targets are told to announce; a wildcard address means nothing to them.
+fn announced_targets(settings: &VmSettings) -> SocketAddr {
+    let listen = settings.listen.targets;
+    if listen.ip().is_unspecified() {
+        return SocketAddr::new(settings.peer_address().ip(), listen.port());
+    }
+    listen
+}
+
 fn fleet_settings(settings: &VmSettings) -> FleetSettings {
     let own = settings.peer_address();
     let seeds = settings.peers.seeds.iter().copied();
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -4,12 +4,13 @@
 
 use axum::{
     Json, Router,
-    extract::{DefaultBodyLimit, Request, State},
+    extract::{DefaultBodyLimit, Request, State, rejection::StringRejection},
     http::{HeaderMap, HeaderValue, StatusCode, header},
     middleware::{self, Next},
     response::{IntoResponse, Response},
     routing::get,
 };
+use fulmarweir_base::RunVerdict;
 use fulmarweir_conf::TEXT_MAX_BYTES;
 use serde_json::json;
 
@@ -76,9 +77,10 @@
 async fn handle_change(
     State(node): State<Arc<NodeState>>,
     headers: HeaderMap,
-    text: String,
+    text: std::result::Result<String, StringRejection>,
 ) -> Response {
-    let request = match read_change(&headers, text) {
+    let text = text.map_err(|fault| CallerError::unreadable(fault.status(), fault.body_text()));
+    let request = match text.and_then(|text| read_change(&headers, text)) {
         Ok(request) => request,
         Err(error) => return error.into_response(),
     };
@@ -86,11 +88,11 @@
         ChangeEnd::Accepted { version } => Json(json!({"version": version})).into_response(),
         ChangeEnd::Conflict { current } => {
             let body = Json(json!({"version": current}));
-            (StatusCode::CONFLICT, body).into_response()
+            not_run(StatusCode::CONFLICT, body)
         }
         ChangeEnd::Faulty(faults) => {
             let body = Json(json!({"faults": faults.faults(), "omitted": faults.omitted()}));
-            (StatusCode::UNPROCESSABLE_ENTITY, body).into_response()
+            not_run(StatusCode::UNPROCESSABLE_ENTITY, body)
         }
         ChangeEnd::NoQuorum(verdict) => {
             let mut error = CallerError::refused(
@@ -104,11 +106,18 @@
     }
 }
 
+/// A refusal whose body is for programs.
+fn not_run(status: StatusCode, body: Json<serde_json::Value>) -> Response {
+    let verdict = HeaderValue::from_static(RunVerdict::NotRun.as_str());
+    (status, [("fulmarweir-run", verdict)], body).into_response()
+}
+
 fn read_change(headers: &HeaderMap, text: String) -> Result<ChangeRequest> {
     let at_version = headers
         .get(header::IF_MATCH)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.trim_matches('"').parse().ok())
+        .filter(|version| *version < u64::MAX)
         .ok_or_else(|| CallerError::bad_request("if-match: expected \"VERSION\""))?;
     let change_id = headers
         .get("change-id")
--- a/crates/daemon/src/search.rs
+++ b/crates/daemon/src/search.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use fulmarweir_base::{MonoTime, TimerService};
-use fulmarweir_conf::ServicePlan;
+use fulmarweir_conf::{AnswerPreference, ServicePlan};
 use fulmarweir_route::{
     AdmissionAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, SearchOutcome, SearchRun,
-    ServiceState,
 };
 
 use crate::{
@@ -41,7 +40,7 @@
         return Err(RouteRefusal::not_run(RefusalReason::NoTargets, None));
     };
     let desk = node.desks.get(&plan.name);
-    desk.state.observe_view(&view.targets);
+    desk.note_view(&view.targets);
     let admission = admission_ask(&plan, &ask, &view.targets, started);
     let permit = desk.admit(admission, started).await?;
     let label = ServiceLabel {
@@ -95,7 +94,10 @@
 ) -> AdmissionAsk {
     let own = now + plan.deadline;
     let deadline = ask.deadline.unwrap_or(own).min(own);
-    let answer_by = ServiceState::answer_by(plan, deadline, now);
+    let answer_by = match plan.prefer {
+        AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
+        AnswerPreference::Coverage => deadline,
+    };
     if ask.key.is_some() {
         return AdmissionAsk::keyed(answer_by);
     }
--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
-use fulmarweir_base::{MonoTime, TargetRecord, TargetState};
+use fulmarweir_base::{MonoTime, SHARD_COUNT_MAX, TargetRecord, TargetState};
 
 use crate::{
     CentreNews, FleetAction, FleetMessage, FleetState, SpreadNews, TargetChange, TargetEntry,
@@ -30,7 +30,7 @@
     StaleIncarnation(u64),
     /// More shards are listed than accepted; the most accepted.
     TooManyHoldings(usize),
-    /// A shard is not below the number of shards of its version.
+    /// A shard is not below the number of shards of its version, or that number is too large.
     ShardOutOfRange {
         /// Index version.
         version: u64,
@@ -59,7 +59,10 @@
             }
             Self::TooManyHoldings(most) => write!(f, "more than {most} shards are listed"),
             Self::ShardOutOfRange { version, shard, of } => {
-                write!(f, "shard {shard} of version {version} is not below {of}")
+                write!(
+                    f,
+                    "shard {shard} of version {version} is not below {of}, or {of} exceeds {SHARD_COUNT_MAX}"
+                )
             }
             Self::NoCapacity => f.write_str("slots and connections must be at least 1"),
             Self::NotTakingPart => f.write_str("this VM does not take part in the fleet"),
@@ -272,11 +275,8 @@
     if record.slots == 0 || record.connections == 0 {
         return Err(TargetRefusal::NoCapacity);
     }
-    match record
-        .versions
-        .iter()
-        .find(|holding| holding.shard >= holding.of)
-    {
+    let mut holdings = record.versions.iter();
+    match holdings.find(|holding| holding.shard >= holding.of || holding.of > SHARD_COUNT_MAX) {
         Some(holding) => Err(TargetRefusal::ShardOutOfRange {
             version: holding.version,
             shard: holding.shard,
--- a/crates/pool/src/exchange.rs
+++ b/crates/pool/src/exchange.rs
@@ -63,6 +63,10 @@
 
 async fn read_reply(request: &TargetRequest, response: Response<Incoming>) -> Result<TargetAnswer> {
     let (head, body) = response.into_parts();
+    if !has_framing(&head.headers) {
+        // Only the end of the connection would end this body, and a cut looks the same.
+        return Err(TargetError::may_have_run(TargetFault::Broken));
+    }
     let body = read_body(body).await?;
     if head.status == StatusCode::OK {
         return accept_answer(request, &head.headers, body);
@@ -70,6 +74,10 @@
     Err(refusal_error(request, head.status, &head.headers))
 }
 
+fn has_framing(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 async fn read_body(mut body: Incoming) -> Result<Bytes> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -53,4 +53,4 @@
     Admission, AdmissionPermit, QueueEvent, ServiceGauges, ServiceState, TargetGauges,
 };
 pub use settings::{AdmissionPolicy, PolicySettings, ReplicaPolicy, RetryPolicy};
-pub use view::{SHARD_COUNT_MAX, TargetView, VersionIndex};
+pub use view::{TargetView, VersionIndex};
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use fulmarweir_base::{TargetRecord, TargetState};
-
-/// Most shards that a version may have; holdings beyond it are ignored.
-pub const SHARD_COUNT_MAX: u32 = 16_384;
+use fulmarweir_base::{SHARD_COUNT_MAX, TargetRecord, TargetState};
 
 /// The holders of one shard of one version.
 #[derive(Clone, Debug)]
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,214 @@
-//! Helpers for integration tests on real daemons.
+//! Helpers for tests on real daemons: a tier, stand-in targets, and callers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use fulmarweir_base::{RunVerdict, ShardHolding};
+use fulmarweir_bench::{
+    AnswerCheck, HttpCall, HttpClient, HttpReply, SearchAnswer, StandIn, StandInSettings, Tier,
+    TierSettings, daemon_program,
+};
+use http::Method;
+
+/// Service of most tests.
+pub const SERVICE: &str = "street-app/pitches";
+/// Hits of each shard of a stand-in target.
+pub const HITS_PER_SHARD: u32 = 5;
+const SETTLE_POLL_MS: u64 = 50;
+const WHOLE_TRIES: u32 = 600;
+
+/// Settings of a tier of `vms` daemons in one data centre.
+///
+/// # Panics
+///
+/// When the daemon has not been built.
+#[must_use]
+pub fn one_centre(vms: u32) -> TierSettings {
+    let program = daemon_program().expect("`cargo build` has built the daemon");
+    TierSettings::single_centre(program, vms)
+}
+
+/// The operators' text of one service with more lines.
+#[must_use]
+pub fn service_text(kind: &str, more: &str) -> String {
+    format!(
+        "[service {SERVICE}]\nkind = {kind}\ndeadline-ms = 2000\nslots = 3\nconnections = 30\n{more}"
+    )
+}
+
+/// Settings of replica `replica` of one shard, announcing to all daemons of `tier`.
+///
+/// # Panics
+///
+/// Never: the names are valid.
+#[must_use]
+pub fn target_of(tier: &Tier, holding: ShardHolding, replica: u32) -> StandInSettings {
+    let name = format!("t-{}-{replica}", holding.shard);
+    let mut settings = StandInSettings::new(
+        name.parse().expect("a valid name"),
+        SERVICE.parse().expect("a valid name"),
+        holding,
+    );
+    settings.hits = HITS_PER_SHARD;
+    settings.seed = u64::from(holding.shard * 100 + replica);
+    let daemons = tier.daemons().iter();
+    settings.vms = daemons
+        .map(fulmarweir_bench::DaemonProcess::targets)
+        .collect();
+    settings
+}
+
+/// Starts `replicas` targets for each of the `of` shards of `version`.
+///
+/// # Panics
+///
+/// When a target can't be started.
+pub async fn start_targets(tier: &Tier, version: u64, of: u32, replicas: u32) -> Vec<StandIn> {
+    let mut targets = Vec::new();
+    for shard in 0..of {
+        for replica in 0..replicas {
+            let holding = ShardHolding { version, shard, of };
+            let settings = target_of(tier, holding, replica);
+            targets.push(StandIn::start(settings).await.expect("a target starts"));
+        }
+    }
+    targets
+}
+
+/// A caller of the tier.
+#[derive(Clone, Debug, Default)]
+pub struct TestCaller {
+    client: HttpClient,
+}
+
+/// How an act ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ActResult {
+    /// It ran.
+    Ran,
+    /// The tier's word that it has not run.
+    NotRun,
+    /// Unknown.
+    MayHaveRun,
+}
+
+impl TestCaller {
+    /// Searches at `address` and returns the raw reply; `None` when the call failed.
+    pub async fn search_raw(&self, address: SocketAddr, body: &str) -> Option<HttpReply> {
+        let path = format!("/v1/search/{SERVICE}");
+        let call = HttpCall::new(Method::POST, address, &path, body.to_owned());
+        self.client.send(call).await.ok()
+    }
+
+    /// Searches at `address`, and checks that an answer is what it says.
+    ///
+    /// Returns `None` for a refusal.
+    ///
+    /// # Panics
+    ///
+    /// When the call fails or an answer is not what it says.
+    pub async fn search(&self, address: SocketAddr, body: &str) -> Option<SearchAnswer> {
+        let reply = self.search_raw(address, body).await;
+        let reply = reply.expect("the tier answers every request");
+        check_answer(&reply, body)
+    }
+
+    /// Runs an act with an idempotency key.
+    ///
+    /// # Panics
+    ///
+    /// When an error carries no verdict.
+    pub async fn act(&self, address: SocketAddr, key: &str, patience: Duration) -> ActResult {
+        let path = format!("/v1/act/{SERVICE}?key={key}");
+        let mut call = HttpCall::new(Method::POST, address, &path, Bytes::from_static(b"{}"))
+            .header("idempotency-key", key);
+        call.timeout = patience;
+        let Ok(reply) = self.client.send(call).await else {
+            return ActResult::MayHaveRun;
+        };
+        let verdict = reply.header("fulmarweir-run").map(str::to_owned);
+        match verdict.as_deref() {
+            Some("ran") => ActResult::Ran,
+            Some("not-run") => ActResult::NotRun,
+            Some("may-have-run") => ActResult::MayHaveRun,
+            other => panic!(
+                "no verdict in {} {:?}: {other:?}",
+                reply.status,
+                reply.text()
+            ),
+        }
+    }
+
+    /// Sends any call.
+    ///
+    /// # Panics
+    ///
+    /// When the call fails.
+    pub async fn send(&self, call: HttpCall) -> HttpReply {
+        self.client.send(call).await.expect("the daemon answers")
+    }
+
+    /// Submits a configuration; the reply, or `None` when the call failed.
+    pub async fn submit(
+        &self,
+        address: SocketAddr,
+        at: u64,
+        change_id: &str,
+        text: &str,
+    ) -> Option<HttpReply> {
+        let call = HttpCall::new(Method::PUT, address, "/v1/config", text.to_owned())
+            .header("if-match", &format!("\"{at}\""))
+            .header("change-id", change_id);
+        self.client.send(call).await.ok()
+    }
+
+    /// Waits until a search at `address` covers all `shards`.
+    ///
+    /// # Panics
+    ///
+    /// When that takes longer than half a minute.
+    pub async fn wait_whole(&self, address: SocketAddr, shards: u32) {
+        for _ in 0..WHOLE_TRIES {
+            let answer = self.search(address, "{\"wait\":true}").await;
+            if answer.is_some_and(|answer| answer.coverage.answered == shards) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(SETTLE_POLL_MS)).await;
+        }
+        panic!("no whole answer over {shards} shards at {address}");
+    }
+}
+
+/// Checks that an answer is what it says; `None` for a refusal, which must carry a verdict.
+///
+/// # Panics
+///
+/// When the answer is not what it says or a refusal has no verdict.
+#[must_use]
+pub fn check_answer(reply: &HttpReply, sent: &str) -> Option<SearchAnswer> {
+    if !reply.status.is_success() {
+        assert!(verdict_of(reply).is_some(), "{}", reply.text());
+        return None;
+    }
+    let answer: SearchAnswer = serde_json::from_slice(&reply.body).expect("a readable answer");
+    let check = AnswerCheck {
+        sent,
+        hits_per_shard: HITS_PER_SHARD,
+        coverage_header: reply.header("fulmarweir-coverage"),
+        version_header: reply.header("fulmarweir-version"),
+    };
+    let faults = check.faults(&answer);
+    assert!(faults.is_empty(), "{faults:?} in {}", reply.text());
+    Some(answer)
+}
+
+/// The verdict of a refusal.
+#[must_use]
+pub fn verdict_of(reply: &HttpReply) -> Option<RunVerdict> {
+    match reply.header("fulmarweir-run")? {
+        "not-run" => Some(RunVerdict::NotRun),
+        "may-have-run" => Some(RunVerdict::MayHaveRun),
+        "ran" => Some(RunVerdict::Ran),
+        _ => None,
+    }
+}
