--- /dev/null
+++ b/crates/daemon/src/caller_api.rs
@@ -0,0 +1,170 @@
+//! The callers' interface: searches and acts.
+
+use std::sync::Arc;
+
+use axum::{
+    Router,
+    body::{Body, Bytes},
+    extract::{DefaultBodyLimit, State},
+    http::{HeaderValue, StatusCode, header},
+    response::{IntoResponse, Response},
+    routing::post,
+};
+use fulmarweir_base::RunVerdict;
+use fulmarweir_conf::ServiceKind;
+use fulmarweir_route::{ActAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, write_hits};
+use serde::Serialize;
+
+use crate::{
+    act::{ActEnd, ActRequest, run_act},
+    caller_error::{CallerError, Result},
+    caller_request::{CallerCall, CallerRequest},
+    node::NodeState,
+    search::run_search,
+};
+
+/// Routes of the callers' listener.
+pub(crate) fn caller_router(node: Arc<NodeState>) -> Router {
+    Router::new()
+        .route("/v1/search/{*service}", post(handle_search))
+        .route("/v1/act/{*service}", post(handle_act))
+        .layer(DefaultBodyLimit::max(node.settings.body_max_bytes))
+        .with_state(node)
+}
+
+async fn handle_search(State(node): State<Arc<NodeState>>, call: CallerCall) -> Response {
+    let result = search_service(&node, call).await;
+    respond(&node, result.map(|answer| answer_response(&answer)))
+}
+
+async fn handle_act(State(node): State<Arc<NodeState>>, call: CallerCall) -> Response {
+    let result = act_service(&node, call).await;
+    respond(&node, result)
+}
+
+fn respond(node: &NodeState, result: Result<Response>) -> Response {
+    result.unwrap_or_else(|error| {
+        node.metrics.count_refusal(error.reason);
+        error.into_response()
+    })
+}
+
+async fn search_service(node: &NodeState, call: CallerCall) -> Result<SearchAnswer> {
+    let (request, body) = CallerRequest::read(node, call, ServiceKind::Search)?;
+    let ask = SearchAsk {
+        key: request.key.clone(),
+        min_version: request.min_version,
+        deadline: request.deadline,
+        limit: request.limit,
+        nested: request.nested,
+        repeated: false,
+        arrived: None,
+    };
+    let plan = Arc::clone(&request.plan);
+    let run = request.into_run(node, body);
+    let answer = run_search(node, plan, ask, run).await;
+    answer.map_err(|refusal| refusal_error(&refusal))
+}
+
+async fn act_service(node: &Arc<NodeState>, call: CallerCall) -> Result<Response> {
+    let (request, body) = CallerRequest::read(node, call, ServiceKind::Act)?;
+    let Some(key) = request.key.clone() else {
+        return Err(CallerError::bad_request("an act needs ?key=K"));
+    };
+    let act = ActRequest {
+        plan: Arc::clone(&request.plan),
+        ask: ActAsk {
+            key,
+            deadline: request.deadline,
+            repeated: false,
+            arrived: None,
+        },
+        idempotency_key: request.idempotency_key.clone(),
+        run: request.into_run(node, body),
+    };
+    // The act goes on when its caller leaves, so that its outcome is recorded.
+    let work = node.acts.spawn(run_act(Arc::clone(node), act));
+    let end = work.await.unwrap_or(ActEnd::Refused(RouteRefusal {
+        reason: RefusalReason::Undecided,
+        verdict: RunVerdict::MayHaveRun,
+        retry_after: None,
+    }));
+    act_response(end)
+}
+
+fn act_response(end: ActEnd) -> Result<Response> {
+    match end {
+        ActEnd::Ran { reply, replayed } => {
+            let mut response = json_response(reply.body);
+            let headers = response.headers_mut();
+            headers.insert("fulmarweir-run", HeaderValue::from_static("ran"));
+            if replayed {
+                headers.insert("fulmarweir-replayed", HeaderValue::from_static("true"));
+            } else {
+                headers.insert("fulmarweir-version", HeaderValue::from(reply.version));
+            }
+            Ok(response)
+        }
+        ActEnd::Refused(refusal) => Err(refusal_error(&refusal)),
+        ActEnd::OtherBody => Err(CallerError::refused(
+            StatusCode::CONFLICT,
+            "other-body",
+            "the idempotency key was used with another key or body",
+        )),
+        ActEnd::NoClaim => Err(CallerError::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-claim",
+            "no majority of voters took the claim; nothing was sent to a target",
+        )),
+    }
+}
+
+fn refusal_error(refusal: &RouteRefusal) -> CallerError {
+    let status = match refusal.reason {
+        RefusalReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::Deadline | RefusalReason::Undecided => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    CallerError {
+        status,
+        reason: refusal.reason.as_str(),
+        verdict: refusal.verdict,
+        message: refusal.to_string(),
+        retry_after: refusal.retry_after,
+    }
+}
+
+#[derive(Serialize)]
+struct CoverageBody<'a> {
+    shards: u32,
+    answered: u32,
+    missing: &'a [u32],
+}
+
+fn answer_response(answer: &SearchAnswer) -> Response {
+    let coverage = CoverageBody {
+        shards: answer.shards,
+        answered: answer.answered,
+        missing: &answer.missing,
+    };
+    // A struct of numbers always serializes.
+    let coverage = serde_json::to_string(&coverage).unwrap_or_default();
+    let version = answer.version;
+    let head = format!("{{\"version\":{version},\"coverage\":{coverage},\"hits\":");
+    let mut body = head.into_bytes();
+    write_hits(&answer.hits, &mut body);
+    body.push(b'}');
+    let mut response = json_response(body.into());
+    let headers = response.headers_mut();
+    let ratio = format!("{}/{}", answer.answered, answer.shards);
+    if let Ok(ratio) = HeaderValue::from_str(&ratio) {
+        headers.insert("fulmarweir-coverage", ratio);
+    }
+    headers.insert("fulmarweir-version", HeaderValue::from(version));
+    response
+}
+
+fn json_response(body: Bytes) -> Response {
+    let content_type = HeaderValue::from_static("application/json");
+    ([(header::CONTENT_TYPE, content_type)], Body::from(body)).into_response()
+}
--- /dev/null
+++ b/crates/daemon/src/views.rs
@@ -0,0 +1,204 @@
+//! What this VM knows of the targets, in the form that requests use.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex},
+};
+
+use fulmarweir_base::{CentreName, MonoTime, ServiceName, TargetName, lock};
+use fulmarweir_conf::ServicePlan;
+use fulmarweir_fleet::{FleetState, TargetEntry, TargetKey, TargetLimits, TargetTable, VmIdentity};
+use fulmarweir_pool::LinkShare;
+use fulmarweir_route::TargetView;
+use tokio::sync::watch;
+
+use crate::{
+    lifecycle::LifePhase,
+    node::NodeState,
+    spill::{SpillRoute, spill_routes},
+};
+
+/// The targets of one service at one moment.
+pub(crate) struct ServiceView {
+    /// Where the shards are, other data centres included where this one lacks them.
+    pub(crate) targets: Arc<TargetView>,
+    /// Where the shards are within this data centre.
+    pub(crate) local: Arc<TargetView>,
+    brokers: HashMap<TargetName, Arc<[Arc<VmIdentity>]>>,
+    spill: Vec<SpillRoute>,
+    entries: Vec<TargetEntry>,
+}
+
+impl ServiceView {
+    fn build(entries: &[TargetEntry], local: Arc<TargetView>, spill: Vec<SpillRoute>) -> Self {
+        let usable = || entries.iter().filter(|entry| entry.usable);
+        let brokers = usable()
+            .map(|entry| (entry.record.name.clone(), Arc::clone(&entry.brokers)))
+            .collect();
+        let targets = if spill.is_empty() {
+            Arc::clone(&local)
+        } else {
+            let records = usable().map(|entry| (*entry.record).clone());
+            let stand_ins = spill.iter().map(|route| route.record.clone());
+            Arc::new(TargetView::build(records.chain(stand_ins).collect()))
+        };
+        Self {
+            targets,
+            local,
+            brokers,
+            spill,
+            entries: entries.to_vec(),
+        }
+    }
+
+    /// The VMs that hold connections to a target, the preferred one first.
+    pub(crate) fn brokers_of(&self, target: &TargetName) -> &[Arc<VmIdentity>] {
+        self.brokers.get(target).map_or(&[], |brokers| brokers)
+    }
+
+    /// The route that stands among the targets as `target`, if it is one.
+    pub(crate) fn spill_route(&self, target: &TargetName) -> Option<&SpillRoute> {
+        let mut routes = self.spill.iter();
+        routes.find(|route| route.record.name == *target)
+    }
+
+    fn is_of(&self, entries: &[TargetEntry]) -> bool {
+        self.entries.len() == entries.len()
+            && self.entries.iter().zip(entries).all(|(known, entry)| {
+                known.usable == entry.usable
+                    && Arc::ptr_eq(&known.record, &entry.record)
+                    && known.brokers == entry.brokers
+            })
+    }
+}
+
+fn local_view(entries: &[TargetEntry]) -> Arc<TargetView> {
+    let usable = entries.iter().filter(|entry| entry.usable);
+    let records = usable.map(|entry| (*entry.record).clone()).collect();
+    Arc::new(TargetView::build(records))
+}
+
+/// Views by service.
+#[derive(Default)]
+pub(crate) struct ViewTable {
+    views: Mutex<HashMap<ServiceName, Arc<ServiceView>>>,
+    changes: watch::Sender<u64>,
+}
+
+impl ViewTable {
+    /// The view of a service, if it has targets.
+    pub(crate) fn get(&self, service: &ServiceName) -> Option<Arc<ServiceView>> {
+        lock(&self.views).get(service).cloned()
+    }
+
+    /// Tells when any view changes; the value counts the changes.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Rebuilds the views of the services whose targets or routes changed.
+    fn update(&self, fleet: &FleetState, own: &CentreName, services: &[Arc<ServicePlan>]) {
+        let table = fleet.targets();
+        let known = lock(&self.views).clone();
+        let mut views = HashMap::with_capacity(services.len());
+        let mut changed = known.len() != services.len();
+        for plan in services {
+            let entries = table.of_service(&plan.name);
+            let same = known.get(&plan.name).filter(|view| view.is_of(entries));
+            let local = same.map_or_else(|| local_view(entries), |view| Arc::clone(&view.local));
+            let spill = spill_routes(fleet, own, &plan.name, &local);
+            let view = match same {
+                Some(view) if view.spill == spill => Arc::clone(view),
+                _ => {
+                    changed = true;
+                    Arc::new(ServiceView::build(entries, local, spill))
+                }
+            };
+            views.insert(plan.name.clone(), view);
+        }
+        if changed {
+            *lock(&self.views) = views;
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+/// Brings views and links in line with the targets that the fleet knows.
+pub(crate) fn sync_targets(node: &NodeState) {
+    let config = node.config.current();
+    let plans: Vec<_> = config.services.values().cloned().collect();
+    let now = node.timer.now();
+    // One at a time, so that an older table never replaces a newer one.
+    let _turn = lock(&node.sync_turn);
+    let (table, shares) = {
+        let fleet = lock(&node.fleet);
+        let table = fleet.targets();
+        let shares = broker_shares(&fleet, &table, &plans, now);
+        node.views.update(&fleet, &node.settings.centre, &plans);
+        (table, shares)
+    };
+    let usable = table.iter().filter(|entry| entry.usable).count();
+    node.metrics.targets.set(usable as u64);
+    if node.life.phase() == LifePhase::Draining {
+        // Links only close from here on.
+        return;
+    }
+    let kept: HashSet<_> = shares.iter().map(BrokeredTarget::link_key).collect();
+    node.links.retain(&kept);
+    for brokered in shares {
+        let record = &brokered.entry.record;
+        node.links.set_share(
+            &record.service,
+            &record.name,
+            record.address,
+            brokered.share,
+        );
+    }
+}
+
+/// A target that this VM is a broker of.
+struct BrokeredTarget {
+    entry: TargetEntry,
+    share: LinkShare,
+}
+
+impl BrokeredTarget {
+    fn link_key(&self) -> (ServiceName, TargetName) {
+        let record = &self.entry.record;
+        (record.service.clone(), record.name.clone())
+    }
+}
+
+fn broker_shares(
+    fleet: &FleetState,
+    table: &TargetTable,
+    plans: &[Arc<ServicePlan>],
+    now: MonoTime,
+) -> Vec<BrokeredTarget> {
+    let mut shares = Vec::new();
+    for plan in plans {
+        let limits = TargetLimits {
+            connections: plan.connections,
+            slots: plan.slots,
+        };
+        for entry in table.of_service(&plan.name) {
+            if !entry.usable {
+                continue;
+            }
+            let key = TargetKey {
+                service: plan.name.clone(),
+                name: entry.record.name.clone(),
+            };
+            if let Some(share) = fleet.broker_share(&key, limits, now) {
+                shares.push(BrokeredTarget {
+                    entry: entry.clone(),
+                    share: LinkShare {
+                        connections: share.connections,
+                        concurrency: share.concurrency,
+                    },
+                });
+            }
+        }
+    }
+    shares
+}
