Let the admission limit rise under refused demand

Without hedges and with stragglers, `policy_tail` refused 0.64 of the searches at 0.4 of the capacity: a limit of 256 fits three searches over 58 shards, whose 174 sub-queries never reached the 0.8 of the limit from which it rises, and refused requests did not count as demand. Every offer counts now.

Admission also counted all sub-queries of a search until its last reply. It now counts those without a reply, so that one straggler no longer holds the places of 57 answered shards.

--- a/crates/route/examples/policy_tail/main.rs
+++ b/crates/route/examples/policy_tail/main.rs
@@ -18,6 +18,7 @@
 /// Lookups by key that arrive in a second during overload.
 const KEYED_RATE: f64 = 200.0;
 const WARM_UP: Duration = Duration::from_secs(6);
+const OPEN_LENGTH: Duration = Duration::from_secs(1);
 const LENGTH: Duration = Duration::from_secs(6);
 
 fn plan(prefer: AnswerPreference) -> ServicePlan {
@@ -70,14 +71,14 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-fn summarize(reports: &[Report]) -> Row {
+fn summarize(reports: &[Report], length: Duration) -> Row {
     let all = |of: fn(&Report) -> &Vec<Duration>| {
         let latencies = reports.iter().flat_map(|report| of(report).iter().copied());
         latencies.collect::<Vec<Duration>>()
     };
     let latencies = all(|report| &report.latencies);
     let keyed = all(|report| &report.keyed_latencies);
-    let seconds = LENGTH.as_secs_f64() * reports.len() as f64;
+    let seconds = length.as_secs_f64() * reports.len() as f64;
     let sum = |value: fn(&Report) -> u64| reports.iter().map(value).sum::<u64>() as f64;
     let firsts = sum(|report| report.firsts);
     let extras = sum(|report| report.hedges + report.retries);
@@ -101,7 +102,7 @@
         std::thread::spawn(move || World::run(scenario))
     });
     let reports = runs.map(|run| run.join().expect("the loop ended"));
-    let row = summarize(&reports);
+    let row = summarize(&reports, scenario.length);
     println!(
         "{label:34} {:8.1} {:8.1} {:10.1} {:10.1} {:9.4} {:8.3}",
         row.p50_ms,
@@ -164,6 +165,11 @@
             let mut scenario = scenario(*policy, load);
             scenario.plan = plan(prefer);
             scenario.keyed_rate = KEYED_RATE;
+            if policy.admission == AdmissionPolicy::Open {
+                // Its queues only grow, so that a longer run shows nothing more.
+                scenario.warm_up = OPEN_LENGTH;
+                scenario.length = OPEN_LENGTH;
+            }
             measure(&format!("{load}x capacity, {label}"), &scenario)
         });
         println!(
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -126,6 +126,7 @@
             self.take(ask);
             return GateAnswer::Granted;
         }
+        self.limit.observe(self.in_flight() + ask.units, ask.units);
         if ask.answer_by <= now {
             let refusal = RouteRefusal::not_run(RefusalReason::TooLate, None);
             return GateAnswer::Refused(refusal);
@@ -150,9 +151,19 @@
         GateAnswer::Queued(self.enqueue(ask))
     }
 
-    /// Ends a run and says who may start in its place.
-    pub(crate) fn release(&mut self, ask: AdmissionAsk, run_time: Duration, now: MonoTime) {
-        self.lane(ask.breadth).run_ended(ask.units, run_time, now);
+    /// Frees `units` sub-queries of a run that goes on.
+    pub(crate) fn release(&mut self, breadth: RequestBreadth, units: usize, now: MonoTime) {
+        self.lane(breadth).units_ended(units, now);
+    }
+
+    /// Counts `units` sub-queries more of a run that starts over.
+    pub(crate) fn retake(&mut self, breadth: RequestBreadth, units: usize) {
+        self.lane(breadth).in_flight += units;
+    }
+
+    /// Ends a run.
+    pub(crate) fn run_ended(&mut self, breadth: RequestBreadth, run_time: Duration) {
+        self.lane(breadth).run_ended(run_time);
     }
 
     /// Starts those who fit now, earliest deadline first, lookups first, and
@@ -221,8 +232,6 @@
 
     fn take(&mut self, ask: AdmissionAsk) {
         self.lane(ask.breadth).in_flight += ask.units;
-        let in_flight = self.in_flight();
-        self.limit.observe(in_flight, ask.units);
     }
 
     fn enqueue(&mut self, ask: AdmissionAsk) -> QueueTicket {
@@ -231,8 +240,6 @@
             number: self.next_ticket,
         };
         self.next_ticket += 1;
-        let in_flight = self.in_flight();
-        self.limit.observe(in_flight + ask.units, ask.units);
         self.lane(ask.breadth).insert(ticket, ask);
         ticket
     }
--- a/crates/route/src/lane.rs
+++ b/crates/route/src/lane.rs
@@ -56,11 +56,9 @@
         )
     }
 
-    pub(crate) fn run_ended(&mut self, units: usize, run_time: Duration, now: MonoTime) {
+    /// Counts `units` sub-queries that no longer are in flight.
+    pub(crate) fn units_ended(&mut self, units: usize, now: MonoTime) {
         self.in_flight = self.in_flight.saturating_sub(units);
-        let error = run_time.as_secs_f64() - self.run_time;
-        self.run_time += RUN_TIME_WEIGHT * error;
-        self.run_deviation += RUN_TIME_WEIGHT * (error.abs() - self.run_deviation);
         self.window_units += units;
         let elapsed = now.since(self.window_start);
         if elapsed < Duration::from_millis(RATE_WINDOW_MS) {
@@ -73,6 +71,13 @@
         self.window_units = 0;
     }
 
+    /// Learns how long runs take.
+    pub(crate) fn run_ended(&mut self, run_time: Duration) {
+        let error = run_time.as_secs_f64() - self.run_time;
+        self.run_time += RUN_TIME_WEIGHT * error;
+        self.run_deviation += RUN_TIME_WEIGHT * (error.abs() - self.run_deviation);
+    }
+
     pub(crate) fn insert(&mut self, ticket: QueueTicket, ask: AdmissionAsk) {
         self.waiting.insert(ticket, ask);
         self.waiting_units += ask.units;
--- a/crates/route/src/search.rs
+++ b/crates/route/src/search.rs
@@ -203,6 +203,7 @@
         let loser_left = progress.in_flight > 0;
         let shard = progress.shard;
         self.replies.push(hits);
+        self.permit.release_one(step.now);
         if kind == AttemptKind::Hedge {
             self.stats.hedge_wins += 1;
         }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -11,7 +11,7 @@
 use crate::{
     AdmissionAsk, PolicySettings, QueueTicket, RouteRefusal, TargetView,
     budget::ExtraBudget,
-    gate::{AdmissionGate, GateAnswer, GateEvent},
+    gate::{AdmissionGate, GateAnswer, GateEvent, RequestBreadth},
     latency::LatencyEstimate,
     limit::LimitSignal,
     table::{LoadTable, lock},
@@ -56,7 +56,9 @@
 #[derive(Debug)]
 pub struct AdmissionPermit {
     state: Arc<ServiceState>,
-    ask: AdmissionAsk,
+    breadth: RequestBreadth,
+    /// Sub-queries that still count as in flight.
+    units: usize,
     started: MonoTime,
     ended: MonoTime,
 }
@@ -66,6 +68,21 @@
         &self.state
     }
 
+    /// Gives back one sub-query.
+    pub(crate) fn release_one(&mut self, now: MonoTime) {
+        if self.units > 0 {
+            self.units -= 1;
+            lock(&self.state.gate).release(self.breadth, 1, now);
+        }
+    }
+
+    /// Counts `units` sub-queries again, for a run that starts over.
+    pub(crate) fn retake(&mut self, units: usize) {
+        let missing = units.saturating_sub(self.units);
+        self.units += missing;
+        lock(&self.state.gate).retake(self.breadth, missing);
+    }
+
     /// The last time noted.
     pub(crate) fn touched(&self) -> MonoTime {
         self.ended
@@ -80,7 +97,9 @@
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
         let run_time = self.ended.since(self.started);
-        lock(&self.state.gate).release(self.ask, run_time, self.ended);
+        let mut gate = lock(&self.state.gate);
+        gate.release(self.breadth, self.units, self.ended);
+        gate.run_ended(self.breadth, run_time);
     }
 }
 
@@ -190,7 +209,8 @@
     fn permit(self: &Arc<Self>, ask: AdmissionAsk, now: MonoTime) -> AdmissionPermit {
         AdmissionPermit {
             state: Arc::clone(self),
-            ask,
+            breadth: ask.breadth,
+            units: ask.units,
             started: now,
             ended: now,
         }
