Hedge to targets with a short queue, and measure three loads

At 0.6 of the capacity few targets have no queue, so that a hedge that is only sent to those comes late or never. A target now counts as loaded from two waiting requests on, and a hedge that could not be sent is tried again after 2 ms instead of 5.

--- a/crates/route/examples/policy_tail/main.rs
+++ b/crates/route/examples/policy_tail/main.rs
@@ -14,7 +14,7 @@
 use crate::world::{Report, Scenario, World};
 
 const SEEDS: [u64; 3] = [11, 22, 33];
-const TAIL_LOAD: f64 = 0.4;
+const TAIL_LOADS: [f64; 3] = [0.2, 0.4, 0.6];
 /// Lookups by key that arrive in a second during overload.
 const KEYED_RATE: f64 = 200.0;
 const WARM_UP: Duration = Duration::from_secs(6);
@@ -132,20 +132,20 @@
     );
 }
 
-fn print_tail(policies: &[(&str, PolicySettings)]) {
+fn print_tail(policies: &[(&str, PolicySettings)], load: f64) {
     print_header(&format!(
-        "Tail at {TAIL_LOAD} of capacity, 1 in 100 sub-queries 200 ms late"
+        "Tail at {load} of capacity, 1 in 100 sub-queries 200 ms late"
     ));
-    let clean = measure("no stragglers, no hedge", &scenario(no_hedge(), TAIL_LOAD));
+    let clean = measure("no stragglers, no hedge", &scenario(no_hedge(), load));
     let hedged = measure(
         "no stragglers, default",
-        &scenario(PolicySettings::default(), TAIL_LOAD),
+        &scenario(PolicySettings::default(), load),
     );
     for (label, policy) in policies {
-        let mut late = scenario(*policy, TAIL_LOAD);
+        let mut late = scenario(*policy, load);
         late.late_share = 0.01;
         let row = measure(&format!("stragglers, {label}"), &late);
-        let mut slow = scenario(*policy, TAIL_LOAD);
+        let mut slow = scenario(*policy, load);
         slow.slow_replica = true;
         let slow_row = measure(&format!("one slow replica, {label}"), &slow);
         println!(
@@ -209,7 +209,9 @@
         tail.push(("random replica", random));
         overload.push(("naive retry, no admission", open));
     }
-    print_tail(&tail);
+    for load in TAIL_LOADS {
+        print_tail(&tail, load);
+    }
     print_overload(&overload, AnswerPreference::Coverage);
     print_overload(&overload, AnswerPreference::Latency);
 }
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -19,7 +19,7 @@
 /// Latencies below this multiple of the service's median count as equal.
 const LATENCY_BAND: f64 = 2.0;
 /// Requests beyond its slots from which a target counts as loaded.
-const WAITING_MAX: f64 = 1.0;
+const WAITING_MAX: f64 = 2.0;
 /// Factor from which a target is passed over while another holder is left.
 const SLOW_FACTOR: f64 = 2.0;
 const LATENCY_FACTOR_MAX: f64 = 64.0;
--- a/crates/route/src/search/extra.rs
+++ b/crates/route/src/search/extra.rs
@@ -18,7 +18,7 @@
 /// Pause before targets that have all been asked are asked again, times the retries so far.
 const RETRY_PAUSE_MS: u64 = 10;
 /// Pause until an empty budget is asked again.
-const BUDGET_RECHECK_MS: u64 = 5;
+const BUDGET_RECHECK_MS: u64 = 2;
 /// Retries of one shard in the baseline without a budget.
 const NAIVE_RETRIES_MAX: u32 = 3;
 /// Time-out of that baseline as a share of the deadline.
