End a cancelled act, and learn run times from runs only

An act whose attempt was cancelled as not run was sent to another target, although the carrying code cancels only when the time is up. It now ends as not run.

A permit that was dropped unused (its caller had left, or the run was refused at its start) counted as a run of no duration and pulled the mean run time down, by which admission judges who can still be answered in time.

--- a/crates/route/src/act.rs
+++ b/crates/route/src/act.rs
@@ -1,5 +1,7 @@
 //! One act: a request that must not run twice.
 
+mod ask;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -7,28 +9,16 @@
 use fulmarweir_conf::ServicePlan;
 use rand::Rng;
 
+pub use self::ask::ActAsk;
 use crate::{
-    AdmissionAsk, AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RefusalReason,
-    RouteAction, RouteRefusal, RunStats, SendOrder, TargetView,
+    AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RefusalReason, RouteAction,
+    RouteRefusal, RunStats, SendOrder, TargetView,
     attempts::AttemptTable,
     refusal::Result,
     replica::{ChoicePurpose, choose_replica},
     table::lock,
 };
 
-/// What a caller asks.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ActAsk {
-    /// Names the shard that the act belongs to.
-    pub key: Arc<str>,
-    /// The caller's deadline; the service's own may be earlier.
-    pub deadline: Option<MonoTime>,
-    /// Whether the caller sends the same request again; it then adds nothing to the budget.
-    pub repeated: bool,
-    /// When the request arrived, if it has waited for admission.
-    pub arrived: Option<MonoTime>,
-}
-
 /// A target's reply to an act.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ActReply {
@@ -47,19 +37,6 @@
     pub stats: RunStats,
 }
 
-impl ActAsk {
-    /// What to ask admission for.
-    #[must_use]
-    pub fn admission(&self, plan: &ServicePlan, now: MonoTime) -> AdmissionAsk {
-        AdmissionAsk::keyed(self.deadline_in(plan, now))
-    }
-
-    fn deadline_in(&self, plan: &ServicePlan, now: MonoTime) -> MonoTime {
-        let own = self.arrived.unwrap_or(now) + plan.deadline;
-        self.deadline.unwrap_or(own).min(own)
-    }
-}
-
 /// Actions of an act.
 pub type ActAction = RouteAction<ActOutcome>;
 
@@ -146,6 +123,12 @@
             self.finish(Err(refusal), now, &mut actions);
             return actions;
         }
+        if let AttemptOutcome::Cancelled { .. } = outcome {
+            // The carrying code cancels when the time is up: too late to start again.
+            let refusal = self.refusal(RefusalReason::Deadline);
+            self.finish(Err(refusal), now, &mut actions);
+            return actions;
+        }
         self.retry(&outcome, now, rng, &mut actions);
         actions
     }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -96,10 +96,13 @@
 
 impl Drop for AdmissionPermit {
     fn drop(&mut self) {
-        let run_time = self.ended.since(self.started);
         let mut gate = lock(&self.state.gate);
         gate.release(self.breadth, self.units, self.ended);
-        gate.run_ended(self.breadth, run_time);
+        let run_time = self.ended.since(self.started);
+        // A permit that no run has used says nothing about how long runs take.
+        if !run_time.is_zero() {
+            gate.run_ended(self.breadth, run_time);
+        }
     }
 }
 
--- a/crates/route/tests/act_runs.rs
+++ b/crates/route/tests/act_runs.rs
@@ -147,6 +147,17 @@
     assert_eq!(state.gauges().in_flight, 0);
 }
 
+#[test]
+fn a_cancelled_attempt_ends_the_act_as_not_run() {
+    let (mut run, mut trace) = start(&new_state(), &grid_view(5, 4, 3));
+    let may_have_run = false;
+    let outcome = AttemptOutcome::Cancelled { may_have_run };
+    reply(&mut run, &mut trace, outcome);
+    let expected = (RefusalReason::Deadline, RunVerdict::NotRun);
+    assert_eq!(trace.refusal(), expected);
+    assert_eq!(trace.sent.len(), 1);
+}
+
 #[test]
 fn an_incomplete_view_refuses_as_not_run() {
     let view = Arc::new(TargetView::build(vec![target("a", vec![holding(1, 0, 2)])]));
