--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -84,6 +84,7 @@
         seed: settings.seed,
         rate_per_sec: settings.rate_per_sec,
         seconds: settings.duration.as_secs_f64(),
+        settle_secs: rig.settle_time.as_secs_f64(),
         kinds: kind_reports(&outcomes, rig.scenario.deadline_ms()),
         refusals: refusal_counts(&outcomes),
         faults: fault_counts(&outcomes),
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -118,6 +118,8 @@
     pub rate_per_sec: f64,
     /// Length of the run in seconds.
     pub seconds: f64,
+    /// From the start of the last target until all daemons gave whole answers, in seconds.
+    pub settle_secs: f64,
     /// All requests first, then each kind.
     pub kinds: Vec<KindReport>,
     /// Refusals by reason and verdict.
