Round the delays of a request once instead of at each step

Timers round up to whole milliseconds. Five delays in a row added about 5 ms to every answer that no component had caused. Each delay now starts where the one before should have ended.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -18,7 +18,7 @@
 use http::Method;
 use tokio::{
     task::JoinSet,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
 use self::{
@@ -117,7 +117,7 @@
     let mut calls = JoinSet::new();
     for request in plan.take_while(|request| request.start < settings.duration) {
         let due = start + request.start;
-        sleep_until(due).await;
+        sleep_until(due + caller.link_delay).await;
         if settings.progress && due >= next_progress {
             next_progress += PROGRESS_PERIOD;
             let done = caller.done.load(Ordering::Relaxed);
@@ -145,7 +145,6 @@
 
 impl LoadCaller {
     async fn call(&self, request: PlannedRequest, due: Instant) -> RequestOutcome {
-        sleep(self.link_delay).await;
         let body = request.body();
         let mut call = HttpCall::new(Method::POST, request.entry, &request.path(), body.clone())
             .header("fulmarweir-deadline-ms", &self.deadline_ms.to_string());
@@ -154,12 +153,12 @@
         }
         call.timeout = Duration::from_millis(self.deadline_ms) + PATIENCE;
         let reply = self.client.send(call).await.ok();
-        sleep(self.link_delay).await;
         self.done.fetch_add(1, Ordering::Relaxed);
         RequestOutcome {
             kind: request.kind,
             body,
-            latency: due.elapsed(),
+            // The way back is added rather than waited for: timers round up to milliseconds.
+            latency: due.elapsed() + self.link_delay,
             ending: RequestEnding::from_reply(&request, reply.as_ref()),
         }
     }
--- a/crates/bench/src/rig.rs
+++ b/crates/bench/src/rig.rs
@@ -17,7 +17,7 @@
 
 type Result<T> = std::result::Result<T, Report<BenchError>>;
 
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
+const SETTLE_TIMEOUT: Duration = Duration::from_mins(1);
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
 
 /// The part of an answer that says whether the tier knows all targets.
--- a/crates/bench/src/stand_in.rs
+++ b/crates/bench/src/stand_in.rs
@@ -4,6 +4,7 @@
 mod call;
 mod counters;
 mod hits;
+mod pace;
 mod query;
 mod reply;
 mod server;
--- a/crates/bench/src/stand_in/query.rs
+++ b/crates/bench/src/stand_in/query.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use fulmarweir_base::TargetState;
 use http::{HeaderMap, StatusCode};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::{
     call::{TargetCall, header},
     counters::ActIdentity,
     hits::shard_hits,
+    pace::PacedClock,
     reply::{
         ActDone, LoadReport, TargetResponse, echo, json_reply, not_run, plain_reply, set_header,
         spoil_body,
@@ -41,21 +42,19 @@
     body: Bytes,
     fault: StreamFault,
 ) -> QueryResult {
-    let link_delay = shared.settings.link_delay;
-    sleep(link_delay).await;
+    let mut clock = PacedClock::start();
+    clock.pass(shared.settings.link_delay).await;
     shared.count(|counters| counters.requests += 1);
     let Some(call) = TargetCall::from_headers(&headers) else {
         shared.count(|counters| counters.malformed += 1);
         return Ok(plain_reply(StatusCode::BAD_REQUEST, "malformed headers"));
     };
-    let result = if call.is_act {
-        run_detached(&shared, call, body, fault).await
-    } else {
-        let run = QueryRun::new(&shared, call, body);
-        run.perform(&fault).await
-    };
-    sleep(link_delay).await;
-    result
+    if call.is_act {
+        return run_detached(&shared, call, body, fault, clock).await;
+    }
+    QueryRun::new(&shared, call, body, clock)
+        .perform(&fault)
+        .await
 }
 
 /// Runs an act to its end, also when the connection is lost meanwhile.
@@ -64,10 +63,11 @@
     call: TargetCall,
     body: Bytes,
     fault: StreamFault,
+    clock: PacedClock,
 ) -> QueryResult {
     let owner = Arc::clone(shared);
     let task = shared.tasks.spawn(async move {
-        let run = QueryRun::new(&owner, call, body);
+        let mut run = QueryRun::new(&owner, call, body, clock);
         tokio::select! {
             result = run.perform(&fault) => result,
             () = owner.stop.cancelled() => Err(io::ErrorKind::ConnectionAborted.into()),
@@ -82,20 +82,29 @@
     call: TargetCall,
     body: Bytes,
     deadline: Instant,
+    clock: PacedClock,
 }
 
 impl<'a> QueryRun<'a> {
-    fn new(shared: &'a TargetShared, call: TargetCall, body: Bytes) -> Self {
+    fn new(shared: &'a TargetShared, call: TargetCall, body: Bytes, clock: PacedClock) -> Self {
         let deadline = Instant::now() + call.deadline;
         Self {
             shared,
             call,
             body,
             deadline,
+            clock,
         }
     }
 
-    async fn perform(&self, stream: &StreamFault) -> QueryResult {
+    /// Takes, runs and answers the query; the reply has passed the link when this returns.
+    async fn perform(&mut self, stream: &StreamFault) -> QueryResult {
+        let result = self.answer(stream).await;
+        self.clock.pass(self.shared.settings.link_delay).await;
+        result
+    }
+
+    async fn answer(&mut self, stream: &StreamFault) -> QueryResult {
         if let Some(refusal) = self.refusal() {
             return Ok(refusal);
         }
@@ -137,10 +146,11 @@
     }
 
     async fn wait_for_slot(
-        &self,
+        &mut self,
         cancel: &CancellationToken,
     ) -> Result<SlotGuard, Box<TargetResponse>> {
         let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        let before = Instant::now();
         let waited = tokio::select! {
             waited = timeout_at(self.deadline, self.shared.gate.enter()) => waited,
             () = cancel.cancelled() => return Err(Box::new(not_run(unavailable, "cancelled"))),
@@ -156,6 +166,7 @@
         if !self.shared.attempts().start(&self.call.attempt) {
             return Err(Box::new(not_run(unavailable, "cancelled")));
         }
+        self.clock.skip(before.elapsed());
         Ok(slot)
     }
 
@@ -172,14 +183,18 @@
     }
 
     /// Occupies the slot; a response when a search ended before its time.
-    async fn work(&self, draw: RequestDraw, cancel: &CancellationToken) -> Option<TargetResponse> {
+    async fn work(
+        &mut self,
+        draw: RequestDraw,
+        cancel: &CancellationToken,
+    ) -> Option<TargetResponse> {
         if self.call.is_act {
-            sleep(draw.service).await;
+            self.clock.pass(draw.service).await;
             return None;
         }
         let ignores_deadline = draw.fault == Some(ReplyFault::Late);
         tokio::select! {
-            () = sleep(draw.service) => None,
+            () = self.clock.pass(draw.service) => None,
             () = cancel.cancelled() => {
                 Some(plain_reply(StatusCode::SERVICE_UNAVAILABLE, "cancelled while running"))
             }
