Let faults and events happen while a load runs

The promises hold under failures only if they are checked under failures: faulty replies, a slow replica, a version roll-out, a repartition, a draining or dead target and a dead or frozen daemon can be combined with any load.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -80,6 +80,8 @@
                     replicas: flags.replicas,
                     service_time,
                     overrides: Vec::new(),
+                    faults: flags.fault.clone(),
+                    slow: flags.slow,
                     seed,
                 };
                 let load = LoadSettings {
@@ -91,6 +93,7 @@
                         lookups: flags.lookups.unwrap_or(0.2),
                         acts: flags.acts.unwrap_or(0.05),
                     },
+                    events: flags.event.clone(),
                     progress: true,
                 };
                 Self { scenario, load }
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use crate::scenario::ScenarioName;
+use crate::{load::LoadEvent, scenario::ScenarioName, stand_in::FaultShare};
 
 xflags::xflags! {
     /// Stand-in targets and load for fulmarweir on one machine.
@@ -59,6 +59,14 @@
             optional --late-ms late_ms: f64
             /// One request in this many is a straggler, 100 by default.
             optional --one-in one_in: u32
+            /// What happens during a run, KIND@SECONDS; repeatable. Kinds: roll-out, repartition,
+            /// drain-target, crash-target, kill-vm, freeze-vm.
+            repeated --event event: LoadEvent
+            /// Share of faulty replies of every target, KIND=SHARE; repeatable. Kinds: bad-json,
+            /// crossed, dies, doubled, huge, late, truncated.
+            repeated --fault fault: FaultShare
+            /// Factor on the service times of one target of each service in each data centre.
+            optional --slow slow: f64
             /// Seed of all draws, 1 by default.
             optional --seed seed: u64
             /// A KEY=VALUE of every search service in the operators' text; repeatable.
@@ -104,6 +112,14 @@
             optional --late-ms late_ms: f64
             /// One request in this many is a straggler, 100 by default.
             optional --one-in one_in: u32
+            /// What happens during a run, KIND@SECONDS; repeatable. Kinds: roll-out, repartition,
+            /// drain-target, crash-target, kill-vm, freeze-vm.
+            repeated --event event: LoadEvent
+            /// Share of faulty replies of every target, KIND=SHARE; repeatable. Kinds: bad-json,
+            /// crossed, dies, doubled, huge, late, truncated.
+            repeated --fault fault: FaultShare
+            /// Factor on the service times of one target of each service in each data centre.
+            optional --slow slow: f64
             /// Seed of all draws, 1 by default.
             optional --seed seed: u64
             /// Write all reports as JSON to this file.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -35,8 +35,8 @@
 pub use compare::{CompareReport, CompareVariant, RatioSpread, compare_table, run_compare};
 pub use error::BenchError;
 pub use load::{
-    ActReport, FaultCount, KindReport, LoadReport, LoadSettings, RefusalCount, RequestKind,
-    RequestMix, WorkReport, metric_sum, run_load,
+    ActReport, EventKind, FaultCount, KindReport, LoadEvent, LoadReport, LoadSettings,
+    RefusalCount, RequestKind, RequestMix, WorkReport, metric_sum, run_load,
 };
 pub use output::{report_tables, write_json, write_plot};
 pub use rig::TestRig;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -1,6 +1,7 @@
 //! The open-loop load generator.
 
 mod arrivals;
+mod event;
 mod metrics;
 mod outcome;
 mod report;
@@ -23,6 +24,7 @@
 
 use self::{
     arrivals::{ArrivalPlan, PlannedRequest},
+    event::run_events,
     outcome::{RequestEnding, RequestOutcome},
     report::{act_report, fault_counts, kind_reports, latencies, refusal_counts},
 };
@@ -35,6 +37,7 @@
 
 pub use self::{
     arrivals::{RequestKind, RequestMix},
+    event::{EventKind, LoadEvent},
     metrics::metric_sum,
     report::{ActReport, FaultCount, KindReport, LoadReport, RefusalCount, WorkReport},
 };
@@ -59,6 +62,8 @@
     pub seed: u64,
     /// Kinds of requests.
     pub mix: RequestMix,
+    /// What happens to targets and daemons meanwhile.
+    pub events: Vec<LoadEvent>,
     /// Whether progress is written to standard error.
     pub progress: bool,
 }
@@ -73,7 +78,10 @@
 /// [`BenchError::Settings`] when there is nothing to send.
 pub async fn run_load(rig: &TestRig, settings: &LoadSettings) -> Result<LoadReport> {
     let before = WorkSample::take(rig).await;
-    let outcomes = offer(rig, settings).await?;
+    let start = Instant::now();
+    let events = run_events(rig, &settings.events, settings.seed, start);
+    let (outcomes, ()) = tokio::join!(offer(rig, settings, start), events);
+    let outcomes = outcomes?;
     let after = WorkSample::take(rig).await;
     let answered = outcomes
         .iter()
@@ -94,7 +102,11 @@
     })
 }
 
-async fn offer(rig: &TestRig, settings: &LoadSettings) -> Result<Vec<RequestOutcome>> {
+async fn offer(
+    rig: &TestRig,
+    settings: &LoadSettings,
+    start: Instant,
+) -> Result<Vec<RequestOutcome>> {
     let entries = rig.entries();
     let plan = ArrivalPlan::new(
         settings.seed,
@@ -112,7 +124,6 @@
         deadline_ms: rig.scenario.deadline_ms(),
         done: AtomicU64::new(0),
     });
-    let start = Instant::now();
     let mut next_progress = start + PROGRESS_PERIOD;
     let mut calls = JoinSet::new();
     for request in plan.take_while(|request| request.start < settings.duration) {
@@ -205,6 +216,11 @@
         self.targets.iter().map(field).sum()
     }
 
+    fn drain_last(&self) -> Duration {
+        let lasts = self.targets.iter().filter_map(|c| c.last_after_drain);
+        lasts.max().unwrap_or_default()
+    }
+
     fn max(&self, field: fn(&StandInCounters) -> u64) -> u64 {
         self.targets.iter().map(field).max().unwrap_or_default()
     }
@@ -236,6 +252,7 @@
             connections_max: self.max(|c| c.connections_max),
             connections_refused: delta(|c| c.connections_refused),
             repeated_attempts: delta(|c| c.repeated_attempts),
+            drain_last_ms: self.drain_last().as_secs_f64() * 1e3,
             cpu_secs,
             cpu_us_per_target_request: cpu_secs * 1e6 / requests.max(1) as f64,
             rss_max_kib: self.rss_max_kib,
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -88,6 +88,8 @@
     pub connections_refused: u64,
     /// Attempts that reached a target more than once.
     pub repeated_attempts: u64,
+    /// Latest request at a target after its drain began, in milliseconds; zero if none.
+    pub drain_last_ms: f64,
     /// Processor time of all daemons in seconds.
     pub cpu_secs: f64,
     /// Processor time of the daemons for each request that reached a target, in microseconds.
--- a/crates/bench/src/output.rs
+++ b/crates/bench/src/output.rs
@@ -105,6 +105,10 @@
         ),
         ("connections refused", work.connections_refused.to_string()),
         ("attempts seen twice", work.repeated_attempts.to_string()),
+        (
+            "last request after a drain, ms",
+            format!("{:.0}", work.drain_last_ms),
+        ),
         ("daemon CPU, s", format!("{:.2}", work.cpu_secs)),
         (
             "daemon CPU per target request, us",
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     error::BenchError,
-    stand_in::{ServiceTime, StandInBehaviour, StandInSettings},
+    stand_in::{FaultShare, ServiceTime, StandInBehaviour, StandInSettings},
     tier::{CentrePlan, TierSettings},
 };
 
@@ -110,6 +110,10 @@
     pub replicas: Option<u32>,
     /// Service times of all targets.
     pub service_time: ServiceTime,
+    /// Faults of the replies of all targets.
+    pub faults: Vec<FaultShare>,
+    /// Factor on the service times of the first target of each service.
+    pub slow: Option<f64>,
     /// Keys of every search service in the operators' text, as `KEY = VALUE` lines.
     pub overrides: Vec<String>,
     /// Seed of all draws.
@@ -318,6 +322,11 @@
         target.hits = HITS_PER_SHARD;
         target.behaviour = StandInBehaviour {
             service_time: self.settings.service_time,
+            slowness: match self.settings.slow {
+                Some(factor) if number == 0 => factor,
+                _ => 1.0,
+            },
+            faults: self.settings.faults.clone(),
             ..StandInBehaviour::default()
         };
         Ok(target)
--- a/crates/bench/src/stand_in.rs
+++ b/crates/bench/src/stand_in.rs
@@ -115,6 +115,14 @@
         self.shared.set_state(state);
     }
 
+    /// The shard of a version that it holds, if any.
+    #[must_use]
+    pub fn holding_of(&self, version: u64) -> Option<ShardHolding> {
+        let record = self.shared.record();
+        let mut holdings = record.versions.into_iter();
+        holdings.find(|holding| holding.version == version)
+    }
+
     /// Holds and announces one more shard.
     pub fn add_holding(&self, holding: ShardHolding) {
         self.shared
@@ -139,6 +147,11 @@
         }
     }
 
+    /// Cuts all connections and announces nothing more, without waiting.
+    pub fn crash(&self) {
+        self.shared.stop.cancel();
+    }
+
     /// Cuts all connections and waits for all tasks; returns the last counts.
     pub async fn stop(self) -> StandInCounters {
         self.shared.stop.cancel();
--- a/crates/bench/src/stand_in/settings.rs
+++ b/crates/bench/src/stand_in/settings.rs
@@ -1,6 +1,6 @@
 //! How a stand-in target behaves: its limits, service times and faults.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, str::FromStr, time::Duration};
 
 use fulmarweir_base::{ServiceName, ShardHolding, TargetName};
 use rand::{Rng, RngExt};
@@ -98,6 +98,30 @@
     pub share: f64,
 }
 
+impl FromStr for FaultShare {
+    type Err = String;
+
+    /// Reads `KIND=SHARE`, such as `crossed=0.01`.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (kind, share) = text.split_once('=').ok_or("expected KIND=SHARE")?;
+        let fault = match kind {
+            "bad-json" => ReplyFault::BadJson,
+            "crossed" => ReplyFault::Crossed,
+            "dies" => ReplyFault::Dies,
+            "doubled" => ReplyFault::Doubled,
+            "huge" => ReplyFault::Huge,
+            "late" => ReplyFault::Late,
+            "truncated" => ReplyFault::Truncated,
+            _ => return Err(format!("{kind:?} is no fault")),
+        };
+        let share: f64 = share.parse().map_err(|_| "expected a share after =")?;
+        if !(0.0..=1.0).contains(&share) {
+            return Err("expected a share of 0 to 1".to_owned());
+        }
+        Ok(Self { fault, share })
+    }
+}
+
 /// What the target says about its load and health, against the truth.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ReportHonesty {
--- a/crates/bench/src/tier/process.rs
+++ b/crates/bench/src/tier/process.rs
@@ -154,6 +154,15 @@
         Ok(())
     }
 
+    /// Ends it at once (SIGKILL) without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// [`BenchError::Daemon`] when it is not running.
+    pub fn crash(&self) -> Result<()> {
+        self.signal(Signal::KILL)
+    }
+
     /// Asks it to shut down in good order (SIGTERM) and waits for it.
     ///
     /// # Errors
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -4,8 +4,9 @@
 
 use fulmarweir_base::ShardHolding;
 use fulmarweir_bench::{
-    BareSettings, FIRST_VERSION, RatioSpread, Scenario, ScenarioName, ScenarioSettings,
-    ServiceTime, StandIn, StandInSettings, metric_sum, run_bare,
+    BareSettings, EventKind, FIRST_VERSION, FaultShare, LoadEvent, RatioSpread, ReplyFault,
+    Scenario, ScenarioName, ScenarioSettings, ServiceTime, StandIn, StandInSettings, metric_sum,
+    run_bare,
 };
 
 fn settings(name: ScenarioName, scale: f64) -> ScenarioSettings {
@@ -16,6 +17,8 @@
         vms: 2,
         replicas: None,
         service_time: ServiceTime::Constant { millis: 1.0 },
+        faults: Vec::new(),
+        slow: None,
         overrides: Vec::new(),
         seed: 1,
     }
@@ -71,6 +74,21 @@
     assert!(metric_sum(text, "z", "").abs() < f64::EPSILON);
 }
 
+#[test]
+fn events_and_faults_are_read_from_flags() {
+    let event: LoadEvent = "roll-out@2.5".parse().unwrap();
+    assert_eq!(event.kind, EventKind::RollOut);
+    assert_eq!(event.at, Duration::from_millis(2_500));
+    for bad in ["roll-out", "roll-out@x", "roll-out@-1", "other@1"] {
+        assert!(bad.parse::<LoadEvent>().is_err(), "{bad}");
+    }
+    let fault: FaultShare = "crossed=0.25".parse().unwrap();
+    assert_eq!(fault.fault, ReplyFault::Crossed);
+    for bad in ["crossed", "crossed=2", "other=0.1"] {
+        assert!(bad.parse::<FaultShare>().is_err(), "{bad}");
+    }
+}
+
 #[test]
 fn ratios_spread_over_rounds() {
     let spread = RatioSpread::of_rounds(&[1.0, 2.0, 0.0], &[2.0, 2.0, 5.0]).unwrap();
