--- a/crates/route/src/search.rs
+++ b/crates/route/src/search.rs
@@ -1,5 +1,6 @@
 //! One search, from admission to the answer.
 
+mod ask;
 mod extra;
 mod finish;
 mod pin;
@@ -11,6 +12,7 @@
 use fulmarweir_conf::{AnswerPreference, ServicePlan};
 use rand::Rng;
 
+pub use self::ask::SearchAsk;
 pub use self::finish::{RunStats, SearchAnswer, SearchOutcome};
 use self::progress::{ShardProgress, ShardState};
 use crate::{
@@ -18,25 +20,6 @@
     TargetView, attempts::AttemptTable, refusal::Result, table::lock,
 };
 
-/// What a caller asks.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct SearchAsk {
-    /// Asks only the shard that holds this key.
-    pub key: Option<Arc<str>>,
-    /// Oldest version that the caller accepts.
-    pub min_version: u64,
-    /// The caller's deadline; the service's own may be earlier.
-    pub deadline: Option<MonoTime>,
-    /// Most hits in the answer.
-    pub limit: Option<usize>,
-    /// Whether a target sends it while it serves a request itself.
-    pub nested: bool,
-    /// Whether the caller sends the same request again; it then adds nothing to the budget.
-    pub repeated: bool,
-    /// When the request arrived, if it has waited for admission.
-    pub arrived: Option<MonoTime>,
-}
-
 /// Actions of a search.
 pub type SearchAction = RouteAction<SearchOutcome>;
 
@@ -58,7 +41,9 @@
 ///
 /// It is driven by the ends of its attempts, by its wake-ups and by new views,
 /// and says what to do. It finishes once, at its deadline at the latest. After
-/// `Finish` every call returns nothing.
+/// `Finish` every call returns nothing. Dropping it gives back its admission
+/// and no longer counts its attempts; only [`SearchRun::abandon`] and `Finish`
+/// name the attempts to cancel.
 #[derive(Debug)]
 pub struct SearchRun {
     permit: AdmissionPermit,
@@ -73,6 +58,8 @@
     shards: Vec<ShardProgress>,
     replies: Vec<Vec<SearchHit>>,
     attempts: AttemptTable,
+    /// Whether a shard was lost because targets went on to another version.
+    rollout: bool,
     wake_at: Option<MonoTime>,
     stats: RunStats,
     finished: bool,
@@ -94,8 +81,7 @@
         rng: &mut dyn Rng,
     ) -> Result<(Self, Vec<SearchAction>)> {
         let arrived = ask.arrived.unwrap_or(now);
-        let own_deadline = arrived + plan.deadline;
-        let deadline = ask.deadline.unwrap_or(own_deadline).min(own_deadline);
+        let deadline = ask.deadline_in(&plan, now);
         let pinned = pin::choose_version(&view, &ask, deadline, now)?;
         let (version, of) = (pinned.version, pinned.of);
         let shards = pin::asked_shards(pinned, ask.key.as_deref());
@@ -112,6 +98,7 @@
             replies: Vec::with_capacity(shards.len()),
             shards,
             attempts: AttemptTable::default(),
+            rollout: false,
             wake_at: None,
             stats: RunStats::default(),
             finished: false,
@@ -135,6 +122,7 @@
         if self.finished {
             return step.actions;
         }
+        self.permit.touch(now);
         let state = self.permit.state();
         let Some(ended) = self.attempts.end(attempt, &outcome, state, now) else {
             return step.actions;
@@ -285,3 +273,10 @@
         self.plan.prefer == AnswerPreference::Latency
     }
 }
+
+impl Drop for SearchRun {
+    fn drop(&mut self) {
+        let ended = self.permit.touched();
+        self.attempts.abandon_all(self.permit.state(), ended);
+    }
+}
