--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -1,6 +1,7 @@
 //! The open-loop load generator.
 
 mod arrivals;
+mod event;
 mod metrics;
 mod outcome;
 mod report;
@@ -18,11 +19,12 @@
 use http::Method;
 use tokio::{
     task::JoinSet,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
 use self::{
     arrivals::{ArrivalPlan, PlannedRequest},
+    event::run_events,
     outcome::{RequestEnding, RequestOutcome},
     report::{act_report, fault_counts, kind_reports, latencies, refusal_counts},
 };
@@ -35,6 +37,7 @@
 
 pub use self::{
     arrivals::{RequestKind, RequestMix},
+    event::{EventKind, LoadEvent},
     metrics::metric_sum,
     report::{ActReport, FaultCount, KindReport, LoadReport, RefusalCount, WorkReport},
 };
@@ -59,6 +62,8 @@
     pub seed: u64,
     /// Kinds of requests.
     pub mix: RequestMix,
+    /// What happens to targets and daemons meanwhile.
+    pub events: Vec<LoadEvent>,
     /// Whether progress is written to standard error.
     pub progress: bool,
 }
@@ -73,7 +78,10 @@
 /// [`BenchError::Settings`] when there is nothing to send.
 pub async fn run_load(rig: &TestRig, settings: &LoadSettings) -> Result<LoadReport> {
     let before = WorkSample::take(rig).await;
-    let outcomes = offer(rig, settings).await?;
+    let start = Instant::now();
+    let events = run_events(rig, &settings.events, settings.seed, start);
+    let (outcomes, ()) = tokio::join!(offer(rig, settings, start), events);
+    let outcomes = outcomes?;
     let after = WorkSample::take(rig).await;
     let answered = outcomes
         .iter()
@@ -84,6 +92,7 @@
         seed: settings.seed,
         rate_per_sec: settings.rate_per_sec,
         seconds: settings.duration.as_secs_f64(),
+        settle_secs: rig.settle_time.as_secs_f64(),
         kinds: kind_reports(&outcomes, rig.scenario.deadline_ms()),
         refusals: refusal_counts(&outcomes),
         faults: fault_counts(&outcomes),
@@ -93,7 +102,11 @@
     })
 }
 
-async fn offer(rig: &TestRig, settings: &LoadSettings) -> Result<Vec<RequestOutcome>> {
+async fn offer(
+    rig: &TestRig,
+    settings: &LoadSettings,
+    start: Instant,
+) -> Result<Vec<RequestOutcome>> {
     let entries = rig.entries();
     let plan = ArrivalPlan::new(
         settings.seed,
@@ -111,12 +124,11 @@
         deadline_ms: rig.scenario.deadline_ms(),
         done: AtomicU64::new(0),
     });
-    let start = Instant::now();
     let mut next_progress = start + PROGRESS_PERIOD;
     let mut calls = JoinSet::new();
     for request in plan.take_while(|request| request.start < settings.duration) {
         let due = start + request.start;
-        sleep_until(due).await;
+        sleep_until(due + caller.link_delay).await;
         if settings.progress && due >= next_progress {
             next_progress += PROGRESS_PERIOD;
             let done = caller.done.load(Ordering::Relaxed);
@@ -144,7 +156,6 @@
 
 impl LoadCaller {
     async fn call(&self, request: PlannedRequest, due: Instant) -> RequestOutcome {
-        sleep(self.link_delay).await;
         let body = request.body();
         let mut call = HttpCall::new(Method::POST, request.entry, &request.path(), body.clone())
             .header("fulmarweir-deadline-ms", &self.deadline_ms.to_string());
@@ -153,12 +164,12 @@
         }
         call.timeout = Duration::from_millis(self.deadline_ms) + PATIENCE;
         let reply = self.client.send(call).await.ok();
-        sleep(self.link_delay).await;
         self.done.fetch_add(1, Ordering::Relaxed);
         RequestOutcome {
             kind: request.kind,
             body,
-            latency: due.elapsed(),
+            // The way back is added rather than waited for: timers round up to milliseconds.
+            latency: due.elapsed() + self.link_delay,
             ending: RequestEnding::from_reply(&request, reply.as_ref()),
         }
     }
@@ -205,6 +216,11 @@
         self.targets.iter().map(field).sum()
     }
 
+    fn drain_last(&self) -> Duration {
+        let lasts = self.targets.iter().filter_map(|c| c.last_after_drain);
+        lasts.max().unwrap_or_default()
+    }
+
     fn max(&self, field: fn(&StandInCounters) -> u64) -> u64 {
         self.targets.iter().map(field).max().unwrap_or_default()
     }
@@ -236,6 +252,7 @@
             connections_max: self.max(|c| c.connections_max),
             connections_refused: delta(|c| c.connections_refused),
             repeated_attempts: delta(|c| c.repeated_attempts),
+            drain_last_ms: self.drain_last().as_secs_f64() * 1e3,
             cpu_secs,
             cpu_us_per_target_request: cpu_secs * 1e6 / requests.max(1) as f64,
             rss_max_kib: self.rss_max_kib,
--- a/crates/bench/src/output.rs
+++ b/crates/bench/src/output.rs
@@ -36,8 +36,8 @@
 #[must_use]
 pub fn report_tables(report: &LoadReport) -> String {
     let heading = format!(
-        "{}: {:.0} requests/s for {:.0} s, seed {}",
-        report.label, report.rate_per_sec, report.seconds, report.seed
+        "{}: {:.0} requests/s for {:.0} s, seed {}; whole answers {:.1} s after the start",
+        report.label, report.rate_per_sec, report.seconds, report.seed, report.settle_secs
     );
     let parts = [
         heading,
@@ -105,6 +105,10 @@
         ),
         ("connections refused", work.connections_refused.to_string()),
         ("attempts seen twice", work.repeated_attempts.to_string()),
+        (
+            "last request after a drain, ms",
+            format!("{:.0}", work.drain_last_ms),
+        ),
         ("daemon CPU, s", format!("{:.2}", work.cpu_secs)),
         (
             "daemon CPU per target request, us",
