Warm the daemons up before a measured run

A service that a daemon sees 40 times a second takes 5 s to gather the samples that its hedge delay needs, so that runs of 8 s mostly showed the time before.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -32,6 +32,7 @@
 const DEFAULT_SERVICE: &str = "street-app/pitches";
 const DEFAULT_SERVICE_MS: f64 = 4.0;
 const DEFAULT_SHARDS: u32 = 3;
+const DEFAULT_WARM_UP_SECONDS: f64 = 3.0;
 const DEFAULT_VMS: u32 = 2;
 const TARGET_SERVICE_MS: f64 = 2.0;
 
@@ -87,6 +88,7 @@
                 let load = LoadSettings {
                     label: "load".to_owned(),
                     rate_per_sec: flags.rate.unwrap_or(DEFAULT_RATE),
+                    warm_up: seconds(flags.warm_up.or(Some(DEFAULT_WARM_UP_SECONDS))),
                     duration: seconds(flags.seconds),
                     seed,
                     mix: RequestMix {
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -41,6 +41,8 @@
             optional --rate rate: f64
             /// Length of the run in seconds, 10 by default.
             optional --seconds seconds: f64
+            /// Unmeasured load before each run in seconds, 3 by default.
+            optional --warm-up warm_up: f64
             /// Share of the services of each group, 0.1 by default.
             optional --scale scale: f64
             /// Data centres, 3 by default.
@@ -94,6 +96,8 @@
             optional --rate rate: f64
             /// Length of each run in seconds, 10 by default.
             optional --seconds seconds: f64
+            /// Unmeasured load before each run in seconds, 3 by default.
+            optional --warm-up warm_up: f64
             /// Share of the services of each group, 0.1 by default.
             optional --scale scale: f64
             /// Data centres, 3 by default.
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -46,6 +46,8 @@
 
 /// How much longer than its deadline a caller waits for the tier's verdict.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Number of the first request of a warm-up, beyond those of any run.
+const WARM_UP_NUMBER: u64 = 1_000_000_000;
 const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
 const ATTEMPTS_METRIC: &str = "fulmarweir_attempts_total";
 
@@ -56,6 +58,8 @@
     pub label: String,
     /// Requests a second over all daemons.
     pub rate_per_sec: f64,
+    /// Load of the same kind before the run, which is not measured.
+    pub warm_up: Duration,
     /// Length of the run.
     pub duration: Duration,
     /// Seed of the arrivals.
@@ -77,10 +81,11 @@
 ///
 /// [`BenchError::Settings`] when there is nothing to send.
 pub async fn run_load(rig: &TestRig, settings: &LoadSettings) -> Result<LoadReport> {
+    warm_up(rig, settings).await?;
     let before = WorkSample::take(rig).await;
     let start = Instant::now();
     let events = run_events(rig, &settings.events, settings.seed, start);
-    let (outcomes, ()) = tokio::join!(offer(rig, settings, start), events);
+    let (outcomes, ()) = tokio::join!(offer(rig, settings, start, 0), events);
     let outcomes = outcomes?;
     let after = WorkSample::take(rig).await;
     let answered = outcomes
@@ -102,10 +107,24 @@
     })
 }
 
+/// Lets the daemons measure their targets before the run.
+async fn warm_up(rig: &TestRig, settings: &LoadSettings) -> Result<()> {
+    let settings = LoadSettings {
+        label: format!("{} warm-up", settings.label),
+        duration: settings.warm_up,
+        seed: !settings.seed,
+        events: Vec::new(),
+        ..settings.clone()
+    };
+    offer(rig, &settings, Instant::now(), WARM_UP_NUMBER).await?;
+    Ok(())
+}
+
 async fn offer(
     rig: &TestRig,
     settings: &LoadSettings,
     start: Instant,
+    first_number: u64,
 ) -> Result<Vec<RequestOutcome>> {
     let entries = rig.entries();
     let plan = ArrivalPlan::new(
@@ -114,6 +133,7 @@
         settings.mix,
         &entries,
         rig.scenario.services(),
+        first_number,
     );
     let Some(plan) = plan else {
         return Err(Report::new(BenchError::Settings));
@@ -137,7 +157,7 @@
                 settings.label,
                 request.start.as_secs_f64(),
                 settings.duration.as_secs_f64(),
-                request.number
+                request.number - first_number
             );
         }
         let caller = Arc::clone(&caller);
--- a/crates/bench/src/load/arrivals.rs
+++ b/crates/bench/src/load/arrivals.rs
@@ -85,6 +85,7 @@
         mix: RequestMix,
         entries: &'a [SocketAddr],
         services: &'a [ScenarioService],
+        first_number: u64,
     ) -> Option<Self> {
         let (acts, searches): (Vec<_>, Vec<_>) = services.iter().partition(|s| s.is_act);
         if searches.is_empty() || entries.is_empty() || rate_per_sec <= 0.0 {
@@ -98,7 +99,7 @@
             searches,
             acts,
             clock: Duration::ZERO,
-            number: 0,
+            number: first_number,
         })
     }
 
