Do not take copies from an earlier epoch for votes

New voters may be copied from different majorities of the old set, so a quorum of them can hold the same value that no old majority accepted, while another voter holds one of a later round. A reader took the first for chosen; the next round adopted the other. A value now counts as chosen only if its ballot is of the present epoch, else the reader has it accepted again first.

--- a/crates/quorum/src/client/calls.rs
+++ b/crates/quorum/src/client/calls.rs
@@ -11,8 +11,9 @@
     config::{ConfigChange, ConfigState, SubmitOutcome, read_config},
     error::Result,
     key::{ActKey, RegisterKey},
+    member::VoterSet,
     message::{RequestBody, VoterReply},
-    round::requests_to_all,
+    round::{counts_as_votes, requests_to_all},
     value::{AcceptedValue, RegisterChange, RegisterValue},
 };
 
@@ -147,7 +148,7 @@
                 None => return AgreedRead::Split,
             }
         }
-        AgreedRead::of(seen)
+        AgreedRead::of(seen, &set)
     }
 }
 
@@ -160,13 +161,13 @@
 }
 
 impl AgreedRead {
-    fn of(mut seen: Vec<Option<AcceptedValue>>) -> Self {
+    fn of(mut seen: Vec<Option<AcceptedValue>>, set: &VoterSet) -> Self {
         let ballot = |accepted: &Option<AcceptedValue>| accepted.as_ref().map(|a| a.ballot);
         let Some(first) = seen.pop() else {
             return Self::Split;
         };
         let unanimous = seen.iter().all(|other| ballot(other) == ballot(&first));
-        if unanimous {
+        if unanimous && counts_as_votes(first.as_ref(), set) {
             return Self::Agreed(first);
         }
         Self::Split
--- a/crates/quorum/src/round.rs
+++ b/crates/quorum/src/round.rs
@@ -156,8 +156,9 @@
         if self.tally.agreed >= quorum && self.phase == RoundPhase::Preparing {
             self.phase = RoundPhase::Prepared;
             return RoundStep::Prepared {
+                chosen: self.tally.unanimous
+                    && counts_as_votes(self.tally.highest.as_ref(), &self.set),
                 value: self.tally.highest.take().map(|accepted| accepted.value),
-                chosen: self.tally.unanimous,
             };
         }
         if self.tally.agreed >= quorum {
@@ -218,6 +219,15 @@
     }
 }
 
+/// Whether a value that a quorum of `set` holds is chosen.
+///
+/// Copies of a value that was accepted in an earlier epoch are no votes: different voters may
+/// have got theirs from different old voters, and a quorum that holds the same copy by chance
+/// does not bind the next round.
+pub(crate) fn counts_as_votes(held: Option<&AcceptedValue>, set: &VoterSet) -> bool {
+    held.is_none_or(|held| held.ballot.epoch == set.epoch)
+}
+
 pub(crate) fn requests_to_all(set: &VoterSet, body: &RequestBody) -> Vec<VoterRequest> {
     let request = |member: &crate::member::VoterMember| VoterRequest {
         to: member.identity,
