Decide when a missing voter is replaced

A voter is given up after a set time without answers, as counted by monotonic time. A report without a majority says more about the watching VM's links and starts the wait anew.

--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -60,6 +60,7 @@
 mod round;
 mod service;
 mod value;
+mod watch;
 
 pub use acceptor::Acceptor;
 pub use act::{ActClaim, ActOutcome, ActState, BodyDigest, ClaimOutcome, SettleOutcome};
@@ -74,3 +75,4 @@
 pub use round::{ProposalRound, RoundFailure, RoundStep};
 pub use service::{ACT_RETENTION_SECS, VoterService, VoterSettings};
 pub use value::{AcceptedValue, RegisterValue};
+pub use watch::{VoterReplacement, VoterWatch};
