Keep targets in use while their lease holder restarts

With 100 seeds the test of a restarted holder failed at seed 26 (of 0 to 99): a VM heard of the target's new change before it heard of the holder's new process and took the holder for gone. Such a change now counts for the grace. A restarted holder also numbers its change above that of its former self as soon as it learns of it, not with the next announcement.

--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -48,6 +48,13 @@
     NotTakingPart,
 }
 
+/// A change of this VM and the end of its lease.
+#[derive(Debug)]
+struct OwnLease {
+    change: TargetChange,
+    until: MonoTime,
+}
+
 /// Result of an announcement.
 pub type AnnounceResult = Result<AnnounceReply, TargetRefusal>;
 
@@ -190,16 +197,51 @@
             let live = holder.is_some_and(|holder| {
                 holder.is_live() && holder.update.identity.boot == change.holder.boot
             });
+            let own = self.own_lease(&change);
             if self.leases.merge(&change, live, now) {
                 self.targets_dirty = true;
                 let ends_use = change.gone || change.record.state != TargetState::Serving;
                 self.targets_urgent |= ends_use;
+                if let Some(own) = own.filter(|_| !live) {
+                    self.renumber(own, &change, now);
+                }
                 fresh.push(change);
             }
         }
         fresh
     }
 
+    /// The change that this VM made to the same target, if its lease runs here.
+    fn own_lease(&self, change: &TargetChange) -> Option<OwnLease> {
+        let entry = self.leases.get(&TargetKey::of(&change.record))?;
+        let held = entry.change.holder == own_holder(&self.members) && !entry.change.gone;
+        let until = entry.lease_until.filter(|_| held)?;
+        Some(OwnLease {
+            change: entry.change.clone(),
+            until,
+        })
+    }
+
+    /// Numbers an own change above one of a former holder that is not live any more.
+    ///
+    /// A VM that has just started takes announcements before it knows the numbers
+    /// that its former self gave out.
+    fn renumber(&mut self, own: OwnLease, other: &TargetChange, now: MonoTime) {
+        let drains = other.record.state == TargetState::Draining;
+        if own.change.record.incarnation != other.record.incarnation || drains {
+            return;
+        }
+        let change = TargetChange {
+            revision: other.revision + 1,
+            ..own.change
+        };
+        let key = TargetKey::of(&change.record);
+        self.apply_own_change(&key, change, now);
+        if let Some(entry) = self.leases.get_mut(&key) {
+            entry.lease_until = Some(own.until);
+        }
+    }
+
     /// Reviews the use of all targets, if anything may have changed it, and ends the leases
     /// that lapsed here.
     pub(crate) fn pass_leases(&mut self, now: MonoTime) {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -115,15 +115,18 @@
     /// Since when `holder` may not be the running process of a live, trusted member.
     pub(crate) fn holder_doubt(&self, holder: &LeaseHolder) -> HolderDoubt {
         let Some(entry) = self.entries.get(&holder.vm) else {
-            return HolderDoubt::Unknown;
+            return HolderDoubt::Unheard;
         };
+        if entry.update.identity.boot < holder.boot {
+            return HolderDoubt::Unheard;
+        }
         if entry.update.identity.boot != holder.boot {
             return HolderDoubt::Since(entry.changed_at);
         }
         match entry.doubted_at {
             Some(since) => HolderDoubt::Since(since),
             None if entry.trusted => HolderDoubt::None,
-            None => HolderDoubt::Unknown,
+            None => HolderDoubt::Untrusted,
         }
     }
 
@@ -249,8 +252,10 @@
     None,
     /// It stopped answering, left or restarted at this time.
     Since(MonoTime),
-    /// It is not known, or came back after a long doubt.
-    Unknown,
+    /// It is a process of which no news has arrived yet.
+    Unheard,
+    /// It came back after a long doubt, and no repair has followed yet.
+    Untrusted,
 }
 
 pub(crate) fn is_in_buckets(bucket: usize, buckets: &[u32]) -> bool {
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -256,7 +256,8 @@
     let confirmed = match doubt {
         HolderDoubt::None => true,
         HolderDoubt::Since(since) => now.since(since) < times.holder_grace,
-        HolderDoubt::Unknown => false,
+        HolderDoubt::Unheard => now.since(entry.changed_at) < times.holder_grace,
+        HolderDoubt::Untrusted => false,
     };
     confirmed && !isolated && !own_lapsed
 }
@@ -270,7 +271,8 @@
     let tombstone_kept = Duration::from_millis(TOMBSTONE_KEPT_MS);
     let grace_end = match doubt {
         HolderDoubt::Since(since) => Some(since + times.holder_grace),
-        HolderDoubt::None | HolderDoubt::Unknown => None,
+        HolderDoubt::Unheard => Some(entry.changed_at + times.holder_grace),
+        HolderDoubt::None | HolderDoubt::Untrusted => None,
     };
     let tombstone_end = entry.change.gone.then(|| entry.changed_at + tombstone_kept);
     let evidence_end = entry.evidence_at.map(|at| at + times.lease);
--- a/crates/fleet/tests/targets.rs
+++ b/crates/fleet/tests/targets.rs
@@ -157,7 +157,7 @@
 
 #[test]
 fn a_restart_of_the_lease_holder_does_not_take_its_targets_out_of_use() {
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain([26]) {
         let (mut net, holder) = settled_net(seed);
         net.restart(holder);
         let others: Vec<_> = (0..3).filter(|vm| *vm != holder).collect();
