--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -88,6 +88,8 @@
     pub connections_refused: u64,
     /// Attempts that reached a target more than once.
     pub repeated_attempts: u64,
+    /// Latest request at a target after its drain began, in milliseconds; zero if none.
+    pub drain_last_ms: f64,
     /// Processor time of all daemons in seconds.
     pub cpu_secs: f64,
     /// Processor time of the daemons for each request that reached a target, in microseconds.
@@ -118,6 +120,8 @@
     pub rate_per_sec: f64,
     /// Length of the run in seconds.
     pub seconds: f64,
+    /// From the start of the last target until all daemons gave whole answers, in seconds.
+    pub settle_secs: f64,
     /// All requests first, then each kind.
     pub kinds: Vec<KindReport>,
     /// Refusals by reason and verdict.
