--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -25,6 +25,11 @@
         self.tokens = (self.tokens + credit).min(BURST_ATTEMPTS);
     }
 
+    /// How far the budget is used up, from 0 (full) to 1 (empty or in debt).
+    pub(crate) fn pressure(&self) -> f64 {
+        (1.0 - self.tokens / BURST_ATTEMPTS).clamp(0.0, 1.0)
+    }
+
     /// Takes `count` extra attempts, all or none.
     pub(crate) fn try_take(&mut self, count: usize) -> bool {
         #[expect(clippy::cast_precision_loss, reason = "shard counts are small")]
--- a/crates/route/src/latency.rs
+++ b/crates/route/src/latency.rs
@@ -9,8 +9,9 @@
 const WINDOW_MIN_SAMPLES: u64 = 200;
 const HIGHEST_MICROS: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 2;
-/// Share of the extra load that goes to first hedges; the rest is for second ones and retries.
-const HEDGE_BUDGET_SHARE: f64 = 0.8;
+/// Share of attempts that count as slow, as a multiple of the extra load. It may
+/// exceed 1, because the hedge delay grows as the budget is used up.
+const SLOW_SHARE_FACTOR: f64 = 1.4;
 /// Samples between two computations of the quantiles.
 const REFRESH_SAMPLES: u32 = 128;
 
@@ -45,7 +46,7 @@
 impl LatencyEstimate {
     /// Sets the share of extra attempts, which bounds the share that may count as slow.
     pub(crate) fn set_extra_load(&mut self, extra_load: f64) {
-        self.slow_share = extra_load.clamp(0.0, 1.0) * HEDGE_BUDGET_SHARE;
+        self.slow_share = extra_load.clamp(0.0, 1.0) * SLOW_SHARE_FACTOR;
     }
 
     /// Adds one sample.
--- a/crates/route/src/search/extra.rs
+++ b/crates/route/src/search/extra.rs
@@ -162,12 +162,17 @@
         now + typical.unwrap_or_default() >= self.answer_due(now)
     }
 
+    /// Time after which an attempt is hedged: the service's high quantile, and up
+    /// to twice that as the budget is used up, so that it goes to the slowest.
     pub(crate) fn hedge_delay(&self) -> Duration {
         if self.is_naive() {
             return self.plan.deadline.mul_f64(NAIVE_TIMEOUT_SHARE);
         }
-        let measured = lock(&self.permit.state().latency).hedge_delay();
-        measured.unwrap_or_else(|| self.plan.soft_deadline.mul_f64(HEDGE_DELAY_SHARE))
+        let state = self.permit.state();
+        let measured = lock(&state.latency).hedge_delay();
+        let delay = measured.unwrap_or_else(|| self.plan.soft_deadline.mul_f64(HEDGE_DELAY_SHARE));
+        let pressure = lock(&state.budget).pressure();
+        delay.mul_f64(1.0 + pressure)
     }
 
     /// Time from the last attempt of a shard to its next hedge.
