--- /dev/null
+++ b/crates/daemon/src/announce_api.rs
@@ -0,0 +1,75 @@
+//! The targets' interface: announcements.
+
+use std::sync::Arc;
+
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::{DefaultBodyLimit, State, rejection::BytesRejection},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::post,
+};
+use fulmarweir_base::TargetRecord;
+use fulmarweir_fleet::{AnnounceReply, TargetRefusal};
+use serde_json::json;
+
+use crate::{
+    caller_error::{CallerError, Result},
+    fleet_driver::take_announcement,
+    metrics::OutcomeLabel,
+    node::NodeState,
+};
+
+/// Largest announcement in bytes.
+const ANNOUNCEMENT_MAX_BYTES: usize = 64 * 1024;
+
+/// Routes of the targets' listener.
+pub(crate) fn announce_router(node: Arc<NodeState>) -> Router {
+    Router::new()
+        .route("/v1/announce", post(handle_announcement))
+        .layer(DefaultBodyLimit::max(ANNOUNCEMENT_MAX_BYTES))
+        .with_state(node)
+}
+
+async fn handle_announcement(
+    State(node): State<Arc<NodeState>>,
+    body: std::result::Result<Bytes, BytesRejection>,
+) -> Response {
+    let body = body.map_err(|fault| CallerError::unreadable(fault.status(), fault.body_text()));
+    let result = body.and_then(|body| announce(&node, &body));
+    let outcome = match &result {
+        Ok(_) => "accepted",
+        Err(error) => error.reason,
+    };
+    let label = OutcomeLabel { outcome };
+    node.metrics.announcements.get_or_create(&label).inc();
+    match result {
+        Ok(reply) => {
+            let body = json!({
+                "lease_ms": reply.lease_ms,
+                "next_ms": reply.next_ms,
+                "at": reply.at.to_string(),
+            });
+            Json(body).into_response()
+        }
+        Err(error) => error.into_response(),
+    }
+}
+
+fn announce(node: &Arc<NodeState>, body: &[u8]) -> Result<AnnounceReply> {
+    let record: TargetRecord = serde_json::from_slice(body)
+        .map_err(|error| CallerError::bad_request(format!("announcement: {error}")))?;
+    take_announcement(node, record).map_err(|refusal| refusal_error(&refusal))
+}
+
+fn refusal_error(refusal: &TargetRefusal) -> CallerError {
+    let (status, reason) = match refusal {
+        TargetRefusal::StaleIncarnation(_) => (StatusCode::CONFLICT, "stale-incarnation"),
+        TargetRefusal::TooManyHoldings(_) => (StatusCode::BAD_REQUEST, "too-many-holdings"),
+        TargetRefusal::ShardOutOfRange { .. } => (StatusCode::BAD_REQUEST, "shard-out-of-range"),
+        TargetRefusal::NoCapacity => (StatusCode::BAD_REQUEST, "no-capacity"),
+        TargetRefusal::NotTakingPart => (StatusCode::SERVICE_UNAVAILABLE, "not-taking-part"),
+    };
+    CallerError::refused(status, reason, refusal.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/search.rs
@@ -0,0 +1,135 @@
+//! Carries one search from admission to its answer.
+
+use std::sync::Arc;
+
+use fulmarweir_base::{MonoTime, TimerService};
+use fulmarweir_conf::{AnswerPreference, ServicePlan};
+use fulmarweir_route::{
+    AdmissionAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, SearchOutcome, SearchRun,
+};
+
+use crate::{
+    carrier::{RunCarrier, RunEvent, RunRequest},
+    metrics::{OutcomeLabel, ServiceLabel},
+    node::NodeState,
+};
+
+/// Gives a search up when its caller leaves.
+struct RunGuard {
+    run: SearchRun,
+    timer: TimerService,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        // The carrier, dropped as well, cancels the attempts.
+        drop(self.run.abandon(self.timer.now()));
+    }
+}
+
+/// Runs a search. Dropping the future cancels it at the targets.
+pub(crate) async fn run_search(
+    node: &NodeState,
+    plan: Arc<ServicePlan>,
+    mut ask: SearchAsk,
+    request: RunRequest,
+) -> Result<SearchAnswer, RouteRefusal> {
+    let started = node.timer.now();
+    ask.arrived = Some(started);
+    let Some(view) = node.views.get(&plan.name) else {
+        return Err(RouteRefusal::not_run(RefusalReason::NoTargets, None));
+    };
+    let desk = node.desks.get(&plan.name);
+    desk.note_view(&view.targets);
+    let admission = admission_ask(&plan, &ask, &view.targets, started);
+    let permit = desk.admit(admission, started).await?;
+    let label = ServiceLabel {
+        service: plan.name.to_string(),
+    };
+
+    let now = node.timer.now();
+    let targets = Arc::clone(&view.targets);
+    let started_run = SearchRun::start(permit, plan, targets, ask, now, &mut rand::rng());
+    let (run, actions) = started_run?;
+    let mut carrier = RunCarrier::new(node, view, &request);
+    let mut guard = RunGuard {
+        run,
+        timer: node.timer.clone(),
+    };
+    let mut outcome = carrier.perform(actions);
+    while outcome.is_none() {
+        let event = carrier.next().await;
+        let actions = step(&mut guard.run, event, &carrier, node.timer.now());
+        outcome = carrier.perform(actions);
+    }
+    drop(carrier);
+    drop(guard);
+    desk.poll(node.timer.now());
+    let Some(outcome) = outcome else {
+        return Err(RouteRefusal::not_run(RefusalReason::NoTargets, None));
+    };
+    record_outcome(node, &label, &outcome, started);
+    outcome.answer
+}
+
+fn step(
+    run: &mut SearchRun,
+    event: RunEvent,
+    carrier: &RunCarrier<'_>,
+    now: MonoTime,
+) -> Vec<fulmarweir_route::SearchAction> {
+    let rng = &mut rand::rng();
+    match event {
+        RunEvent::Ended(id, ended) => run.on_reply(id, ended, now, rng),
+        RunEvent::Wake => run.on_wake(now, rng),
+        RunEvent::ViewChanged => run.on_view(Arc::clone(&carrier.view().targets), now, rng),
+    }
+}
+
+fn admission_ask(
+    plan: &ServicePlan,
+    ask: &SearchAsk,
+    targets: &fulmarweir_route::TargetView,
+    now: MonoTime,
+) -> AdmissionAsk {
+    let own = now + plan.deadline;
+    let deadline = ask.deadline.unwrap_or(own).min(own);
+    let answer_by = match plan.prefer {
+        AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
+        AnswerPreference::Coverage => deadline,
+    };
+    if ask.key.is_some() {
+        return AdmissionAsk::keyed(answer_by);
+    }
+    let shards = targets.pin(ask.min_version).map_or(1, |index| index.of);
+    AdmissionAsk::wide(shards as usize, answer_by)
+}
+
+fn record_outcome(
+    node: &NodeState,
+    label: &ServiceLabel,
+    outcome: &SearchOutcome,
+    started: MonoTime,
+) {
+    let metrics = &node.metrics;
+    let lost = u64::from(
+        outcome
+            .stats
+            .hedges
+            .saturating_sub(outcome.stats.hedge_wins),
+    );
+    let won = u64::from(outcome.stats.hedge_wins);
+    for (outcome, count) in [("won", won), ("lost", lost)] {
+        if count > 0 {
+            let label = OutcomeLabel { outcome };
+            metrics.hedges.get_or_create(&label).inc_by(count);
+        }
+    }
+    let Ok(answer) = &outcome.answer else {
+        return;
+    };
+    let elapsed = node.timer.now().since(started).as_secs_f64();
+    metrics.latency.get_or_create(label).observe(elapsed);
+    let coverage = f64::from(answer.answered) / f64::from(answer.shards.max(1));
+    metrics.coverage.get_or_create(label).observe(coverage);
+}
