--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -98,7 +98,7 @@
         rate_per_sec: settings.rate_per_sec,
         seconds: settings.duration.as_secs_f64(),
         settle_secs: rig.settle_time.as_secs_f64(),
-        kinds: kind_reports(&outcomes, rig.scenario.deadline_ms()),
+        kinds: kind_reports(&outcomes, rig.scenario.settings().name.deadline_ms()),
         refusals: refusal_counts(&outcomes),
         faults: fault_counts(&outcomes),
         acts: act_report(&outcomes, &runs_by_body(&rig.targets)),
@@ -140,8 +140,8 @@
     };
     let caller = Arc::new(LoadCaller {
         client: HttpClient::new(),
-        link_delay: rig.scenario.client_delay(),
-        deadline_ms: rig.scenario.deadline_ms(),
+        link_delay: rig.scenario.settings().name.client_delay(),
+        deadline_ms: rig.scenario.settings().name.deadline_ms(),
         done: AtomicU64::new(0),
     });
     let mut next_progress = start + PROGRESS_PERIOD;
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -1,6 +1,8 @@
 //! Sizes, delays and services of the first users, scaled to one machine.
 
-use std::{fmt::Write as _, path::PathBuf, str::FromStr, time::Duration};
+mod user;
+
+use std::{fmt::Write as _, net::SocketAddr, path::PathBuf, time::Duration};
 
 use error_stack::{Report, ResultExt};
 use fulmarweir_base::{ServiceName, ShardHolding};
@@ -11,6 +13,10 @@
     tier::{CentrePlan, TierSettings},
 };
 
+use self::user::{ServiceGroup, centre_names, groups};
+
+pub use self::user::ScenarioName;
+
 type Result<T> = std::result::Result<T, Report<BenchError>>;
 
 /// Index version that all targets hold at the start.
@@ -20,81 +26,6 @@
 const VOTERS: u32 = 3;
 const QUEUE_PER_SLOT: usize = 4;
 
-/// A named scenario.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ScenarioName {
-    /// The Permits Office: tail latency first.
-    Permits,
-    /// The Consorcio: coverage first.
-    Consorcio,
-}
-
-impl FromStr for ScenarioName {
-    type Err = String;
-
-    fn from_str(text: &str) -> std::result::Result<Self, String> {
-        match text {
-            "permits" => Ok(Self::Permits),
-            "consorcio" => Ok(Self::Consorcio),
-            _ => Err(format!("{text:?} is not a scenario: permits or consorcio")),
-        }
-    }
-}
-
-/// A group of like services.
-#[derive(Clone, Copy, Debug)]
-struct ServiceGroup {
-    name: &'static str,
-    services: u32,
-    /// Targets of each service in each data centre.
-    searchers: u32,
-    /// Replicas of each shard in each data centre.
-    replicas: u32,
-    slots: u32,
-    connections: u32,
-    connect_ms: u64,
-    is_act: bool,
-}
-
-const fn wide_group(name: &'static str, services: u32) -> ServiceGroup {
-    ServiceGroup {
-        name,
-        services,
-        searchers: 3,
-        replicas: 1,
-        slots: 3,
-        connections: 30,
-        connect_ms: 6,
-        is_act: false,
-    }
-}
-
-const fn desk_group(name: &'static str, connections: u32) -> ServiceGroup {
-    ServiceGroup {
-        name,
-        services: 1,
-        searchers: 10,
-        replicas: 2,
-        slots: 6,
-        connections,
-        connect_ms: 1,
-        is_act: false,
-    }
-}
-
-const fn ledger_group(name: &'static str, connections: u32) -> ServiceGroup {
-    ServiceGroup {
-        name,
-        services: 1,
-        searchers: 5,
-        replicas: 1,
-        slots: 6,
-        connections,
-        connect_ms: 1,
-        is_act: true,
-    }
-}
-
 /// How far and how to change a scenario.
 #[derive(Clone, Debug)]
 pub struct ScenarioSettings {
@@ -179,42 +110,6 @@
         &self.settings
     }
 
-    /// One-way delay between callers and daemons.
-    #[must_use]
-    pub fn client_delay(&self) -> Duration {
-        match self.settings.name {
-            ScenarioName::Permits => Duration::from_millis(1),
-            ScenarioName::Consorcio => Duration::from_millis(3),
-        }
-    }
-
-    /// One-way delay between daemons and targets of the same data centre.
-    #[must_use]
-    pub fn target_delay(&self) -> Duration {
-        match self.settings.name {
-            ScenarioName::Permits => Duration::from_micros(500),
-            ScenarioName::Consorcio => Duration::from_millis(1),
-        }
-    }
-
-    /// One-way delay between data centres, each of which is a region of its own.
-    #[must_use]
-    pub fn region_delay(&self) -> Duration {
-        match self.settings.name {
-            ScenarioName::Permits => Duration::from_millis(8),
-            ScenarioName::Consorcio => Duration::from_millis(20),
-        }
-    }
-
-    /// Deadline of every request in milliseconds.
-    #[must_use]
-    pub fn deadline_ms(&self) -> u64 {
-        match self.settings.name {
-            ScenarioName::Permits => 300,
-            ScenarioName::Consorcio => 1_000,
-        }
-    }
-
     /// The daemons of the scenario.
     ///
     /// # Panics
@@ -257,7 +152,7 @@
             ScenarioName::Permits => "latency",
             ScenarioName::Consorcio => "coverage",
         };
-        let deadline = self.deadline_ms();
+        let deadline = self.settings.name.deadline_ms();
         let mut lines = vec![
             format!("kind = {kind}"),
             format!("deadline-ms = {deadline}"),
@@ -281,11 +176,7 @@
     /// # Errors
     ///
     /// [`BenchError::Settings`] when a name becomes too long.
-    pub fn targets(
-        &self,
-        centre: usize,
-        vms: &[std::net::SocketAddr],
-    ) -> Result<Vec<StandInSettings>> {
+    pub fn targets(&self, centre: usize, vms: &[SocketAddr]) -> Result<Vec<StandInSettings>> {
         let mut targets = Vec::new();
         for service in &self.services {
             for number in 0..service.group.searchers {
@@ -318,7 +209,7 @@
         target.queue = group.slots as usize * QUEUE_PER_SLOT;
         target.connections = group.connections;
         target.connect_delay = Duration::from_millis(group.connect_ms);
-        target.link_delay = self.target_delay();
+        target.link_delay = self.settings.name.target_delay();
         target.hits = HITS_PER_SHARD;
         target.behaviour = StandInBehaviour {
             service_time: self.settings.service_time,
@@ -333,30 +224,6 @@
     }
 }
 
-fn groups(name: ScenarioName) -> [ServiceGroup; 4] {
-    match name {
-        ScenarioName::Permits => [
-            wide_group("street-app", 10),
-            wide_group("renewals", 15),
-            desk_group("counter-desk", 100),
-            ledger_group("fee-ledger", 100),
-        ],
-        ScenarioName::Consorcio => [
-            wide_group("tienda-socios", 10),
-            wide_group("tablero-horno", 15),
-            desk_group("reparto-ruta", 50),
-            ledger_group("cobro-cuotas", 50),
-        ],
-    }
-}
-
-fn centre_names(name: ScenarioName) -> [&'static str; 3] {
-    match name {
-        ScenarioName::Permits => ["ub-sukhbaatar", "dk-central", "er-bayan"],
-        ScenarioName::Consorcio => ["capital-z1", "paysandu-z1", "punta-z1"],
-    }
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -375,7 +242,7 @@
 }
 
 /// Spreads first announcements over the VMs.
-fn rotated(vms: &[std::net::SocketAddr], by: usize) -> Vec<std::net::SocketAddr> {
+fn rotated(vms: &[SocketAddr], by: usize) -> Vec<SocketAddr> {
     let mut vms = vms.to_vec();
     if !vms.is_empty() {
         let by = by % vms.len();
--- /dev/null
+++ b/crates/bench/src/scenario/user.rs
@@ -0,0 +1,140 @@
+//! The first users: their services, sizes and delays.
+
+use std::{str::FromStr, time::Duration};
+
+/// A named scenario.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ScenarioName {
+    /// The Permits Office: tail latency first.
+    Permits,
+    /// The Consorcio: coverage first.
+    Consorcio,
+}
+
+impl FromStr for ScenarioName {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        match text {
+            "permits" => Ok(Self::Permits),
+            "consorcio" => Ok(Self::Consorcio),
+            _ => Err(format!("{text:?} is not a scenario: permits or consorcio")),
+        }
+    }
+}
+
+/// A group of like services.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceGroup {
+    pub(crate) name: &'static str,
+    pub(crate) services: u32,
+    /// Targets of each service in each data centre.
+    pub(crate) searchers: u32,
+    /// Replicas of each shard in each data centre.
+    pub(crate) replicas: u32,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) connect_ms: u64,
+    pub(crate) is_act: bool,
+}
+
+const fn wide_group(name: &'static str, services: u32) -> ServiceGroup {
+    ServiceGroup {
+        name,
+        services,
+        searchers: 3,
+        replicas: 1,
+        slots: 3,
+        connections: 30,
+        connect_ms: 6,
+        is_act: false,
+    }
+}
+
+const fn desk_group(name: &'static str, connections: u32) -> ServiceGroup {
+    ServiceGroup {
+        name,
+        services: 1,
+        searchers: 10,
+        replicas: 2,
+        slots: 6,
+        connections,
+        connect_ms: 1,
+        is_act: false,
+    }
+}
+
+const fn ledger_group(name: &'static str, connections: u32) -> ServiceGroup {
+    ServiceGroup {
+        name,
+        services: 1,
+        searchers: 5,
+        replicas: 1,
+        slots: 6,
+        connections,
+        connect_ms: 1,
+        is_act: true,
+    }
+}
+
+impl ScenarioName {
+    /// One-way delay between callers and daemons.
+    #[must_use]
+    pub const fn client_delay(self) -> Duration {
+        match self {
+            ScenarioName::Permits => Duration::from_millis(1),
+            ScenarioName::Consorcio => Duration::from_millis(3),
+        }
+    }
+
+    /// One-way delay between daemons and targets of the same data centre.
+    #[must_use]
+    pub const fn target_delay(self) -> Duration {
+        match self {
+            ScenarioName::Permits => Duration::from_micros(500),
+            ScenarioName::Consorcio => Duration::from_millis(1),
+        }
+    }
+
+    /// One-way delay between data centres, each of which is a region of its own.
+    #[must_use]
+    pub const fn region_delay(self) -> Duration {
+        match self {
+            ScenarioName::Permits => Duration::from_millis(8),
+            ScenarioName::Consorcio => Duration::from_millis(20),
+        }
+    }
+
+    /// Deadline of every request in milliseconds.
+    #[must_use]
+    pub const fn deadline_ms(self) -> u64 {
+        match self {
+            ScenarioName::Permits => 300,
+            ScenarioName::Consorcio => 1_000,
+        }
+    }
+}
+
+pub(crate) fn groups(name: ScenarioName) -> [ServiceGroup; 4] {
+    match name {
+        ScenarioName::Permits => [
+            wide_group("street-app", 10),
+            wide_group("renewals", 15),
+            desk_group("counter-desk", 100),
+            ledger_group("fee-ledger", 100),
+        ],
+        ScenarioName::Consorcio => [
+            wide_group("tienda-socios", 10),
+            wide_group("tablero-horno", 15),
+            desk_group("reparto-ruta", 50),
+            ledger_group("cobro-cuotas", 50),
+        ],
+    }
+}
+
+pub(crate) fn centre_names(name: ScenarioName) -> [&'static str; 3] {
+    match name {
+        ScenarioName::Permits => ["ub-sukhbaatar", "dk-central", "er-bayan"],
+        ScenarioName::Consorcio => ["capital-z1", "paysandu-z1", "punta-z1"],
+    }
+}
