--- a/crates/bench/src/bare.rs
+++ b/crates/bench/src/bare.rs
@@ -17,6 +17,7 @@
 use crate::{
     client::{HttpCall, HttpClient},
     error::BenchError,
+    load::new_histogram,
     scenario::FIRST_VERSION,
     tier::own_usage,
 };
@@ -49,6 +50,10 @@
     pub answered: u64,
     /// Processor time of the process for each answered sub-query, in microseconds.
     pub cpu_us_per_sub_query: f64,
+    /// Median latency of an answered sub-query in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile in milliseconds.
+    pub p99_ms: f64,
 }
 
 /// Sends each query to all targets and waits for all replies.
@@ -56,6 +61,7 @@
 /// # Errors
 ///
 /// [`BenchError::Settings`] when the rate is not positive or there is no target.
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
 pub async fn run_bare(settings: &BareSettings) -> Result<BareReport> {
     let gap = Exp::new(settings.rate_per_sec);
     let (Ok(gap), false) = (gap, settings.targets.is_empty()) else {
@@ -78,17 +84,21 @@
         for shard in 0..settings.targets.len() {
             let call = sub_query(settings, shard, queries);
             let client = client.clone();
-            calls.spawn(async move { is_answered(&client, call).await });
+            calls.spawn(async move { answer_time(&client, call).await });
         }
     }
-    let answered = calls.join_all().await.into_iter().filter(|ok| *ok).count();
+    let mut latencies = new_histogram();
+    for latency in calls.join_all().await.into_iter().flatten() {
+        latencies.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+    }
     let cpu_secs = own_usage().cpu_secs - before.cpu_secs;
-    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-    let cpu_us_per_sub_query = cpu_secs * 1e6 / answered.max(1) as f64;
+    let answered = latencies.len();
     Ok(BareReport {
         queries,
-        answered: answered as u64,
-        cpu_us_per_sub_query,
+        answered,
+        cpu_us_per_sub_query: cpu_secs * 1e6 / answered.max(1) as f64,
+        p50_ms: latencies.value_at_quantile(0.5) as f64 / 1e3,
+        p99_ms: latencies.value_at_quantile(0.99) as f64 / 1e3,
     })
 }
 
@@ -107,7 +117,9 @@
         .header("fulmarweir-kind", "search")
 }
 
-async fn is_answered(client: &HttpClient, call: HttpCall) -> bool {
-    let reply = client.send(call).await;
-    reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+/// Time until the whole answer was there; `None` for anything but an answer.
+async fn answer_time(client: &HttpClient, call: HttpCall) -> Option<Duration> {
+    let start = Instant::now();
+    let reply = client.send(call).await.ok()?;
+    (reply.status == StatusCode::OK).then(|| start.elapsed())
 }
--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -248,6 +248,9 @@
             of: shards,
         };
         let mut settings = target_settings(DEFAULT_SERVICE, shard, holding)?;
+        settings.behaviour.service_time = ServiceTime::Constant {
+            millis: flags.service_ms.unwrap_or(TARGET_SERVICE_MS),
+        };
         settings.slots = u32::from(u16::MAX);
         settings.connections = u32::from(u16::MAX);
         let target = StandIn::start(settings).await?;
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -139,6 +139,8 @@
             optional --seconds seconds: f64
             /// Number of shards, 3 by default.
             optional --shards shards: u32
+            /// Service time of the targets in milliseconds, 2 by default.
+            optional --service-ms service_ms: f64
             /// Seed of the arrivals, 1 by default.
             optional --seed seed: u64
             /// Address of the target of each shard; by default stand-ins of a parent process.
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -37,6 +37,7 @@
     stand_in::StandIn,
 };
 
+pub(crate) use self::report::new_histogram;
 pub use self::{
     arrivals::{RequestKind, RequestMix},
     event::{EventKind, LoadEvent},
