--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -1,8 +1,8 @@
 //! Announcements of targets, their leases and the table that is built from them.
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, SHARD_COUNT_MAX, TargetRecord, TargetState};
+use fulmarweir_base::{MonoTime, SHARD_COUNT_MAX, TargetRecord, TargetState, VmName};
 
 use crate::{
     CentreNews, FleetAction, FleetMessage, FleetState, SpreadNews, TargetChange, TargetEntry,
@@ -12,6 +12,9 @@
     target::{LeaseTimes, own_holder},
 };
 
+/// Least time between two snapshots, unless a use has ended.
+const REBUILD_PERIOD_MS: u64 = 150;
+
 /// Answer to an accepted announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnnounceReply {
@@ -84,7 +87,7 @@
         now: MonoTime,
     ) -> (AnnounceResult, Vec<FleetAction>) {
         let result = self.accept_announcement(record, now);
-        self.rebuild_targets(now);
+        self.rebuild_urgent(now);
         (result, std::mem::take(&mut self.actions))
     }
 
@@ -98,6 +101,7 @@
         if let Some(entry) = self.leases.get_mut(&key) {
             entry.lease_until = Some(now + lease);
             self.targets_dirty |= !entry.usable;
+            self.targets_urgent |= !entry.usable;
         }
         Ok(self.announce_reply(&key))
     }
@@ -138,6 +142,7 @@
     fn apply_own_change(&mut self, key: &TargetKey, change: TargetChange, now: MonoTime) {
         self.leases.merge(&change, true, now);
         self.targets_dirty = true;
+        self.targets_urgent = true;
         if change.record.state == TargetState::Draining {
             self.tell_brokers(key, &change);
         }
@@ -187,14 +192,24 @@
             });
             if self.leases.merge(&change, live, now) {
                 self.targets_dirty = true;
+                let ends_use = change.gone || change.record.state != TargetState::Serving;
+                self.targets_urgent |= ends_use;
                 fresh.push(change);
             }
         }
         fresh
     }
 
-    /// Reviews the use of all targets and ends the leases that lapsed here.
+    /// Reviews the use of all targets, if anything may have changed it, and ends the leases
+    /// that lapsed here.
     pub(crate) fn pass_leases(&mut self, now: MonoTime) {
+        self.members.withdraw_trust(self.settings.holder_grace, now);
+        let basis = (self.members.generation(), self.is_isolated(now));
+        let due = self.timers.lease_review.is_some_and(|at| now >= at);
+        if !due && !self.is_rebuild_due(now) && self.lease_basis == basis {
+            return;
+        }
+        self.lease_basis = basis;
         let lapsed = self.review_leases(now);
         for key in lapsed {
             let Some(entry) = self.leases.get(&key) else {
@@ -213,20 +228,38 @@
             holder_grace: self.settings.holder_grace,
             orphan_kept: self.settings.orphan_kept,
         };
-        self.members.withdraw_trust(times.holder_grace, now);
         let isolated = self.is_isolated(now);
         let pass = self.leases.pass(&self.members, isolated, times, now);
         self.targets_dirty |= pass.changed;
+        self.timers.lease_review = pass.next_at;
         pass.lapsed
     }
 
-    /// Builds a new snapshot if anything in it changed.
+    /// Builds a new snapshot at once if a target must not be used any more; other changes
+    /// wait for the tick.
+    pub(crate) fn rebuild_urgent(&mut self, now: MonoTime) {
+        if self.targets_urgent {
+            self.review_leases(now);
+            self.build_targets(now);
+        }
+    }
+
+    /// Whether anything in the snapshot changed and it need not wait any longer.
+    fn is_rebuild_due(&self, now: MonoTime) -> bool {
+        self.targets_dirty && (self.targets_urgent || now >= self.timers.rebuild)
+    }
+
+    /// Builds a new snapshot if it is due.
     pub(crate) fn rebuild_targets(&mut self, now: MonoTime) {
-        if !self.targets_dirty {
-            return;
+        if self.is_rebuild_due(now) {
+            self.build_targets(now);
         }
-        self.review_leases(now);
+    }
+
+    fn build_targets(&mut self, now: MonoTime) {
+        self.timers.rebuild = now + Duration::from_millis(REBUILD_PERIOD_MS);
         self.targets_dirty = false;
+        self.targets_urgent = false;
         let generation = self.plan.generation;
         let mut entries = Vec::new();
         for (_, entry) in self.leases.entries_mut() {
@@ -257,14 +290,12 @@
     /// Live brokers of the target, the preferred one first.
     pub(crate) fn brokers_of(&self, key: &TargetKey) -> Option<Vec<Arc<VmIdentity>>> {
         let entry = self.leases.get(key)?;
+        let live = |name: &VmName| self.members.live_identity(name).cloned();
+        if entry.brokers_generation == Some(self.plan.generation) {
+            return Some(entry.brokers.iter().filter_map(live).collect());
+        }
         let names = self.plan.brokers(&entry.change.record, &self.settings);
-        Some(
-            names
-                .iter()
-                .filter_map(|name| self.members.live_identity(name))
-                .cloned()
-                .collect(),
-        )
+        Some(names.iter().filter_map(live).collect())
     }
 }
 
@@ -286,6 +317,6 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/fleet/src/broker.rs
+++ b/crates/fleet/src/broker.rs
@@ -25,6 +25,8 @@
 
 /// One of `RESERVE_DIVISOR` parts of the connections is kept for VMs in transition.
 const RESERVE_DIVISOR: u32 = 4;
+/// Time between two reviews of unchanged members, for what depends on time alone.
+const REVIEW_PERIOD_MS: u64 = 1_000;
 /// Newcomers and VMs cut off may both draw on the reserve.
 const RESERVE_CLAIMANTS: u32 = 2;
 
@@ -114,6 +116,9 @@
     confirmed: bool,
     home_seeds: usize,
     updated_at: MonoTime,
+    /// Generation of members and connection at the last review.
+    basis: (u64, bool),
+    reviewed_at: Option<MonoTime>,
     majority_since: Option<MonoTime>,
     minority_since: Option<MonoTime>,
 }
@@ -128,6 +133,8 @@
             confirmed: false,
             home_seeds: 0,
             updated_at: now,
+            basis: (0, false),
+            reviewed_at: None,
             majority_since: None,
             minority_since: None,
         }
@@ -150,6 +157,14 @@
         self.confirmed |= facts
             .agreed_since
             .is_some_and(|since| now.since(since.max(self.joined_at)) >= settings.confirmed_for);
+        let basis = (members.generation(), facts.connected);
+        let period = Duration::from_millis(REVIEW_PERIOD_MS);
+        let fresh = self.reviewed_at.is_some_and(|at| now.since(at) < period);
+        if self.basis == basis && fresh {
+            return;
+        }
+        self.basis = basis;
+        self.reviewed_at = Some(now);
         self.update_majority(members, facts.connected, settings.give_up, now);
         self.release(members, settings.share_kept, now);
         let names: Vec<_> = self.base_names(members).cloned().collect();
@@ -289,7 +304,10 @@
         .iter()
         .map(|member| (rendezvous_weight(member.hash, key), &member.name))
         .collect();
+    if count < weighted.len() {
+        weighted.select_nth_unstable_by(count, |a, b| b.cmp(a));
+        weighted.truncate(count);
+    }
     weighted.sort_unstable_by(|a, b| b.cmp(a));
-    weighted.truncate(count);
     weighted.into_iter().map(|(_, name)| name.clone()).collect()
 }
