Test changes of the configuration under faults on real daemons

Operators race at one version, changes are resent after a lost answer and after a restart, a diskless VM misses hundreds of changes, a VM is cut off and heals, voters are killed during changes, and a majority is missing.

Catching up after a heal is bounded by the 5 s that the users ask for.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,5 +1,8 @@
 //! Helpers for tests on real daemons: a tier, stand-in targets, and callers.
 
+mod operator;
+mod version_watch;
+
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
@@ -10,6 +13,14 @@
 };
 use http::Method;
 
+pub use self::{
+    operator::{
+        ConfigStatus, HistoryEntry, MemberStatus, SubmitEnd, TestOperator, VmStatus,
+        VoterSetStatus, VoterStatus, marked_text,
+    },
+    version_watch::VersionWatch,
+};
+
 /// Service of most tests.
 pub const SERVICE: &str = "street-app/pitches";
 /// Hits of each shard of a stand-in target.
--- /dev/null
+++ b/tests/src/operator.rs
@@ -0,0 +1,194 @@
+//! An operator's calls: changes of the configuration, history and status.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fulmarweir_base::RunVerdict;
+use fulmarweir_bench::{HttpCall, HttpClient, HttpReply};
+use http::{Method, StatusCode};
+use serde::Deserialize;
+
+use crate::{SERVICE, verdict_of};
+
+/// Longer than a daemon tries to reach a majority of voters.
+const SUBMIT_PATIENCE_SECS: u64 = 8;
+const READ_PATIENCE_SECS: u64 = 4;
+
+/// How the submission of a change ended for its operator.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum SubmitEnd {
+    /// The change is this version.
+    Accepted(u64),
+    /// Another change came first; the version in force.
+    Conflict(u64),
+    /// The tier's word that the change was not made.
+    NotRun,
+    /// Unknown: no answer, or one that says so.
+    Undecided,
+}
+
+/// An accepted or refused change, as the history lists it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct HistoryEntry {
+    /// Version of the outcome.
+    pub version: u64,
+    /// Identifier of the change.
+    pub change_id: String,
+    /// `accepted` or `conflict`.
+    pub outcome: String,
+}
+
+#[derive(Deserialize)]
+struct HistoryReply {
+    changes: Vec<HistoryEntry>,
+}
+
+/// What the tests read of a daemon's status.
+#[derive(Clone, Debug, Deserialize)]
+pub struct VmStatus {
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Its configuration.
+    pub config: ConfigStatus,
+    /// Other daemons of its data centre and itself.
+    pub members: Vec<MemberStatus>,
+    /// The voters as it sees them.
+    pub voters: VoterSetStatus,
+}
+
+/// The configuration of a daemon.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ConfigStatus {
+    /// Version in force on it.
+    pub version: u64,
+    /// Highest version that it has heard of.
+    pub highest_known: u64,
+}
+
+/// A member of the data centre.
+#[derive(Clone, Debug, Deserialize)]
+pub struct MemberStatus {
+    /// Name of the VM.
+    pub vm: String,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+}
+
+/// The voter set.
+#[derive(Clone, Debug, Deserialize)]
+pub struct VoterSetStatus {
+    /// Number of the set.
+    pub epoch: u64,
+    /// Its members.
+    pub set: Vec<VoterStatus>,
+}
+
+/// One voter.
+#[derive(Clone, Debug, Deserialize)]
+pub struct VoterStatus {
+    /// Name of the VM.
+    pub vm: String,
+    /// `ok`, `not-whole` or `unreachable`.
+    pub state: String,
+}
+
+/// Text of a configuration that is told from others by `mark`.
+#[must_use]
+pub fn marked_text(mark: u64) -> String {
+    let deadline_ms = 1000 + mark;
+    format!("[service {SERVICE}]\nkind = search\ndeadline-ms = {deadline_ms}\n")
+}
+
+/// An operator of the tier.
+#[derive(Clone, Debug, Default)]
+pub struct TestOperator {
+    client: HttpClient,
+}
+
+impl TestOperator {
+    /// Submits a change on top of version `at`.
+    pub async fn submit(&self, address: SocketAddr, at: u64, id: &str, text: &str) -> SubmitEnd {
+        let patience = Duration::from_secs(SUBMIT_PATIENCE_SECS);
+        self.submit_within(address, at, id, text, patience).await
+    }
+
+    /// As [`TestOperator::submit`], giving up after `patience`.
+    ///
+    /// # Panics
+    ///
+    /// When an answer is none of the contract's.
+    pub async fn submit_within(
+        &self,
+        address: SocketAddr,
+        at: u64,
+        id: &str,
+        text: &str,
+        patience: Duration,
+    ) -> SubmitEnd {
+        let mut call = HttpCall::new(Method::PUT, address, "/v1/config", text.to_owned())
+            .header("if-match", &format!("\"{at}\""))
+            .header("change-id", id);
+        call.timeout = patience;
+        match self.client.send(call).await {
+            Ok(reply) => submit_end(&reply),
+            Err(_) => SubmitEnd::Undecided,
+        }
+    }
+
+    /// The decided changes, newest first; `None` without a majority.
+    pub async fn history(&self, address: SocketAddr) -> Option<Vec<HistoryEntry>> {
+        let reply = self.get(address, "/v1/config/history").await?;
+        let history: HistoryReply = serde_json::from_slice(&reply.body).ok()?;
+        Some(history.changes)
+    }
+
+    /// Identifiers of the accepted changes, oldest first; `None` without a majority.
+    pub async fn accepted(&self, address: SocketAddr) -> Option<Vec<String>> {
+        let changes = self.history(address).await?;
+        let accepted = changes.into_iter().rev();
+        let accepted = accepted.filter(|entry| entry.outcome == "accepted");
+        Some(accepted.map(|entry| entry.change_id).collect())
+    }
+
+    /// The status of a daemon, if it answers.
+    pub async fn status(&self, address: SocketAddr) -> Option<VmStatus> {
+        let reply = self.get(address, "/v1/status").await?;
+        serde_json::from_slice(&reply.body).ok()
+    }
+
+    /// Version in force on a daemon, if it answers.
+    pub async fn version(&self, address: SocketAddr) -> Option<u64> {
+        let reply = self.get(address, "/v1/config").await?;
+        reply.header("etag")?.trim_matches('"').parse().ok()
+    }
+
+    /// The text in force on a daemon, if it answers.
+    pub async fn text(&self, address: SocketAddr) -> Option<String> {
+        Some(self.get(address, "/v1/config").await?.text())
+    }
+
+    /// Whether a daemon says that it takes requests.
+    pub async fn is_ready(&self, address: SocketAddr) -> bool {
+        self.get(address, "/readyz").await.is_some()
+    }
+
+    async fn get(&self, address: SocketAddr, path: &str) -> Option<HttpReply> {
+        let mut call = HttpCall::new(Method::GET, address, path, "");
+        call.timeout = Duration::from_secs(READ_PATIENCE_SECS);
+        let reply = self.client.send(call).await.ok()?;
+        reply.status.is_success().then_some(reply)
+    }
+}
+
+fn submit_end(reply: &HttpReply) -> SubmitEnd {
+    let version = || {
+        let body: serde_json::Value = serde_json::from_slice(&reply.body).expect("a JSON body");
+        body["version"].as_u64().expect("a version number")
+    };
+    match (reply.status, verdict_of(reply)) {
+        (StatusCode::OK, _) => SubmitEnd::Accepted(version()),
+        (StatusCode::CONFLICT, Some(RunVerdict::NotRun)) => SubmitEnd::Conflict(version()),
+        (StatusCode::SERVICE_UNAVAILABLE, Some(RunVerdict::NotRun)) => SubmitEnd::NotRun,
+        (StatusCode::SERVICE_UNAVAILABLE, Some(RunVerdict::MayHaveRun)) => SubmitEnd::Undecided,
+        (status, verdict) => panic!("{status} {verdict:?}: {}", reply.text()),
+    }
+}
--- /dev/null
+++ b/tests/tests/state_config.rs
@@ -0,0 +1,265 @@
+//! Changes of the configuration on real daemons that fail, restart and are cut off.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fulmarweir_bench::{DaemonProcess, LinkState, Tier};
+use fulmarweir_tests::{
+    SubmitEnd, TestCaller, TestOperator, VersionWatch, marked_text, one_centre, start_targets,
+};
+use futures::future::join_all;
+use tokio::time::{Instant, sleep};
+
+/// Time in which every daemon that can be reached again must have the newest version.
+const CATCH_UP_MAX: Duration = Duration::from_secs(5);
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+fn operator_addresses(tier: &Tier) -> Vec<SocketAddr> {
+    let daemons = tier.daemons().iter();
+    daemons.map(DaemonProcess::operators).collect()
+}
+
+/// Resends a change at one daemon after the other until its outcome is known.
+async fn submit_decided(
+    operator: &TestOperator,
+    addresses: &[SocketAddr],
+    at: u64,
+    id: &str,
+    text: &str,
+) -> SubmitEnd {
+    for attempt in 0..50 {
+        let address = addresses[attempt % addresses.len()];
+        let end = operator.submit(address, at, id, text).await;
+        if matches!(end, SubmitEnd::Accepted(_) | SubmitEnd::Conflict(_)) {
+            return end;
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    panic!("no outcome of {id}");
+}
+
+/// Submits changes on top of version `from` until `to` is accepted, at each daemon in turn.
+async fn submit_up_to(operator: &TestOperator, addresses: &[SocketAddr], from: u64, to: u64) {
+    for at in from..to {
+        let first = usize::try_from(at).unwrap() % addresses.len();
+        let mut order = addresses.to_vec();
+        order.rotate_left(first);
+        let id = format!("change-{}", at + 1);
+        let end = submit_decided(operator, &order, at, &id, &marked_text(at + 1)).await;
+        assert_eq!(end, SubmitEnd::Accepted(at + 1));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn exactly_one_of_racing_operators_wins() {
+    let tier = Tier::start(&one_centre(4)).await.unwrap();
+    let addresses = operator_addresses(&tier);
+    let watch = VersionWatch::start(addresses.clone());
+    let operator = TestOperator::default();
+    for at in 0..12 {
+        let racers = (0..6).map(|racer| {
+            let mut order = addresses.clone();
+            order.rotate_left(racer % addresses.len());
+            let operator = &operator;
+            async move {
+                let id = format!("race-{at}-{racer}");
+                let text = marked_text(at * 10 + racer as u64);
+                submit_decided(operator, &order, at, &id, &text).await
+            }
+        });
+        let ends = join_all(racers).await;
+        let winners: Vec<_> = (0..ends.len())
+            .filter(|racer| ends[*racer] == SubmitEnd::Accepted(at + 1))
+            .collect();
+        let [winner] = winners[..] else {
+            panic!("winners {winners:?} of version {}: {ends:?}", at + 1);
+        };
+        let losers = ends
+            .iter()
+            .filter(|end| **end == SubmitEnd::Conflict(at + 1));
+        assert_eq!(losers.count(), ends.len() - 1, "{ends:?}");
+        tier.wait_config(at + 1).await.unwrap();
+        for address in &addresses {
+            let text = operator.text(*address).await.unwrap();
+            assert_eq!(text, marked_text(at * 10 + winner as u64));
+        }
+    }
+    assert!(watch.stop().await > 0);
+    tier.stop().await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resent_change_is_told_its_first_outcome() {
+    let mut tier = Tier::start(&one_centre(3)).await.unwrap();
+    let addresses = operator_addresses(&tier);
+    let operator = TestOperator::default();
+    let text = marked_text(1);
+    // The operator leaves before the answer, which takes several synced writes.
+    let patience = Duration::from_millis(1);
+    let lost = operator
+        .submit_within(addresses[0], 0, "resent", &text, patience)
+        .await;
+    assert!(matches!(
+        lost,
+        SubmitEnd::Undecided | SubmitEnd::Accepted(1)
+    ));
+    let end = submit_decided(&operator, &addresses[1..], 0, "resent", &text).await;
+    assert_eq!(end, SubmitEnd::Accepted(1));
+    let late = operator
+        .submit(addresses[2], 0, "late", &marked_text(9))
+        .await;
+    assert_eq!(late, SubmitEnd::Conflict(1));
+    submit_up_to(&operator, &addresses, 1, 5).await;
+
+    for address in &addresses {
+        let end = operator.submit(*address, 0, "resent", &text).await;
+        assert_eq!(end, SubmitEnd::Accepted(1));
+        let late = operator.submit(*address, 0, "late", &marked_text(9)).await;
+        assert!(matches!(late, SubmitEnd::Conflict(_)), "{late:?}");
+    }
+    tier.daemon_mut(0).kill().await.unwrap();
+    let end = submit_decided(&operator, &addresses[1..], 0, "resent", &text).await;
+    assert_eq!(end, SubmitEnd::Accepted(1));
+    tier.restart(0).await.unwrap();
+    let end = submit_decided(&operator, &addresses[..1], 0, "resent", &text).await;
+    assert_eq!(end, SubmitEnd::Accepted(1));
+    let accepted = operator.accepted(addresses[0]).await.unwrap();
+    let resent = accepted.iter().filter(|id| *id == "resent");
+    assert_eq!((resent.count(), accepted.len()), (1, 5));
+    tier.stop().await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_missed_hundreds_of_changes_is_ready_only_with_the_newest() {
+    const CHANGES: u64 = 220;
+    let mut tier = Tier::start(&one_centre(4)).await.unwrap();
+    let addresses = operator_addresses(&tier);
+    let operator = TestOperator::default();
+    submit_up_to(&operator, &addresses, 0, 3).await;
+    assert!(!tier.daemons()[3].votes());
+    tier.daemon_mut(3).kill().await.unwrap();
+    submit_up_to(&operator, &addresses[..3], 3, CHANGES).await;
+
+    tier.daemon_mut(3).spawn().unwrap();
+    let started = Instant::now();
+    while !operator.is_ready(addresses[3]).await {
+        assert!(started.elapsed() < Duration::from_secs(30), "never ready");
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(operator.version(addresses[3]).await, Some(CHANGES));
+    let text = operator.text(addresses[3]).await.unwrap();
+    assert_eq!(text, marked_text(CHANGES));
+    tier.stop().await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_cut_off_serves_its_last_version_and_catches_up() {
+    let mut settings = one_centre(4);
+    settings.relay_peers = true;
+    let tier = Tier::start(&settings).await.unwrap();
+    let addresses = operator_addresses(&tier);
+    let watch = VersionWatch::start(addresses.clone());
+    let operator = TestOperator::default();
+    submit_up_to(&operator, &addresses, 0, 2).await;
+    tier.wait_config(2).await.unwrap();
+    let _targets = start_targets(&tier, 42, 2, 1).await;
+    let caller = TestCaller::default();
+    for daemon in tier.daemons() {
+        caller.wait_whole(daemon.callers(), 2).await;
+    }
+
+    tier.set_links_of_group(&[3], LinkState::cut());
+    submit_up_to(&operator, &addresses[..3], 2, 8).await;
+    wait_until_said(&operator, addresses[3]).await;
+    let status = operator.status(addresses[3]).await.unwrap();
+    assert_eq!(status.config.version, 2);
+    let answer = caller.search(tier.daemons()[3].callers(), "{}").await;
+    let coverage = answer.expect("an answer").coverage;
+    assert_eq!(coverage.answered, coverage.shards);
+    let end = operator
+        .submit(addresses[3], 2, "cut-off", &marked_text(99))
+        .await;
+    assert!(
+        matches!(end, SubmitEnd::NotRun | SubmitEnd::Undecided),
+        "{end:?}"
+    );
+
+    tier.set_links_of_group(&[3], LinkState::default());
+    let healed = Instant::now();
+    while operator.version(addresses[3]).await != Some(8) {
+        assert!(healed.elapsed() < CATCH_UP_MAX, "not caught up");
+        sleep(POLL_PAUSE).await;
+    }
+    println!("caught up after {} ms", healed.elapsed().as_millis());
+    let accepted = operator.accepted(addresses[3]).await.unwrap();
+    assert!(!accepted.iter().any(|id| id == "cut-off"), "{accepted:?}");
+    assert!(watch.stop().await > 0);
+    tier.stop().await.unwrap();
+}
+
+/// Waits until a daemon's status says that it reaches no other member and no voter.
+async fn wait_until_said(operator: &TestOperator, address: SocketAddr) {
+    for _ in 0..400 {
+        if let Some(status) = operator.status(address).await {
+            let alive = status
+                .members
+                .iter()
+                .filter(|member| member.state == "alive");
+            let mut voters = status.voters.set.iter();
+            if alive.count() <= 1 && voters.all(|voter| voter.state == "unreachable") {
+                return;
+            }
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{address} does not say that it is cut off");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_changes_outlive_killed_voters() {
+    let mut tier = Tier::start(&one_centre(3)).await.unwrap();
+    let addresses = operator_addresses(&tier);
+    let operator = TestOperator::default();
+    let watch = VersionWatch::start(addresses.clone());
+    for round in 0..3_u64 {
+        let victim = usize::try_from(round).unwrap();
+        let (from, to) = (round * 10, round * 10 + 10);
+        let changes = submit_up_to(&operator, &addresses, from, to);
+        let faults = async {
+            sleep(Duration::from_millis(15)).await;
+            tier.daemon_mut(victim).kill().await.unwrap();
+            sleep(Duration::from_millis(300)).await;
+            tier.restart(victim).await.unwrap();
+        };
+        tokio::join!(changes, faults);
+    }
+    let expected: Vec<_> = (1..=30).map(|n| format!("change-{n}")).collect();
+    assert_eq!(operator.accepted(addresses[0]).await.unwrap(), expected);
+    assert!(watch.stop().await > 0);
+
+    tier.daemon_mut(1).kill().await.unwrap();
+    tier.daemon_mut(2).kill().await.unwrap();
+    let lonely = (0..3).map(|n| {
+        let operator = &operator;
+        let address = addresses[0];
+        async move {
+            let id = format!("lonely-{n}");
+            let text = marked_text(500 + n);
+            operator.submit(address, 30, &id, &text).await
+        }
+    });
+    let ends = join_all(lonely).await;
+    let refused = |end: &SubmitEnd| matches!(end, SubmitEnd::NotRun | SubmitEnd::Undecided);
+    assert!(ends.iter().all(refused), "{ends:?}");
+    tier.restart(1).await.unwrap();
+    tier.restart(2).await.unwrap();
+    let first = operator.accepted(addresses[1]).await.unwrap();
+    let base = u64::try_from(first.len()).unwrap();
+    submit_up_to(&operator, &addresses, base, base + 3).await;
+    let accepted = operator.accepted(addresses[1]).await.unwrap();
+    assert_eq!(accepted[..30], expected);
+    for (n, end) in ends.iter().enumerate() {
+        let made = accepted.contains(&format!("lonely-{n}"));
+        assert!(*end != SubmitEnd::NotRun || !made, "lonely-{n} was made");
+    }
+    tier.stop().await.unwrap();
+}
