Check histories of changes and claims for linearizability

Operators race and resend changes, and callers compete for idempotency keys with two bodies, on four real daemons whose links are cut at random. Undecided changes are settled by a last read, since leaving them open makes the search exponential. Fabricated histories and a forged operation in each recorded one must be rejected.

--- /dev/null
+++ b/tests/src/history/claim_spec.rs
@@ -0,0 +1,138 @@
+//! The claim of one idempotency key, for which callers compete with different bodies.
+
+use todc_utils::Specification;
+
+/// A step of an act and how it ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimOp {
+    /// The caller was told that this body ran.
+    Ran {
+        /// Number of the body.
+        body: u32,
+    },
+    /// The caller was told that the key belongs to another body than this one.
+    OtherBody {
+        /// Number of the body.
+        body: u32,
+    },
+    /// An act that ended as not run may have held the claim for a while.
+    Hold {
+        /// Number of the body.
+        body: u32,
+        /// Number of the act.
+        act: u32,
+    },
+    /// An act that ended as not run, or whose end is unknown, gives back what it held.
+    Release {
+        /// Number of the act.
+        act: u32,
+    },
+    /// An act whose caller does not know whether it ran.
+    Unsettled {
+        /// Number of the body.
+        body: u32,
+        /// Number of the act.
+        act: u32,
+    },
+    /// What the targets ran in the end.
+    Truth {
+        /// Number of the body that ran, once; `None` if none did.
+        body: Option<u32>,
+    },
+}
+
+/// Who holds the claim.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum ClaimState {
+    /// Nobody.
+    Free,
+    /// An act that will not run.
+    Held {
+        /// Number of the body.
+        body: u32,
+        /// Number of the act.
+        act: u32,
+    },
+    /// An act that may run.
+    Unsettled {
+        /// Number of the body.
+        body: u32,
+        /// Number of the act.
+        act: u32,
+    },
+    /// The body has run.
+    Ran {
+        /// Number of the body.
+        body: u32,
+    },
+}
+
+/// The sequential behaviour of the claim of one key.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimSpec;
+
+impl Specification for ClaimSpec {
+    type State = ClaimState;
+    type Operation = ClaimOp;
+
+    fn init() -> ClaimState {
+        ClaimState::Free
+    }
+
+    fn apply(operation: &ClaimOp, state: &ClaimState) -> (bool, ClaimState) {
+        match *operation {
+            ClaimOp::Ran { body } => match state {
+                ClaimState::Free => (true, ClaimState::Ran { body }),
+                ClaimState::Ran { body: known } | ClaimState::Unsettled { body: known, .. } => {
+                    (*known == body, ClaimState::Ran { body })
+                }
+                ClaimState::Held { .. } => (false, *state),
+            },
+            ClaimOp::OtherBody { body } => {
+                let holder = holder_of(state);
+                (holder.is_some_and(|holder| holder != body), *state)
+            }
+            ClaimOp::Hold { body, act } => (true, claim(state, ClaimState::Held { body, act })),
+            ClaimOp::Unsettled { body, act } => {
+                (true, claim(state, ClaimState::Unsettled { body, act }))
+            }
+            ClaimOp::Release { act } => (true, release(state, act)),
+            ClaimOp::Truth { body } => (truth_holds(state, body), *state),
+        }
+    }
+}
+
+fn claim(state: &ClaimState, claimed: ClaimState) -> ClaimState {
+    match state {
+        ClaimState::Free => claimed,
+        _ => *state,
+    }
+}
+
+fn release(state: &ClaimState, act: u32) -> ClaimState {
+    match state {
+        ClaimState::Held { act: holder, .. } | ClaimState::Unsettled { act: holder, .. }
+            if *holder == act =>
+        {
+            ClaimState::Free
+        }
+        _ => *state,
+    }
+}
+
+fn holder_of(state: &ClaimState) -> Option<u32> {
+    match *state {
+        ClaimState::Free => None,
+        ClaimState::Held { body, .. }
+        | ClaimState::Unsettled { body, .. }
+        | ClaimState::Ran { body } => Some(body),
+    }
+}
+
+fn truth_holds(state: &ClaimState, truth: Option<u32>) -> bool {
+    match (*state, truth) {
+        (ClaimState::Ran { body }, truth) => truth == Some(body),
+        (ClaimState::Unsettled { body, .. }, Some(ran)) => body == ran,
+        (_, truth) => truth.is_none(),
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,11 +1,12 @@
 //! Helpers for tests on real daemons: a tier, stand-in targets, and callers.
 
+mod history;
+mod link_chaos;
 mod operator;
 mod version_watch;
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use fulmarweir_base::{RunVerdict, ShardHolding};
 use fulmarweir_bench::{
     AnswerCheck, HttpCall, HttpClient, HttpReply, SearchAnswer, StandIn, StandInSettings, Tier,
@@ -14,6 +15,8 @@
 use http::Method;
 
 pub use self::{
+    history::{ClaimOp, ClaimSpec, ClaimState, ConfigOp, ConfigSpec, HistoryLog, OpNumber},
+    link_chaos::{cut_once, under_cuts},
     operator::{
         ConfigStatus, HistoryEntry, MemberStatus, SubmitEnd, TestOperator, VmStatus,
         VoterSetStatus, VoterStatus, marked_text,
@@ -124,17 +127,28 @@
         check_answer(&reply, body)
     }
 
+    /// Runs an act with any body under an idempotency key; `None` when the call failed.
+    pub async fn act_raw(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        body: &str,
+        patience: Duration,
+    ) -> Option<HttpReply> {
+        let path = format!("/v1/act/{SERVICE}?key={key}");
+        let mut call = HttpCall::new(Method::POST, address, &path, body.to_owned())
+            .header("idempotency-key", key);
+        call.timeout = patience;
+        self.client.send(call).await.ok()
+    }
+
     /// Runs an act with an idempotency key.
     ///
     /// # Panics
     ///
     /// When an error carries no verdict.
     pub async fn act(&self, address: SocketAddr, key: &str, patience: Duration) -> ActResult {
-        let path = format!("/v1/act/{SERVICE}?key={key}");
-        let mut call = HttpCall::new(Method::POST, address, &path, Bytes::from_static(b"{}"))
-            .header("idempotency-key", key);
-        call.timeout = patience;
-        let Ok(reply) = self.client.send(call).await else {
+        let Some(reply) = self.act_raw(address, key, "{}", patience).await else {
             return ActResult::MayHaveRun;
         };
         let verdict = reply.header("fulmarweir-run").map(str::to_owned);
