Test acts under idempotency keys while daemons fail

Callers resend acts at random daemons, leave early, and ask again after the act has run, while daemons are killed and restarted and links are cut. Then acts are sent with two of three voters down, since a killed daemon leaves its callers without a verdict and so few keys are told only not-run. The targets' record of runs must agree with the verdicts. ACT_KEYS and ACT_SEED size longer runs.

--- /dev/null
+++ b/tests/tests/state_acts.rs
@@ -0,0 +1,190 @@
+//! Acts under idempotency keys while daemons are killed and links are cut.
+//!
+//! `ACT_KEYS` sets the number of keys and `ACT_SEED` the seed, for longer runs.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use fulmarweir_bench::{DaemonProcess, StandIn, Tier};
+use fulmarweir_tests::{ActResult, TestCaller, cut_once, one_centre, service_text, start_targets};
+use futures::{StreamExt as _, future::join_all, stream};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use tokio::{sync::watch, time::sleep};
+
+const VMS: u32 = 5;
+const DEFAULT_KEYS: u64 = 300;
+const DEFAULT_SEED: u64 = 11;
+const LONELY_KEYS: usize = 20;
+const CALLERS: usize = 24;
+const SENDS_MAX: u32 = 4;
+/// Share of acts whose caller leaves early and asks again elsewhere.
+const IMPATIENT_SHARE: f64 = 0.2;
+const IMPATIENT_MS: u64 = 15;
+const PATIENCE_MS: u64 = 4000;
+const RESEND_PAUSE_MAX_MS: u64 = 150;
+const DOWN_MAX_MS: u64 = 400;
+/// Longer than the deadline of an act.
+const ACTS_END_MS: u64 = 2500;
+
+/// What a caller was told about one key.
+#[derive(Clone, Copy, Debug, Default)]
+struct KeyAnswers {
+    ran: u32,
+    not_run: u32,
+    unknown: u32,
+}
+
+impl KeyAnswers {
+    fn note(&mut self, result: ActResult) {
+        match result {
+            ActResult::Ran => self.ran += 1,
+            ActResult::NotRun => self.not_run += 1,
+            ActResult::MayHaveRun => self.unknown += 1,
+        }
+    }
+
+    /// Runs that contradict the answers.
+    fn is_broken_by(self, runs: u64) -> bool {
+        let is_lost = self.ran > 0 && runs == 0;
+        let is_denied = self.ran == 0 && self.unknown == 0 && runs > 0;
+        runs > 1 || is_lost || is_denied
+    }
+}
+
+fn from_environment(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |value| value.parse().expect("a number"))
+}
+
+/// Sends the act of one key at random daemons, also again after it has run.
+async fn send_key(addresses: &[SocketAddr], key: &str, seed: u64) -> KeyAnswers {
+    let caller = TestCaller::default();
+    let mut generator = Pcg64Mcg::seed_from_u64(seed);
+    let mut answers = KeyAnswers::default();
+    for _ in 0..SENDS_MAX {
+        let address = addresses[generator.random_range(0..addresses.len())];
+        let is_impatient = generator.random_bool(IMPATIENT_SHARE);
+        let patience_ms = if is_impatient {
+            IMPATIENT_MS
+        } else {
+            PATIENCE_MS
+        };
+        let patience = Duration::from_millis(patience_ms);
+        let result = caller.act(address, key, patience).await;
+        answers.note(result);
+        if result == ActResult::Ran && generator.random_bool(0.7) {
+            break;
+        }
+        let pause_ms = generator.random_range(0..RESEND_PAUSE_MAX_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+    answers
+}
+
+/// Kills and restarts daemons and cuts links in turn; the number of kills.
+async fn disturb(tier: &mut Tier, seed: u64, stop: watch::Receiver<bool>) -> u32 {
+    let mut generator = Pcg64Mcg::seed_from_u64(seed);
+    let mut kills = 0;
+    while !*stop.borrow() {
+        cut_once(tier, &mut generator).await;
+        let victim = generator.random_range(0..tier.daemons().len());
+        tier.daemon_mut(victim).kill().await.unwrap();
+        let down_ms = generator.random_range(0..DOWN_MAX_MS);
+        sleep(Duration::from_millis(down_ms)).await;
+        tier.restart(victim).await.unwrap();
+        kills += 1;
+    }
+    kills
+}
+
+/// Sends one act for each of some keys while two of three voters are down.
+async fn send_without_majority(
+    tier: &mut Tier,
+    addresses: &[SocketAddr],
+) -> Vec<(String, KeyAnswers)> {
+    let (down, up) = (1..3, [0, 3, 4]);
+    for victim in down.clone() {
+        tier.daemon_mut(victim).kill().await.unwrap();
+    }
+    let sends = (0..LONELY_KEYS).map(|number| async move {
+        let key = format!("lonely-{number}");
+        let address = addresses[up[number % up.len()]];
+        let patience = Duration::from_millis(PATIENCE_MS);
+        let mut answers = KeyAnswers::default();
+        answers.note(TestCaller::default().act(address, &key, patience).await);
+        (key, answers)
+    });
+    let answers = join_all(sends).await;
+    for victim in down {
+        tier.restart(victim).await.unwrap();
+    }
+    sleep(Duration::from_millis(ACTS_END_MS)).await;
+    answers
+}
+
+fn runs_by_key(targets: &[StandIn]) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for run in targets.iter().flat_map(StandIn::runs) {
+        *runs.entry(run.key).or_default() += run.runs;
+    }
+    runs
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_key_runs_twice_or_against_its_verdict() {
+    let count = from_environment("ACT_KEYS", DEFAULT_KEYS);
+    let seed = from_environment("ACT_SEED", DEFAULT_SEED);
+    let mut settings = one_centre(VMS);
+    settings.relay_peers = true;
+    let mut tier = Tier::start(&settings).await.unwrap();
+    tier.submit_config(&service_text("act", ""), 0)
+        .await
+        .unwrap();
+    let targets = start_targets(&tier, 42, 2, 2).await;
+    let addresses: Vec<_> = tier.daemons().iter().map(DaemonProcess::callers).collect();
+    sleep(Duration::from_millis(ACTS_END_MS)).await;
+
+    let stop = watch::Sender::new(false);
+    let work = async {
+        let keys = stream::iter((0..count).map(|number| {
+            let addresses = &addresses;
+            async move {
+                let key = format!("act-{number}");
+                let answers = send_key(addresses, &key, seed * 100_000 + number).await;
+                (key, answers)
+            }
+        }));
+        let answers: Vec<_> = keys.buffer_unordered(CALLERS).collect().await;
+        stop.send_replace(true);
+        answers
+    };
+    let (answers, kills) = tokio::join!(work, disturb(&mut tier, seed, stop.subscribe()));
+    sleep(Duration::from_millis(ACTS_END_MS)).await;
+
+    let refused = send_without_majority(&mut tier, &addresses).await;
+    let runs = runs_by_key(&targets);
+    let runs_of = |key: &String| runs.get(key).copied().unwrap_or_default();
+    let broken: Vec<_> = answers
+        .iter()
+        .chain(&refused)
+        .filter(|(key, answers)| answers.is_broken_by(runs_of(key)))
+        .map(|(key, answers)| (key, answers, runs_of(key)))
+        .collect();
+    let told_ran = answers
+        .iter()
+        .filter(|(_, answers)| answers.ran > 0)
+        .count();
+    let only_not_run = answers
+        .iter()
+        .chain(&refused)
+        .filter(|(_, answers)| answers.ran == 0 && answers.unknown == 0)
+        .count();
+    println!(
+        "{count} keys, seed {seed}, {kills} kills: {} ran, {told_ran} told so, \
+         {only_not_run} told only not-run",
+        runs.len()
+    );
+    assert!(broken.is_empty(), "{broken:?}");
+    assert!(kills > 0 && told_ran > 0 && only_not_run > 0);
+    tier.stop().await.unwrap();
+}
