--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -1,6 +1,7 @@
 //! The open-loop load generator.
 
 mod arrivals;
+mod event;
 mod metrics;
 mod outcome;
 mod report;
@@ -18,11 +19,12 @@
 use http::Method;
 use tokio::{
     task::JoinSet,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
 use self::{
     arrivals::{ArrivalPlan, PlannedRequest},
+    event::run_events,
     outcome::{RequestEnding, RequestOutcome},
     report::{act_report, fault_counts, kind_reports, latencies, refusal_counts},
 };
@@ -35,6 +37,7 @@
 
 pub use self::{
     arrivals::{RequestKind, RequestMix},
+    event::{EventKind, LoadEvent},
     metrics::metric_sum,
     report::{ActReport, FaultCount, KindReport, LoadReport, RefusalCount, WorkReport},
 };
@@ -43,6 +46,8 @@
 
 /// How much longer than its deadline a caller waits for the tier's verdict.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Number of the first request of a warm-up, beyond those of any run.
+const WARM_UP_NUMBER: u64 = 1_000_000_000;
 const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
 const ATTEMPTS_METRIC: &str = "fulmarweir_attempts_total";
 
@@ -53,12 +58,16 @@
     pub label: String,
     /// Requests a second over all daemons.
     pub rate_per_sec: f64,
+    /// Load of the same kind before the run, which is not measured.
+    pub warm_up: Duration,
     /// Length of the run.
     pub duration: Duration,
     /// Seed of the arrivals.
     pub seed: u64,
     /// Kinds of requests.
     pub mix: RequestMix,
+    /// What happens to targets and daemons meanwhile.
+    pub events: Vec<LoadEvent>,
     /// Whether progress is written to standard error.
     pub progress: bool,
 }
@@ -72,8 +81,12 @@
 ///
 /// [`BenchError::Settings`] when there is nothing to send.
 pub async fn run_load(rig: &TestRig, settings: &LoadSettings) -> Result<LoadReport> {
+    warm_up(rig, settings).await?;
     let before = WorkSample::take(rig).await;
-    let outcomes = offer(rig, settings).await?;
+    let start = Instant::now();
+    let events = run_events(rig, &settings.events, settings.seed, start);
+    let (outcomes, ()) = tokio::join!(offer(rig, settings, start, 0), events);
+    let outcomes = outcomes?;
     let after = WorkSample::take(rig).await;
     let answered = outcomes
         .iter()
@@ -84,6 +97,7 @@
         seed: settings.seed,
         rate_per_sec: settings.rate_per_sec,
         seconds: settings.duration.as_secs_f64(),
+        settle_secs: rig.settle_time.as_secs_f64(),
         kinds: kind_reports(&outcomes, rig.scenario.deadline_ms()),
         refusals: refusal_counts(&outcomes),
         faults: fault_counts(&outcomes),
@@ -93,7 +107,25 @@
     })
 }
 
-async fn offer(rig: &TestRig, settings: &LoadSettings) -> Result<Vec<RequestOutcome>> {
+/// Lets the daemons measure their targets before the run.
+async fn warm_up(rig: &TestRig, settings: &LoadSettings) -> Result<()> {
+    let settings = LoadSettings {
+        label: format!("{} warm-up", settings.label),
+        duration: settings.warm_up,
+        seed: !settings.seed,
+        events: Vec::new(),
+        ..settings.clone()
+    };
+    offer(rig, &settings, Instant::now(), WARM_UP_NUMBER).await?;
+    Ok(())
+}
+
+async fn offer(
+    rig: &TestRig,
+    settings: &LoadSettings,
+    start: Instant,
+    first_number: u64,
+) -> Result<Vec<RequestOutcome>> {
     let entries = rig.entries();
     let plan = ArrivalPlan::new(
         settings.seed,
@@ -101,6 +133,7 @@
         settings.mix,
         &entries,
         rig.scenario.services(),
+        first_number,
     );
     let Some(plan) = plan else {
         return Err(Report::new(BenchError::Settings));
@@ -111,12 +144,11 @@
         deadline_ms: rig.scenario.deadline_ms(),
         done: AtomicU64::new(0),
     });
-    let start = Instant::now();
     let mut next_progress = start + PROGRESS_PERIOD;
     let mut calls = JoinSet::new();
     for request in plan.take_while(|request| request.start < settings.duration) {
         let due = start + request.start;
-        sleep_until(due).await;
+        sleep_until(due + caller.link_delay).await;
         if settings.progress && due >= next_progress {
             next_progress += PROGRESS_PERIOD;
             let done = caller.done.load(Ordering::Relaxed);
@@ -125,7 +157,7 @@
                 settings.label,
                 request.start.as_secs_f64(),
                 settings.duration.as_secs_f64(),
-                request.number
+                request.number - first_number
             );
         }
         let caller = Arc::clone(&caller);
@@ -144,7 +176,6 @@
 
 impl LoadCaller {
     async fn call(&self, request: PlannedRequest, due: Instant) -> RequestOutcome {
-        sleep(self.link_delay).await;
         let body = request.body();
         let mut call = HttpCall::new(Method::POST, request.entry, &request.path(), body.clone())
             .header("fulmarweir-deadline-ms", &self.deadline_ms.to_string());
@@ -153,12 +184,12 @@
         }
         call.timeout = Duration::from_millis(self.deadline_ms) + PATIENCE;
         let reply = self.client.send(call).await.ok();
-        sleep(self.link_delay).await;
         self.done.fetch_add(1, Ordering::Relaxed);
         RequestOutcome {
             kind: request.kind,
             body,
-            latency: due.elapsed(),
+            // The way back is added rather than waited for: timers round up to milliseconds.
+            latency: due.elapsed() + self.link_delay,
             ending: RequestEnding::from_reply(&request, reply.as_ref()),
         }
     }
@@ -205,6 +236,11 @@
         self.targets.iter().map(field).sum()
     }
 
+    fn drain_last(&self) -> Duration {
+        let lasts = self.targets.iter().filter_map(|c| c.last_after_drain);
+        lasts.max().unwrap_or_default()
+    }
+
     fn max(&self, field: fn(&StandInCounters) -> u64) -> u64 {
         self.targets.iter().map(field).max().unwrap_or_default()
     }
@@ -236,6 +272,7 @@
             connections_max: self.max(|c| c.connections_max),
             connections_refused: delta(|c| c.connections_refused),
             repeated_attempts: delta(|c| c.repeated_attempts),
+            drain_last_ms: self.drain_last().as_secs_f64() * 1e3,
             cpu_secs,
             cpu_us_per_target_request: cpu_secs * 1e6 / requests.max(1) as f64,
             rss_max_kib: self.rss_max_kib,
