--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -234,6 +234,7 @@
             program,
             centres,
             voters: VOTERS.min(vms),
+            spare_disks: 0,
             relay_peers: false,
             log_level: "warning".to_owned(),
             extra_settings: String::new(),
--- a/crates/bench/src/tier/process.rs
+++ b/crates/bench/src/tier/process.rs
@@ -82,10 +82,10 @@
         self.plan.operators()
     }
 
-    /// Whether it has a data folder and votes.
+    /// Whether it is a member of the first voter set.
     #[must_use]
     pub fn votes(&self) -> bool {
-        self.plan.data_folder.is_some()
+        self.plan.votes
     }
 
     /// Its data folder, if it has one.
--- a/crates/bench/src/tier/settings.rs
+++ b/crates/bench/src/tier/settings.rs
@@ -44,6 +44,8 @@
     pub centres: Vec<CentrePlan>,
     /// VMs that have a data folder and vote, spread over the data centres.
     pub voters: u32,
+    /// VMs that have a data folder and do not vote, placed after the voters.
+    pub spare_disks: u32,
     /// Whether links between daemons pass through relays that can delay and cut them.
     pub relay_peers: bool,
     /// Least severe level that the daemons log.
@@ -69,6 +71,7 @@
             program,
             centres: vec![centre],
             voters: vms.min(3),
+            spare_disks: 0,
             relay_peers: false,
             log_level: "info".to_owned(),
             extra_settings: String::new(),
@@ -84,6 +87,7 @@
     pub(crate) region: RegionName,
     pub(crate) address: IpAddr,
     pub(crate) data_folder: Option<PathBuf>,
+    pub(crate) votes: bool,
     pub(crate) settings_file: PathBuf,
     pub(crate) log_file: PathBuf,
     pub(crate) relayed: bool,
@@ -118,7 +122,7 @@
     }
 }
 
-/// Plans every daemon: the voters go round the data centres in turn.
+/// Plans every daemon: the voters, then the spare disks, go round the data centres in turn.
 pub(crate) fn plan_vms(settings: &TierSettings, folder: &Path) -> Result<Vec<VmPlan>> {
     let mut plans = Vec::new();
     for centre in &settings.centres {
@@ -132,16 +136,18 @@
                 region: centre.region.clone(),
                 address: free_loopback_address()?,
                 data_folder: None,
+                votes: false,
                 relayed: settings.relay_peers,
             });
         }
     }
-    place_voters(&mut plans, settings, folder);
+    place_disks(&mut plans, settings, folder);
     Ok(plans)
 }
 
-fn place_voters(plans: &mut [VmPlan], settings: &TierSettings, folder: &Path) {
-    let mut left = settings.voters;
+fn place_disks(plans: &mut [VmPlan], settings: &TierSettings, folder: &Path) {
+    let mut voters_left = settings.voters;
+    let mut left = settings.voters + settings.spare_disks;
     let most = settings.centres.iter().map(|centre| centre.vms).max();
     for round in 0..most.unwrap_or(0) as usize {
         for centre in &settings.centres {
@@ -150,6 +156,8 @@
                 continue;
             };
             plan.data_folder = Some(folder.join(format!("{}.data", plan.name)));
+            plan.votes = voters_left > 0;
+            voters_left = voters_left.saturating_sub(1);
             left -= 1;
         }
     }
@@ -176,7 +184,7 @@
         let _ = writeln!(text, "advertise-peers = {}", plan.advertised_peers());
     }
     let seeds: Vec<String> = seeds(plan, plans).iter().map(ToString::to_string).collect();
-    let voters = plans.iter().filter(|other| other.data_folder.is_some());
+    let voters = plans.iter().filter(|other| other.votes);
     let voters: Vec<String> = voters
         .map(|voter| format!("{} {}", voter.name, voter.advertised_peers()))
         .collect();
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -33,6 +33,7 @@
 pub use ini::TEXT_MAX_BYTES;
 pub use service_parse::SERVICES_MAX;
 pub use settings::{
-    ListenSettings, PeerSettings, PolicySettings, ShutdownSettings, VmSettings, VoterAddress,
+    ListenSettings, PeerSettings, PolicySettings, RepairSettings, ShutdownSettings, VmSettings,
+    VoterAddress,
 };
 pub use version::{AnswerPreference, ConfigVersion, ServiceKind, ServicePlan};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -35,6 +35,8 @@
     pub body_max_bytes: usize,
     /// Time limits of a graceful shutdown.
     pub shutdown: ShutdownSettings,
+    /// When voters are replaced.
+    pub repair: RepairSettings,
     /// Switches that turn single decisions off, to compare policies.
     pub policy: PolicySettings,
 }
@@ -81,6 +83,13 @@
     pub drain_max: Duration,
 }
 
+/// When voters are replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RepairSettings {
+    /// Absence after which a voter is replaced by a VM with a data folder that does not vote.
+    pub gone: Duration,
+}
+
 /// Switches that turn single decisions off, to compare policies.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PolicySettings {
--- a/crates/conf/src/settings_parse.rs
+++ b/crates/conf/src/settings_parse.rs
@@ -12,13 +12,14 @@
     ini::IniSection,
     reader::{SectionReader, push_duplicate_section},
     settings::{
-        ListenSettings, PeerSettings, PolicySettings, ShutdownSettings, VmSettings, VoterAddress,
+        ListenSettings, PeerSettings, PolicySettings, RepairSettings, ShutdownSettings, VmSettings,
+        VoterAddress,
     },
     settings_value::{folder, log_level, token, voter},
     value::{address, flag, list, name, number, reachable_address},
 };
 
-const SECTIONS: [&str; 8] = [
+const SECTIONS: [&str; 9] = [
     "vm",
     "listen",
     "peers",
@@ -26,6 +27,7 @@
     "log",
     "limits",
     "shutdown",
+    "voters",
     "policy",
 ];
 
@@ -38,6 +40,8 @@
 const SETTLE_RANGE_MS: RangeInclusive<u64> = 0..=60_000;
 const DRAIN_DEFAULT_MS: u64 = 10_000;
 const DRAIN_RANGE_MS: RangeInclusive<u64> = 0..=600_000;
+const GONE_DEFAULT_MS: u64 = 30_000;
+const GONE_RANGE_MS: RangeInclusive<u64> = 1000..=3_600_000;
 const BROKERS_RANGE: RangeInclusive<u32> = 1..=1000;
 
 /// Reads all sections; `None` if a fault made a part unusable.
@@ -53,6 +57,7 @@
     let log_level = read_log(sections, faults);
     let body_max_bytes = read_limits(sections, faults);
     let shutdown = read_shutdown(sections, faults);
+    let repair = read_repair(sections, faults);
     let policy = read_policy(sections, faults);
     let (vm, listen) = (vm?, listen?);
     let settings = VmSettings {
@@ -66,6 +71,7 @@
         log_level,
         body_max_bytes,
         shutdown,
+        repair,
         policy,
     };
     check_own_vote(&settings, sections, faults);
@@ -253,6 +259,18 @@
     }
 }
 
+fn read_repair(sections: &[IniSection<'_>], faults: &mut FaultList) -> RepairSettings {
+    let mut gone_ms = GONE_DEFAULT_MS;
+    if let Some(section) = find(sections, "voters") {
+        let mut reader = SectionReader::new(section, faults);
+        gone_ms = reader.or_default("gone-ms", gone_ms, |v| number(v, &GONE_RANGE_MS));
+        reader.finish();
+    }
+    RepairSettings {
+        gone: Duration::from_millis(gone_ms),
+    }
+}
+
 fn read_policy(sections: &[IniSection<'_>], faults: &mut FaultList) -> PolicySettings {
     let mut policy = PolicySettings::default();
     let Some(section) = find(sections, "policy") else {
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -72,6 +72,7 @@
     assert_eq!(settings.body_max_bytes, 1024 * 1024);
     assert_eq!(settings.shutdown.settle, Duration::from_millis(500));
     assert_eq!(settings.shutdown.drain_max, Duration::from_secs(10));
+    assert_eq!(settings.repair.gone, Duration::from_secs(30));
     assert!(settings.policy.hedge);
     assert!(!settings.policy.naive_retry);
     assert_eq!(settings.policy.brokers_max, None);
@@ -81,10 +82,11 @@
 #[test]
 fn reads_optional_sections() {
     let more = "[limits]\nbody-max-bytes = 2048\n[shutdown]\nsettle-ms = 0\ndrain-max-ms = 1\n\
-                [policy]\nhedge = false\nnaive-retry = true\nrandom-replica = true\nbrokers-max = 2\n";
+                [voters]\ngone-ms = 5000\n[policy]\nhedge = false\nnaive-retry = true\nrandom-replica = true\nbrokers-max = 2\n";
     let settings = parse(&format!("{SMALL}advertise-peers = 10.0.0.1:7003\n{more}")).unwrap();
     assert_eq!(settings.body_max_bytes, 2048);
     assert_eq!(settings.shutdown.drain_max, Duration::from_millis(1));
+    assert_eq!(settings.repair.gone, Duration::from_secs(5));
     assert!(!settings.policy.hedge && settings.policy.random_replica);
     assert_eq!(settings.policy.brokers_max, Some(2));
     assert_eq!(settings.peer_address().to_string(), "10.0.0.1:7003");
--- a/crates/daemon/src/voter_repair.rs
+++ b/crates/daemon/src/voter_repair.rs
@@ -10,8 +10,6 @@
 
 /// Time between two looks at the voters, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 2000;
-/// Absence after which a voter is replaced; longer than a restart takes.
-const GONE_MS: u64 = 30_000;
 /// Absence of a voter under this VM's own name, whose log is lost for certain.
 const OWN_LOG_LOST_MS: u64 = 2000;
 /// Most time that spares wait at random, so that they rarely race.
@@ -81,7 +79,7 @@
     if member.name == node.settings.name {
         Duration::from_millis(OWN_LOG_LOST_MS)
     } else {
-        Duration::from_millis(GONE_MS)
+        node.settings.repair.gone
     }
 }
 
