Test searches over data centres and spreading on nine VMs

A service has one shard in each of two data centres. All three are answered whole; with one cut off, each side answers what it holds and says which shard is missing; once healed, answers are whole within the 5 s that the users ask for. The time from accepted to in force is printed, not asserted, since it depends on the machine's load.

--- /dev/null
+++ b/tests/tests/state_centres.rs
@@ -0,0 +1,134 @@
+//! Several data centres: searches that need another one, a cut, and spreading of changes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fulmarweir_base::ShardHolding;
+use fulmarweir_bench::{CentrePlan, DaemonProcess, LinkState, StandIn, Tier, TierSettings};
+use fulmarweir_tests::{
+    SubmitEnd, TestCaller, TestOperator, marked_text, one_centre, service_text, target_of,
+};
+use futures::future::join_all;
+use tokio::time::{Instant, sleep};
+
+const CENTRES: [&str; 3] = ["ub-sukhbaatar", "dk-central", "er-bayan"];
+/// Time in which answers are whole again once data centres reach each other.
+const HEAL_MAX: Duration = Duration::from_secs(5);
+const NOTICE_POLLS_MAX: u32 = 300;
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+fn three_centres(vms: u32) -> TierSettings {
+    let mut settings = one_centre(vms);
+    let plan = |name: &str| CentrePlan {
+        name: name.parse().unwrap(),
+        region: name.parse().unwrap(),
+        vms,
+    };
+    settings.centres = CENTRES.map(plan).to_vec();
+    settings.voters = 3;
+    settings
+}
+
+/// A target of one shard that announces itself in one data centre.
+async fn start_in(tier: &Tier, centre: &str, shard: u32) -> StandIn {
+    let holding = ShardHolding {
+        version: 7,
+        shard,
+        of: 2,
+    };
+    let mut settings = target_of(tier, holding, 0);
+    let daemons = tier.daemons().iter();
+    let daemons = daemons.filter(|daemon| daemon.centre().as_str() == centre);
+    settings.vms = daemons.map(DaemonProcess::targets).collect();
+    StandIn::start(settings).await.unwrap()
+}
+
+/// Searches until the missing shards are these; every answer before must be what it says.
+async fn wait_missing(caller: &TestCaller, address: SocketAddr, missing: &[u32]) {
+    for _ in 0..NOTICE_POLLS_MAX {
+        let answer = caller.search(address, "{\"cut\":true}").await;
+        if answer.is_some_and(|answer| answer.coverage.missing == missing) {
+            return;
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    panic!("no answer at {address} lacks just {missing:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shard_of_another_centre_is_searched_and_a_cut_told_truly() {
+    let mut settings = three_centres(2);
+    settings.relay_peers = true;
+    let tier = Tier::start(&settings).await.unwrap();
+    let text = service_text("search", "prefer = coverage\n");
+    tier.submit_config(&text, 0).await.unwrap();
+    let _first = start_in(&tier, CENTRES[0], 0).await;
+    let _second = start_in(&tier, CENTRES[1], 1).await;
+    let caller = TestCaller::default();
+    let callers: Vec<_> = tier.daemons().iter().map(DaemonProcess::callers).collect();
+    for address in &callers {
+        caller.wait_whole(*address, 2).await;
+    }
+
+    tier.set_links_of_group(&[0, 1], LinkState::cut());
+    for address in &callers[..2] {
+        wait_missing(&caller, *address, &[1]).await;
+    }
+    for address in &callers[2..] {
+        wait_missing(&caller, *address, &[0]).await;
+    }
+
+    tier.set_links_of_group(&[0, 1], LinkState::default());
+    let healed = Instant::now();
+    for address in &callers {
+        caller.wait_whole(*address, 2).await;
+        let after = healed.elapsed();
+        assert!(after < HEAL_MAX, "whole at {address} after {after:?}");
+    }
+    println!("whole everywhere after {} ms", healed.elapsed().as_millis());
+    tier.stop().await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_on_nine_vms() {
+    const CHANGES: u64 = 40;
+    let tier = Tier::start(&three_centres(3)).await.unwrap();
+    let operators: Vec<_> = tier
+        .daemons()
+        .iter()
+        .map(DaemonProcess::operators)
+        .collect();
+    let operator = TestOperator::default();
+    let mut times = Vec::new();
+    for at in 0..CHANGES {
+        let address = operators[usize::try_from(at).unwrap() % operators.len()];
+        let id = format!("change-{at}");
+        let end = operator.submit(address, at, &id, &marked_text(at)).await;
+        assert_eq!(end, SubmitEnd::Accepted(at + 1));
+        let accepted = Instant::now();
+        let waits = operators
+            .iter()
+            .map(|vm| wait_version(&operator, *vm, at + 1));
+        join_all(waits).await;
+        times.push(accepted.elapsed());
+    }
+    times.sort_unstable();
+    let rank = |share: usize| times[(times.len() - 1) * share / 100].as_millis();
+    println!(
+        "accepted to in force on {} VMs, {CHANGES} changes: p50 {} ms, p90 {} ms, max {} ms",
+        operators.len(),
+        rank(50),
+        rank(90),
+        rank(100)
+    );
+    tier.stop().await.unwrap();
+}
+
+async fn wait_version(operator: &TestOperator, address: SocketAddr, version: u64) {
+    for _ in 0..2000 {
+        if operator.version(address).await >= Some(version) {
+            return;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    panic!("version {version} is not in force at {address}");
+}
