Test a diskless VM that restarts inside a data centre that is cut off

It must come back with its neighbour's version, serve it, and catch up within the 5 s that the users ask for.

--- a/tests/tests/state_centres.rs
+++ b/tests/tests/state_centres.rs
@@ -88,6 +88,45 @@
     tier.stop().await.unwrap();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_diskless_vm_restarts_inside_a_centre_that_is_cut_off() {
+    let mut settings = three_centres(2);
+    settings.relay_peers = true;
+    let mut tier = Tier::start(&settings).await.unwrap();
+    let operators: Vec<_> = tier
+        .daemons()
+        .iter()
+        .map(DaemonProcess::operators)
+        .collect();
+    let operator = TestOperator::default();
+    tier.submit_config(&marked_text(1), 0).await.unwrap();
+    tier.submit_config(&marked_text(2), 1).await.unwrap();
+    assert!(tier.daemons()[0].votes() && tier.daemons()[1].data_folder().is_none());
+
+    tier.set_links_of_group(&[0, 1], LinkState::cut());
+    for at in 2..5 {
+        let id = format!("change-{at}");
+        let end = operator
+            .submit(operators[2], at, &id, &marked_text(at))
+            .await;
+        assert_eq!(end, SubmitEnd::Accepted(at + 1));
+    }
+    // The newest version that it can learn of is that of its neighbour.
+    tier.restart(1).await.unwrap();
+    assert_eq!(operator.version(operators[1]).await, Some(2));
+    assert_eq!(operator.version(operators[0]).await, Some(2));
+
+    tier.set_links_of_group(&[0, 1], LinkState::default());
+    let healed = Instant::now();
+    for vm in &operators[..2] {
+        wait_version(&operator, *vm, 5).await;
+    }
+    let after = healed.elapsed();
+    assert!(after < HEAL_MAX, "caught up after {after:?}");
+    println!("caught up {} ms after the heal", after.as_millis());
+    tier.stop().await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_is_in_force_on_nine_vms() {
     const CHANGES: u64 = 40;
