Ask other data centres for shards whose replicas here are used up

A service with one replica of each shard in a data centre could not be hedged: 142 hedges for 9,600 attempts, and the 99th percentile stood at the stragglers' 80 ms. Data centres that hold the same shards are now stand-in records that get hedges and retries for which no replica here is left, within the same budget; they complete no version. Targets that answer are reported to the fleet as evidence.

--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -8,9 +8,7 @@
 use fulmarweir_quorum::{
     ActClaim, ActKey, ActOutcome as StoredOutcome, ActState, ClaimOutcome, QuorumError,
 };
-use fulmarweir_route::{
-    ActAsk, ActOutcome, ActReply, ActRun, AdmissionAsk, RefusalReason, RouteRefusal,
-};
+use fulmarweir_route::{ActAsk, ActOutcome, ActReply, ActRun, RefusalReason, RouteRefusal};
 use sha2::{Digest, Sha256};
 use slog::warn;
 use tokio::time::sleep;
@@ -232,17 +230,14 @@
     let plan = &request.plan;
     let no_targets = RouteRefusal::not_run(RefusalReason::NoTargets, None);
     let view = node.views.get(&plan.name).ok_or(no_targets)?;
-    let own = arrived + plan.deadline;
-    let deadline = request.ask.deadline.unwrap_or(own).min(own);
-    let desk = node.desks.get(&plan.name);
-    desk.note_view(&view.targets);
-    let permit = desk
-        .admit(AdmissionAsk::keyed(deadline), node.timer.now())
-        .await?;
     let ask = ActAsk {
         arrived: Some(arrived),
         ..request.ask.clone()
     };
+    let desk = node.desks.get(&plan.name);
+    desk.note_view(&view.targets);
+    let now = node.timer.now();
+    let permit = desk.admit(ask.admission(plan, now), now).await?;
     let targets = Arc::clone(&view.targets);
     let now = node.timer.now();
     let started = ActRun::start(
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fulmarweir_base::{RunVerdict, TargetName};
-use fulmarweir_fleet::VmIdentity;
+use fulmarweir_base::{RunVerdict, TargetName, lock};
+use fulmarweir_fleet::{TargetKey, VmIdentity};
 use fulmarweir_pool::{TargetAnswer, TargetError, TargetFault, TargetRequest};
 use fulmarweir_wire::{TrafficClass, WireError, WireFault};
 
@@ -30,6 +30,25 @@
     if let Some(route) = view.spill_route(target) {
         return send_to_any(node, &route.contacts, None, &request).await;
     }
+    let service = request.service.clone();
+    let ended = send_in_centre(node, view, target, request).await;
+    let now = node.timer.now();
+    if ended.is_ok() && view.note_answer(target, now) {
+        let key = TargetKey {
+            service,
+            name: target.clone(),
+        };
+        lock(&node.fleet).on_target_evidence(&key, now);
+    }
+    ended
+}
+
+async fn send_in_centre(
+    node: &NodeState,
+    view: &ServiceView,
+    target: &TargetName,
+    request: TargetRequest,
+) -> Result<TargetAnswer, TargetError> {
     let own = &node.settings.name;
     let brokers = view.brokers_of(target);
     if brokers.iter().any(|broker| broker.name == *own) {
--- a/crates/daemon/src/search.rs
+++ b/crates/daemon/src/search.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use fulmarweir_base::{MonoTime, TimerService};
-use fulmarweir_conf::{AnswerPreference, ServicePlan};
+use fulmarweir_conf::ServicePlan;
 use fulmarweir_route::{
-    AdmissionAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, SearchOutcome, SearchRun,
+    RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, SearchOutcome, SearchRun,
 };
 
 use crate::{
@@ -41,7 +41,7 @@
     };
     let desk = node.desks.get(&plan.name);
     desk.note_view(&view.targets);
-    let admission = admission_ask(&plan, &ask, &view.targets, started);
+    let admission = ask.admission(&plan, &view.targets, started);
     let permit = desk.admit(admission, started).await?;
     let label = ServiceLabel {
         service: plan.name.to_string(),
@@ -86,25 +86,6 @@
     }
 }
 
-fn admission_ask(
-    plan: &ServicePlan,
-    ask: &SearchAsk,
-    targets: &fulmarweir_route::TargetView,
-    now: MonoTime,
-) -> AdmissionAsk {
-    let own = now + plan.deadline;
-    let deadline = ask.deadline.unwrap_or(own).min(own);
-    let answer_by = match plan.prefer {
-        AnswerPreference::Latency => deadline.min(now + plan.soft_deadline),
-        AnswerPreference::Coverage => deadline,
-    };
-    if ask.key.is_some() {
-        return AdmissionAsk::keyed(answer_by);
-    }
-    let shards = targets.pin(ask.min_version).map_or(1, |index| index.of);
-    AdmissionAsk::wide(shards as usize, answer_by)
-}
-
 fn record_outcome(
     node: &NodeState,
     label: &ServiceLabel,
--- a/crates/daemon/src/spill.rs
+++ b/crates/daemon/src/spill.rs
@@ -1,8 +1,10 @@
-//! Shards that only other data centres hold.
+//! Shards that other data centres hold.
 //!
-//! A service without a complete version here is completed by stand-in records,
-//! one for each data centre that holds missing shards. An attempt at such a
-//! record goes to a contact VM of that data centre, which picks the target.
+//! Each data centre that holds shards of a service is one stand-in record among
+//! the service's targets. A service without a complete version here is completed
+//! by them; else they get only hedges and retries for which no replica here is
+//! left. An attempt at such a record goes to a contact VM of that data centre,
+//! which picks the target.
 
 use std::sync::Arc;
 
@@ -17,7 +19,7 @@
 /// Parts of the hash space that names of stand-in records are drawn from.
 const SPILL_NAME_PARTS: u32 = u32::MAX;
 
-/// Another data centre that holds shards missing here.
+/// Another data centre that holds shards of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct SpillRoute {
     /// Stands for the data centre among the targets.
@@ -26,23 +28,19 @@
     pub(crate) contacts: Vec<Arc<VmIdentity>>,
 }
 
-/// Routes for the shards of `service` that `local` lacks; none when a version is complete here.
+/// Routes to all data centres but `own` that hold shards of `service`.
 pub(crate) fn spill_routes(
     fleet: &FleetState,
     own: &CentreName,
     service: &ServiceName,
-    local: &TargetView,
 ) -> Vec<SpillRoute> {
-    if local.newest_complete().is_some() {
-        return Vec::new();
-    }
     let others = fleet.centres().filter(|record| record.centre != *own);
     let mut routes = Vec::new();
     for other in others {
         let Some(holding) = fleet.centre_holding(&other.centre, service) else {
             continue;
         };
-        let versions = missing_holdings(local, &holding.spans);
+        let versions = holdings_of(&holding.spans);
         let Some(contact) = other.contacts.first().filter(|_| !versions.is_empty()) else {
             continue;
         };
@@ -62,24 +60,35 @@
     routes
 }
 
-fn missing_holdings(local: &TargetView, spans: &[ShardSpan]) -> Vec<ShardHolding> {
+fn holdings_of(spans: &[ShardSpan]) -> Vec<ShardHolding> {
     let mut holdings = Vec::new();
     for span in spans {
-        let held_here = local.version(span.version);
-        for shard in (0..span.of).filter(|shard| span.has_shard(*shard)) {
-            let is_here = held_here.is_some_and(|index| !index.holders(shard).is_empty());
-            if !is_here {
-                holdings.push(ShardHolding {
-                    version: span.version,
-                    shard,
-                    of: span.of,
-                });
-            }
-        }
+        let held = (0..span.of).filter(|shard| span.has_shard(*shard));
+        holdings.extend(held.map(|shard| ShardHolding {
+            version: span.version,
+            shard,
+            of: span.of,
+        }));
     }
     holdings
 }
 
+/// The stand-in records with only those shards that `local` lacks.
+pub(crate) fn missing_records(routes: &[SpillRoute], local: &TargetView) -> Vec<TargetRecord> {
+    let is_missing = |holding: &ShardHolding| {
+        let index = local.version(holding.version);
+        index.is_none_or(|index| index.holders(holding.shard).is_empty())
+    };
+    let records = routes.iter().map(|route| {
+        let mut record = route.record.clone();
+        record.versions.retain(is_missing);
+        record
+    });
+    records
+        .filter(|record| !record.versions.is_empty())
+        .collect()
+}
+
 /// A name for the route that no target would give itself, and that fits the length limit.
 fn route_name(centre: &CentreName) -> TargetName {
     let hash = shard_for_key(centre.as_str(), SPILL_NAME_PARTS);
--- a/crates/daemon/src/views.rs
+++ b/crates/daemon/src/views.rs
@@ -2,7 +2,11 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
 };
 
 use fulmarweir_base::{CentreName, MonoTime, ServiceName, TargetName, lock};
@@ -15,16 +19,27 @@
 use crate::{
     lifecycle::LifePhase,
     node::NodeState,
-    spill::{SpillRoute, spill_routes},
+    spill::{SpillRoute, missing_records, spill_routes},
 };
 
+/// Least time between two reports that a target answers, in milliseconds.
+///
+/// It is well below the lease that an answer stands for, and spares the fleet's lock.
+const EVIDENCE_PERIOD_MS: u64 = 500;
+
+/// The VMs that connect to a target, and when it last answered here.
+struct TargetBrokers {
+    vms: Arc<[Arc<VmIdentity>]>,
+    answered_micros: AtomicU64,
+}
+
 /// The targets of one service at one moment.
 pub(crate) struct ServiceView {
     /// Where the shards are, other data centres included where this one lacks them.
     pub(crate) targets: Arc<TargetView>,
     /// Where the shards are within this data centre.
     pub(crate) local: Arc<TargetView>,
-    brokers: HashMap<TargetName, Arc<[Arc<VmIdentity>]>>,
+    brokers: HashMap<TargetName, TargetBrokers>,
     spill: Vec<SpillRoute>,
     entries: Vec<TargetEntry>,
 }
@@ -33,17 +48,24 @@
     fn build(entries: &[TargetEntry], local: Arc<TargetView>, spill: Vec<SpillRoute>) -> Self {
         let usable = || entries.iter().filter(|entry| entry.usable);
         let brokers = usable()
-            .map(|entry| (entry.record.name.clone(), Arc::clone(&entry.brokers)))
+            .map(|entry| {
+                let brokers = TargetBrokers {
+                    vms: Arc::clone(&entry.brokers),
+                    answered_micros: AtomicU64::new(0),
+                };
+                (entry.record.name.clone(), brokers)
+            })
             .collect();
-        let targets = if spill.is_empty() {
-            Arc::clone(&local)
+        let far = spill.iter().map(|route| route.record.clone()).collect();
+        let targets = if local.newest_complete().is_some() {
+            (*local).clone().with_far(far)
         } else {
             let records = usable().map(|entry| (*entry.record).clone());
-            let stand_ins = spill.iter().map(|route| route.record.clone());
-            Arc::new(TargetView::build(records.chain(stand_ins).collect()))
+            let completing = missing_records(&spill, &local);
+            TargetView::build(records.chain(completing).collect()).with_far(far)
         };
         Self {
-            targets,
+            targets: Arc::new(targets),
             local,
             brokers,
             spill,
@@ -53,7 +75,20 @@
 
     /// The VMs that hold connections to a target, the preferred one first.
     pub(crate) fn brokers_of(&self, target: &TargetName) -> &[Arc<VmIdentity>] {
-        self.brokers.get(target).map_or(&[], |brokers| brokers)
+        self.brokers.get(target).map_or(&[], |known| &*known.vms)
+    }
+
+    /// Notes that a target answered; true when that is worth telling the fleet.
+    pub(crate) fn note_answer(&self, target: &TargetName, now: MonoTime) -> bool {
+        let Some(known) = self.brokers.get(target) else {
+            return false;
+        };
+        let last = MonoTime::from_micros(known.answered_micros.load(Relaxed));
+        if now.since(last) < Duration::from_millis(EVIDENCE_PERIOD_MS) {
+            return false;
+        }
+        known.answered_micros.store(now.as_micros(), Relaxed);
+        true
     }
 
     /// The route that stands among the targets as `target`, if it is one.
@@ -106,7 +141,7 @@
             let entries = table.of_service(&plan.name);
             let same = known.get(&plan.name).filter(|view| view.is_of(entries));
             let local = same.map_or_else(|| local_view(entries), |view| Arc::clone(&view.local));
-            let spill = spill_routes(fleet, own, &plan.name, &local);
+            let spill = spill_routes(fleet, own, &plan.name);
             let view = match same {
                 Some(view) if view.spill == spill => Arc::clone(view),
                 _ => {
--- a/crates/route/src/act.rs
+++ b/crates/route/src/act.rs
@@ -205,15 +205,18 @@
         let index = self.view.newest_complete()?;
         self.version = index.version;
         let shard = shard_for_key(&self.key, index.of);
-        choose_replica(
-            self.permit.state(),
-            index.holders(shard),
-            &self.tried,
-            index.version,
-            ChoicePurpose::Needed,
-            now,
-            rng,
-        )
+        let mut choose_among = |holders: &[Arc<TargetRecord>]| {
+            choose_replica(
+                self.permit.state(),
+                holders,
+                &self.tried,
+                index.version,
+                ChoicePurpose::Needed,
+                now,
+                rng,
+            )
+        };
+        choose_among(index.holders(shard)).or_else(|| choose_among(&index.far_holders(shard)))
     }
 
     fn send(
--- a/crates/route/src/search/extra.rs
+++ b/crates/route/src/search/extra.rs
@@ -216,14 +216,21 @@
         } else {
             ChoicePurpose::Needed
         };
-        choose_replica(
-            self.permit.state(),
-            index.holders(progress.shard),
-            &progress.tried,
-            self.version,
-            purpose,
-            step.now,
-            step.rng,
-        )
+        let mut choose_among = |holders: &[Arc<TargetRecord>], purpose| {
+            choose_replica(
+                self.permit.state(),
+                holders,
+                &progress.tried,
+                self.version,
+                purpose,
+                step.now,
+                step.rng,
+            )
+        };
+        // Another data centre is always slower than the median, so it need not be as fast as a spare.
+        choose_among(index.holders(progress.shard), purpose).or_else(|| {
+            let far = index.far_holders(progress.shard);
+            choose_among(&far, ChoicePurpose::Needed)
+        })
     }
 }
--- a/crates/route/src/search/pin.rs
+++ b/crates/route/src/search/pin.rs
@@ -105,7 +105,9 @@
         let Some(index) = self.view.version(self.version) else {
             return false;
         };
-        let holders = index.holders(self.shards[place].shard);
-        has_holder(self.permit.state(), holders, self.version, now)
+        let shard = self.shards[place].shard;
+        let state = self.permit.state();
+        has_holder(state, index.holders(shard), self.version, now)
+            || has_holder(state, &index.far_holders(shard), self.version, now)
     }
 }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -178,8 +178,12 @@
             .map(|target| f64::from(target.slots))
             .sum();
         lock(&self.gate).set_ceiling((slots * SLOTS_CEILING).max(1.0));
-        let names: HashSet<&TargetName> =
-            view.targets().iter().map(|target| &target.name).collect();
+        let names: HashSet<&TargetName> = view
+            .targets()
+            .iter()
+            .chain(view.far())
+            .map(|target| &target.name)
+            .collect();
         self.table.retain(|name| names.contains(name));
     }
 
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use fulmarweir_base::{SHARD_COUNT_MAX, TargetRecord, TargetState};
+use fulmarweir_base::{SHARD_COUNT_MAX, ShardHolding, TargetRecord, TargetState};
 
 /// The holders of one shard of one version.
 #[derive(Clone, Debug)]
@@ -19,6 +19,7 @@
     /// Shards that the version has.
     pub of: u32,
     shards: Vec<ShardHolders>,
+    far: Vec<Arc<TargetRecord>>,
 }
 
 impl VersionIndex {
@@ -39,6 +40,7 @@
             version,
             of,
             shards,
+            far: Vec::new(),
         }
     }
 
@@ -68,6 +70,17 @@
             .map_or(&[], |place| &self.shards[place].targets)
     }
 
+    /// Stand-ins of other data centres that hold `shard`, for when no target here can be asked.
+    pub(crate) fn far_holders(&self, shard: u32) -> Vec<Arc<TargetRecord>> {
+        let holding = ShardHolding {
+            version: self.version,
+            shard,
+            of: self.of,
+        };
+        let holds = |record: &&Arc<TargetRecord>| record.versions.contains(&holding);
+        self.far.iter().filter(holds).cloned().collect()
+    }
+
     /// Compares held shares `held / of` without rounding.
     fn covers_more_than(&self, other: &Self) -> bool {
         let left = u64::from(self.held()) * u64::from(other.of);
@@ -88,6 +101,7 @@
 pub struct TargetView {
     versions: Vec<VersionIndex>,
     targets: Vec<Arc<TargetRecord>>,
+    far: Vec<Arc<TargetRecord>>,
 }
 
 impl TargetView {
@@ -125,7 +139,34 @@
             }
         }
         versions.reverse();
-        Self { versions, targets }
+        Self {
+            versions,
+            targets,
+            far: Vec::new(),
+        }
+    }
+
+    /// Adds records that stand for other data centres.
+    ///
+    /// They get only attempts for which no target of the view is left: a hedge or retry of a
+    /// shard whose other replicas are loaded, ejected or tried. They complete no version.
+    #[must_use]
+    pub fn with_far(mut self, records: Vec<TargetRecord>) -> Self {
+        self.far = records.into_iter().map(Arc::new).collect();
+        for index in &mut self.versions {
+            let has_version = |record: &&Arc<TargetRecord>| {
+                let mut versions = record.versions.iter();
+                versions.any(|holding| holding.version == index.version)
+            };
+            index.far = self.far.iter().filter(has_version).cloned().collect();
+        }
+        self
+    }
+
+    /// The records that stand for other data centres, in the order given.
+    #[must_use]
+    pub fn far(&self) -> &[Arc<TargetRecord>] {
+        &self.far
     }
 
     /// The versions held, newest first.
