--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(!RunVerdict::MayHaveRun.allows_retry(false));
 //! ```
 
+mod lock;
 mod name;
 mod shard;
 mod target;
@@ -17,11 +18,12 @@
 mod timer;
 mod verdict;
 
+pub use lock::lock;
 pub use name::{
     CentreName, NAME_MAX_BYTES, NameError, RegionName, ServiceName, TargetName, VmName,
 };
 pub use shard::shard_for_key;
-pub use target::{ShardHolding, TargetRecord, TargetState};
+pub use target::{SHARD_COUNT_MAX, ShardHolding, TargetRecord, TargetState};
 pub use time::MonoTime;
 pub use timer::{TimerService, TimerTicks};
 pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,206 @@
+//! The open-loop load generator.
+
+mod arrivals;
+mod event;
+mod metrics;
+mod outcome;
+mod report;
+mod work;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use error_stack::Report;
+use http::Method;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use self::{
+    arrivals::{ArrivalPlan, PlannedRequest},
+    event::run_events,
+    outcome::{RequestEnding, RequestOutcome},
+    report::{act_report, fault_counts, kind_reports, latencies, refusal_counts},
+    work::WorkSample,
+};
+use crate::{
+    client::{HttpCall, HttpClient},
+    error::BenchError,
+    rig::TestRig,
+    stand_in::StandIn,
+};
+
+pub(crate) use self::report::new_histogram;
+pub use self::{
+    arrivals::{RequestKind, RequestMix},
+    event::{EventKind, LoadEvent},
+    metrics::metric_sum,
+    report::{ActReport, FaultCount, KindReport, LoadReport, RefusalCount, WorkReport},
+};
+
+type Result<T> = std::result::Result<T, Report<BenchError>>;
+
+/// How much longer than its deadline a caller waits for the tier's verdict.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Number of the first request of a warm-up, beyond those of any run.
+const WARM_UP_NUMBER: u64 = 1_000_000_000;
+const PROGRESS_PERIOD: Duration = Duration::from_secs(2);
+
+/// What to offer and for how long.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Name of the run in its report.
+    pub label: String,
+    /// Requests a second over all daemons.
+    pub rate_per_sec: f64,
+    /// Load of the same kind before the run, which is not measured.
+    pub warm_up: Duration,
+    /// Length of the run.
+    pub duration: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Kinds of requests.
+    pub mix: RequestMix,
+    /// What happens to targets and daemons meanwhile.
+    pub events: Vec<LoadEvent>,
+    /// Whether progress is written to standard error.
+    pub progress: bool,
+}
+
+/// Offers the load to a rig and sums up what came of it.
+///
+/// Requests start at their drawn times whether or not earlier ones have been
+/// answered, and latency counts from the drawn time.
+///
+/// # Errors
+///
+/// [`BenchError::Settings`] when there is nothing to send.
+pub async fn run_load(rig: &TestRig, settings: &LoadSettings) -> Result<LoadReport> {
+    warm_up(rig, settings).await?;
+    let before = WorkSample::take(rig).await;
+    let start = Instant::now();
+    let events = run_events(rig, &settings.events, settings.seed, start);
+    let (outcomes, ()) = tokio::join!(offer(rig, settings, start, 0), events);
+    let outcomes = outcomes?;
+    let after = WorkSample::take(rig).await;
+    let answered = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome.ending, RequestEnding::Answered { .. }))
+        .count() as u64;
+    Ok(LoadReport {
+        label: settings.label.clone(),
+        seed: settings.seed,
+        rate_per_sec: settings.rate_per_sec,
+        seconds: settings.duration.as_secs_f64(),
+        settle_secs: rig.settle_time.as_secs_f64(),
+        kinds: kind_reports(&outcomes, rig.scenario.settings().name.deadline_ms()),
+        refusals: refusal_counts(&outcomes),
+        faults: fault_counts(&outcomes),
+        acts: act_report(&outcomes, &runs_by_body(&rig.targets)),
+        work: after.since(&before, answered),
+        latencies: latencies(&outcomes),
+    })
+}
+
+/// Lets the daemons measure their targets before the run.
+async fn warm_up(rig: &TestRig, settings: &LoadSettings) -> Result<()> {
+    let settings = LoadSettings {
+        label: format!("{} warm-up", settings.label),
+        duration: settings.warm_up,
+        seed: !settings.seed,
+        events: Vec::new(),
+        ..settings.clone()
+    };
+    offer(rig, &settings, Instant::now(), WARM_UP_NUMBER).await?;
+    Ok(())
+}
+
+async fn offer(
+    rig: &TestRig,
+    settings: &LoadSettings,
+    start: Instant,
+    first_number: u64,
+) -> Result<Vec<RequestOutcome>> {
+    let entries = rig.entries();
+    let plan = ArrivalPlan::new(
+        settings.seed,
+        settings.rate_per_sec,
+        settings.mix,
+        &entries,
+        rig.scenario.services(),
+        first_number,
+    );
+    let Some(plan) = plan else {
+        return Err(Report::new(BenchError::Settings));
+    };
+    let caller = Arc::new(LoadCaller {
+        client: HttpClient::new(),
+        link_delay: rig.scenario.settings().name.client_delay(),
+        deadline_ms: rig.scenario.settings().name.deadline_ms(),
+        done: AtomicU64::new(0),
+    });
+    let mut next_progress = start + PROGRESS_PERIOD;
+    let mut calls = JoinSet::new();
+    for request in plan.take_while(|request| request.start < settings.duration) {
+        let due = start + request.start;
+        sleep_until(due + caller.link_delay).await;
+        if settings.progress && due >= next_progress {
+            next_progress += PROGRESS_PERIOD;
+            let done = caller.done.load(Ordering::Relaxed);
+            eprintln!(
+                "{}: {:.0} s of {:.0} s, sent {}, ended {done}",
+                settings.label,
+                request.start.as_secs_f64(),
+                settings.duration.as_secs_f64(),
+                request.number - first_number
+            );
+        }
+        let caller = Arc::clone(&caller);
+        calls.spawn(async move { caller.call(request, due).await });
+    }
+    Ok(calls.join_all().await)
+}
+
+/// The side of the callers.
+struct LoadCaller {
+    client: HttpClient,
+    link_delay: Duration,
+    deadline_ms: u64,
+    done: AtomicU64,
+}
+
+impl LoadCaller {
+    async fn call(&self, request: PlannedRequest, due: Instant) -> RequestOutcome {
+        let body = request.body();
+        let mut call = HttpCall::new(Method::POST, request.entry, &request.path(), body.clone())
+            .header("fulmarweir-deadline-ms", &self.deadline_ms.to_string());
+        if let Some(key) = request.idempotency_key() {
+            call = call.header("idempotency-key", &key);
+        }
+        call.timeout = Duration::from_millis(self.deadline_ms) + PATIENCE;
+        let reply = self.client.send(call).await.ok();
+        self.done.fetch_add(1, Ordering::Relaxed);
+        RequestOutcome {
+            kind: request.kind,
+            body,
+            // The way back is added rather than waited for: timers round up to milliseconds.
+            latency: due.elapsed() + self.link_delay,
+            ending: RequestEnding::from_reply(&request, reply.as_ref()),
+        }
+    }
+}
+
+fn runs_by_body(targets: &[StandIn]) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for act in targets.iter().flat_map(StandIn::runs) {
+        *runs.entry(act.body).or_default() += act.runs;
+    }
+    runs
+}
--- /dev/null
+++ b/crates/fleet/src/announce.rs
@@ -0,0 +1,366 @@
+//! Announcements of targets, their leases and the table that is built from them.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, SHARD_COUNT_MAX, TargetRecord, TargetState, VmName};
+
+use crate::{
+    CentreNews, FleetAction, FleetMessage, FleetState, SpreadNews, TargetChange, TargetEntry,
+    TargetKey, TargetTable, VmIdentity,
+    hash::rendezvous_weight,
+    state::TakingPart,
+    target::{LeaseTimes, own_holder},
+};
+
+/// Least time between two snapshots, unless a use has ended.
+const REBUILD_PERIOD_MS: u64 = 150;
+
+/// Answer to an accepted announcement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnnounceReply {
+    /// Time for which the announcement holds, in milliseconds.
+    pub lease_ms: u64,
+    /// Time until the next announcement is due, in milliseconds.
+    pub next_ms: u64,
+    /// Where to announce next.
+    pub at: SocketAddr,
+}
+
+/// Why an announcement was not accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetRefusal {
+    /// A later start of the target has announced itself; its incarnation.
+    StaleIncarnation(u64),
+    /// More shards are listed than accepted; the most accepted.
+    TooManyHoldings(usize),
+    /// A shard is not below the number of shards of its version, or that number is too large.
+    ShardOutOfRange {
+        /// Index version.
+        version: u64,
+        /// The shard.
+        shard: u32,
+        /// Shards that the version has.
+        of: u32,
+    },
+    /// A target must run at least one request and accept at least one connection.
+    NoCapacity,
+    /// This VM does not take part: its name belongs to another or it has left.
+    NotTakingPart,
+}
+
+/// A change of this VM and the end of its lease.
+#[derive(Debug)]
+struct OwnLease {
+    change: TargetChange,
+    until: MonoTime,
+}
+
+/// Result of an announcement.
+pub type AnnounceResult = Result<AnnounceReply, TargetRefusal>;
+
+impl fmt::Display for TargetRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::StaleIncarnation(known) => {
+                write!(
+                    f,
+                    "a later start has announced itself, with incarnation {known}"
+                )
+            }
+            Self::TooManyHoldings(most) => write!(f, "more than {most} shards are listed"),
+            Self::ShardOutOfRange { version, shard, of } => {
+                write!(
+                    f,
+                    "shard {shard} of version {version} is not below {of}, or {of} exceeds {SHARD_COUNT_MAX}"
+                )
+            }
+            Self::NoCapacity => f.write_str("slots and connections must be at least 1"),
+            Self::NotTakingPart => f.write_str("this VM does not take part in the fleet"),
+        }
+    }
+}
+
+impl std::error::Error for TargetRefusal {}
+
+impl FleetState {
+    /// Takes an announcement that a target made to this VM.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, when the announcement is stale, malformed or cannot be kept here.
+    pub fn announce(
+        &mut self,
+        record: TargetRecord,
+        now: MonoTime,
+    ) -> (AnnounceResult, Vec<FleetAction>) {
+        let result = self.accept_announcement(record, now);
+        self.rebuild_urgent(now);
+        (result, std::mem::take(&mut self.actions))
+    }
+
+    fn accept_announcement(&mut self, record: TargetRecord, now: MonoTime) -> AnnounceResult {
+        self.check_announcement(&record)?;
+        let key = TargetKey::of(&record);
+        if let Some(change) = self.next_change(&key, record) {
+            self.apply_own_change(&key, change, now);
+        }
+        let lease = self.settings.lease;
+        if let Some(entry) = self.leases.get_mut(&key) {
+            entry.lease_until = Some(now + lease);
+            self.targets_dirty |= !entry.usable;
+            self.targets_urgent |= !entry.usable;
+        }
+        Ok(self.announce_reply(&key))
+    }
+
+    fn check_announcement(&self, record: &TargetRecord) -> Result<(), TargetRefusal> {
+        if self.taking_part != TakingPart::Yes {
+            return Err(TargetRefusal::NotTakingPart);
+        }
+        check_record(record, self.settings.holdings_max)?;
+        let known = self.leases.get(&TargetKey::of(record));
+        match known.map(|known| known.change.record.incarnation) {
+            Some(known) if known > record.incarnation => {
+                Err(TargetRefusal::StaleIncarnation(known))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The change that the announcement makes, or `None` if it only renews the lease.
+    fn next_change(&self, key: &TargetKey, record: TargetRecord) -> Option<TargetChange> {
+        let holder = own_holder(&self.members);
+        let known = self.leases.get(key).map(|known| &known.change);
+        let same_start = known.filter(|known| known.record.incarnation == record.incarnation);
+        let unchanged = same_start
+            .is_some_and(|known| !known.gone && known.holder == holder && *known.record == record);
+        if unchanged {
+            return None;
+        }
+        let revision = same_start.map_or(0, |known| known.revision + 1);
+        Some(TargetChange {
+            record: Arc::new(record),
+            holder,
+            revision,
+            gone: false,
+        })
+    }
+
+    fn apply_own_change(&mut self, key: &TargetKey, change: TargetChange, now: MonoTime) {
+        self.leases.merge(&change, true, now);
+        self.targets_dirty = true;
+        self.targets_urgent = true;
+        if change.record.state == TargetState::Draining {
+            self.tell_brokers(key, &change);
+        }
+        self.pending.targets.push(change);
+    }
+
+    /// Tells the brokers at once, ahead of the tree, that the target is leaving.
+    fn tell_brokers(&mut self, key: &TargetKey, change: &TargetChange) {
+        let brokers = self.brokers_of(key).unwrap_or_default();
+        let own = self.identity.name.clone();
+        for broker in brokers.iter().filter(|broker| broker.name != own) {
+            let news = SpreadNews {
+                origin: own.clone(),
+                // The tick sends the same news down the same tree.
+                turn: self.turn,
+                members: Vec::new(),
+                targets: vec![change.clone()],
+                centres: CentreNews::default(),
+            };
+            self.send(broker.peers, FleetMessage::Spread(news));
+        }
+    }
+
+    fn announce_reply(&self, key: &TargetKey) -> AnnounceReply {
+        let live = self.members.live().iter();
+        let at = live.max_by_key(|vm| rendezvous_weight(&vm.name, key));
+        AnnounceReply {
+            lease_ms: millis(self.settings.lease),
+            next_ms: millis(self.settings.announce_period),
+            at: at.map_or(self.identity.targets, |vm| vm.targets),
+        }
+    }
+
+    /// Takes changes of peers over; returns those that were new.
+    pub(crate) fn take_targets(
+        &mut self,
+        changes: Vec<TargetChange>,
+        now: MonoTime,
+    ) -> Vec<TargetChange> {
+        let mut fresh = Vec::new();
+        for change in changes {
+            if let Err(refusal) = check_record(&change.record, self.settings.holdings_max) {
+                self.actions.push(FleetAction::ChangeRefused(refusal));
+                continue;
+            }
+            let holder = self.members.get(&change.holder.vm);
+            let live = holder.is_some_and(|holder| {
+                holder.is_live() && holder.update.identity.boot == change.holder.boot
+            });
+            let own = self.own_lease(&change);
+            if self.leases.merge(&change, live, now) {
+                self.targets_dirty = true;
+                let ends_use = change.gone || change.record.state != TargetState::Serving;
+                self.targets_urgent |= ends_use;
+                if let Some(own) = own.filter(|_| !live) {
+                    self.renumber(own, &change, now);
+                }
+                fresh.push(change);
+            }
+        }
+        fresh
+    }
+
+    /// The change that this VM made to the same target, if its lease runs here.
+    fn own_lease(&self, change: &TargetChange) -> Option<OwnLease> {
+        let entry = self.leases.get(&TargetKey::of(&change.record))?;
+        let held = entry.change.holder == own_holder(&self.members) && !entry.change.gone;
+        let until = entry.lease_until.filter(|_| held)?;
+        Some(OwnLease {
+            change: entry.change.clone(),
+            until,
+        })
+    }
+
+    /// Numbers an own change above one of a former holder that is not live any more.
+    ///
+    /// A VM that has just started takes announcements before it knows the numbers
+    /// that its former self gave out.
+    fn renumber(&mut self, own: OwnLease, other: &TargetChange, now: MonoTime) {
+        let drains = other.record.state == TargetState::Draining;
+        if own.change.record.incarnation != other.record.incarnation || drains {
+            return;
+        }
+        let change = TargetChange {
+            revision: other.revision + 1,
+            ..own.change
+        };
+        let key = TargetKey::of(&change.record);
+        self.apply_own_change(&key, change, now);
+        if let Some(entry) = self.leases.get_mut(&key) {
+            entry.lease_until = Some(own.until);
+        }
+    }
+
+    /// Reviews the use of all targets, if anything may have changed it, and ends the leases
+    /// that lapsed here.
+    pub(crate) fn pass_leases(&mut self, now: MonoTime) {
+        self.members.withdraw_trust(self.settings.holder_grace, now);
+        let basis = (self.members.generation(), self.is_isolated(now));
+        let due = self.timers.lease_review.is_some_and(|at| now >= at);
+        if !due && !self.is_rebuild_due(now) && self.lease_basis == basis {
+            return;
+        }
+        self.lease_basis = basis;
+        let lapsed = self.review_leases(now);
+        for key in lapsed {
+            let Some(entry) = self.leases.get(&key) else {
+                continue;
+            };
+            let mut change = entry.change.clone();
+            change.revision += 1;
+            change.gone = true;
+            self.apply_own_change(&key, change, now);
+        }
+    }
+
+    fn review_leases(&mut self, now: MonoTime) -> Vec<TargetKey> {
+        let times = LeaseTimes {
+            lease: self.settings.lease,
+            holder_grace: self.settings.holder_grace,
+            orphan_kept: self.settings.orphan_kept,
+        };
+        let isolated = self.is_isolated(now);
+        let pass = self.leases.pass(&self.members, isolated, times, now);
+        self.targets_dirty |= pass.changed;
+        self.timers.lease_review = pass.next_at;
+        pass.lapsed
+    }
+
+    /// Builds a new snapshot at once if a target must not be used any more; other changes
+    /// wait for the tick.
+    pub(crate) fn rebuild_urgent(&mut self, now: MonoTime) {
+        if self.targets_urgent {
+            self.review_leases(now);
+            self.build_targets(now);
+        }
+    }
+
+    /// Whether anything in the snapshot changed and it need not wait any longer.
+    fn is_rebuild_due(&self, now: MonoTime) -> bool {
+        self.targets_dirty && (self.targets_urgent || now >= self.timers.rebuild)
+    }
+
+    /// Builds a new snapshot if it is due.
+    pub(crate) fn rebuild_targets(&mut self, now: MonoTime) {
+        if self.is_rebuild_due(now) {
+            self.build_targets(now);
+        }
+    }
+
+    fn build_targets(&mut self, now: MonoTime) {
+        self.timers.rebuild = now + Duration::from_millis(REBUILD_PERIOD_MS);
+        self.targets_dirty = false;
+        self.targets_urgent = false;
+        let generation = self.plan.generation;
+        let mut entries = Vec::new();
+        for (_, entry) in self.leases.entries_mut() {
+            if entry.change.gone {
+                continue;
+            }
+            if entry.brokers_generation != Some(generation) {
+                entry.brokers = self
+                    .plan
+                    .brokers(&entry.change.record, &self.settings)
+                    .into();
+                entry.brokers_generation = Some(generation);
+            }
+            let brokers = entry
+                .brokers
+                .iter()
+                .filter_map(|name| self.members.live_identity(name));
+            entries.push(TargetEntry {
+                record: Arc::clone(&entry.change.record),
+                brokers: brokers.cloned().collect(),
+                usable: entry.usable,
+            });
+        }
+        self.targets = Arc::new(TargetTable::new(entries.into_iter()));
+        self.actions.push(FleetAction::TargetsChanged);
+    }
+
+    /// Live brokers of the target, the preferred one first.
+    pub(crate) fn brokers_of(&self, key: &TargetKey) -> Option<Vec<Arc<VmIdentity>>> {
+        let entry = self.leases.get(key)?;
+        let live = |name: &VmName| self.members.live_identity(name).cloned();
+        if entry.brokers_generation == Some(self.plan.generation) {
+            return Some(entry.brokers.iter().filter_map(live).collect());
+        }
+        let names = self.plan.brokers(&entry.change.record, &self.settings);
+        Some(names.iter().filter_map(live).collect())
+    }
+}
+
+fn check_record(record: &TargetRecord, holdings_max: usize) -> Result<(), TargetRefusal> {
+    if record.versions.len() > holdings_max {
+        return Err(TargetRefusal::TooManyHoldings(holdings_max));
+    }
+    if record.slots == 0 || record.connections == 0 {
+        return Err(TargetRefusal::NoCapacity);
+    }
+    let mut holdings = record.versions.iter();
+    match holdings.find(|holding| holding.shard >= holding.of || holding.of > SHARD_COUNT_MAX) {
+        Some(holding) => Err(TargetRefusal::ShardOutOfRange {
+            version: holding.version,
+            shard: holding.shard,
+            of: holding.of,
+        }),
+        None => Ok(()),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
