--- /dev/null
+++ b/crates/fleet/src/config_push.rs
@@ -0,0 +1,60 @@
+//! Telling peers of the configuration in force, and hearing of theirs.
+
+use std::net::SocketAddr;
+
+use fulmarweir_base::MonoTime;
+
+use crate::{
+    ConfigStamp, FleetAction, FleetMessage, FleetState, ReadyPhase, config::ConfigNotice,
+    probe::shuffle,
+};
+
+/// Data centres up to this size hear of a new configuration from every VM that applies it.
+const CONFIG_PUSH_ALL_VMS: usize = 16;
+
+impl FleetState {
+    pub(crate) fn on_config_news(&mut self, from: SocketAddr, stamp: ConfigStamp, now: MonoTime) {
+        let retry = self.settings.config_retry;
+        match self.config.on_peer(from, stamp, retry, now) {
+            ConfigNotice::Known => {}
+            ConfigNotice::Behind => {
+                self.actions
+                    .push(FleetAction::ConfigBehind { peer: from, stamp });
+            }
+            ConfigNotice::Conflict => {
+                self.actions
+                    .push(FleetAction::ConfigConflict { peer: from, stamp });
+            }
+        }
+        self.review_phase(now);
+    }
+
+    /// Asks again for a configuration that did not arrive, and reviews the phase.
+    pub(crate) fn tend_config(&mut self, now: MonoTime) {
+        if let Some(peer) = self.config.retry_source(self.settings.config_retry, now) {
+            let stamp = self.config.known();
+            self.actions.push(FleetAction::ConfigBehind { peer, stamp });
+        }
+        self.review_phase(now);
+    }
+
+    pub(crate) fn review_phase(&mut self, now: MonoTime) {
+        let alone = self.settings.seeds.is_empty();
+        let changed: Option<ReadyPhase> = self.config.review(alone, self.settings.learn_max, now);
+        self.actions.extend(changed.map(FleetAction::PhaseChanged));
+    }
+
+    /// Tells some peers, and the contacts of other data centres, of the configuration in force.
+    pub(crate) fn push_config(&mut self) {
+        let stamp = self.config.held();
+        let mut peers: Vec<_> = self.members.live_peers().map(|peer| peer.peers).collect();
+        if peers.len() > CONFIG_PUSH_ALL_VMS {
+            shuffle(&mut peers, &mut self.rng);
+            peers.truncate(self.settings.config_fan_out);
+        }
+        peers.extend(self.foreign_contacts());
+        for peer in peers {
+            self.send(peer, FleetMessage::ConfigNews(stamp));
+        }
+    }
+}
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -7,8 +7,7 @@
 
 use crate::{
     CentreNews, FleetAction, FleetMessage, FleetState, IndirectProbe, MemberStatus, MemberUpdate,
-    ProbeMessage, ReadyPhase, SpreadNews, StateDigest,
-    config::ConfigNotice,
+    ProbeMessage, SpreadNews, StateDigest,
     probe::{ProbeTimeout, shuffle},
     spread::tree_children,
     state::PendingNews,
@@ -16,8 +15,6 @@
 
 /// Most changes of each kind in one message.
 const SPREAD_CHUNK: usize = 64;
-/// Data centres up to this size hear of a new configuration from every VM that applies it.
-const CONFIG_PUSH_ALL_VMS: usize = 16;
 
 impl FleetState {
     /// Sends the next probe and handles those that were not answered.
@@ -218,56 +215,6 @@
         }
     }
 
-    pub(crate) fn on_config_news(
-        &mut self,
-        from: SocketAddr,
-        stamp: crate::ConfigStamp,
-        now: MonoTime,
-    ) {
-        let retry = self.settings.config_retry;
-        match self.config.on_peer(from, stamp, retry, now) {
-            ConfigNotice::Known => {}
-            ConfigNotice::Behind => {
-                self.actions
-                    .push(FleetAction::ConfigBehind { peer: from, stamp });
-            }
-            ConfigNotice::Conflict => {
-                self.actions
-                    .push(FleetAction::ConfigConflict { peer: from, stamp });
-            }
-        }
-        self.review_phase(now);
-    }
-
-    /// Asks again for a configuration that did not arrive, and reviews the phase.
-    pub(crate) fn tend_config(&mut self, now: MonoTime) {
-        if let Some(peer) = self.config.retry_source(self.settings.config_retry, now) {
-            let stamp = self.config.known();
-            self.actions.push(FleetAction::ConfigBehind { peer, stamp });
-        }
-        self.review_phase(now);
-    }
-
-    pub(crate) fn review_phase(&mut self, now: MonoTime) {
-        let alone = self.settings.seeds.is_empty();
-        let changed: Option<ReadyPhase> = self.config.review(alone, self.settings.learn_max, now);
-        self.actions.extend(changed.map(FleetAction::PhaseChanged));
-    }
-
-    /// Tells some peers, and the contacts of other data centres, of the configuration in force.
-    pub(crate) fn push_config(&mut self) {
-        let stamp = self.config.held();
-        let mut peers: Vec<_> = self.members.live_peers().map(|peer| peer.peers).collect();
-        if peers.len() > CONFIG_PUSH_ALL_VMS {
-            shuffle(&mut peers, &mut self.rng);
-            peers.truncate(self.settings.config_fan_out);
-        }
-        peers.extend(self.foreign_contacts());
-        for peer in peers {
-            self.send(peer, FleetMessage::ConfigNews(stamp));
-        }
-    }
-
     fn ask_others(&mut self, name: &VmName, sequence: u64) {
         let others = self.members.live_peers().filter(|peer| peer.name != *name);
         let mut others: Vec<_> = others.map(|peer| peer.peers).collect();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,6 +45,7 @@
 mod broker;
 mod centre;
 mod config;
+mod config_push;
 mod gossip;
 mod hash;
 mod join;
@@ -57,6 +58,7 @@
 mod settings;
 mod spread;
 mod state;
+mod table;
 mod target;
 
 pub use action::FleetAction;
@@ -71,4 +73,5 @@
 pub use ready::ReadyPhase;
 pub use settings::{FleetSettings, TICK_PERIOD_MS};
 pub use state::{FleetState, MemberView};
-pub use target::{TargetEntry, TargetKey, TargetTable};
+pub use table::{TargetEntry, TargetTable};
+pub use target::TargetKey;
