--- a/crates/bench/src/client.rs
+++ b/crates/bench/src/client.rs
@@ -113,7 +113,8 @@
     ///
     /// # Errors
     ///
-    /// [`BenchError::Http`] when the call fails or its timeout passes; it may have run.
+    /// [`BenchError::Unreachable`] when nothing was sent, [`BenchError::Http`] when the call
+    /// fails later or its timeout passes; it may have run.
     pub async fn send(&self, call: HttpCall) -> Result<HttpReply> {
         let uri = format!("http://{}{}", call.address, call.path);
         let mut request = Request::builder()
@@ -128,11 +129,14 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<HttpReply> {
-        let response = self
-            .client
-            .request(request)
-            .await
-            .change_context(BenchError::Http)?;
+        let response = self.client.request(request).await.map_err(|error| {
+            let context = if error.is_connect() {
+                BenchError::Unreachable
+            } else {
+                BenchError::Http
+            };
+            Report::new(error).change_context(context)
+        })?;
         let (head, body) = response.into_parts();
         let body = body.collect().await.change_context(BenchError::Http)?;
         Ok(HttpReply {
--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -13,6 +13,8 @@
     Http,
     /// A setting or flag cannot be used.
     Settings,
+    /// No connection could be opened; nothing was sent.
+    Unreachable,
 }
 
 impl fmt::Display for BenchError {
@@ -22,6 +24,7 @@
             Self::Io => "file or socket failed",
             Self::Http => "HTTP call failed",
             Self::Settings => "setting cannot be used",
+            Self::Unreachable => "no connection could be opened",
         })
     }
 }
