--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -18,6 +18,7 @@
 use crate::{
     caller_error::{CallerError, Result},
     carrier::RunRequest,
+    lifecycle::LifePhase,
     node::NodeState,
 };
 
@@ -141,10 +142,19 @@
     let name: ServiceName = service
         .parse()
         .map_err(|error| CallerError::bad_request(format!("{error}")))?;
+    node.config
+        .plan(&name)
+        .ok_or_else(|| missing_service(node, &name))
+}
+
+/// A VM that has just started cannot tell an unknown service from one that it has not learned of.
+fn missing_service(node: &NodeState, name: &ServiceName) -> CallerError {
+    if node.life.phase() == LifePhase::Starting {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return CallerError::refused(status, "starting", "no configuration is held yet");
+    }
     let status = StatusCode::NOT_FOUND;
-    node.config.plan(&name).ok_or_else(|| {
-        CallerError::refused(status, "unknown-service", format!("no service {name}"))
-    })
+    CallerError::refused(status, "unknown-service", format!("no service {name}"))
 }
 
 /// Whether the request is nested; refused when the calling service does not declare it.
