Let the demo run from the load tool alone

In a fresh clone the first README command built only the load tool and failed for want of the daemon. The tool now runs the daemon as its own subcommand where the program is not built; tried from a folder that holds nothing but the tool: one whole answer over 3 of 3 shards.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -1,9 +1,15 @@
 //! Runs the subcommands of the command line.
 
-use std::{path::PathBuf, process::Stdio, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    process::Stdio,
+    thread,
+    time::Duration,
+};
 
 use error_stack::{Report, ResultExt};
 use fulmarweir_base::ShardHolding;
+use fulmarweir_conf::VmSettings;
 use tokio::process::Command;
 
 use crate::{
@@ -46,6 +52,7 @@
         FulmarweirBenchCmd::Demo(flags) => {
             run_demo(program_or_own(flags.program)?, flags.stay).await
         }
+        FulmarweirBenchCmd::Daemon(flags) => run_daemon(&flags.settings),
         FulmarweirBenchCmd::Targets(flags) => serve_targets(flags).await,
         FulmarweirBenchCmd::Load(flags) => load_once(flags).await,
         FulmarweirBenchCmd::Compare(flags) => compare(flags).await,
@@ -53,6 +60,16 @@
     }
 }
 
+/// Runs the daemon on a thread of its own, because it brings its own runtime.
+fn run_daemon(settings: &Path) -> Result<()> {
+    let settings = VmSettings::read(settings).change_context(BenchError::Settings)?;
+    let daemon = thread::spawn(move || fulmarweir_daemon::run(settings));
+    match daemon.join() {
+        Ok(ended) => ended.change_context(BenchError::Daemon),
+        Err(_) => Err(Report::new(BenchError::Daemon)),
+    }
+}
+
 fn program_or_own(program: Option<PathBuf>) -> Result<PathBuf> {
     program.map_or_else(daemon_program, Ok)
 }
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -14,6 +14,11 @@
             /// Keep running until interrupted.
             optional --stay
         }
+        /// Run the daemon itself, as the demo does where the daemon program is not built.
+        cmd daemon {
+            /// Settings file of the VM (INI).
+            required --settings settings: PathBuf
+        }
         /// Start stand-in targets of one service that announce themselves to a VM.
         cmd targets {
             /// Address for targets of a VM, IP:PORT; repeatable.
--- a/crates/bench/src/tier.rs
+++ b/crates/bench/src/tier.rs
@@ -8,7 +8,7 @@
 
 use std::{
     fs,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
@@ -38,6 +38,7 @@
 type Result<T> = std::result::Result<T, Report<BenchError>>;
 
 const DAEMON_PROGRAM: &str = "fulmarweird";
+const BENCH_PROGRAM: &str = "fulmarweir-bench";
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_PAUSE: Duration = Duration::from_millis(50);
 
@@ -45,20 +46,30 @@
 
 /// The daemon program in the folder of the running program or the one above it.
 ///
+/// Where it has not been built, `fulmarweir-bench` stands in with its subcommand `daemon`.
+///
 /// # Errors
 ///
-/// [`BenchError::Settings`] when it has not been built there.
+/// [`BenchError::Settings`] when neither is there.
 pub fn daemon_program() -> Result<PathBuf> {
     let own = std::env::current_exe().change_context(BenchError::Io)?;
     let folders = own.ancestors().skip(1).take(2);
     let mut programs = folders.map(|folder| folder.join(DAEMON_PROGRAM));
     match programs.find(|program| program.is_file()) {
         Some(program) => Ok(program),
+        None if is_bench_program(&own) => Ok(own),
         None => Err(Report::new(BenchError::Settings))
             .attach("fulmarweird is not built: run `cargo build` for the whole workspace"),
     }
 }
 
+/// Whether `program` runs the daemon as a subcommand.
+pub(crate) fn is_bench_program(program: &Path) -> bool {
+    program
+        .file_stem()
+        .is_some_and(|stem| stem == BENCH_PROGRAM)
+}
+
 /// Running daemons with their settings and data in a temporary folder.
 ///
 /// [`Tier::stop`] ends all of them and removes the folder. A tier that is
--- a/crates/bench/src/tier/process.rs
+++ b/crates/bench/src/tier/process.rs
@@ -17,7 +17,7 @@
 };
 
 use super::settings::VmPlan;
-use crate::error::BenchError;
+use crate::{error::BenchError, tier::is_bench_program};
 
 type Result<T> = std::result::Result<T, Report<BenchError>>;
 
@@ -128,7 +128,9 @@
             .append(true)
             .open(&self.plan.log_file)
             .change_context(BenchError::Io)?;
+        let subcommand = is_bench_program(&self.program).then_some("daemon");
         let child = Command::new(&self.program)
+            .args(subcommand)
             .arg("--settings")
             .arg(&self.plan.settings_file)
             .stdin(Stdio::null())
