--- a/crates/daemon/src/config_change.rs
+++ b/crates/daemon/src/config_change.rs
@@ -16,9 +16,9 @@
 
 const SUBMIT_TIMEOUT_MS: u64 = 5000;
 const READ_TIMEOUT_MS: u64 = 2000;
-/// Time between two reads of the voters, which repair what gossip has missed.
+/// Time between two reads of the voters by a VM with a disk, in milliseconds.
 const READ_PERIOD_MS: u64 = 5000;
-/// Time between reads until the first one succeeds.
+/// Time between reads until the first one succeeds, in milliseconds.
 const FIRST_READ_PERIOD_MS: u64 = 250;
 
 /// A change as an operator submits it.
@@ -94,10 +94,13 @@
     Some(entries.collect())
 }
 
-/// Reads the configuration from the voters now and then, until the process halts.
+/// Reads the configuration from the voters at the start, and on VMs with a disk now and then.
 ///
 /// This is how a VM whose peers know nothing newer, such as the first one to
-/// start again, learns of the newest version.
+/// start again, learns of the newest version. VMs without a disk go on by what
+/// peers tell: at 7,200 VMs regular reads would carry the text to each of them
+/// every few seconds, while a few readers are enough to start the spread of a
+/// change whose submitter died.
 pub(crate) async fn run_config_reads(node: Arc<NodeState>) {
     let mut period = Duration::from_millis(FIRST_READ_PERIOD_MS);
     loop {
@@ -109,6 +112,9 @@
         if let Ok(state) = read {
             period = Duration::from_millis(READ_PERIOD_MS);
             take_config(&node, &state);
+            if node.voter.is_none() {
+                return;
+            }
         }
         tokio::select! {
             () = node.halt.cancelled() => return,
