--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -22,7 +22,6 @@
 mod error;
 mod flags;
 mod load;
-mod lock;
 mod output;
 mod rig;
 mod scenario;
--- a/crates/bench/src/stand_in/state.rs
+++ b/crates/bench/src/stand_in/state.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use fulmarweir_base::{ShardHolding, TargetRecord, TargetState};
+use fulmarweir_base::{ShardHolding, TargetRecord, TargetState, lock};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::{sync::Notify, time::Instant};
@@ -20,7 +20,6 @@
     settings::{ReplyFault, ReportHonesty, StandInBehaviour, StandInSettings},
     slots::SlotGate,
 };
-use crate::lock::lock;
 
 /// Shared state, each part under its own lock.
 #[derive(Debug)]
--- a/crates/bench/src/tier/mesh.rs
+++ b/crates/bench/src/tier/mesh.rs
@@ -11,11 +11,10 @@
     sync::{Arc, Mutex},
 };
 
-use fulmarweir_base::VmName;
+use fulmarweir_base::{VmName, lock};
 use tokio::sync::watch;
 
 use super::relay::LinkState;
-use crate::lock::lock;
 
 /// An ordered pair of daemons.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -55,6 +55,7 @@
 mod probe;
 mod ready;
 mod repair;
+mod report;
 mod settings;
 mod spread;
 mod state;
@@ -71,7 +72,8 @@
     TargetChange, VmIdentity,
 };
 pub use ready::ReadyPhase;
+pub use report::MemberView;
 pub use settings::{FleetSettings, TICK_PERIOD_MS};
-pub use state::{FleetState, MemberView};
+pub use state::FleetState;
 pub use table::{TargetEntry, TargetTable};
 pub use target::TargetKey;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,15 +2,14 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use fulmarweir_base::{CentreName, MonoTime, ServiceName, VmName};
+use fulmarweir_base::{CentreName, MonoTime, VmName};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
 use crate::{
-    BrokerShare, CentreNews, CentreRecord, ConfigStamp, FleetAction, FleetMessage, FleetSettings,
-    HoldingRecord, MemberStatus, MemberUpdate, ReadyPhase, SpreadNews, TargetKey, TargetLimits,
-    TargetTable, VmIdentity,
-    broker::{BrokerPlan, PlanFacts, concurrency_share},
+    CentreNews, ConfigStamp, FleetAction, FleetMessage, FleetSettings, MemberStatus, MemberUpdate,
+    SpreadNews, TargetKey, TargetTable, VmIdentity,
+    broker::{BrokerPlan, PlanFacts},
     centre::CentreTable,
     config::ConfigSpread,
     join::ContestedJoin,
@@ -52,19 +51,6 @@
     pub(crate) centre_refresh: MonoTime,
 }
 
-/// One member as others see it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct MemberView {
-    /// The VM.
-    pub identity: Arc<VmIdentity>,
-    /// What is believed of it.
-    pub status: MemberStatus,
-    /// Configuration that it had in force when last heard.
-    pub config: ConfigStamp,
-    /// When the status last changed.
-    pub changed_at: MonoTime,
-}
-
 /// The fleet protocols of one VM, as a pure state.
 pub struct FleetState {
     pub(crate) identity: Arc<VmIdentity>,
@@ -236,104 +222,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// The targets of this data centre, as an immutable snapshot.
-    #[must_use]
-    pub fn targets(&self) -> Arc<TargetTable> {
-        Arc::clone(&self.targets)
-    }
-
-    /// What this VM may use of the target, or `None` if it is not one of its brokers.
-    ///
-    /// `limits` may be lower than announced. Zero connections mean that this VM is a
-    /// broker and may not connect yet.
-    #[must_use]
-    pub fn broker_share(
-        &self,
-        key: &TargetKey,
-        limits: TargetLimits,
-        now: MonoTime,
-    ) -> Option<BrokerShare> {
-        let entry = self.leases.get(key)?;
-        let record = &entry.change.record;
-        let brokers = self.brokers_of(key)?;
-        let own = &self.identity.name;
-        if !brokers.iter().any(|broker| broker.name == *own) {
-            return None;
-        }
-        let limits = limits.lower(TargetLimits::of(record));
-        let former = entry.former_limits(self.settings.hand_over, now);
-        let connections = self
-            .plan
-            .connections(own, record, former, limits, &self.settings, now);
-        let concurrency = concurrency_share(&brokers, own, limits.slots);
-        Some(BrokerShare {
-            connections,
-            concurrency: concurrency.min(connections),
-        })
-    }
-
-    /// Phase of this VM since its start.
-    #[must_use]
-    pub fn phase(&self) -> ReadyPhase {
-        match self.taking_part {
-            TakingPart::Yes => self.config.phase(),
-            TakingPart::Refused(_) | TakingPart::Left => ReadyPhase::Learning,
-        }
-    }
-
-    /// Configuration in force here.
-    #[must_use]
-    pub fn config_held(&self) -> ConfigStamp {
-        self.config.held()
-    }
-
-    /// Newest configuration that this VM has heard of.
-    #[must_use]
-    pub fn config_known(&self) -> ConfigStamp {
-        self.config.known()
-    }
-
-    /// All known VMs of this data centre, this one among them, with removed ones for a while.
-    #[must_use]
-    pub fn members(&self) -> Vec<MemberView> {
-        let own = self.config.held();
-        let view = |entry: &crate::member::MemberEntry| MemberView {
-            identity: Arc::clone(&entry.update.identity),
-            status: entry.update.status,
-            config: if entry.update.identity == self.identity {
-                own
-            } else {
-                entry.config
-            },
-            changed_at: entry.changed_at,
-        };
-        self.members.entries().map(view).collect()
-    }
-
-    /// Summaries of all known data centres, the own one among them.
-    pub fn centres(&self) -> impl Iterator<Item = &CentreRecord> {
-        self.centres.records()
-    }
-
-    /// What the data centre `centre` holds of `service`.
-    #[must_use]
-    pub fn centre_holding(
-        &self,
-        centre: &CentreName,
-        service: &ServiceName,
-    ) -> Option<&HoldingRecord> {
-        self.centres.holding(centre, service)
-    }
-
-    /// The VM that has this VM's name, if this one was refused for it.
-    #[must_use]
-    pub fn refused_by(&self) -> Option<&Arc<VmIdentity>> {
-        match &self.taking_part {
-            TakingPart::Refused(holder) => Some(holder),
-            TakingPart::Yes | TakingPart::Left => None,
-        }
-    }
-
     pub(crate) fn send(&mut self, to: SocketAddr, message: FleetMessage) {
         self.actions.push(FleetAction::Send { to, message });
     }
--- a/crates/quorum/src/acceptor.rs
+++ b/crates/quorum/src/acceptor.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use fulmarweir_base::{MonoTime, VmName};
+use fulmarweir_base::{MonoTime, VmName, lock};
 
 use crate::{
     acceptor::shard::{RecordSink, RegisterPage, RegisterShard, ShardClock},
@@ -314,7 +314,7 @@
 
     fn shard(&self, number: u32) -> MutexGuard<'_, RegisterShard> {
         let shard = &self.shards[(number % REGISTER_SHARDS) as usize];
-        shard.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(shard)
     }
 
     fn read_epoch(&self) -> std::sync::RwLockReadGuard<'_, EpochState> {
--- a/crates/quorum/src/client.rs
+++ b/crates/quorum/src/client.rs
@@ -10,12 +10,12 @@
 use std::{
     collections::HashMap,
     fmt,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use error_stack::Report;
-use fulmarweir_base::{MonoTime, RunVerdict, TimerService};
+use fulmarweir_base::{MonoTime, RunVerdict, TimerService, lock};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
@@ -320,11 +320,11 @@
     }
 
     fn lock_view(&self) -> MutexGuard<'_, VoterView> {
-        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.view)
     }
 
     fn lock_state(&self) -> MutexGuard<'_, ProposerState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/quorum/src/client/carrier.rs
+++ b/crates/quorum/src/client/carrier.rs
@@ -1,10 +1,8 @@
 //! Sends requests to voters and collects the answers.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Mutex, time::Duration};
 
+use fulmarweir_base::lock;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
     task::JoinSet,
@@ -44,7 +42,7 @@
         requests: Vec<VoterRequest>,
     ) -> UnboundedReceiver<IndexedReply> {
         let (sender, receiver) = unbounded_channel();
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut tasks = lock(&self.tasks);
         while tasks.try_join_next().is_some() {}
         for (index, (member, request)) in members.iter().zip(requests).enumerate() {
             let answer = (self.transport)(member.clone(), request);
@@ -72,7 +70,7 @@
     /// Waits for requests that are still under way.
     pub(crate) async fn close(&self) {
         let mut tasks = {
-            let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut tasks = lock(&self.tasks);
             std::mem::take(&mut *tasks)
         };
         while tasks.join_next().await.is_some() {}
--- a/crates/quorum/src/service.rs
+++ b/crates/quorum/src/service.rs
@@ -98,7 +98,7 @@
         for record in records {
             acceptor.replay(now, record);
         }
-        info!(logger, "voter opened"; "identity" => %identity,
+        info!(logger, "voter-opened"; "identity" => %identity,
             "epoch" => acceptor.epoch_state().current.epoch, "registers" => acceptor.register_count());
         Ok(Arc::new(Self {
             acceptor,
@@ -163,7 +163,7 @@
     async fn is_durable(&self, receipt: AppendReceipt) -> bool {
         let durable = receipt.wait().await;
         if durable.is_err() && !self.stopped.swap(true, Ordering::Relaxed) {
-            error!(self.logger, "voter stopped"; "reason" => "write failed");
+            error!(self.logger, "voter-stopped"; "reason" => "write failed");
         }
         durable.is_ok()
     }
--- a/crates/route/src/act.rs
+++ b/crates/route/src/act.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord, shard_for_key};
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord, lock, shard_for_key};
 use fulmarweir_conf::ServicePlan;
 use rand::Rng;
 
@@ -16,7 +16,6 @@
     attempts::AttemptTable,
     refusal::Result,
     replica::{ChoicePurpose, choose_replica},
-    table::lock,
 };
 
 /// A target's reply to an act.
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -2,11 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord};
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord, lock};
 
 use crate::{
     AttemptId, AttemptKind, AttemptOutcome, SendOrder, ServiceState, limit::LimitSignal,
-    load::TargetSignal, table::lock,
+    load::TargetSignal,
 };
 
 /// An attempt that has not ended.
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -2,13 +2,12 @@
 
 use std::sync::Arc;
 
-use fulmarweir_base::{MonoTime, TargetRecord};
+use fulmarweir_base::{MonoTime, TargetRecord, lock};
 use rand::{Rng, RngExt};
 
 use crate::{
     ReplicaPolicy, ServiceState,
     load::{TargetRating, TargetStanding},
-    table::lock,
 };
 
 /// One in so many choices goes to a target that is to be probed.
--- a/crates/route/src/search.rs
+++ b/crates/route/src/search.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use fulmarweir_base::{MonoTime, TargetRecord};
+use fulmarweir_base::{MonoTime, TargetRecord, lock};
 use fulmarweir_conf::{AnswerPreference, ServicePlan};
 use rand::Rng;
 
@@ -17,7 +17,7 @@
 use self::progress::{ShardProgress, ShardState};
 use crate::{
     AdmissionPermit, AttemptId, AttemptKind, AttemptOutcome, RouteAction, SearchHit, SendOrder,
-    TargetView, attempts::AttemptTable, refusal::Result, table::lock,
+    TargetView, attempts::AttemptTable, refusal::Result,
 };
 
 /// Actions of a search.
--- a/crates/route/src/search/extra.rs
+++ b/crates/route/src/search/extra.rs
@@ -2,13 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord};
+use fulmarweir_base::{MonoTime, RunVerdict, TargetRecord, lock};
 
 use super::{RunStep, SearchRun, ShardState, progress::PendingRetry};
 use crate::{
     AttemptKind, AttemptOutcome, RetryPolicy, RetryReason,
     replica::{ChoicePurpose, choose_replica},
-    table::lock,
 };
 
 /// Hedges for one shard of one search.
--- a/crates/route/src/search/pin.rs
+++ b/crates/route/src/search/pin.rs
@@ -1,11 +1,11 @@
 //! Pinning a version, and starting over on a newer one.
 
-use fulmarweir_base::{MonoTime, shard_for_key};
+use fulmarweir_base::{MonoTime, lock, shard_for_key};
 
 use super::{RunStep, SearchAsk, SearchRun, ShardProgress, ShardState};
 use crate::{
     AttemptKind, RefusalReason, RouteRefusal, TargetView, VersionIndex, refusal::Result,
-    replica::has_holder, search::progress::PendingRetry, table::lock,
+    replica::has_holder, search::progress::PendingRetry,
 };
 
 /// How often one search may start over.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use fulmarweir_base::{MonoTime, TargetName};
+use fulmarweir_base::{MonoTime, TargetName, lock};
 
 use crate::{
     AdmissionAsk, PolicySettings, QueueTicket, RouteRefusal, TargetView,
@@ -14,7 +14,7 @@
     gate::{AdmissionGate, GateAnswer, GateEvent, RequestBreadth},
     latency::LatencyEstimate,
     limit::LimitSignal,
-    table::{LoadTable, lock},
+    table::LoadTable,
 };
 
 /// Attempts in flight that the targets' slots are taken to hold, as a multiple of the slots.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -3,11 +3,11 @@
 use std::{
     collections::HashMap,
     hash::{BuildHasher, RandomState},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
-use fulmarweir_base::{MonoTime, TargetName, TargetRecord};
+use fulmarweir_base::{MonoTime, TargetName, TargetRecord, lock};
 
 use crate::load::{TargetLoad, TargetRating, TargetSignal};
 
@@ -31,11 +31,6 @@
     }
 }
 
-/// Locks `mutex`; state stays usable after a panic elsewhere, as each change is whole.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl LoadTable {
     fn shard(&self, name: &TargetName) -> MutexGuard<'_, LoadMap> {
         let hash = self.hasher.hash_one(name);
