Claim a key again when the request that held it gave it back

Cause: a request that met another's claim waited for its outcome, and when that claim was given back as not run it answered "may have run" all the same. Ruled out: the voters, which told the released state at once.

--- a/crates/daemon/src/act.rs
+++ b/crates/daemon/src/act.rs
@@ -78,25 +78,35 @@
         arrived: MonoTime,
         deadline: MonoTime,
     ) -> ActEnd {
-        let patience = deadline.since(arrived) / CLAIM_DIVISOR;
-        let claimed = node
-            .quorum
-            .claim(self.key.clone(), &self.claim, patience)
-            .await;
-        match claimed {
-            Ok(ClaimOutcome::Granted) => self.run_granted(node, request, arrived).await,
-            Ok(ClaimOutcome::Finished(outcome)) => replay(outcome),
-            Ok(ClaimOutcome::OtherBody) => ActEnd::OtherBody,
-            Ok(ClaimOutcome::HeldBy(holder)) => self.await_holder(node, holder, deadline).await,
-            Err(report) => {
-                if report.current_context().verdict() != RunVerdict::NotRun {
-                    self.release(node);
-                }
-                ActEnd::NoClaim
+        loop {
+            let patience = deadline.since(node.timer.now()) / CLAIM_DIVISOR;
+            let claimed = node
+                .quorum
+                .claim(self.key.clone(), &self.claim, patience)
+                .await;
+            let holder = match claimed {
+                Ok(ClaimOutcome::Granted) => return self.run_granted(node, request, arrived).await,
+                Ok(ClaimOutcome::Finished(outcome)) => return replay(outcome),
+                Ok(ClaimOutcome::OtherBody) => return ActEnd::OtherBody,
+                Ok(ClaimOutcome::HeldBy(holder)) => holder,
+                Err(report) => return self.give_up_claim(node, *report.current_context()),
+            };
+            match self.await_holder(node, &holder, deadline).await {
+                HolderEnd::Finished(outcome) => return replay(outcome),
+                HolderEnd::GivenBack => {}
+                HolderEnd::Undecided => return ActEnd::Refused(UNDECIDED),
             }
         }
     }
 
+    /// Nothing was sent to a target, but the key may stay claimed.
+    fn give_up_claim(self, node: &Arc<NodeState>, error: QuorumError) -> ActEnd {
+        if error.verdict() != RunVerdict::NotRun {
+            self.release(node);
+        }
+        ActEnd::NoClaim
+    }
+
     async fn run_granted(
         self,
         node: &Arc<NodeState>,
@@ -144,28 +154,48 @@
         });
     }
 
-    /// Waits for the outcome of the request that holds the claim, while its VM lives.
-    async fn await_holder(&self, node: &NodeState, holder: ActClaim, deadline: MonoTime) -> ActEnd {
+    /// Waits for the end of the request that holds the claim, while its VM lives.
+    async fn await_holder(
+        &self,
+        node: &NodeState,
+        holder: &ActClaim,
+        deadline: MonoTime,
+    ) -> HolderEnd {
         let mut pause = Duration::from_millis(POLL_MIN_MS);
-        while is_running(node, &holder) && node.timer.now() + pause < deadline {
+        while is_running(node, holder) && node.timer.now() + pause < deadline {
             sleep(pause).await;
             pause = (pause * 2).min(Duration::from_millis(POLL_MAX_MS));
             let patience = deadline.since(node.timer.now());
             match node.quorum.read_act(self.key.clone(), patience).await {
-                Ok(Some(ActState::Finished { outcome, .. })) => return replay(outcome),
-                Ok(Some(ActState::Claimed(now_held))) if now_held == holder => {}
-                // Released, or claimed anew: this caller may ask again.
-                _ => break,
+                Ok(Some(ActState::Finished { outcome, .. })) => {
+                    return HolderEnd::Finished(outcome);
+                }
+                Ok(Some(ActState::Claimed(now_held))) if now_held == *holder => {}
+                Ok(_) => return HolderEnd::GivenBack,
+                Err(_) => return HolderEnd::Undecided,
             }
         }
-        ActEnd::Refused(RouteRefusal {
-            reason: RefusalReason::Undecided,
-            verdict: RunVerdict::MayHaveRun,
-            retry_after: None,
-        })
+        HolderEnd::Undecided
     }
 }
 
+/// What became of the request that held a claim.
+enum HolderEnd {
+    /// The act has run.
+    Finished(StoredOutcome),
+    /// It has certainly not run under that claim, which may be claimed anew.
+    GivenBack,
+    /// Unknown.
+    Undecided,
+}
+
+/// The refusal of an act of which nobody knows whether it ran.
+pub(crate) const UNDECIDED: RouteRefusal = RouteRefusal {
+    reason: RefusalReason::Undecided,
+    verdict: RunVerdict::MayHaveRun,
+    retry_after: None,
+};
+
 fn log_unsettled(node: &NodeState, event: &'static str, error: QuorumError) {
     warn!(node.log, "{}", event; "error" => %error);
 }
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -10,13 +10,12 @@
     response::{IntoResponse, Response},
     routing::post,
 };
-use fulmarweir_base::RunVerdict;
 use fulmarweir_conf::ServiceKind;
 use fulmarweir_route::{ActAsk, RefusalReason, RouteRefusal, SearchAnswer, SearchAsk, write_hits};
 use serde::Serialize;
 
 use crate::{
-    act::{ActEnd, ActRequest, run_act},
+    act::{ActEnd, ActRequest, UNDECIDED, run_act},
     caller_error::{CallerError, Result},
     caller_request::{CallerCall, CallerRequest},
     node::NodeState,
@@ -84,11 +83,7 @@
     };
     // The act goes on when its caller leaves, so that its outcome is recorded.
     let work = node.acts.spawn(run_act(Arc::clone(node), act));
-    let end = work.await.unwrap_or(ActEnd::Refused(RouteRefusal {
-        reason: RefusalReason::Undecided,
-        verdict: RunVerdict::MayHaveRun,
-        retry_after: None,
-    }));
+    let end = work.await.unwrap_or(ActEnd::Refused(UNDECIDED));
     act_response(end)
 }
 
