--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -21,6 +21,8 @@
 mod fault;
 mod ini;
 mod reader;
+mod relay_settings;
+mod route_table;
 mod service_parse;
 mod settings;
 mod settings_parse;
@@ -31,6 +33,11 @@
 pub use digest::{ConfigDigest, DIGEST_BYTES};
 pub use fault::{ConfigFault, FAULTS_MAX, FaultList, FaultReason, Result};
 pub use ini::TEXT_MAX_BYTES;
+pub use relay_settings::{ExtraAllowance, RelayBounds, RelayRole, RelaySettings};
+pub use route_table::{
+    CallerLimits, GatherRule, RouteDestination, RouteFault, RouteRule, RouteTable, ServiceRule,
+    WeightedService,
+};
 pub use service_parse::SERVICES_MAX;
 pub use settings::{
     ListenSettings, PeerSettings, PolicySettings, RepairSettings, ShutdownSettings, VmSettings,
--- /dev/null
+++ b/crates/conf/src/relay_settings.rs
@@ -0,0 +1,325 @@
+//! The settings file of a VM that relays opaque requests.
+
+use std::{
+    collections::HashMap, net::SocketAddr, ops::RangeInclusive, path::Path, path::PathBuf,
+    sync::Arc, time::Duration,
+};
+
+use crate::{
+    fault::{ConfigFault, FaultList, FaultReason, Result},
+    ini::{IniSection, parse_sections},
+    reader::{SectionReader, push_duplicate_section},
+    settings::read_text,
+    settings_value::{folder, log_level},
+    value::{self, address, expected, flag, list, number, reachable_address},
+};
+
+const SECTIONS: [&str; 7] = ["vm", "listen", "peers", "bounds", "extra", "log", "regions"];
+const SEEDS_MAX: usize = 64;
+const LOSSES_RANGE: RangeInclusive<u32> = 0..=3;
+const MILLIS_RANGE: RangeInclusive<u64> = 1..=600_000;
+const SECONDS_RANGE: RangeInclusive<f64> = 0.001..=86_400.0;
+const SHARE_RANGE: RangeInclusive<f64> = 0.0..=10.0;
+const BURST_RANGE: RangeInclusive<f64> = 0.0..=100_000.0;
+const WORD_MAX_BYTES: usize = 128;
+
+/// What a VM does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RelayRole {
+    /// Takes requests of callers and sends them to targets.
+    Entry,
+    /// Keeps the configuration, and hears of targets and operators.
+    Keeper,
+}
+
+/// Budget of attempts beyond the first, as the owners of the targets grant it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExtraAllowance {
+    /// Extra attempts for each request.
+    pub share: f64,
+    /// Extra attempts in a window beyond that, over all VMs.
+    pub burst: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+}
+
+/// Times that the deployment promises to its surroundings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RelayBounds {
+    /// Time between two announcements of a target.
+    pub announce_period: Duration,
+    /// Time from a stop signal to a forced end.
+    pub stop_grace: Duration,
+    /// Time in which a lost voter must be made up for.
+    pub catch_up: Duration,
+}
+
+/// Checked settings of one VM that relays requests.
+#[derive(Clone, Debug)]
+pub struct RelaySettings {
+    /// Name of the VM.
+    pub name: Arc<str>,
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// What it does.
+    pub role: RelayRole,
+    /// Folder for durable state; only keepers with a disk have one.
+    pub data_folder: Option<PathBuf>,
+    /// Where callers connect; entry VMs only.
+    pub callers: Option<SocketAddr>,
+    /// Where the balancer asks for readiness; entry VMs only.
+    pub ready: Option<SocketAddr>,
+    /// Where targets and operators call; keepers only.
+    pub control: Option<SocketAddr>,
+    /// Where other daemons call.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// Peer addresses of some keepers.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
+    /// Voters whose loss at the same time must be borne.
+    pub losses_max: u32,
+    /// Promised times.
+    pub bounds: RelayBounds,
+    /// Budget of extra attempts.
+    pub extra: ExtraAllowance,
+    /// Region of each data centre.
+    pub regions: HashMap<Arc<str>, Arc<str>>,
+    /// Least severe level that is logged.
+    pub log_level: slog::Level,
+}
+
+impl RelaySettings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text, or one fault if the file can't be read.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self> {
+        let path = path.as_ref();
+        let file = path.to_string_lossy();
+        match read_text(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(error) => {
+                let mut faults = FaultList::for_file(&file);
+                let fault = ConfigFault::new(FaultReason::Unreadable, "a readable UTF-8 file");
+                faults.push(fault.found(&error.to_string()));
+                Err(faults)
+            }
+        }
+    }
+
+    /// Checks the settings in `text`, which was read from `file`.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let mut faults = FaultList::for_file(file);
+        let sections = parse_sections(text, &mut faults);
+        let settings = read_sections(&sections, &mut faults);
+        faults.into_result(settings)
+    }
+
+    /// Voters that bear the loss of [`RelaySettings::losses_max`] of them.
+    #[must_use]
+    pub const fn voters_wanted(&self) -> usize {
+        2 * self.losses_max as usize + 1
+    }
+
+    /// Region of a data centre; a data centre that is not listed is its own region.
+    #[must_use]
+    pub fn region_of<'a>(&'a self, centre: &'a str) -> &'a str {
+        self.regions.get(centre).map_or(centre, |region| region)
+    }
+}
+
+fn word(text: &str) -> value::Result<Arc<str>> {
+    let fits = (1..=WORD_MAX_BYTES).contains(&text.len());
+    if fits && text.bytes().all(|b| b.is_ascii_graphic()) {
+        return Ok(text.into());
+    }
+    Err(expected("1 to 128 visible ASCII characters"))
+}
+
+fn role(text: &str) -> value::Result<RelayRole> {
+    match text {
+        "entry" => Ok(RelayRole::Entry),
+        "keeper" => Ok(RelayRole::Keeper),
+        _ => Err(expected("entry or keeper")),
+    }
+}
+
+/// Runs `read` on a section, or on an empty one that stands for a missing section.
+fn with_section<T>(
+    sections: &[IniSection<'_>],
+    name: &'static str,
+    faults: &mut FaultList,
+    read: impl FnOnce(&mut SectionReader<'_, '_>) -> T,
+) -> T {
+    let empty = IniSection {
+        name,
+        line: 0,
+        entries: Vec::new(),
+    };
+    let section = sections.iter().find(|section| section.name == name);
+    let mut reader = SectionReader::new(section.unwrap_or(&empty), faults);
+    let value = read(&mut reader);
+    reader.finish();
+    value
+}
+
+fn read_sections(sections: &[IniSection<'_>], faults: &mut FaultList) -> Option<RelaySettings> {
+    check_sections(sections, faults);
+    let (name, centre, role, data_folder) = with_section(sections, "vm", faults, |vm| {
+        (
+            vm.required("name", word),
+            vm.required("data-centre", word),
+            vm.required("role", role),
+            vm.optional("data-folder", folder),
+        )
+    });
+    let listen = read_listen(sections, role, faults);
+    let (seeds, first_start, losses_max) = with_section(sections, "peers", faults, |peers| {
+        (
+            peers.or_default("seeds", Vec::new(), |value| {
+                list(value, SEEDS_MAX, reachable_address)
+            }),
+            peers.or_default("first-start", false, flag),
+            peers.or_default("losses-max", 1, |value| number(value, &LOSSES_RANGE)),
+        )
+    });
+    let bounds = with_section(sections, "bounds", faults, |bounds| {
+        let announce_ms =
+            bounds.or_default("announce-ms", 1000, |value| number(value, &MILLIS_RANGE));
+        let mut seconds = |key, default: f64| {
+            let value = bounds.or_default(key, default, |value| number(value, &SECONDS_RANGE));
+            Duration::from_secs_f64(value)
+        };
+        RelayBounds {
+            announce_period: Duration::from_millis(announce_ms),
+            stop_grace: seconds("stop-grace-s", 6.0),
+            catch_up: seconds("catch-up-s", 4.0),
+        }
+    });
+    let extra = read_extra(sections, faults);
+    let log_level = with_section(sections, "log", faults, |log| {
+        log.or_default("level", slog::Level::Info, log_level)
+    });
+    let regions = read_regions(sections, faults);
+    let (name, centre, role, listen) = (name?, centre?, role?, listen?);
+    Some(RelaySettings {
+        name,
+        centre,
+        role,
+        data_folder,
+        callers: listen.callers,
+        ready: listen.ready,
+        control: listen.control,
+        peers: listen.peers,
+        metrics: listen.metrics,
+        seeds: seeds
+            .into_iter()
+            .map(|seed| SocketAddr::new(seed.ip(), listen.peers.port()))
+            .collect(),
+        first_start,
+        losses_max,
+        bounds,
+        extra,
+        regions,
+        log_level,
+    })
+}
+
+fn check_sections(sections: &[IniSection<'_>], faults: &mut FaultList) {
+    for (index, section) in sections.iter().enumerate() {
+        if !SECTIONS.contains(&section.name) {
+            let expected = format!("one of [{}]", SECTIONS.join("], ["));
+            let fault = ConfigFault::new(FaultReason::UnknownSection, expected);
+            faults.push(fault.at(section.line).section(section.name));
+            continue;
+        }
+        let earlier = sections[..index].iter().find(|s| s.name == section.name);
+        if let Some(first) = earlier {
+            push_duplicate_section(section, first.line, faults);
+        }
+    }
+}
+
+/// The section `[listen]`.
+struct RelayListen {
+    callers: Option<SocketAddr>,
+    ready: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    peers: SocketAddr,
+    metrics: Option<SocketAddr>,
+}
+
+fn read_listen(
+    sections: &[IniSection<'_>],
+    role: Option<RelayRole>,
+    faults: &mut FaultList,
+) -> Option<RelayListen> {
+    let is_entry = role == Some(RelayRole::Entry);
+    let is_keeper = role == Some(RelayRole::Keeper);
+    let listen = with_section(sections, "listen", faults, |listen| {
+        let mut needed = |key, needed: bool| {
+            if needed {
+                listen.required(key, address)
+            } else {
+                listen.optional(key, address)
+            }
+        };
+        let callers = needed("callers", is_entry);
+        let ready = needed("ready", is_entry);
+        let control = needed("control", is_keeper);
+        let metrics = needed("metrics", false);
+        let peers = listen.required("peers", reachable_address);
+        (callers, ready, control, metrics, peers)
+    });
+    let (callers, ready, control, metrics, peers) = listen;
+    Some(RelayListen {
+        callers,
+        ready,
+        control,
+        peers: peers?,
+        metrics,
+    })
+}
+
+fn read_extra(sections: &[IniSection<'_>], faults: &mut FaultList) -> ExtraAllowance {
+    with_section(sections, "extra", faults, |extra| {
+        let share = extra.or_default("share", 0.1, |value| number(value, &SHARE_RANGE));
+        let burst = extra.or_default("burst", 10.0, |value| number(value, &BURST_RANGE));
+        let window_s = extra.or_default("window-s", 10.0, |value| number(value, &SECONDS_RANGE));
+        ExtraAllowance {
+            share,
+            burst,
+            window: Duration::from_secs_f64(window_s),
+        }
+    })
+}
+
+/// Section `[regions]`: one key for each data centre.
+fn read_regions(
+    sections: &[IniSection<'_>],
+    faults: &mut FaultList,
+) -> HashMap<Arc<str>, Arc<str>> {
+    let mut regions = HashMap::new();
+    let section = sections.iter().find(|section| section.name == "regions");
+    for entry in section.iter().flat_map(|section| &section.entries) {
+        match (word(entry.key), word(entry.value)) {
+            (Ok(centre), Ok(region)) => {
+                regions.insert(centre, region);
+            }
+            _ => {
+                let fault = ConfigFault::new(FaultReason::BadValue, "DATA-CENTRE = REGION");
+                let fault = fault.at(entry.line).section("regions").key(entry.key);
+                faults.push(fault.found(entry.value));
+            }
+        }
+    }
+    regions
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -162,7 +162,7 @@
 }
 
 /// Reads one byte beyond the limit, so that the parser sees a text that is too large.
-fn read_text(path: &Path) -> std::io::Result<String> {
+pub(crate) fn read_text(path: &Path) -> std::io::Result<String> {
     let limit = u64::try_from(TEXT_MAX_BYTES).unwrap_or(u64::MAX);
     let mut text = String::new();
     File::open(path)?
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod operator_api;
 mod peer_api;
 mod peer_message;
+mod relay;
 mod run;
 mod search;
 mod spill;
@@ -31,4 +32,5 @@
 mod voter_repair;
 
 pub use error::{DaemonError, Result};
+pub use relay::{ControlCall, HeaderNames, RelayDialect, ReplyJudgement, run_relay};
 pub use run::run;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! The process's logger: one logfmt line per event on standard error.
+//! The process's logger: one logfmt line per event.
 
 use std::{io, sync::Mutex};
 
@@ -8,9 +8,19 @@
 /// Lines that may wait to be written; further ones are dropped and counted in the log.
 const LOG_BACKLOG: usize = 8192;
 
-/// Builds the logger. Lines are written by its own thread, so logging never blocks a request.
+/// Builds the logger of the daemon, on standard error.
 pub(crate) fn build_logger(level: slog::Level, vm: &str) -> Logger {
-    let lines = Logfmt::new(io::stderr()).set_prefix(write_prefix).build();
+    build(io::stderr(), level, vm)
+}
+
+/// Builds the logger of a VM that relays requests, on standard output.
+pub(crate) fn build_relay_logger(level: slog::Level, vm: &str) -> Logger {
+    build(io::stdout(), level, vm)
+}
+
+/// Lines are written by a thread of their own, so logging never blocks a request.
+fn build(out: impl io::Write + Send + 'static, level: slog::Level, vm: &str) -> Logger {
+    let lines = Logfmt::new(out).set_prefix(write_prefix).build();
     let drain = Mutex::new(lines).map(slog::Fuse);
     let drain = slog_async::Async::new(drain).chan_size(LOG_BACKLOG).build();
     let drain = LevelFilter::new(drain, level).fuse();
--- /dev/null
+++ b/crates/daemon/src/relay.rs
@@ -0,0 +1,28 @@
+//! Relaying opaque requests: entry VMs take them, keepers hold what entry VMs must know.
+//!
+//! An entry VM asks every keeper for news in long calls, merges what they say of
+//! targets, and applies the highest configuration. A keeper hears of targets and
+//! operators, and lets the voters decide configurations. What the outside world
+//! calls things is in a [`RelayDialect`], which an adapter supplies.
+
+mod admit;
+mod caller;
+mod carrier;
+mod control;
+mod dialect;
+mod entry;
+mod keeper;
+mod metrics;
+mod peer;
+mod reload;
+mod request_log;
+mod response;
+mod serve;
+mod start;
+mod sync;
+mod voters;
+
+pub use self::{
+    dialect::{ControlCall, HeaderNames, RelayDialect, ReplyJudgement},
+    start::run_relay,
+};
--- /dev/null
+++ b/crates/daemon/src/relay/carrier.rs
@@ -0,0 +1,296 @@
+//! Carries the attempts of one relayed request.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use fulmarweir_base::{MonoTime, RunVerdict, lock};
+use fulmarweir_pool::{ConnectionNeed, RelayFault, RelayReply};
+use fulmarweir_route::{AttemptEnd, RelayAction, RelayAsk, RelayEnd, RelayRun, RelaySend};
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri};
+use http_body_util::Full;
+
+use super::{dialect::ReplyJudgement, entry::EntryNode};
+use crate::metrics::{KindLabel, OutcomeLabel, ReasonLabel};
+
+/// Time that attempts may go on after their request was answered.
+///
+/// A target that is at work then ends by itself, and its connection stays usable.
+const LINGER_MS: u64 = 1_200;
+
+/// The request as it goes to every target.
+#[derive(Debug)]
+pub(crate) struct RelayMessage {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// The caller's id of this request, which targets echo.
+    pub(crate) request_id: HeaderValue,
+    pub(crate) route: Arc<str>,
+    pub(crate) repeatable: bool,
+    pub(crate) deadline: MonoTime,
+}
+
+/// An attempt that has ended.
+struct EndedAttempt {
+    lane: usize,
+    attempt: u32,
+    sent_at: MonoTime,
+    end: AttemptEnd,
+    reply: Option<RelayReply>,
+    fault: Option<&'static str>,
+}
+
+type AttemptFuture = BoxFuture<'static, EndedAttempt>;
+
+/// What came of a request.
+pub(crate) struct RelayResult {
+    pub(crate) end: RelayEnd,
+    /// Replies by attempt number, those that count among them.
+    pub(crate) replies: Vec<(u32, RelayReply)>,
+    pub(crate) stats: RelayStats,
+}
+
+/// Figures of one request, for its log line.
+pub(crate) struct RelayStats {
+    pub(crate) attempts: u32,
+    pub(crate) hedges: u32,
+    pub(crate) missing: usize,
+    pub(crate) verdict: RunVerdict,
+    /// Services without an answer.
+    pub(crate) missing_services: Vec<Arc<str>>,
+    /// The last fault of an attempt.
+    pub(crate) last_fault: Option<&'static str>,
+}
+
+/// One request under way. Dropping it gives up what is open.
+pub(crate) struct RelayCarrier {
+    node: Arc<EntryNode>,
+    message: Arc<RelayMessage>,
+    run: RelayRun,
+    open: FuturesUnordered<AttemptFuture>,
+    replies: Vec<(u32, RelayReply)>,
+    last_fault: Option<&'static str>,
+    /// When each attempt was sent, while it is open.
+    sent: Vec<(u32, MonoTime)>,
+}
+
+impl RelayCarrier {
+    /// Starts a request; the actions are to be passed to [`RelayCarrier::finish`].
+    pub(crate) fn start(
+        node: Arc<EntryNode>,
+        message: RelayMessage,
+        ask: RelayAsk,
+    ) -> (Self, Vec<RelayAction>) {
+        let now = node.timer.now();
+        let (run, actions) = RelayRun::start(ask, &mut lock(&node.book), now);
+        let carrier = Self {
+            node,
+            message: Arc::new(message),
+            run,
+            open: FuturesUnordered::new(),
+            replies: Vec::new(),
+            last_fault: None,
+            sent: Vec::new(),
+        };
+        (carrier, actions)
+    }
+
+    /// Carries the request to its end.
+    pub(crate) async fn finish(mut self, mut actions: Vec<RelayAction>) -> RelayResult {
+        let mut wake_at = self.message.deadline;
+        loop {
+            for action in actions {
+                match action {
+                    RelayAction::Send(send) => self.send(send),
+                    RelayAction::Wake(at) => wake_at = at,
+                    RelayAction::Finish(end) => return self.end(end),
+                }
+            }
+            let timer = self.node.timer.clone();
+            actions = tokio::select! {
+                biased;
+                Some(ended) = self.open.next() => self.take_end(ended),
+                () = timer.sleep_until(wake_at) => {
+                    let now = self.node.timer.now();
+                    self.run.on_wake(&mut lock(&self.node.book), now)
+                }
+            };
+        }
+    }
+
+    fn end(mut self, end: RelayEnd) -> RelayResult {
+        let (hedges, wins) = self.run.hedges();
+        let metrics = &self.node.metrics;
+        for (outcome, count) in [("sent", hedges), ("won", wins)] {
+            metrics
+                .hedges
+                .get_or_create(&OutcomeLabel { outcome })
+                .inc_by(count.into());
+        }
+        let stats = RelayStats {
+            attempts: self.run.attempts(),
+            hedges,
+            missing: self.run.missing(),
+            verdict: self.run.verdict(),
+            missing_services: self.run.missing_services().cloned().collect(),
+            last_fault: self.last_fault,
+        };
+        let replies = std::mem::take(&mut self.replies);
+        if !self.open.is_empty() {
+            let tasks = self.node.tasks.clone();
+            tasks.spawn(self.linger());
+        }
+        RelayResult {
+            end,
+            replies,
+            stats,
+        }
+    }
+
+    /// Lets open attempts end by themselves for a while.
+    async fn linger(mut self) {
+        let until = self.node.timer.now() + Duration::from_millis(LINGER_MS);
+        let timer = self.node.timer.clone();
+        loop {
+            tokio::select! {
+                ended = self.open.next() => match ended {
+                    Some(ended) => {
+                        // The request is over, so nothing follows.
+                        let _ = self.take_end(ended);
+                        self.replies.clear();
+                    }
+                    None => return,
+                },
+                () = timer.sleep_until(until) => return,
+            }
+        }
+    }
+
+    fn take_end(&mut self, ended: EndedAttempt) -> Vec<RelayAction> {
+        let now = self.node.timer.now();
+        self.sent.retain(|(attempt, _)| *attempt != ended.attempt);
+        if let AttemptEnd::Answered { .. } = ended.end {
+            let latency = now.since(ended.sent_at);
+            lock(&self.node.pace).record(&self.message.route, latency);
+        }
+        if let Some(fault) = ended.fault {
+            self.last_fault = Some(fault);
+            let label = ReasonLabel { reason: fault };
+            self.node
+                .metrics
+                .attempt_failures
+                .get_or_create(&label)
+                .inc();
+        }
+        if let Some(reply) = ended.reply {
+            self.replies.push((ended.attempt, reply));
+        }
+        let mut book = lock(&self.node.book);
+        self.run
+            .on_end(ended.lane, ended.attempt, ended.end, &mut book, now)
+    }
+
+    fn send(&mut self, send: RelaySend) {
+        let kind = send.kind.as_str();
+        self.node
+            .metrics
+            .attempts
+            .get_or_create(&KindLabel { kind })
+            .inc();
+        self.sent.push((send.attempt, self.node.timer.now()));
+        let attempt = run_attempt(Arc::clone(&self.node), Arc::clone(&self.message), send);
+        self.open.push(Box::pin(attempt));
+    }
+}
+
+impl Drop for RelayCarrier {
+    fn drop(&mut self) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let now = self.node.timer.now();
+        let mut pace = lock(&self.node.pace);
+        for (_, sent_at) in &self.sent {
+            pace.record(&self.message.route, now.since(*sent_at));
+        }
+        drop(pace);
+        self.run.abandon(&mut lock(&self.node.book), now);
+    }
+}
+
+/// Sends one attempt and judges what comes back.
+async fn run_attempt(
+    node: Arc<EntryNode>,
+    message: Arc<RelayMessage>,
+    send: RelaySend,
+) -> EndedAttempt {
+    let sent_at = node.timer.now();
+    let need = match (send.fresh, message.repeatable) {
+        (true, _) => ConnectionNeed::Fresh,
+        (false, true) => ConnectionNeed::Any,
+        (false, false) => ConnectionNeed::Recent,
+    };
+    let ended = |end, reply, fault| EndedAttempt {
+        lane: send.lane,
+        attempt: send.attempt,
+        sent_at,
+        end,
+        reply,
+        fault,
+    };
+    let Some(request) = build_request(&node, &message, &send, sent_at) else {
+        return ended(AttemptEnd::Unreachable, None, Some("bad-request"));
+    };
+    let address = send.target.address;
+    let reply = match node.links.exchange(address, request, need).await {
+        Ok(reply) => reply,
+        Err(fault) => {
+            if fault == RelayFault::Broken {
+                node.links.drop_idle(address);
+            }
+            let end = match fault {
+                RelayFault::Connect => AttemptEnd::Unreachable,
+                RelayFault::NotSent => AttemptEnd::NoConnection,
+                RelayFault::Broken | RelayFault::TooLarge => AttemptEnd::Broken,
+            };
+            return ended(end, None, Some(fault.as_str()));
+        }
+    };
+    let judgement = (node.dialect.judge)(&reply, message.request_id.as_bytes());
+    match judgement {
+        ReplyJudgement::Answer { load } => ended(AttemptEnd::Answered { load }, Some(reply), None),
+        ReplyJudgement::Refused { retry_after } => {
+            ended(AttemptEnd::Refused { retry_after }, None, Some("refused"))
+        }
+        ReplyJudgement::Moved => ended(AttemptEnd::Moved, None, Some("moved")),
+        ReplyJudgement::Failure => ended(AttemptEnd::FailureReply, Some(reply), Some("failure")),
+        ReplyJudgement::Garbage => {
+            // What follows on this connection belongs to other requests as well.
+            node.links.drop_idle(address);
+            ended(AttemptEnd::Broken, None, Some("garbage"))
+        }
+    }
+}
+
+/// The request of one attempt; `None` if a header cannot be written.
+fn build_request(
+    node: &EntryNode,
+    message: &RelayMessage,
+    send: &RelaySend,
+    now: MonoTime,
+) -> Option<Request<Full<Bytes>>> {
+    let names = &node.dialect.headers;
+    let left_ms = message.deadline.since(now).as_millis().max(1);
+    let mut request = Request::new(Full::new(message.body.clone()));
+    *request.method_mut() = message.method.clone();
+    *request.uri_mut() = message.uri.clone();
+    *request.headers_mut() = message.headers.clone();
+    let headers = request.headers_mut();
+    let left = HeaderValue::from_str(&left_ms.to_string()).ok()?;
+    headers.insert(names.time_left_ms.clone(), left);
+    let target = HeaderValue::from_str(&send.target.id).ok()?;
+    headers.insert(names.expected_target.clone(), target);
+    Some(request)
+}
--- /dev/null
+++ b/crates/daemon/src/relay/control.rs
@@ -0,0 +1,160 @@
+//! Calls of targets and operators at a keeper.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use fulmarweir_fleet::NoticeOutcome;
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use slog::{info, warn};
+
+use super::{
+    dialect::ControlCall,
+    keeper::KeeperNode,
+    response::{RelayResponse, come_back, json, text},
+};
+use crate::metrics::OutcomeLabel;
+
+/// Largest document of an operator in bytes.
+const DOCUMENT_MAX_BYTES: usize = 6 * 1024 * 1024;
+/// Largest announcement in bytes.
+const NOTICE_MAX_BYTES: usize = 64 * 1024;
+/// Time in which the voters must decide a change, in milliseconds.
+const SUBMIT_TIMEOUT_MS: u64 = 3_000;
+/// Time in which the voters must confirm the configuration for a read, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 900;
+/// Pause that an operator is told after a failure, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 200;
+
+/// Answers one call.
+pub(crate) async fn answer_control(
+    node: Arc<KeeperNode>,
+    request: Request<Incoming>,
+) -> RelayResponse {
+    let (head, body) = request.into_parts();
+    let call = (node.dialect.control_call)(&head.method, head.uri.path());
+    let limit = match call {
+        Some(ControlCall::WriteConfig) => DOCUMENT_MAX_BYTES,
+        _ => NOTICE_MAX_BYTES,
+    };
+    let Some(body) = read_body(body, limit).await else {
+        return text(StatusCode::PAYLOAD_TOO_LARGE, "body too large or cut short");
+    };
+    match call {
+        Some(ControlCall::Announce(id)) => announce(&node, &id, &body),
+        Some(ControlCall::Withdraw(id)) => {
+            node.withdraw(&id);
+            json(StatusCode::OK, "{}")
+        }
+        Some(ControlCall::ReadConfig) => read_config(&node).await,
+        Some(ControlCall::WriteConfig) => write_config(&node, &body).await,
+        None => text(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+async fn read_body(mut body: Incoming, limit: usize) -> Option<Bytes> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            if bytes.len() + data.len() > limit {
+                return None;
+            }
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Some(bytes.freeze())
+}
+
+fn announce(node: &KeeperNode, id: &Arc<str>, body: &[u8]) -> RelayResponse {
+    match (node.dialect.decode_notice)(id, body) {
+        Ok(notice) => {
+            let (outcome, keeper) = node.announce(notice);
+            let keeper = keeper.filter(|_| outcome != NoticeOutcome::Stale);
+            json(StatusCode::OK, (node.dialect.notice_reply)(keeper))
+        }
+        Err(fault) => {
+            let label = OutcomeLabel {
+                outcome: "unreadable",
+            };
+            let counter = node.metrics.announcements.get_or_create(&label);
+            // A writer that repeats itself is logged at powers of two.
+            if counter.inc().wrapping_add(1).is_power_of_two() {
+                warn!(node.log, "announcement-unreadable"; "target" => &**id, "fault" => &fault);
+            }
+            text(StatusCode::BAD_REQUEST, fault)
+        }
+    }
+}
+
+/// Answers with the newest configuration, confirmed by a majority of the voters.
+async fn read_config(node: &KeeperNode) -> RelayResponse {
+    let patience = Duration::from_millis(READ_TIMEOUT_MS);
+    match node.quorum.read_config(patience).await {
+        Ok(state) if state.version > 0 => {
+            node.take_decided(state.version, &state.text, "read");
+            json(
+                StatusCode::OK,
+                Bytes::copy_from_slice(state.text.as_bytes()),
+            )
+        }
+        Ok(_) => unavailable("no configuration yet"),
+        Err(report) => {
+            warn!(node.log, "config-read-unconfirmed"; "fault" => %report.current_context(),
+                "voter_epoch" => node.quorum.voters().epoch);
+            unavailable("no majority of the voters answers")
+        }
+    }
+}
+
+async fn write_config(node: &KeeperNode, body: &[u8]) -> RelayResponse {
+    let table = match (node.dialect.decode_config)(body) {
+        Ok(table) => table,
+        Err(fault) => {
+            count_change(node, "invalid");
+            info!(node.log, "config-refused"; "bytes" => body.len(), "fault" => &fault);
+            return text(StatusCode::BAD_REQUEST, fault);
+        }
+    };
+    let version = table.version;
+    if version <= node.config_version() {
+        count_change(node, "known");
+        return json(StatusCode::OK, "{}");
+    }
+    let Ok(document) = std::str::from_utf8(body) else {
+        return text(StatusCode::BAD_REQUEST, "the document is not UTF-8");
+    };
+    let document: Arc<str> = document.into();
+    let patience = Duration::from_millis(SUBMIT_TIMEOUT_MS);
+    let submitted = node
+        .quorum
+        .raise_config(version, Arc::clone(&document), patience)
+        .await;
+    match submitted {
+        Ok(held) => {
+            count_change(node, "decided");
+            info!(node.log, "config-decided"; "version" => version, "held" => held,
+                "voter_epoch" => node.quorum.voters().epoch);
+            if held == version {
+                node.take_config(version, &document, "operator");
+            }
+            json(StatusCode::OK, "{}")
+        }
+        Err(report) => {
+            count_change(node, "undecided");
+            warn!(node.log, "config-undecided"; "version" => version,
+                "fault" => %report.current_context(),
+                "voter_epoch" => node.quorum.voters().epoch);
+            unavailable("the voters did not decide in time")
+        }
+    }
+}
+
+fn count_change(node: &KeeperNode, outcome: &'static str) {
+    let label = OutcomeLabel { outcome };
+    node.metrics.config_changes.get_or_create(&label).inc();
+}
+
+fn unavailable(reason: &'static str) -> RelayResponse {
+    come_back(reason, Duration::from_millis(RETRY_PAUSE_MS))
+}
--- /dev/null
+++ b/crates/daemon/src/relay/entry.rs
@@ -0,0 +1,253 @@
+//! An entry VM: its state, and how news of keepers reaches it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use fulmarweir_base::{MonoTime, TimerService, lock};
+use fulmarweir_conf::{RelaySettings, RouteTable};
+use fulmarweir_fleet::{TargetNotice, TargetRoster};
+use fulmarweir_pool::RelayLinks;
+use fulmarweir_route::{Locality, PaceTable, RelayBook, RelayTarget};
+use slog::{Logger, info, warn};
+use tokio_util::task::TaskTracker;
+
+use super::{
+    admit::LoopLag, dialect::RelayDialect, metrics::RelayMetrics, peer::PollReply,
+    request_log::RequestLog, sync::KeeperBoard,
+};
+
+/// Time that a keeper's word on the number of entry VMs counts.
+const ENTRY_COUNT_MS: u64 = 6_000;
+/// Time without any keeper after which that is logged.
+const KEEPERS_LOST_MS: u64 = 3_000;
+
+/// A keeper's count of entry VMs.
+#[derive(Clone, Copy, Debug)]
+struct EntryCount {
+    count: u32,
+    heard_at: MonoTime,
+}
+
+/// The shared state of an entry VM.
+pub(crate) struct EntryNode {
+    pub(crate) settings: RelaySettings,
+    pub(crate) dialect: RelayDialect,
+    pub(crate) log: Logger,
+    pub(crate) timer: TimerService,
+    pub(crate) metrics: RelayMetrics,
+    pub(crate) requests: RequestLog,
+    pub(crate) links: RelayLinks,
+    pub(crate) book: Mutex<RelayBook>,
+    pub(crate) pace: Mutex<PaceTable>,
+    pub(crate) lag: Mutex<LoopLag>,
+    pub(crate) board: KeeperBoard,
+    /// Attempts that outlive their request.
+    pub(crate) tasks: TaskTracker,
+    pub(crate) open: AtomicU64,
+    table: Mutex<Option<Arc<RouteTable>>>,
+    roster: Mutex<TargetRoster>,
+    entry_counts: Mutex<HashMap<SocketAddr, EntryCount>>,
+    vms: AtomicU32,
+    stopping: AtomicBool,
+    keepers_lost: AtomicBool,
+}
+
+impl EntryNode {
+    pub(crate) fn new(
+        settings: RelaySettings,
+        dialect: RelayDialect,
+        log: Logger,
+        timer: TimerService,
+    ) -> Arc<Self> {
+        let board = KeeperBoard::new(&settings.seeds);
+        Arc::new(Self {
+            dialect,
+            requests: RequestLog::new(log.clone()),
+            metrics: RelayMetrics::new(),
+            links: RelayLinks::new(timer.clone()),
+            book: Mutex::new(RelayBook::new(settings.extra, rand::random())),
+            pace: Mutex::default(),
+            lag: Mutex::default(),
+            board,
+            tasks: TaskTracker::new(),
+            open: AtomicU64::new(0),
+            table: Mutex::default(),
+            roster: Mutex::default(),
+            entry_counts: Mutex::default(),
+            vms: AtomicU32::new(1),
+            stopping: AtomicBool::new(false),
+            keepers_lost: AtomicBool::new(false),
+            settings,
+            log,
+            timer,
+        })
+    }
+
+    /// The routes in force here.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        lock(&self.table).clone()
+    }
+
+    /// Whether new callers are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table().is_some() && self.metrics.targets.get() > 0
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Relaxed)
+    }
+
+    /// Tells the balancer and callers to go elsewhere.
+    pub(crate) fn stop_asked(&self) {
+        self.stopping.store(true, Relaxed);
+    }
+
+    /// Where this VM stands in the changes of a keeper.
+    pub(crate) fn mark(&self, keeper: SocketAddr) -> Option<fulmarweir_fleet::RegistryMark> {
+        lock(&self.roster).mark(keeper)
+    }
+
+    /// Takes in what a keeper says of targets and entry VMs.
+    pub(crate) fn take_news(&self, keeper: SocketAddr, reply: &PollReply) {
+        let now = self.timer.now();
+        let settled = reply.news.as_ref().is_some_and(|news| news.settled);
+        let mut changed = false;
+        if let Some(news) = &reply.news {
+            changed = lock(&self.roster).take(keeper, news.clone(), now);
+        }
+        changed |= self.take_entry_count(keeper, reply.entries, settled, now);
+        if changed {
+            self.sync_targets();
+        }
+    }
+
+    /// Keepers that have just started undercount, so only a settled one lowers the number.
+    fn take_entry_count(
+        &self,
+        keeper: SocketAddr,
+        count: u32,
+        settled: bool,
+        now: MonoTime,
+    ) -> bool {
+        let mut counts = lock(&self.entry_counts);
+        let heard = EntryCount {
+            count,
+            heard_at: now,
+        };
+        let known = counts.entry(keeper).or_insert(heard);
+        if settled || count >= known.count {
+            *known = heard;
+        }
+        let fresh = Duration::from_millis(ENTRY_COUNT_MS);
+        let live = counts.values().filter(|c| now.since(c.heard_at) <= fresh);
+        let vms = live.map(|c| c.count).max().unwrap_or(1).max(1);
+        self.metrics.entries.set(vms.into());
+        self.vms.swap(vms, Relaxed) != vms
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub(crate) fn apply_table(&self, table: RouteTable) {
+        let version = table.version;
+        {
+            let mut held = lock(&self.table);
+            if held.as_ref().is_some_and(|held| held.version >= version) {
+                return;
+            }
+            let before = held.as_ref().map_or(0, |held| held.version);
+            info!(self.log, "config-in-force"; "version" => version, "before" => before,
+                "routes" => table.routes().count());
+            let names: std::collections::HashSet<Arc<str>> =
+                table.routes().map(|rule| Arc::clone(&rule.name)).collect();
+            lock(&self.pace).retain(|route| names.contains(route));
+            *held = Some(Arc::new(table));
+        }
+        self.metrics.config_version.set(version);
+        self.sync_targets();
+    }
+
+    /// Version in force here, 0 for none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.table().map_or(0, |table| table.version)
+    }
+
+    /// Looks after what depends on time alone.
+    pub(crate) fn tick(&self) {
+        let now = self.timer.now();
+        let dropped = lock(&self.roster).drop_silent(now);
+        if dropped {
+            self.sync_targets();
+        }
+        self.note_keepers(now);
+        self.links.tidy(|_| true);
+        let idle = u64::try_from(self.links.idle_count()).unwrap_or(u64::MAX);
+        self.metrics.connections_idle.set(idle);
+        self.metrics
+            .connections_opened
+            .set(self.links.opened_count());
+        self.metrics.requests_open.set(self.open.load(Relaxed));
+    }
+
+    fn note_keepers(&self, now: MonoTime) {
+        let silence = Duration::from_millis(KEEPERS_LOST_MS);
+        let heard = lock(&self.roster).heard_within(silence, now);
+        self.metrics
+            .keepers
+            .set(u64::try_from(heard).unwrap_or(u64::MAX));
+        let lost = heard == 0;
+        if self.keepers_lost.swap(lost, Relaxed) == lost {
+            return;
+        }
+        if lost {
+            warn!(self.log, "keepers-lost"; "silence_ms" => silence.as_millis(),
+                "config_version" => self.config_version());
+        } else {
+            info!(self.log, "keepers-regained"; "keepers" => heard);
+        }
+    }
+
+    fn sync_targets(&self) {
+        let serving = lock(&self.roster).serving();
+        let vms = self.vms.load(Relaxed);
+        let table = self.table();
+        let count = serving.len();
+        let targets = serving
+            .into_iter()
+            .map(|notice| self.relay_target(notice))
+            .collect();
+        let limit = |service: &str| table.as_ref()?.connections_max(service);
+        lock(&self.book).sync(targets, vms, limit, self.timer.now());
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        let before = self.metrics.targets.set(count);
+        if before != count {
+            info!(self.log, "targets-changed"; "targets" => count, "before" => before,
+                "vms" => vms);
+        }
+    }
+
+    fn relay_target(&self, notice: TargetNotice) -> RelayTarget {
+        let own = &self.settings.centre;
+        let locality = if notice.centre == *own {
+            Locality::Centre
+        } else if self.settings.region_of(&notice.centre) == self.settings.region_of(own) {
+            Locality::Region
+        } else {
+            Locality::Far
+        };
+        RelayTarget {
+            id: notice.id,
+            service: notice.service,
+            address: notice.address,
+            locality,
+            slots: notice.slots,
+            born_ms: notice.born_ms,
+            warm_up_ms: notice.warm_up_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/keeper.rs
@@ -0,0 +1,309 @@
+//! A keeper: holds what targets announce, votes on configurations, and tells entry VMs.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use fulmarweir_base::{MonoTime, TimerService, lock};
+use fulmarweir_conf::RelaySettings;
+use fulmarweir_fleet::{NoticeOutcome, TargetNotice, TargetRegistry};
+use fulmarweir_quorum::{QuorumClient, VoterService};
+use slog::{Logger, error, info};
+use tokio::sync::watch;
+
+use super::{
+    dialect::RelayDialect,
+    metrics::RelayMetrics,
+    peer::{KeeperContact, PollReply, PollRequest, PollSource, RelayAnswer, RelayCall},
+    sync::{AsBoard, KeeperBoard, contacts_digest},
+};
+use crate::metrics::OutcomeLabel;
+
+/// Time that an entry VM counts after its last call, in milliseconds.
+const ENTRY_ALIVE_MS: u64 = 4_500;
+
+/// The configuration in force, as it was submitted.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KeptConfig {
+    pub(crate) version: u64,
+    pub(crate) text: Arc<str>,
+}
+
+/// The shared state of a keeper.
+pub(crate) struct KeeperNode {
+    pub(crate) settings: RelaySettings,
+    pub(crate) dialect: RelayDialect,
+    pub(crate) log: Logger,
+    pub(crate) timer: TimerService,
+    pub(crate) metrics: RelayMetrics,
+    pub(crate) board: KeeperBoard,
+    pub(crate) quorum: Arc<QuorumClient>,
+    /// The voter of this VM; none while its disk cannot be used.
+    pub(crate) voter: Arc<Mutex<Option<Arc<VoterService>>>>,
+    registry: Mutex<TargetRegistry>,
+    config: Mutex<KeptConfig>,
+    entries: Mutex<HashMap<SocketAddr, MonoTime>>,
+    /// Counts whatever may be news to those who ask.
+    changes: watch::Sender<u64>,
+}
+
+impl AsBoard for KeeperNode {
+    fn board(&self) -> &KeeperBoard {
+        &self.board
+    }
+}
+
+impl KeeperNode {
+    pub(crate) fn new(
+        settings: RelaySettings,
+        dialect: RelayDialect,
+        log: Logger,
+        timer: TimerService,
+        quorum: Arc<QuorumClient>,
+        voter: Arc<Mutex<Option<Arc<VoterService>>>>,
+    ) -> Arc<Self> {
+        let period = settings.bounds.announce_period;
+        let registry = TargetRegistry::new(rand::random(), period, timer.now());
+        Arc::new(Self {
+            board: KeeperBoard::new(&settings.seeds),
+            metrics: RelayMetrics::new(),
+            registry: Mutex::new(registry),
+            config: Mutex::default(),
+            entries: Mutex::default(),
+            changes: watch::Sender::new(0),
+            settings,
+            dialect,
+            log,
+            timer,
+            quorum,
+            voter,
+        })
+    }
+
+    /// How others reach this keeper.
+    pub(crate) fn contact(&self) -> KeeperContact {
+        KeeperContact {
+            peers: self.settings.peers,
+            control: self.settings.control.unwrap_or(self.settings.peers),
+            centre: Arc::clone(&self.settings.centre),
+        }
+    }
+
+    /// The configuration that is known to be decided.
+    pub(crate) fn config(&self) -> KeptConfig {
+        lock(&self.config).clone()
+    }
+
+    /// Version of [`KeeperNode::config`].
+    pub(crate) fn config_version(&self) -> u64 {
+        lock(&self.config).version
+    }
+
+    /// Takes in a decided configuration; returns whether it is newer.
+    pub(crate) fn take_config(&self, version: u64, text: &Arc<str>, source: &str) -> bool {
+        {
+            let mut kept = lock(&self.config);
+            if version <= kept.version {
+                return false;
+            }
+            info!(self.log, "config-kept"; "version" => version, "before" => kept.version,
+                "bytes" => text.len(), "source" => source);
+            *kept = KeptConfig {
+                version,
+                text: Arc::clone(text),
+            };
+        }
+        self.metrics.config_version.set(version);
+        self.tell_changes();
+        true
+    }
+
+    /// Wakes those who wait for news.
+    pub(crate) fn tell_changes(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Takes in an announcement; returns where the target is to announce from now on.
+    pub(crate) fn announce(&self, notice: TargetNotice) -> (NoticeOutcome, Option<SocketAddr>) {
+        let now = self.timer.now();
+        let keeper = self.keeper_for(&notice.centre, now);
+        let outcome = lock(&self.registry).announce(notice.clone(), now);
+        self.note_outcome(outcome, &notice);
+        (outcome, keeper)
+    }
+
+    /// A keeper in the target's data centre, if one is alive, to save the way between them.
+    fn keeper_for(&self, centre: &str, now: MonoTime) -> Option<SocketAddr> {
+        let own = self.contact();
+        if &*own.centre == centre {
+            return Some(own.control);
+        }
+        let alive = self.board.alive(now);
+        let near = alive.into_iter().find(|contact| &*contact.centre == centre);
+        Some(near.map_or(own.control, |contact| contact.control))
+    }
+
+    /// Takes in a target's word that it leaves.
+    pub(crate) fn withdraw(&self, id: &Arc<str>) -> NoticeOutcome {
+        let wall_ms = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let wall_ms = u64::try_from(wall_ms.as_millis()).unwrap_or(u64::MAX);
+        let outcome = lock(&self.registry).withdraw(id, wall_ms, self.timer.now());
+        if outcome == NoticeOutcome::Changed {
+            info!(self.log, "target-left"; "target" => &**id);
+            self.tell_changes();
+        }
+        outcome
+    }
+
+    fn note_outcome(&self, outcome: NoticeOutcome, notice: &TargetNotice) {
+        let label = match outcome {
+            NoticeOutcome::Changed => "changed",
+            NoticeOutcome::Renewed => "renewed",
+            NoticeOutcome::Stale => "stale",
+        };
+        let label = OutcomeLabel { outcome: label };
+        self.metrics.announcements.get_or_create(&label).inc();
+        if outcome == NoticeOutcome::Changed {
+            info!(self.log, "target-announced"; "target" => &*notice.id,
+                "service" => &*notice.service, "address" => %notice.address,
+                "state" => ?notice.state, "sequence" => notice.sequence,
+                "born_ms" => notice.born_ms);
+            self.tell_changes();
+        }
+    }
+
+    /// Ends leases that have run out.
+    pub(crate) fn tick(&self) {
+        let now = self.timer.now();
+        let lapsed = lock(&self.registry).expire(now);
+        for notice in &lapsed {
+            info!(self.log, "target-lapsed"; "target" => &*notice.id,
+                "service" => &*notice.service, "state" => ?notice.state,
+                "sequence" => notice.sequence);
+        }
+        if !lapsed.is_empty() {
+            self.tell_changes();
+        }
+        let targets = lock(&self.registry).targets().count();
+        let targets = u64::try_from(targets).unwrap_or(u64::MAX);
+        self.metrics.targets.set(targets);
+        self.metrics.entries.set(self.entry_count(now).into());
+        let keepers = self.board.alive(now).len();
+        self.metrics
+            .keepers
+            .set(u64::try_from(keepers).unwrap_or(u64::MAX));
+        self.metrics.voter_epoch.set(self.quorum.voters().epoch);
+        let is_open = lock(&self.voter).is_some();
+        self.metrics.voter_open.set(is_open.into());
+    }
+
+    fn entry_count(&self, now: MonoTime) -> u32 {
+        let alive = Duration::from_millis(ENTRY_ALIVE_MS);
+        let mut entries = lock(&self.entries);
+        entries.retain(|_, heard_at| now.since(*heard_at) < alive);
+        u32::try_from(entries.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Keepers to tell others of: those heard of lately, and this one.
+    fn contacts(&self, now: MonoTime) -> Vec<KeeperContact> {
+        let mut contacts = self.board.alive(now);
+        contacts.push(self.contact());
+        contacts.sort_unstable();
+        contacts.dedup();
+        contacts
+    }
+
+    /// Answers a call of another daemon.
+    pub(crate) async fn answer(self: Arc<Self>, call: RelayCall) -> RelayAnswer {
+        match call {
+            RelayCall::Poll(question) => RelayAnswer::Poll(self.answer_poll(question).await),
+            RelayCall::FetchConfig => {
+                let kept = self.config();
+                RelayAnswer::Config(kept.version, kept.text)
+            }
+            RelayCall::Voter(request) => {
+                let voter = lock(&self.voter).clone();
+                let reply = match voter {
+                    Some(voter) => Some(Box::new(voter.handle(*request).await)),
+                    None => None,
+                };
+                RelayAnswer::Voter(reply)
+            }
+        }
+    }
+
+    async fn answer_poll(&self, question: PollRequest) -> PollReply {
+        let now = self.timer.now();
+        match &question.source {
+            PollSource::Entry(address) => {
+                lock(&self.entries).insert(*address, now);
+            }
+            PollSource::Keeper(contact) => {
+                self.board.learn(contact, now);
+                self.board.heard(contact.peers, now);
+            }
+        }
+        let until = now + Duration::from_millis(question.wait_ms.into());
+        let mut changes = self.changes.subscribe();
+        loop {
+            let now = self.timer.now();
+            if now >= until || self.has_news(&question, now) {
+                return self.poll_reply(&question, now);
+            }
+            tokio::select! {
+                changed = changes.changed() => {
+                    if changed.is_err() {
+                        return self.poll_reply(&question, now);
+                    }
+                }
+                () = self.timer.sleep_until(until) => {}
+            }
+        }
+    }
+
+    fn has_news(&self, question: &PollRequest, now: MonoTime) -> bool {
+        let is_entry = matches!(question.source, PollSource::Entry(_));
+        let targets = is_entry && lock(&self.registry).has_news(question.mark);
+        targets
+            || self.config_version() > question.config_version
+            || self.quorum.voters().epoch > question.voter_epoch
+            || contacts_digest(&self.contacts(now)) != question.contacts_digest
+    }
+
+    fn poll_reply(&self, question: &PollRequest, now: MonoTime) -> PollReply {
+        let is_entry = matches!(question.source, PollSource::Entry(_));
+        let contacts = self.contacts(now);
+        let contacts_digest = contacts_digest(&contacts);
+        let voters = self.quorum.voters();
+        PollReply {
+            news: is_entry.then(|| lock(&self.registry).news_since(question.mark)),
+            config_version: self.config_version(),
+            voters: (!is_entry && voters.epoch > question.voter_epoch).then_some(voters),
+            contacts: (contacts_digest != question.contacts_digest).then_some(contacts),
+            contacts_digest,
+            entries: self.entry_count(now),
+        }
+    }
+
+    /// Reads a document that the voters hold; one that does not compile is a fault of this
+    /// software, since only documents that compile are submitted.
+    pub(crate) fn take_decided(&self, version: u64, text: &Arc<str>, source: &str) {
+        if version <= self.config_version() {
+            return;
+        }
+        match (self.dialect.decode_config)(text.as_bytes()) {
+            Ok(_) => {
+                self.take_config(version, text, source);
+            }
+            Err(fault) => {
+                error!(self.log, "config-not-valid"; "version" => version, "source" => source,
+                    "fault" => fault);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/metrics.rs
@@ -0,0 +1,186 @@
+//! Counters and histograms of a VM that relays requests.
+
+use std::{
+    sync::atomic::AtomicU64,
+    time::{Duration, Instant},
+};
+
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use crate::metrics::{KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel};
+
+type LevelGauge = Gauge<u64, AtomicU64>;
+
+/// Everything that the metrics page shows.
+pub(crate) struct RelayMetrics {
+    registry: Registry,
+    started: Instant,
+    pub(crate) requests: Family<OutcomeLabel, Counter>,
+    pub(crate) refusals: Family<ReasonLabel, Counter>,
+    pub(crate) attempts: Family<KindLabel, Counter>,
+    pub(crate) attempt_failures: Family<ReasonLabel, Counter>,
+    pub(crate) hedges: Family<OutcomeLabel, Counter>,
+    pub(crate) latency: Family<ServiceLabel, Histogram>,
+    pub(crate) announcements: Family<OutcomeLabel, Counter>,
+    pub(crate) config_changes: Family<OutcomeLabel, Counter>,
+    pub(crate) log_lines_dropped: Counter,
+    pub(crate) config_version: LevelGauge,
+    pub(crate) targets: LevelGauge,
+    pub(crate) keepers: LevelGauge,
+    pub(crate) entries: LevelGauge,
+    pub(crate) requests_open: LevelGauge,
+    pub(crate) connections_idle: LevelGauge,
+    pub(crate) connections_opened: LevelGauge,
+    pub(crate) voter_epoch: LevelGauge,
+    pub(crate) voter_open: LevelGauge,
+    uptime: LevelGauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 1.5, 24))
+}
+
+impl RelayMetrics {
+    pub(crate) fn new() -> Self {
+        let mut set = Self {
+            registry: Registry::with_prefix("fulmarweir_relay"),
+            started: Instant::now(),
+            requests: Family::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            attempt_failures: Family::default(),
+            hedges: Family::default(),
+            latency: Family::new_with_constructor(latency_histogram),
+            announcements: Family::default(),
+            config_changes: Family::default(),
+            log_lines_dropped: Counter::default(),
+            config_version: Gauge::default(),
+            targets: Gauge::default(),
+            keepers: Gauge::default(),
+            entries: Gauge::default(),
+            requests_open: Gauge::default(),
+            connections_idle: Gauge::default(),
+            connections_opened: Gauge::default(),
+            voter_epoch: Gauge::default(),
+            voter_open: Gauge::default(),
+            uptime: Gauge::default(),
+        };
+        set.register_counters();
+        set.register_levels();
+        set
+    }
+
+    fn register_counters(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register(
+            "refusals",
+            "Requests refused, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts at targets, by kind",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "attempt_failures",
+            "Attempts without a usable answer, by reason",
+            self.attempt_failures.clone(),
+        );
+        registry.register("hedges", "Second attempts, by outcome", self.hedges.clone());
+        registry.register(
+            "latency_seconds",
+            "Time to an answer, by route",
+            self.latency.clone(),
+        );
+        registry.register(
+            "announcements",
+            "Announcements of targets, by outcome",
+            self.announcements.clone(),
+        );
+        registry.register(
+            "config_changes",
+            "Configurations submitted here, by outcome",
+            self.config_changes.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Request lines left out of the log to bound it",
+            self.log_lines_dropped.clone(),
+        );
+    }
+
+    fn register_levels(&mut self) {
+        let levels = [
+            (
+                "config_version",
+                "Configuration in force here",
+                &self.config_version,
+            ),
+            ("targets", "Targets in use", &self.targets),
+            ("keepers", "Keepers that answer", &self.keepers),
+            ("entries", "Entry VMs that share the targets", &self.entries),
+            ("requests_open", "Requests in flight", &self.requests_open),
+            (
+                "connections_idle",
+                "Idle connections to targets",
+                &self.connections_idle,
+            ),
+            (
+                "connections_opened",
+                "Connections to targets opened since the start",
+                &self.connections_opened,
+            ),
+            (
+                "voter_epoch",
+                "Epoch of the known voters",
+                &self.voter_epoch,
+            ),
+            (
+                "voter_open",
+                "Whether the voter here takes part",
+                &self.voter_open,
+            ),
+            ("uptime_seconds", "Time since the start", &self.uptime),
+        ];
+        for (name, help, level) in levels {
+            self.registry.register(name, help, level.clone());
+        }
+    }
+
+    /// Counts a request's outcome.
+    pub(crate) fn count_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Notes the time to an answer on a route.
+    pub(crate) fn observe_latency(&self, route: &str, latency: Duration) {
+        let service = route.to_owned();
+        let histogram = self.latency.get_or_create(&ServiceLabel { service });
+        histogram.observe(latency.as_secs_f64());
+    }
+
+    /// The text of the metrics page.
+    pub(crate) fn render(&self) -> String {
+        self.uptime.set(self.started.elapsed().as_secs());
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/serve.rs
@@ -0,0 +1,87 @@
+//! HTTP/1 listeners whose requests a plain function answers.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Largest request head in bytes that is read at all.
+const HEAD_MAX_BYTES: usize = 32 * 1024;
+/// Pause after a failed accept, which the lack of file descriptors causes, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Answers the requests of all connections to `listener` until `stop`.
+///
+/// Then requests in flight are finished, each with an announcement that its connection
+/// closes, and idle connections are closed.
+pub(crate) async fn serve_calls<H, F>(
+    listener: TcpListener,
+    handler: H,
+    idle_timeout: Duration,
+    stop: CancellationToken,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let graceful = GracefulShutdown::new();
+    let tasks = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        serve_connection(
+            stream,
+            Arc::clone(&handler),
+            idle_timeout,
+            &graceful,
+            &tasks,
+        );
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    tasks.close();
+    tasks.wait().await;
+}
+
+fn serve_connection<H, F>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    idle_timeout: Duration,
+    graceful: &GracefulShutdown,
+    tasks: &TaskTracker,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    // Without this option small answers only wait longer.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    // The timeout for a request head also runs while a connection is idle.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(HEAD_MAX_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection);
+    tasks.spawn(async move {
+        // A caller that breaks its connection off has no answer to be told of.
+        let _ = watched.await;
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/relay/start.rs
@@ -0,0 +1,432 @@
+//! Starts a VM that relays requests, waits for a signal and stops it in order.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use error_stack::ResultExt;
+use fulmarweir_base::{TimerService, lock};
+use fulmarweir_conf::{RelayRole, RelaySettings};
+use fulmarweir_quorum::{ClientSettings, QuorumClient, VoterService, VoterTransport};
+use fulmarweir_wire::{PeerClient, PeerServer, TrafficClass, TrafficMeter};
+use futures::FutureExt;
+use http::StatusCode;
+use slog::{Logger, error, info};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    caller::answer_caller,
+    control::answer_control,
+    dialect::RelayDialect,
+    entry::EntryNode,
+    keeper::KeeperNode,
+    peer::{PollRequest, PollSource, RelayAnswer, RelayCall},
+    reload::run_reload,
+    response::{come_back, text},
+    serve::serve_calls,
+    sync::{AsBoard, KeeperBoard, KeeperSync, PollHooks, RelayPeers, run_sync},
+    voters::{first_voters, open_voter, run_voters},
+};
+use crate::{
+    error::{DaemonError, Result},
+    listener::bind,
+    logging::build_relay_logger,
+};
+
+/// Time that a connection of a caller may stay idle, in milliseconds.
+///
+/// Longer than what callers are told, so that a connection is not closed under a request.
+const CALLER_IDLE_MS: u64 = 16_000;
+/// Time that other connections may stay idle, in milliseconds.
+const CONTROL_IDLE_MS: u64 = 30_000;
+/// Time between two looks at leases, keepers and connections, in milliseconds.
+const TICK_MS: u64 = 250;
+/// Period of the timer by which the event loop's lag is measured, in milliseconds.
+const LAG_PERIOD_MS: u64 = 25;
+/// Part of the stop grace in which callers still find their connections open.
+const SETTLE_SHARE: f64 = 0.5;
+/// Time before the end of the stop grace at which the process ends by itself, in milliseconds.
+const END_MARGIN_MS: u64 = 400;
+/// Time that a stopping keeper gives to calls in flight, in milliseconds.
+const KEEPER_DRAIN_MS: u64 = 400;
+/// Time that a voter gets for its answer on the network, in milliseconds.
+const VOTER_TIMEOUT_MS: u64 = 800;
+
+/// Runs a VM until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// When the runtime or a listener cannot be used.
+pub fn run_relay(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
+    // One thread: an entry VM has a part of one core, and a second thread only adds switches.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(DaemonError::Runtime)?;
+    let ended = runtime.block_on(async {
+        match settings.role {
+            RelayRole::Entry => run_entry(settings, path, dialect).await,
+            RelayRole::Keeper => run_keeper(settings, path, dialect).await,
+        }
+    });
+    // A stalled disk must not hold the end up.
+    runtime.shutdown_background();
+    ended
+}
+
+/// Tasks of a process and what ends them.
+struct RelayParts {
+    /// Ends the listeners, after which their calls are finished.
+    stop_calls: CancellationToken,
+    calls: Vec<JoinHandle<()>>,
+    /// Ends everything else.
+    stop: CancellationToken,
+    loops: Vec<JoinHandle<()>>,
+}
+
+impl RelayParts {
+    fn new() -> Self {
+        Self {
+            stop_calls: CancellationToken::new(),
+            calls: Vec::new(),
+            stop: CancellationToken::new(),
+            loops: Vec::new(),
+        }
+    }
+
+    async fn finish_calls(&mut self) {
+        self.stop_calls.cancel();
+        for task in self.calls.drain(..) {
+            // A panicking listener has logged its panic.
+            let _ = task.await;
+        }
+    }
+
+    async fn finish(mut self) {
+        self.finish_calls().await;
+        self.stop.cancel();
+        for task in self.loops {
+            let _ = task.await;
+        }
+    }
+}
+
+async fn run_entry(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
+    let log = build_relay_logger(settings.log_level, &settings.name);
+    log_start(&log, &settings);
+    let timer = TimerService::new();
+    let peers: RelayPeers = PeerClient::new(Arc::new(TrafficMeter::default()));
+    let node = EntryNode::new(settings, dialect, log, timer);
+    let mut parts = RelayParts::new();
+    start_entry_calls(&node, &mut parts).await?;
+    let stop = &parts.stop;
+    let sync = Arc::new(KeeperSync {
+        peers: peers.clone(),
+        timer: node.timer.clone(),
+        log: node.log.clone(),
+        hooks: entry_hooks(&node),
+        own: node.settings.peers,
+        stop: stop.clone(),
+    });
+    let holder: Arc<dyn AsBoard> = Arc::clone(&node) as Arc<dyn AsBoard>;
+    parts.loops.extend([
+        tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
+        tokio::spawn(run_entry_ticks(Arc::clone(&node), stop.clone())),
+        tokio::spawn(run_lag_probe(Arc::clone(&node), stop.clone())),
+        spawn_reload(path, &node.log, stop, Arc::clone(&node)),
+    ]);
+    wait_for_stop().await?;
+    let grace = node.settings.bounds.stop_grace;
+    info!(node.log, "stopping"; "grace_ms" => grace.as_millis());
+    node.stop_asked();
+    // The balancer needs time to notice, and callers go on using open connections.
+    sleep(grace.mul_f64(SETTLE_SHARE)).await;
+    let rest = grace
+        .mul_f64(1.0 - SETTLE_SHARE)
+        .saturating_sub(Duration::from_millis(END_MARGIN_MS));
+    let finish = async {
+        parts.finish().await;
+        node.tasks.close();
+        node.tasks.wait().await;
+        node.links.close().await;
+        peers.close().await;
+        node.timer.close().await;
+    };
+    let whole = timeout(rest, finish).await.is_ok();
+    info!(node.log, "stopped"; "all_requests_finished" => whole);
+    Ok(())
+}
+
+async fn start_entry_calls(node: &Arc<EntryNode>, parts: &mut RelayParts) -> Result<()> {
+    let idle = Duration::from_millis(CALLER_IDLE_MS);
+    if let Some(address) = node.settings.callers {
+        let (listener, _) = bind(address).await?;
+        let shared = Arc::clone(node);
+        let handler = move |request| answer_caller(Arc::clone(&shared), request);
+        let serve = serve_calls(listener, handler, idle, parts.stop_calls.clone());
+        parts.calls.push(tokio::spawn(serve));
+    }
+    if let Some(address) = node.settings.ready {
+        let (listener, _) = bind(address).await?;
+        let shared = Arc::clone(node);
+        let handler = move |request: http::Request<hyper::body::Incoming>| {
+            let is_ready = shared.is_ready();
+            let known = request.uri().path() == shared.dialect.ready_path;
+            async move {
+                match (known, is_ready) {
+                    (false, _) => text(StatusCode::NOT_FOUND, "no such page"),
+                    (true, true) => text(StatusCode::OK, "ready"),
+                    (true, false) => come_back("not ready", Duration::from_secs(1)),
+                }
+            }
+        };
+        // Readiness is answered until the very end.
+        let serve = serve_calls(listener, handler, idle, parts.stop.clone());
+        parts.loops.push(tokio::spawn(serve));
+    }
+    if let Some(address) = node.settings.metrics {
+        let shared = Arc::clone(node);
+        serve_metrics(address, parts, move || shared.metrics.render()).await?;
+    }
+    Ok(())
+}
+
+async fn serve_metrics(
+    address: SocketAddr,
+    parts: &mut RelayParts,
+    render: impl Fn() -> String + Send + Sync + 'static,
+) -> Result<()> {
+    let (listener, _) = bind(address).await?;
+    let handler = move |_request| {
+        let page = render();
+        async move { text(StatusCode::OK, page) }
+    };
+    let idle = Duration::from_millis(CONTROL_IDLE_MS);
+    let serve = serve_calls(listener, handler, idle, parts.stop_calls.clone());
+    parts.calls.push(tokio::spawn(serve));
+    Ok(())
+}
+
+fn entry_hooks(node: &Arc<EntryNode>) -> PollHooks {
+    let (asker, taker, holder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
+    PollHooks {
+        question: Box::new(move |keeper, contacts_digest, wait_ms| PollRequest {
+            source: PollSource::Entry(asker.settings.peers),
+            mark: asker.mark(keeper),
+            config_version: asker.config_version(),
+            voter_epoch: 0,
+            contacts_digest,
+            wait_ms,
+        }),
+        answer: Box::new(move |keeper, reply| {
+            taker.take_news(keeper, reply);
+            reply.config_version > taker.config_version()
+        }),
+        config: Box::new(move |keeper, version, document| {
+            if version <= holder.config_version() {
+                return;
+            }
+            match (holder.dialect.decode_config)(document.as_bytes()) {
+                Ok(table) => holder.apply_table(table),
+                Err(fault) => error!(holder.log, "config-not-valid"; "version" => version,
+                    "source" => %keeper, "fault" => fault),
+            }
+        }),
+    }
+}
+
+async fn run_entry_ticks(node: Arc<EntryNode>, stop: CancellationToken) {
+    let mut ticks = node.timer.subscribe(Duration::from_millis(TICK_MS));
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            tick = ticks.next() => match tick {
+                Some(_) => node.tick(),
+                None => return,
+            },
+        }
+    }
+}
+
+/// Measures how late a timer fires, which is how far the event loop is behind.
+async fn run_lag_probe(node: Arc<EntryNode>, stop: CancellationToken) {
+    let period = Duration::from_millis(LAG_PERIOD_MS);
+    loop {
+        let due = node.timer.now() + period;
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.timer.sleep_until(due) => {}
+        }
+        let late = node.timer.now().since(due);
+        lock(&node.lag).record(late);
+    }
+}
+
+async fn run_keeper(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
+    let log = build_relay_logger(settings.log_level, &settings.name);
+    log_start(&log, &settings);
+    let timer = TimerService::new();
+    let meter = Arc::new(TrafficMeter::default());
+    let peers: RelayPeers = PeerClient::new(Arc::clone(&meter));
+    let first_set = first_voters(&settings);
+    let voter = open_voter(&settings, &first_set, &timer, &log).await;
+    let voter = Arc::new(std::sync::Mutex::new(voter));
+    let transport = voter_transport(peers.clone(), Arc::clone(&voter), settings.peers);
+    let client = ClientSettings::new(first_set);
+    let quorum = Arc::new(QuorumClient::new(client, transport, timer.clone()));
+    let node = KeeperNode::new(settings, dialect, log, timer, quorum, voter);
+    let mut parts = RelayParts::new();
+    start_keeper_calls(&node, meter, &mut parts).await?;
+    let stop = &parts.stop;
+    let sync = Arc::new(KeeperSync {
+        peers: peers.clone(),
+        timer: node.timer.clone(),
+        log: node.log.clone(),
+        hooks: keeper_hooks(&node),
+        own: node.settings.peers,
+        stop: stop.clone(),
+    });
+    let holder: Arc<dyn AsBoard> = Arc::clone(&node) as Arc<dyn AsBoard>;
+    parts.loops.extend([
+        tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
+        tokio::spawn(run_keeper_ticks(Arc::clone(&node), stop.clone())),
+        tokio::spawn(run_voters(Arc::clone(&node), stop.clone())),
+        spawn_reload(path, &node.log, stop, Arc::clone(&node)),
+    ]);
+    wait_for_stop().await?;
+    info!(node.log, "stopping");
+    let drain = Duration::from_millis(KEEPER_DRAIN_MS);
+    let whole = timeout(drain, parts.finish()).await.is_ok();
+    info!(node.log, "stopped"; "all_calls_finished" => whole);
+    Ok(())
+}
+
+async fn start_keeper_calls(
+    node: &Arc<KeeperNode>,
+    meter: Arc<TrafficMeter>,
+    parts: &mut RelayParts,
+) -> Result<()> {
+    let (listener, _) = bind(node.settings.peers).await?;
+    let shared = Arc::clone(node);
+    let answer = move |_from: SocketAddr, call: RelayCall| {
+        (TrafficClass::Control, Arc::clone(&shared).answer(call))
+    };
+    let server: PeerServer<RelayCall, RelayAnswer, _> =
+        PeerServer::new(answer, meter, parts.stop.clone());
+    tokio::spawn(server.serve(listener));
+    if let Some(address) = node.settings.control {
+        let (listener, _) = bind(address).await?;
+        let shared = Arc::clone(node);
+        let handler = move |request| answer_control(Arc::clone(&shared), request);
+        let idle = Duration::from_millis(CONTROL_IDLE_MS);
+        let serve = serve_calls(listener, handler, idle, parts.stop_calls.clone());
+        parts.calls.push(tokio::spawn(serve));
+    }
+    if let Some(address) = node.settings.metrics {
+        let shared = Arc::clone(node);
+        serve_metrics(address, parts, move || shared.metrics.render()).await?;
+    }
+    Ok(())
+}
+
+fn keeper_hooks(node: &Arc<KeeperNode>) -> PollHooks {
+    let (asker, taker, holder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
+    PollHooks {
+        question: Box::new(move |_, contacts_digest, wait_ms| PollRequest {
+            source: PollSource::Keeper(asker.contact()),
+            mark: None,
+            config_version: asker.config_version(),
+            voter_epoch: asker.quorum.voters().epoch,
+            contacts_digest,
+            wait_ms,
+        }),
+        answer: Box::new(move |_, reply| {
+            if let Some(voters) = &reply.voters {
+                taker.quorum.learn_voters(voters);
+            }
+            reply.config_version > taker.config_version()
+        }),
+        config: Box::new(move |keeper, version, document| {
+            holder.take_decided(version, document, &keeper.to_string());
+        }),
+    }
+}
+
+async fn run_keeper_ticks(node: Arc<KeeperNode>, stop: CancellationToken) {
+    let mut ticks = node.timer.subscribe(Duration::from_millis(TICK_MS));
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            tick = ticks.next() => match tick {
+                Some(_) => node.tick(),
+                None => return,
+            },
+        }
+    }
+}
+
+fn spawn_reload<B>(
+    path: PathBuf,
+    log: &Logger,
+    stop: &CancellationToken,
+    holder: Arc<B>,
+) -> JoinHandle<()>
+where
+    B: AsBoard + 'static,
+{
+    let apply = move |settings: &RelaySettings| holder.board().set_seeds(&settings.seeds);
+    tokio::spawn(run_reload(path, log.clone(), stop.clone(), apply))
+}
+
+/// Carries a request to a voter: over the network, or within this process.
+fn voter_transport(
+    peers: RelayPeers,
+    voter: Arc<std::sync::Mutex<Option<Arc<VoterService>>>>,
+    own: SocketAddr,
+) -> VoterTransport {
+    Arc::new(move |member, request| {
+        let peers = peers.clone();
+        let own_voter = (member.address == own).then(|| lock(&voter).clone());
+        async move {
+            if let Some(voter) = own_voter {
+                return Some(voter?.handle(request).await);
+            }
+            let call = RelayCall::Voter(Box::new(request));
+            let patience = Duration::from_millis(VOTER_TIMEOUT_MS);
+            let reply = peers
+                .call(member.address, TrafficClass::Control, &call, patience)
+                .await;
+            match reply {
+                Ok(RelayAnswer::Voter(reply)) => reply.map(|reply| *reply),
+                _ => None,
+            }
+        }
+        .boxed()
+    })
+}
+
+fn log_start(log: &Logger, settings: &RelaySettings) {
+    info!(log, "starting"; "role" => ?settings.role, "centre" => &*settings.centre,
+        "peers" => %settings.peers, "seeds" => format!("{:?}", settings.seeds),
+        "first_start" => settings.first_start, "losses_max" => settings.losses_max,
+        "data_folder" => settings.data_folder.is_some());
+}
+
+async fn wait_for_stop() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).change_context(DaemonError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(DaemonError::Runtime)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+impl AsBoard for EntryNode {
+    fn board(&self) -> &KeeperBoard {
+        &self.board
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/sync.rs
@@ -0,0 +1,240 @@
+//! Long calls to keepers for news, by entry VMs and by other keepers.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use fulmarweir_base::{MonoTime, TimerService, lock};
+use fulmarweir_wire::{PeerClient, TrafficClass};
+use slog::{Logger, info, warn};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::peer::{KeeperContact, PollReply, PollRequest, RelayAnswer, RelayCall};
+
+/// Longest time that a keeper holds a call without news, in milliseconds.
+const POLL_WAIT_MS: u32 = 1_500;
+/// Time beyond it until the connection counts as dead, in milliseconds.
+const POLL_SLACK_MS: u64 = 1_000;
+/// Pause after a failed call; it doubles up to the longest one.
+const RETRY_MIN_MS: u64 = 100;
+const RETRY_MAX_MS: u64 = 800;
+/// Pause between looks for new keepers, in milliseconds.
+const BOARD_PERIOD_MS: u64 = 200;
+/// Silence after which a keeper that is no seed is forgotten, in milliseconds.
+const FORGET_MS: u64 = 30_000;
+/// Time that a keeper counts as alive after its last word, in milliseconds.
+const ALIVE_MS: u64 = 5_000;
+/// Time for fetching a configuration, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 3_000;
+
+/// Calls between the daemons of a relaying deployment.
+pub(crate) type RelayPeers = PeerClient<RelayCall, RelayAnswer>;
+
+#[derive(Clone, Debug, Default)]
+struct BoardEntry {
+    contact: Option<KeeperContact>,
+    is_seed: bool,
+    heard_at: Option<MonoTime>,
+    added_at: MonoTime,
+}
+
+/// The keepers that this VM knows, by peer address.
+#[derive(Debug, Default)]
+pub(crate) struct KeeperBoard {
+    entries: Mutex<BTreeMap<SocketAddr, BoardEntry>>,
+}
+
+impl KeeperBoard {
+    pub(crate) fn new(seeds: &[SocketAddr]) -> Self {
+        let board = Self::default();
+        board.set_seeds(seeds);
+        board
+    }
+
+    /// Replaces the seeds; keepers that were learned of stay.
+    pub(crate) fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let mut entries = lock(&self.entries);
+        for entry in entries.values_mut() {
+            entry.is_seed = false;
+        }
+        for seed in seeds {
+            entries.entry(*seed).or_default().is_seed = true;
+        }
+    }
+
+    /// Notes a keeper that was named or has called.
+    pub(crate) fn learn(&self, contact: &KeeperContact, now: MonoTime) {
+        let mut entries = lock(&self.entries);
+        let entry = entries.entry(contact.peers).or_insert(BoardEntry {
+            added_at: now,
+            ..BoardEntry::default()
+        });
+        entry.contact = Some(contact.clone());
+    }
+
+    /// Notes that a keeper has answered or called.
+    pub(crate) fn heard(&self, keeper: SocketAddr, now: MonoTime) {
+        if let Some(entry) = lock(&self.entries).get_mut(&keeper) {
+            entry.heard_at = Some(now);
+        }
+    }
+
+    /// Forgets keepers that have been silent for long.
+    fn forget_silent(&self, now: MonoTime) {
+        let silence = Duration::from_millis(FORGET_MS);
+        lock(&self.entries).retain(|_, entry| {
+            let last = entry.heard_at.unwrap_or(entry.added_at);
+            entry.is_seed || now.since(last) < silence
+        });
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        lock(&self.entries).keys().copied().collect()
+    }
+
+    /// Keepers heard of lately, ordered by address.
+    pub(crate) fn alive(&self, now: MonoTime) -> Vec<KeeperContact> {
+        let alive = Duration::from_millis(ALIVE_MS);
+        let entries = lock(&self.entries);
+        let heard = |entry: &&BoardEntry| entry.heard_at.is_some_and(|at| now.since(at) < alive);
+        let live = entries.values().filter(heard);
+        live.filter_map(|entry| entry.contact.clone()).collect()
+    }
+}
+
+/// Digest by which a caller and a keeper find out whether their lists of keepers differ.
+pub(crate) fn contacts_digest(contacts: &[KeeperContact]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    contacts.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What varies between entry VMs and keepers that ask for news.
+pub(crate) struct PollHooks {
+    /// The next question to a keeper.
+    pub(crate) question: Box<dyn Fn(SocketAddr, u64, u32) -> PollRequest + Send + Sync>,
+    /// Takes in the answer; returns whether the keeper's configuration is to be fetched.
+    pub(crate) answer: Box<dyn Fn(SocketAddr, &PollReply) -> bool + Send + Sync>,
+    /// Takes in a configuration.
+    pub(crate) config: Box<dyn Fn(SocketAddr, u64, &Arc<str>) + Send + Sync>,
+}
+
+/// Everything that asking for news needs.
+pub(crate) struct KeeperSync {
+    pub(crate) peers: RelayPeers,
+    pub(crate) timer: TimerService,
+    pub(crate) log: Logger,
+    pub(crate) hooks: PollHooks,
+    pub(crate) own: SocketAddr,
+    pub(crate) stop: CancellationToken,
+}
+
+/// Asks every keeper of the board until stopped.
+pub(crate) async fn run_sync<B>(sync: Arc<KeeperSync>, board: B)
+where
+    B: Fn() -> Arc<dyn AsBoard> + Send + Sync,
+{
+    let tasks = TaskTracker::new();
+    let mut asked: HashSet<SocketAddr> = HashSet::new();
+    loop {
+        let holder = board();
+        let keepers = holder.board();
+        keepers.forget_silent(sync.timer.now());
+        let known = keepers.addresses();
+        for keeper in &known {
+            if *keeper != sync.own && asked.insert(*keeper) {
+                tasks.spawn(ask_keeper(Arc::clone(&sync), Arc::clone(&holder), *keeper));
+            }
+        }
+        asked.retain(|keeper| known.contains(keeper));
+        tokio::select! {
+            () = sync.stop.cancelled() => break,
+            () = tokio::time::sleep(Duration::from_millis(BOARD_PERIOD_MS)) => {}
+        }
+    }
+    tasks.close();
+    tasks.wait().await;
+}
+
+/// A part of the process that holds the board of keepers.
+pub(crate) trait AsBoard: Send + Sync {
+    fn board(&self) -> &KeeperBoard;
+}
+
+/// Asks one keeper again and again, until it is forgotten.
+async fn ask_keeper(sync: Arc<KeeperSync>, holder: Arc<dyn AsBoard>, keeper: SocketAddr) {
+    let mut digest = 0;
+    let mut retry_ms = RETRY_MIN_MS;
+    let mut reachable = None;
+    // The first answer comes at once, so that a started VM knows its surroundings early.
+    let mut wait_ms = 0;
+    loop {
+        if !holder.board().addresses().contains(&keeper) {
+            return;
+        }
+        let question = (sync.hooks.question)(keeper, digest, wait_ms);
+        let patience = Duration::from_millis(u64::from(wait_ms) + POLL_SLACK_MS);
+        let call = RelayCall::Poll(question);
+        let reply = tokio::select! {
+            () = sync.stop.cancelled() => return,
+            reply = sync.peers.call(keeper, TrafficClass::Control, &call, patience) => reply,
+        };
+        let now = sync.timer.now();
+        match reply {
+            Ok(RelayAnswer::Poll(reply)) => {
+                if reachable != Some(true) {
+                    info!(sync.log, "keeper-reached"; "keeper" => %keeper,
+                        "config_version" => reply.config_version);
+                }
+                reachable = Some(true);
+                retry_ms = RETRY_MIN_MS;
+                wait_ms = POLL_WAIT_MS;
+                digest = reply.contacts_digest;
+                for contact in reply.contacts.iter().flatten() {
+                    holder.board().learn(contact, now);
+                }
+                holder.board().heard(keeper, now);
+                if (sync.hooks.answer)(keeper, &reply) {
+                    fetch_config(&sync, keeper).await;
+                }
+            }
+            other => {
+                if reachable != Some(false) {
+                    let fault = match other {
+                        Err(error) => error.to_string(),
+                        Ok(_) => "the peer is no keeper".to_owned(),
+                    };
+                    warn!(sync.log, "keeper-not-reached"; "keeper" => %keeper, "fault" => fault);
+                }
+                reachable = Some(false);
+                digest = 0;
+                wait_ms = 0;
+                tokio::select! {
+                    () = sync.stop.cancelled() => return,
+                    () = tokio::time::sleep(Duration::from_millis(retry_ms)) => {}
+                }
+                retry_ms = (retry_ms * 2).min(RETRY_MAX_MS);
+            }
+        }
+    }
+}
+
+async fn fetch_config(sync: &KeeperSync, keeper: SocketAddr) {
+    let patience = Duration::from_millis(FETCH_TIMEOUT_MS);
+    let call = RelayCall::FetchConfig;
+    let fetched = sync
+        .peers
+        .call(keeper, TrafficClass::Control, &call, patience)
+        .await;
+    match fetched {
+        Ok(RelayAnswer::Config(version, text)) => (sync.hooks.config)(keeper, version, &text),
+        Ok(_) => warn!(sync.log, "config-not-fetched"; "keeper" => %keeper, "fault" => "not kept"),
+        Err(error) => {
+            warn!(sync.log, "config-not-fetched"; "keeper" => %keeper, "fault" => %error);
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -51,11 +51,14 @@
 mod join;
 mod member;
 mod message;
+mod notice;
 mod outreach;
 mod probe;
 mod ready;
+mod registry;
 mod repair;
 mod report;
+mod roster;
 mod settings;
 mod spread;
 mod state;
@@ -71,8 +74,11 @@
     MemberUpdate, ProbeMessage, RepairEntries, RepairRequest, SpreadNews, StateDigest,
     TargetChange, VmIdentity,
 };
+pub use notice::{NoticeState, TargetNotice};
 pub use ready::ReadyPhase;
+pub use registry::{NoticeOutcome, RegistryMark, RegistryNews, TargetRegistry};
 pub use report::MemberView;
+pub use roster::TargetRoster;
 pub use settings::{FleetSettings, TICK_PERIOD_MS};
 pub use state::FleetState;
 pub use table::{TargetEntry, TargetTable};
--- /dev/null
+++ b/crates/fleet/src/registry.rs
@@ -0,0 +1,229 @@
+//! The targets that announce to one keeper, with leases and a log of changes.
+//!
+//! A keeper holds only what is announced to it. Entry VMs read all keepers and
+//! merge what they say (see [`crate::TargetRoster`]), so keepers need not agree.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use fulmarweir_base::MonoTime;
+use serde::{Deserialize, Serialize};
+
+use crate::notice::{NoticeState, TargetNotice};
+
+/// Announcements that may be missed before a lease ends.
+const MISSED_MAX: u32 = 5;
+/// Time that the end of a target is remembered, longer than any lease and late announcement.
+const TOMBSTONE_MS: u64 = 60_000;
+/// Changes that are kept for readers that are behind; others get everything.
+const CHANGES_MAX: usize = 1024;
+
+/// Where a reader of a registry stands.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RegistryMark {
+    /// Identifies the run of the registry; a restarted keeper begins a new one.
+    pub run: u64,
+    /// The last change that was read.
+    pub revision: u64,
+}
+
+/// What a reader has missed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RegistryNews {
+    /// Where the reader stands after this.
+    pub mark: RegistryMark,
+    /// Whether `notices` are all targets that are held, and not just changes.
+    pub whole: bool,
+    /// Whether every live target has had time to announce itself since the keeper started.
+    pub settled: bool,
+    /// Targets that are new or have changed.
+    pub notices: Vec<TargetNotice>,
+    /// Targets whose lease has ended.
+    pub lapsed: Vec<Arc<str>>,
+}
+
+/// What became of an announcement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoticeOutcome {
+    /// It tells something new.
+    Changed,
+    /// It renews the lease.
+    Renewed,
+    /// A later announcement has been seen, or the target has left.
+    Stale,
+}
+
+#[derive(Debug)]
+struct HeldNotice {
+    notice: TargetNotice,
+    heard_at: MonoTime,
+    revision: u64,
+}
+
+/// The targets that announce to one keeper.
+#[derive(Debug)]
+pub struct TargetRegistry {
+    run: u64,
+    revision: u64,
+    lease: Duration,
+    started_at: MonoTime,
+    settled: bool,
+    held: BTreeMap<Arc<str>, HeldNotice>,
+    /// Lapsed leases by revision, oldest first.
+    lapses: VecDeque<(u64, Arc<str>)>,
+    /// Readers at or after this revision can be given changes only.
+    oldest_revision: u64,
+}
+
+impl TargetRegistry {
+    /// An empty registry; `run` must differ from that of every earlier one of this VM.
+    #[must_use]
+    pub fn new(run: u64, announce_period: Duration, now: MonoTime) -> Self {
+        Self {
+            run,
+            revision: 0,
+            lease: announce_period * MISSED_MAX,
+            started_at: now,
+            settled: false,
+            held: BTreeMap::new(),
+            lapses: VecDeque::new(),
+            oldest_revision: 0,
+        }
+    }
+
+    /// Takes in an announcement.
+    pub fn announce(&mut self, notice: TargetNotice, now: MonoTime) -> NoticeOutcome {
+        if let Some(held) = self.held.get_mut(&notice.id) {
+            if notice.rank() <= held.notice.rank() {
+                return NoticeOutcome::Stale;
+            }
+            held.heard_at = now;
+            if !held.notice.differs_from(&notice) {
+                held.notice.sequence = notice.sequence;
+                return NoticeOutcome::Renewed;
+            }
+        }
+        self.store(notice, now);
+        NoticeOutcome::Changed
+    }
+
+    /// Takes in a target's word that it leaves.
+    ///
+    /// `wall_ms` is this keeper's time of day, which bounds the start of an incarnation that
+    /// was never announced here.
+    pub fn withdraw(&mut self, id: &Arc<str>, wall_ms: u64, now: MonoTime) -> NoticeOutcome {
+        let held = self.held.get(id);
+        if held.is_some_and(|held| held.notice.state == NoticeState::Gone) {
+            return NoticeOutcome::Stale;
+        }
+        let notice = match held {
+            Some(held) => TargetNotice {
+                state: NoticeState::Gone,
+                ..held.notice.clone()
+            },
+            None => unknown_target(id, wall_ms),
+        };
+        self.store(notice, now);
+        NoticeOutcome::Changed
+    }
+
+    /// Ends leases that have run out; returns the targets concerned.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<TargetNotice> {
+        if !self.settled && now.since(self.started_at) >= self.lease {
+            self.settled = true;
+            // Readers must take in the whole list again, with what is absent from it.
+            self.revision += 1;
+            self.oldest_revision = self.revision;
+        }
+        let lease = self.lease;
+        let tombstone = Duration::from_millis(TOMBSTONE_MS);
+        let is_due = |held: &HeldNotice| {
+            let kept = match held.notice.state {
+                NoticeState::Gone => tombstone,
+                NoticeState::Serving | NoticeState::Draining => lease,
+            };
+            now.since(held.heard_at) > kept
+        };
+        let due: Vec<Arc<str>> = self
+            .held
+            .iter()
+            .filter(|(_, held)| is_due(held))
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        let mut lapsed = Vec::new();
+        for id in due {
+            self.revision += 1;
+            self.lapses.push_back((self.revision, Arc::clone(&id)));
+            lapsed.extend(self.held.remove(&id).map(|held| held.notice));
+        }
+        while self.lapses.len() > CHANGES_MAX {
+            if let Some((revision, _)) = self.lapses.pop_front() {
+                self.oldest_revision = self.oldest_revision.max(revision);
+            }
+        }
+        lapsed
+    }
+
+    /// What a reader that stands at `mark` has missed.
+    #[must_use]
+    pub fn news_since(&self, mark: Option<RegistryMark>) -> RegistryNews {
+        let known = mark.filter(|mark| mark.run == self.run);
+        let known = known.filter(|mark| mark.revision >= self.oldest_revision);
+        let since = known.map_or(0, |mark| mark.revision);
+        let changed = self.held.values().filter(|held| held.revision > since);
+        let lapsed = self.lapses.iter().filter(|(revision, _)| *revision > since);
+        RegistryNews {
+            mark: RegistryMark {
+                run: self.run,
+                revision: self.revision,
+            },
+            whole: known.is_none(),
+            settled: self.settled,
+            notices: changed.map(|held| held.notice.clone()).collect(),
+            lapsed: match known {
+                Some(_) => lapsed.map(|(_, id)| Arc::clone(id)).collect(),
+                None => Vec::new(),
+            },
+        }
+    }
+
+    /// Whether a reader that stands at `mark` has missed something.
+    #[must_use]
+    pub fn has_news(&self, mark: Option<RegistryMark>) -> bool {
+        mark.is_none_or(|mark| mark.run != self.run || mark.revision < self.revision)
+    }
+
+    /// The targets that are held, without those that have left.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetNotice> {
+        let held = self.held.values().map(|held| &held.notice);
+        held.filter(|notice| notice.state != NoticeState::Gone)
+    }
+
+    fn store(&mut self, notice: TargetNotice, now: MonoTime) {
+        self.revision += 1;
+        let held = HeldNotice {
+            heard_at: now,
+            revision: self.revision,
+            notice,
+        };
+        self.held.insert(Arc::clone(&held.notice.id), held);
+    }
+}
+
+/// The end of a target that has not announced itself here.
+fn unknown_target(id: &Arc<str>, wall_ms: u64) -> TargetNotice {
+    TargetNotice {
+        id: Arc::clone(id),
+        service: Arc::from(""),
+        address: ([0, 0, 0, 0], 0).into(),
+        centre: Arc::from(""),
+        slots: 0,
+        state: NoticeState::Gone,
+        born_ms: wall_ms,
+        sequence: 0,
+        warm_up_ms: 0,
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,11 +18,13 @@
 mod exchange;
 mod link;
 mod queue;
+mod relay_link;
 mod request;
 mod slots;
 mod table;
 
 pub use link::{LinkShare, LinkUsage, TargetLink};
+pub use relay_link::{ConnectionNeed, RelayFault, RelayLinks, RelayReply};
 pub use request::{
     ReportedLoad, RequestKind, TargetAnswer, TargetError, TargetFault, TargetRequest,
 };
--- a/crates/quorum/src/acceptor.rs
+++ b/crates/quorum/src/acceptor.rs
@@ -15,7 +15,7 @@
     member::{EpochState, VoterIdentity, VoterSet},
     message::{PageCursor, RegisterCopy, RequestBody, VoterReply, VoterRequest},
     record::VoterRecord,
-    value::AcceptedValue,
+    value::{AcceptedValue, RegisterValue},
 };
 
 /// Expired registers that one request removes at most.
@@ -77,6 +77,16 @@
             .sum()
     }
 
+    /// Version of the configuration that the voter has accepted, 0 for none.
+    pub(crate) fn accepted_config_version(&self) -> u64 {
+        let key = RegisterKey::Config;
+        let accepted = self.shard(key.shard()).accepted(&key);
+        match accepted.as_ref().map(|accepted| &*accepted.value) {
+            Some(RegisterValue::Config(state)) => state.version,
+            _ => 0,
+        }
+    }
+
     /// Applies a durable record after a restart.
     pub fn replay(&self, now: MonoTime, record: VoterRecord) {
         let shard = match &record {
--- a/crates/quorum/src/client.rs
+++ b/crates/quorum/src/client.rs
@@ -123,6 +123,11 @@
         self.observe_epoch(&EpochState::settled(set.clone()));
     }
 
+    /// Adopts what a voter knows of the voter sets, if it is later.
+    pub fn learn_epoch(&self, epoch: &EpochState) {
+        self.observe_epoch(epoch);
+    }
+
     /// Waits for requests that are still under way.
     pub async fn close(&self) {
         self.carrier.close().await;
--- a/crates/quorum/src/client/calls.rs
+++ b/crates/quorum/src/client/calls.rs
@@ -8,7 +8,7 @@
         record_act, release_act,
     },
     client::{CallProgress, QuorumClient},
-    config::{ConfigChange, ConfigState, SubmitOutcome, read_config},
+    config::{ConfigChange, ConfigState, NumberedConfig, SubmitOutcome, read_config},
     error::Result,
     key::{ActKey, RegisterKey},
     member::VoterSet,
@@ -49,6 +49,24 @@
             .await
     }
 
+    /// Makes `text` the configuration if `version` is higher than that of the present one.
+    ///
+    /// Returns the version in the register afterwards. Calling again with the same version
+    /// changes nothing, so a call without an answer may be repeated.
+    ///
+    /// # Errors
+    /// [`crate::QuorumError::Timeout`] when the change is undecided, or surely not made.
+    pub async fn raise_config(
+        &self,
+        version: u64,
+        text: Arc<str>,
+        patience: Duration,
+    ) -> Result<u64> {
+        let config = NumberedConfig { version, text };
+        self.run_change(RegisterKey::Config, patience, |value| config.apply(value))
+            .await
+    }
+
     /// Claims the right to run an act. Only [`ClaimOutcome::Granted`] gives it.
     ///
     /// # Errors
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -111,6 +111,31 @@
     }
 }
 
+/// A configuration that brings its own version number, of which the highest counts.
+#[derive(Clone, Debug)]
+pub(crate) struct NumberedConfig {
+    pub(crate) version: u64,
+    pub(crate) text: Arc<str>,
+}
+
+impl NumberedConfig {
+    /// Stores the configuration unless the register holds the same or a higher version.
+    ///
+    /// The outcome is the version that the register holds then.
+    pub(crate) fn apply(&self, value: Option<&RegisterValue>) -> RegisterChange<u64> {
+        let held = config_of(value).version;
+        if self.version <= held {
+            return RegisterChange::Keep(held);
+        }
+        let state = ConfigState {
+            version: self.version,
+            text: Arc::clone(&self.text),
+            outcomes: VecDeque::new(),
+        };
+        RegisterChange::Write(RegisterValue::Config(state), self.version)
+    }
+}
+
 /// Reads the configuration without changing it.
 pub(crate) fn read_config(value: Option<&RegisterValue>) -> RegisterChange<ConfigState> {
     RegisterChange::Keep(config_of(value).clone())
--- a/crates/quorum/src/service.rs
+++ b/crates/quorum/src/service.rs
@@ -95,9 +95,16 @@
             settings.act_retention,
         );
         let now = timer.now();
+        let is_new = records.is_empty();
         for record in records {
             acceptor.replay(now, record);
         }
+        if is_new {
+            // A later start may be told of other first voters, or of none.
+            let first = VoterRecord::Epoch(acceptor.epoch_state());
+            let receipt = store.append(first.encode());
+            futures::executor::block_on(receipt.wait()).change_context(QuorumError::Log)?;
+        }
         info!(logger, "voter-opened"; "identity" => %identity,
             "epoch" => acceptor.epoch_state().current.epoch, "registers" => acceptor.register_count());
         Ok(Arc::new(Self {
@@ -128,6 +135,12 @@
         self.acceptor.register_count()
     }
 
+    /// Version of the configuration that this voter has accepted; it may not be chosen.
+    #[must_use]
+    pub fn accepted_config_version(&self) -> u64 {
+        self.acceptor.accepted_config_version()
+    }
+
     /// Size of the log in bytes.
     #[must_use]
     pub fn log_bytes(&self) -> u64 {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -34,6 +34,7 @@
 mod limit;
 mod load;
 mod refusal;
+mod relay;
 mod replica;
 mod search;
 mod service;
@@ -48,6 +49,11 @@
 pub use gate::{AdmissionAsk, QueueTicket};
 pub use hits::{HitScore, HitsError, SearchHit, merge_hits, parse_hits, write_hits};
 pub use refusal::{RefusalReason, RouteRefusal};
+pub use relay::{
+    AttemptEnd, AttemptSignal, Locality, PaceTable, Pick, PickAsk, RECORD_BYTES, RelayAction,
+    RelayAsk, RelayBook, RelayEnd, RelayRefusal, RelayRun, RelaySend, RelayTarget, TargetSight,
+    merge_records,
+};
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchAsk, SearchOutcome, SearchRun};
 pub use service::{
     Admission, AdmissionPermit, QueueEvent, ServiceGauges, ServiceState, TargetGauges,
--- /dev/null
+++ b/crates/route/src/relay/book.rs
@@ -0,0 +1,341 @@
+//! What is known of all targets, and the choice of a target for one attempt.
+//!
+//! Load patterns: a replica that pauses, is slow, is near its limit or has just
+//! gone, while its siblings can take the work.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use fulmarweir_base::MonoTime;
+use fulmarweir_conf::ExtraAllowance;
+
+use super::{
+    allowance::ExtraWindow,
+    card::{AttemptSignal, Locality, TargetCard},
+};
+
+/// Weight of the latest answer in a service's mean latency.
+const WORK_WEIGHT: f64 = 0.02;
+/// Mean latency of a service before its first answer, in milliseconds.
+const WORK_DEFAULT_MS: f64 = 20.0;
+/// Connections to a target that are left to others, since VMs differ on how many they are.
+const CONNECTIONS_KEPT_SHARE: f64 = 0.1;
+
+/// A target that may be asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RelayTarget {
+    /// Identifies it over all services.
+    pub id: Arc<str>,
+    /// Service whose requests it runs.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How far it is.
+    pub locality: Locality,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tells its incarnations apart.
+    pub born_ms: u64,
+    /// For how much longer it was slow when it was first heard of, in milliseconds.
+    pub warm_up_ms: u32,
+}
+
+/// What a lane needs a target for.
+#[derive(Debug)]
+pub struct PickAsk<'a> {
+    /// Service that must answer.
+    pub service: &'a Arc<str>,
+    /// Targets that were asked since the last pause of the lane.
+    pub tried: &'a [Arc<str>],
+    /// Targets on which the request may have run.
+    pub ran: &'a [Arc<str>],
+    /// Targets on which it may run at most.
+    pub ran_max: usize,
+    /// Passes over targets that are down or full: a second attempt is not worth it there.
+    pub spare: bool,
+}
+
+/// The target for one attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Pick {
+    /// Ask this one; `again` when the request may have run there already.
+    Target {
+        /// The target.
+        target: Arc<RelayTarget>,
+        /// Whether it was asked before.
+        again: bool,
+    },
+    /// Every target that could be asked has as many open attempts as this VM has connections.
+    Full,
+    /// All were tried.
+    Tried,
+    /// The service has no target.
+    Unknown,
+}
+
+/// One target as this VM sees it, for status pages and logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetSight {
+    /// The target.
+    pub target: Arc<RelayTarget>,
+    /// Requests of this VM that are open there.
+    pub in_flight: u32,
+    /// Load that is expected there, from all VMs.
+    pub load: f64,
+    /// Expected time to an answer with penalties, in milliseconds.
+    pub score_ms: f64,
+    /// Share of recent attempts that failed.
+    pub failure_rate: f64,
+}
+
+#[derive(Debug)]
+struct ServiceDesk {
+    cards: Vec<TargetCard>,
+    window: ExtraWindow,
+    work_ms: f64,
+}
+
+impl Default for ServiceDesk {
+    fn default() -> Self {
+        Self {
+            cards: Vec::new(),
+            window: ExtraWindow::default(),
+            work_ms: WORK_DEFAULT_MS,
+        }
+    }
+}
+
+/// All targets by service.
+#[derive(Debug)]
+pub struct RelayBook {
+    services: HashMap<Arc<str>, ServiceDesk>,
+    grant: ExtraAllowance,
+    vms: u32,
+    /// Tells this VM's choices from those of others where all cannot connect to all.
+    salt: u64,
+}
+
+impl RelayBook {
+    /// A book without targets; `salt` differs between VMs.
+    #[must_use]
+    pub fn new(grant: ExtraAllowance, salt: u64) -> Self {
+        Self {
+            services: HashMap::new(),
+            grant,
+            vms: 1,
+            salt,
+        }
+    }
+
+    /// Replaces the targets; what is known of those that stay is kept.
+    ///
+    /// `connections_max` tells how many connections a target of a service accepts from all
+    /// `vms` entry VMs together.
+    pub fn sync(
+        &mut self,
+        targets: Vec<RelayTarget>,
+        vms: u32,
+        connections_max: impl Fn(&str) -> Option<u32>,
+        now: MonoTime,
+    ) {
+        self.vms = vms.max(1);
+        let mut cards: HashMap<Arc<str>, Vec<TargetCard>> = HashMap::new();
+        for target in targets {
+            let limit = connections_max(&target.service);
+            let share = self.connection_share(&target, limit);
+            let known = self.take_card(&target);
+            let mut card = match known {
+                Some(card) => card,
+                None => TargetCard::new(Arc::new(target), share, now),
+            };
+            card.connections = share;
+            let service = Arc::clone(&card.target.service);
+            cards.entry(service).or_default().push(card);
+        }
+        for desk in self.services.values_mut() {
+            desk.cards.clear();
+        }
+        for (service, cards) in cards {
+            self.services.entry(service).or_default().cards = cards;
+        }
+    }
+
+    fn take_card(&mut self, target: &RelayTarget) -> Option<TargetCard> {
+        let desk = self.services.get_mut(&target.service)?;
+        let same = |card: &TargetCard| {
+            let known = &card.target;
+            known.id == target.id
+                && known.born_ms == target.born_ms
+                && known.address == target.address
+                && known.slots == target.slots
+        };
+        let place = desk.cards.iter().position(same)?;
+        Some(desk.cards.swap_remove(place))
+    }
+
+    /// Connections that this VM may hold to a target.
+    ///
+    /// With more VMs than connections a hash of both names says who may hold one.
+    fn connection_share(&self, target: &RelayTarget, limit: Option<u32>) -> u32 {
+        let Some(limit) = limit.filter(|limit| *limit > 0) else {
+            return target.slots.max(1);
+        };
+        let usable = f64::from(limit) * (1.0 - CONNECTIONS_KEPT_SHARE);
+        let share = usable / f64::from(self.vms);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share of a u32"
+        )]
+        let whole = share as u32;
+        if whole >= 1 {
+            return whole;
+        }
+        u32::from(place_of(self.salt, &target.id) < share)
+    }
+
+    /// Counts a request that needs an answer of `service`.
+    pub fn count_first(&mut self, service: &Arc<str>, now: MonoTime) {
+        let grant = self.grant;
+        if let Some(desk) = self.services.get_mut(service) {
+            desk.window.count_first(&grant, now);
+        }
+    }
+
+    /// Takes an extra attempt from the budget of `service`.
+    pub fn take_extra(&mut self, service: &Arc<str>, now: MonoTime) -> bool {
+        let (grant, vms) = (self.grant, self.vms);
+        let desk = self.services.get_mut(service);
+        desk.is_some_and(|desk| desk.window.take_extra(&grant, vms, now))
+    }
+
+    /// Extra attempts that the budget of `service` still allows.
+    #[must_use]
+    pub fn extra_left(&self, service: &str, now: MonoTime) -> f64 {
+        let desk = self.services.get(service);
+        desk.map_or(0.0, |desk| desk.window.left(&self.grant, self.vms, now))
+    }
+
+    /// Chooses the target that is expected to answer first.
+    #[must_use]
+    pub fn pick(&self, ask: &PickAsk<'_>, now: MonoTime) -> Pick {
+        let Some(desk) = self.services.get(ask.service) else {
+            return Pick::Unknown;
+        };
+        let used_up = ask.ran.len() >= ask.ran_max;
+        let mut best: Option<(f64, &TargetCard, bool)> = None;
+        let mut any = false;
+        let mut any_untried = false;
+        for card in desk.cards.iter().filter(|card| !card.moved) {
+            any = true;
+            let again = ask.ran.contains(&card.target.id);
+            if ask.tried.contains(&card.target.id) || (used_up && !again) {
+                continue;
+            }
+            any_untried = true;
+            if !card.has_room() || (ask.spare && (card.is_down(now) || card.is_full(now))) {
+                continue;
+            }
+            let score = card.score(desk.work_ms, now);
+            if best.as_ref().is_none_or(|(lowest, _, _)| score < *lowest) {
+                best = Some((score, card, again));
+            }
+        }
+        match best {
+            Some((_, card, again)) => Pick::Target {
+                target: Arc::clone(&card.target),
+                again,
+            },
+            None if any_untried => Pick::Full,
+            None if any => Pick::Tried,
+            None => Pick::Unknown,
+        }
+    }
+
+    /// Notes that an attempt was sent.
+    pub fn attempt_sent(&mut self, target: &RelayTarget, now: MonoTime) {
+        if let Some((card, _)) = self.card(target) {
+            card.attempt_sent(now);
+        }
+    }
+
+    /// Notes how an attempt ended that was sent at `sent_at`.
+    pub fn attempt_ended(
+        &mut self,
+        target: &RelayTarget,
+        sent_at: MonoTime,
+        signal: AttemptSignal,
+        now: MonoTime,
+    ) {
+        let Some((card, work_ms)) = self.card(target) else {
+            return;
+        };
+        if let AttemptSignal::Answered { latency, .. } = signal
+            && target.locality == Locality::Centre
+        {
+            *work_ms += WORK_WEIGHT * (latency.as_secs_f64() * 1000.0 - *work_ms);
+        }
+        card.attempt_ended(sent_at, signal, now);
+    }
+
+    fn card(&mut self, target: &RelayTarget) -> Option<(&mut TargetCard, &mut f64)> {
+        let desk = self.services.get_mut(&target.service)?;
+        let same = |card: &&mut TargetCard| {
+            card.target.id == target.id && card.target.born_ms == target.born_ms
+        };
+        let card = desk.cards.iter_mut().find(same)?;
+        Some((card, &mut desk.work_ms))
+    }
+
+    /// Whether any target of `service` is known.
+    #[must_use]
+    pub fn knows(&self, service: &str) -> bool {
+        let desk = self.services.get(service);
+        desk.is_some_and(|desk| desk.cards.iter().any(|card| !card.moved))
+    }
+
+    /// Number of targets in use.
+    #[must_use]
+    pub fn target_count(&self) -> usize {
+        self.services.values().map(|desk| desk.cards.len()).sum()
+    }
+
+    /// How this VM sees the targets of a service.
+    #[must_use]
+    pub fn sights(&self, service: &str, now: MonoTime) -> Vec<TargetSight> {
+        let Some(desk) = self.services.get(service) else {
+            return Vec::new();
+        };
+        let sight = |card: &TargetCard| TargetSight {
+            target: Arc::clone(&card.target),
+            in_flight: card.in_flight(),
+            load: card.load(now),
+            score_ms: card.score(desk.work_ms, now),
+            failure_rate: card.failure_rate(now),
+        };
+        desk.cards.iter().map(sight).collect()
+    }
+
+    /// Time after which work that found every target of a service full may find room.
+    #[must_use]
+    pub fn relief_after(&self, service: &str, now: MonoTime) -> Duration {
+        let Some(desk) = self.services.get(service) else {
+            return Duration::ZERO;
+        };
+        let turns = |card: &TargetCard| card.load(now) / f64::from(card.target.slots.max(1));
+        let least = desk.cards.iter().map(turns).fold(f64::MAX, f64::min);
+        Duration::from_secs_f64(desk.work_ms * least.clamp(1.0, 100.0) / 1000.0)
+    }
+}
+
+/// A number from 0 to 1 that depends on both arguments only.
+fn place_of(salt: u64, id: &str) -> f64 {
+    let mut hash = salt ^ 0xcbf2_9ce4_8422_2325;
+    for byte in id.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    hash ^= hash >> 32;
+    hash = hash.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    #[expect(clippy::cast_precision_loss, reason = "53 bits are kept")]
+    let place = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+    place
+}
--- /dev/null
+++ b/crates/route/src/relay/lane.rs
@@ -0,0 +1,103 @@
+//! One service that must answer a request.
+
+use std::sync::Arc;
+
+use fulmarweir_base::MonoTime;
+
+use super::book::RelayTarget;
+
+/// Whether a lane has its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LaneState {
+    /// Awaits an answer, or the time for another attempt.
+    Open,
+    /// Has the answer of this attempt.
+    Answered(u32),
+    /// Gets no answer.
+    Failed,
+}
+
+/// An attempt that has not ended.
+#[derive(Debug)]
+pub(crate) struct OpenAttempt {
+    pub(crate) number: u32,
+    pub(crate) target: Arc<RelayTarget>,
+    pub(crate) sent_at: MonoTime,
+}
+
+/// How far one service has come.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pub(crate) service: Arc<str>,
+    pub(crate) state: LaneState,
+    pub(crate) open: Vec<OpenAttempt>,
+    /// Targets asked since the last pause.
+    pub(crate) tried: Vec<Arc<str>>,
+    /// Targets on which the request may have run.
+    pub(crate) ran: Vec<Arc<str>>,
+    /// Attempts that reached, or may have reached, a target.
+    pub(crate) arrivals: u32,
+    /// Rounds in which no target took the request.
+    pub(crate) rounds: u32,
+    /// Failed attempts that may have run.
+    pub(crate) failures: u32,
+    /// When the next attempt is due.
+    pub(crate) next_at: Option<MonoTime>,
+    /// The latest failure that a target answered with, to pass on.
+    pub(crate) failure_reply: Option<u32>,
+}
+
+impl Lane {
+    pub(crate) fn new(service: Arc<str>) -> Self {
+        Self {
+            service,
+            state: LaneState::Open,
+            open: Vec::new(),
+            tried: Vec::new(),
+            ran: Vec::new(),
+            arrivals: 0,
+            rounds: 0,
+            failures: 0,
+            next_at: None,
+            failure_reply: None,
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.state == LaneState::Open
+    }
+
+    /// Whether the request may have run, or may still run, for this lane.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !self.ran.is_empty()
+    }
+
+    pub(crate) fn sent(&mut self, number: u32, target: &Arc<RelayTarget>, now: MonoTime) {
+        self.open.push(OpenAttempt {
+            number,
+            target: Arc::clone(target),
+            sent_at: now,
+        });
+        self.arrivals += 1;
+        if !self.tried.contains(&target.id) {
+            self.tried.push(Arc::clone(&target.id));
+        }
+        if !self.ran.contains(&target.id) {
+            self.ran.push(Arc::clone(&target.id));
+        }
+    }
+
+    /// Takes an ended attempt out; `None` when it has ended before.
+    pub(crate) fn close(&mut self, number: u32) -> Option<OpenAttempt> {
+        let place = self.open.iter().position(|open| open.number == number)?;
+        Some(self.open.swap_remove(place))
+    }
+
+    /// Notes that the request has not run at a target and will not.
+    pub(crate) fn did_not_run(&mut self, target: &RelayTarget) {
+        let still_open = self.open.iter().any(|open| open.target.id == target.id);
+        if !still_open {
+            self.ran.retain(|id| *id != target.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/relay/merge.rs
@@ -0,0 +1,30 @@
+//! Merging the fixed-size records of several shards.
+
+/// Size of a record.
+pub const RECORD_BYTES: usize = 16;
+
+/// The greatest `top` records of all parts, greatest first, compared byte by byte.
+///
+/// A remainder of a part that is shorter than a record is left out. Equal records all count.
+///
+/// ```
+/// use fulmarweir_route::{RECORD_BYTES, merge_records};
+///
+/// let low = [1_u8; RECORD_BYTES];
+/// let high = [9_u8; RECORD_BYTES];
+/// let part: Vec<u8> = [low, high].concat();
+/// assert_eq!(merge_records([part.as_slice()], 1), high);
+/// ```
+#[must_use]
+pub fn merge_records<'a>(parts: impl IntoIterator<Item = &'a [u8]>, top: usize) -> Vec<u8> {
+    let mut records: Vec<&[u8]> = parts
+        .into_iter()
+        .flat_map(|part| part.chunks_exact(RECORD_BYTES))
+        .collect();
+    if records.len() > top && top > 0 {
+        records.select_nth_unstable_by(top - 1, |a, b| b.cmp(a));
+    }
+    records.truncate(top);
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.concat()
+}
--- /dev/null
+++ b/crates/route/src/relay/run.rs
@@ -0,0 +1,533 @@
+//! The state machine of one relayed request.
+//!
+//! Load patterns: a replica that pauses while its siblings are idle (a second
+//! attempt after the route's usual latency), a shard without a replica that
+//! takes work (the answer goes out without it, or is refused at once), and
+//! targets that refuse (another one at once, then a pause that grows).
+
+use std::{sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, RunVerdict};
+
+use super::{
+    book::{Pick, PickAsk, RelayBook, RelayTarget},
+    card::AttemptSignal,
+    lane::{Lane, LaneState},
+};
+use crate::{AttemptKind, RefusalReason, ReportedLoad, RetryReason};
+
+/// Pause of a lane whose targets are all taken up by this VM's own requests.
+const ROOM_PAUSE_MS: u64 = 4;
+/// First pause of a lane after every target refused; it doubles up to the longest one.
+const REFUSED_PAUSE_MS: u64 = 15;
+const REFUSED_PAUSE_MAX_MS: u64 = 240;
+/// Pause of a lane that the budget of extra attempts keeps waiting.
+const BUDGET_PAUSE_MS: u64 = 25;
+/// Attempts for one lane that may reach a target at most.
+const ARRIVALS_MAX: u32 = 6;
+/// Attempts of one lane that may be open at once.
+const OPEN_MAX: usize = 3;
+/// Part of the time to the soft deadline in which a request that nobody has taken is refused.
+const UNTAKEN_SHARE: u32 = 4;
+/// Shortest pause that a refused caller is told.
+const RETRY_AFTER_MIN_MS: u64 = 50;
+
+/// What is asked for one request.
+#[derive(Clone, Debug)]
+pub struct RelayAsk {
+    /// Services that must answer, one lane each.
+    pub services: Vec<Arc<str>>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Targets of one service that it may run on at most.
+    pub attempts_max: u32,
+    /// Share of the services below which there is no answer.
+    pub coverage_min: f64,
+    /// When an answer with enough coverage goes out.
+    pub soft_deadline: MonoTime,
+    /// When the request is given up.
+    pub deadline: MonoTime,
+    /// How long an attempt is waited for before a second one is sent.
+    pub hedge_delay: Duration,
+}
+
+/// One attempt to send.
+#[derive(Clone, Debug)]
+pub struct RelaySend {
+    /// Number within the run.
+    pub attempt: u32,
+    /// Index of the service in [`RelayAsk::services`].
+    pub lane: usize,
+    /// Where to.
+    pub target: Arc<RelayTarget>,
+    /// Whether to use a new connection, since an earlier attempt there got no answer.
+    pub fresh: bool,
+    /// What it is to its lane.
+    pub kind: AttemptKind,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AttemptEnd {
+    /// A usable answer.
+    Answered {
+        /// Load that came with it.
+        load: Option<ReportedLoad>,
+    },
+    /// The target's word that it did not run the request.
+    Refused {
+        /// When it may be asked again.
+        retry_after: Option<Duration>,
+    },
+    /// Another target listens at the address; not run.
+    Moved,
+    /// The request never left this VM, since no connection could be made.
+    Unreachable,
+    /// The request never left this VM, since no connection was free.
+    NoConnection,
+    /// The target answered with a failure of its own.
+    FailureReply,
+    /// The attempt broke off, or its answer was unusable; it may have run.
+    Broken,
+}
+
+/// Why a request was refused or given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RelayRefusal {
+    /// The reason.
+    pub reason: RefusalReason,
+    /// Whether it may have run.
+    pub verdict: RunVerdict,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RelayEnd {
+    /// The attempt whose answer counts for each lane, `None` for lanes left out.
+    Answered(Vec<Option<u32>>),
+    /// The failure that a target answered with is passed on.
+    PassOn(u32),
+    /// There is no answer.
+    Refused(RelayRefusal),
+}
+
+/// What the carrying code has to do.
+#[derive(Debug)]
+pub enum RelayAction {
+    /// Send an attempt; report its end by [`RelayRun::on_end`].
+    Send(RelaySend),
+    /// Call [`RelayRun::on_wake`] at this time; replaces an earlier wake-up.
+    Wake(MonoTime),
+    /// Answer the caller; the run's last action.
+    Finish(RelayEnd),
+}
+
+/// One relayed request. After `Finish` every call returns nothing.
+#[derive(Debug)]
+pub struct RelayRun {
+    ask: RelayAsk,
+    lanes: Vec<Lane>,
+    started_at: MonoTime,
+    next_attempt: u32,
+    answered: usize,
+    finished: bool,
+    wake_at: Option<MonoTime>,
+    /// Second attempts sent, and how many of them answered first.
+    hedges: u32,
+    hedge_wins: u32,
+    hedge_numbers: Vec<u32>,
+}
+
+impl RelayRun {
+    /// Starts a request: sends the first attempt of each lane.
+    pub fn start(ask: RelayAsk, book: &mut RelayBook, now: MonoTime) -> (Self, Vec<RelayAction>) {
+        let lanes = ask.services.iter().cloned().map(Lane::new).collect();
+        let mut run = Self {
+            lanes,
+            started_at: now,
+            next_attempt: 0,
+            answered: 0,
+            finished: false,
+            wake_at: None,
+            hedges: 0,
+            hedge_wins: 0,
+            hedge_numbers: Vec::new(),
+            ask,
+        };
+        let mut actions = Vec::with_capacity(run.lanes.len() + 1);
+        if run.too_few_known(book) {
+            run.refuse(RefusalReason::NoTargets, book, now, &mut actions);
+            return (run, actions);
+        }
+        for lane in 0..run.lanes.len() {
+            book.count_first(&run.lanes[lane].service, now);
+            run.try_send(lane, AttemptKind::First, book, now, &mut actions);
+        }
+        run.conclude(book, now, &mut actions);
+        (run, actions)
+    }
+
+    /// Takes in the end of an attempt; late and doubled reports change nothing.
+    pub fn on_end(
+        &mut self,
+        lane: usize,
+        attempt: u32,
+        end: AttemptEnd,
+        book: &mut RelayBook,
+        now: MonoTime,
+    ) -> Vec<RelayAction> {
+        let mut actions = Vec::new();
+        let Some(open) = self.lanes[lane].close(attempt) else {
+            return actions;
+        };
+        let latency = now.since(open.sent_at);
+        let signal = signal_of(end, latency);
+        book.attempt_ended(&open.target, open.sent_at, signal, now);
+        if self.finished || !self.lanes[lane].is_open() {
+            return actions;
+        }
+        self.take_end(lane, attempt, end, &open.target, book, now, &mut actions);
+        self.conclude(book, now, &mut actions);
+        actions
+    }
+
+    /// Takes in a wake-up.
+    pub fn on_wake(&mut self, book: &mut RelayBook, now: MonoTime) -> Vec<RelayAction> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        self.wake_at = None;
+        for lane in 0..self.lanes.len() {
+            let is_due = self.lanes[lane].next_at.is_some_and(|at| at <= now);
+            if is_due && self.lanes[lane].is_open() {
+                self.lanes[lane].next_at = None;
+                self.next_attempt_of(lane, book, now, &mut actions);
+            }
+        }
+        self.conclude(book, now, &mut actions);
+        actions
+    }
+
+    /// Gives up what is open because its caller has left or the answer is out.
+    pub fn abandon(&mut self, book: &mut RelayBook, now: MonoTime) {
+        self.finished = true;
+        for lane in &mut self.lanes {
+            for open in lane.open.drain(..) {
+                book.attempt_ended(&open.target, open.sent_at, AttemptSignal::Abandoned, now);
+            }
+        }
+    }
+
+    /// Second attempts sent, and how many of them answered first.
+    #[must_use]
+    pub const fn hedges(&self) -> (u32, u32) {
+        (self.hedges, self.hedge_wins)
+    }
+
+    /// Attempts that were sent.
+    #[must_use]
+    pub const fn attempts(&self) -> u32 {
+        self.next_attempt
+    }
+
+    /// Lanes without an answer.
+    #[must_use]
+    pub fn missing(&self) -> usize {
+        self.lanes.len() - self.answered
+    }
+
+    /// Names of the services without an answer, for logs.
+    pub fn missing_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let missing = |lane: &&Lane| !matches!(lane.state, LaneState::Answered(_));
+        self.lanes.iter().filter(missing).map(|lane| &lane.service)
+    }
+
+    /// Whether any attempt may have run, or may still run.
+    #[must_use]
+    pub fn verdict(&self) -> RunVerdict {
+        if self.lanes.iter().any(Lane::may_have_run) {
+            RunVerdict::MayHaveRun
+        } else {
+            RunVerdict::NotRun
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one step with its context")]
+    fn take_end(
+        &mut self,
+        lane: usize,
+        attempt: u32,
+        end: AttemptEnd,
+        target: &Arc<RelayTarget>,
+        book: &mut RelayBook,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let progress = &mut self.lanes[lane];
+        match end {
+            AttemptEnd::Answered { .. } => {
+                progress.state = LaneState::Answered(attempt);
+                progress.next_at = None;
+                self.answered += 1;
+                if self.hedge_numbers.contains(&attempt) {
+                    self.hedge_wins += 1;
+                }
+                return;
+            }
+            AttemptEnd::Refused { .. } | AttemptEnd::Moved => progress.did_not_run(target),
+            AttemptEnd::Unreachable | AttemptEnd::NoConnection => {
+                progress.did_not_run(target);
+                progress.arrivals = progress.arrivals.saturating_sub(1);
+            }
+            AttemptEnd::FailureReply => {
+                progress.failures += 1;
+                progress.failure_reply = Some(attempt);
+            }
+            AttemptEnd::Broken => progress.failures += 1,
+        }
+        if self.lanes[lane].open.is_empty() {
+            self.lanes[lane].next_at = None;
+            self.next_attempt_of(lane, book, now, actions);
+        }
+    }
+
+    /// Sends the next attempt of a lane, if the request may run again and the budget allows.
+    fn next_attempt_of(
+        &mut self,
+        lane: usize,
+        book: &mut RelayBook,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let progress = &mut self.lanes[lane];
+        let is_hedge = !progress.open.is_empty();
+        let may_run_again = self.ask.repeatable || !progress.may_have_run();
+        if !may_run_again || progress.arrivals >= ARRIVALS_MAX {
+            if progress.open.is_empty() {
+                progress.state = LaneState::Failed;
+            }
+            return;
+        }
+        if is_hedge && progress.open.len() >= OPEN_MAX {
+            return;
+        }
+        let kind = match (is_hedge, progress.arrivals) {
+            (true, _) => AttemptKind::Hedge,
+            (false, 0) => AttemptKind::First,
+            (false, _) if progress.failures > 0 => AttemptKind::Retry(RetryReason::Failed),
+            (false, _) => AttemptKind::Retry(RetryReason::Refused),
+        };
+        self.try_send(lane, kind, book, now, actions);
+    }
+
+    fn try_send(
+        &mut self,
+        lane: usize,
+        kind: AttemptKind,
+        book: &mut RelayBook,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let is_hedge = kind == AttemptKind::Hedge;
+        let ran_max = self.ask.attempts_max.max(1) as usize;
+        let progress = &self.lanes[lane];
+        let ask = PickAsk {
+            service: &progress.service,
+            tried: &progress.tried,
+            ran: &progress.ran,
+            ran_max,
+            spare: is_hedge,
+        };
+        match book.pick(&ask, now) {
+            Pick::Target { target, again } => {
+                let is_extra = self.lanes[lane].arrivals > 0;
+                if is_extra && !book.take_extra(&self.lanes[lane].service, now) {
+                    self.pause(lane, BUDGET_PAUSE_MS, now);
+                    return;
+                }
+                self.send(lane, target, again, kind, book, now, actions);
+            }
+            Pick::Full => self.pause(lane, ROOM_PAUSE_MS, now),
+            Pick::Tried => {
+                let progress = &mut self.lanes[lane];
+                progress.tried.clear();
+                // A hedge of a lane whose targets were all asked goes to one of them again, later.
+                let rounds = progress.rounds;
+                progress.rounds += 1;
+                let pause_ms = (REFUSED_PAUSE_MS << rounds.min(6)).min(REFUSED_PAUSE_MAX_MS);
+                let delay_ms = u64::try_from(self.ask.hedge_delay.as_millis()).unwrap_or(u64::MAX);
+                let pause_ms = if is_hedge {
+                    pause_ms.max(delay_ms)
+                } else {
+                    pause_ms
+                };
+                self.pause(lane, pause_ms, now);
+            }
+            Pick::Unknown => {
+                if self.lanes[lane].open.is_empty() {
+                    self.lanes[lane].state = LaneState::Failed;
+                }
+            }
+        }
+    }
+
+    fn pause(&mut self, lane: usize, pause_ms: u64, now: MonoTime) {
+        self.lanes[lane].next_at = Some(now + Duration::from_millis(pause_ms));
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one step with its context")]
+    fn send(
+        &mut self,
+        lane: usize,
+        target: Arc<RelayTarget>,
+        again: bool,
+        kind: AttemptKind,
+        book: &mut RelayBook,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let attempt = self.next_attempt;
+        self.next_attempt += 1;
+        book.attempt_sent(&target, now);
+        if kind == AttemptKind::Hedge {
+            self.hedges += 1;
+            self.hedge_numbers.push(attempt);
+        }
+        let progress = &mut self.lanes[lane];
+        progress.sent(attempt, &target, now);
+        if self.ask.repeatable {
+            let turns = u32::try_from(progress.open.len()).unwrap_or(1);
+            progress.next_at = Some(now + self.ask.hedge_delay * turns);
+        }
+        actions.push(RelayAction::Send(RelaySend {
+            attempt,
+            lane,
+            target,
+            fresh: again,
+            kind,
+        }));
+    }
+
+    /// Whether so many services have no target that there can be no answer.
+    fn too_few_known(&self, book: &RelayBook) -> bool {
+        let known = self.lanes.iter().filter(|lane| book.knows(&lane.service));
+        !self.covers(known.count())
+    }
+
+    fn covers(&self, answered: usize) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "lane counts are small")]
+        let coverage = answered as f64 / self.lanes.len().max(1) as f64;
+        answered > 0 && coverage >= self.ask.coverage_min
+    }
+
+    /// Ends the step: finishes if it is time, else sets the next wake-up.
+    fn conclude(&mut self, book: &RelayBook, now: MonoTime, actions: &mut Vec<RelayAction>) {
+        if self.answered == self.lanes.len()
+            || (now >= self.ask.soft_deadline && self.covers(self.answered))
+        {
+            return self.answer(actions);
+        }
+        let undecided = self.lanes.iter().filter(|lane| lane.is_open()).count();
+        if undecided == 0 && self.covers(self.answered) {
+            return self.answer(actions);
+        }
+        if !self.covers(self.answered + undecided) {
+            return self.give_up(book, now, actions);
+        }
+        if now >= self.ask.deadline {
+            return self.refuse(RefusalReason::Deadline, book, now, actions);
+        }
+        if self.is_untaken(now) {
+            return self.refuse(RefusalReason::TargetsRefused, book, now, actions);
+        }
+        let next = self.next_wake(now);
+        if self.wake_at != Some(next) {
+            self.wake_at = Some(next);
+            actions.push(RelayAction::Wake(next));
+        }
+    }
+
+    /// Whether no target has taken the request although it has waited long enough.
+    fn is_untaken(&self, now: MonoTime) -> bool {
+        now >= self.untaken_at() && self.lanes.iter().all(|lane| !lane.may_have_run())
+    }
+
+    fn untaken_at(&self) -> MonoTime {
+        self.started_at + self.ask.soft_deadline.since(self.started_at) / UNTAKEN_SHARE
+    }
+
+    fn next_wake(&self, now: MonoTime) -> MonoTime {
+        let mut wake_at = self.ask.deadline;
+        for at in [self.ask.soft_deadline, self.untaken_at()] {
+            if at > now {
+                wake_at = wake_at.min(at);
+            }
+        }
+        let open = self.lanes.iter().filter(|lane| lane.is_open());
+        open.filter_map(|lane| lane.next_at)
+            .fold(wake_at, MonoTime::min)
+    }
+
+    fn answer(&mut self, actions: &mut Vec<RelayAction>) {
+        self.finished = true;
+        let part = |lane: &Lane| match lane.state {
+            LaneState::Answered(attempt) => Some(attempt),
+            LaneState::Open | LaneState::Failed => None,
+        };
+        let parts = self.lanes.iter().map(part).collect();
+        actions.push(RelayAction::Finish(RelayEnd::Answered(parts)));
+    }
+
+    /// Ends a request that can no longer get enough answers.
+    fn give_up(&mut self, book: &RelayBook, now: MonoTime, actions: &mut Vec<RelayAction>) {
+        if let [lane] = self.lanes.as_slice()
+            && let Some(reply) = lane.failure_reply
+        {
+            self.finished = true;
+            actions.push(RelayAction::Finish(RelayEnd::PassOn(reply)));
+            return;
+        }
+        let reason = match self.verdict() {
+            RunVerdict::NotRun if self.too_few_known(book) => RefusalReason::NoTargets,
+            RunVerdict::NotRun => RefusalReason::TargetsRefused,
+            _ if self.lanes.len() > 1 => RefusalReason::LowCoverage,
+            _ => RefusalReason::Undecided,
+        };
+        self.refuse(reason, book, now, actions);
+    }
+
+    fn refuse(
+        &mut self,
+        reason: RefusalReason,
+        book: &RelayBook,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        self.finished = true;
+        let waits = self.lanes.iter().filter(|lane| lane.is_open());
+        let relief = waits
+            .map(|lane| book.relief_after(&lane.service, now))
+            .max();
+        let shortest = Duration::from_millis(RETRY_AFTER_MIN_MS);
+        let refusal = RelayRefusal {
+            reason,
+            verdict: self.verdict(),
+            retry_after: Some(relief.unwrap_or_default().max(shortest)),
+        };
+        actions.push(RelayAction::Finish(RelayEnd::Refused(refusal)));
+    }
+}
+
+fn signal_of(end: AttemptEnd, latency: Duration) -> AttemptSignal {
+    match end {
+        AttemptEnd::Answered { load } => AttemptSignal::Answered { latency, load },
+        AttemptEnd::Refused { retry_after } => AttemptSignal::Refused { retry_after },
+        AttemptEnd::Moved => AttemptSignal::Moved,
+        AttemptEnd::Unreachable => AttemptSignal::Unreachable,
+        AttemptEnd::NoConnection => AttemptSignal::Neutral,
+        AttemptEnd::FailureReply | AttemptEnd::Broken => AttemptSignal::Failed,
+    }
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,6 +1,15 @@
 //! Calls to other daemons over one multiplexed connection per peer.
 
-use std::{collections::HashMap, marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    marker::PhantomData,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use fulmarweir_base::lock;
@@ -22,7 +31,16 @@
 const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
 
-type Sender = SendRequest<Bytes>;
+/// The connection to one peer.
+#[derive(Clone, Debug)]
+struct Sender {
+    requests: SendRequest<Bytes>,
+    /// Replies received so far, to tell a silent connection from one slow call.
+    replies: Arc<AtomicU64>,
+    /// Ends the connection's task.
+    stop: CancellationToken,
+}
+
 type PeerSlot = Arc<Mutex<Option<Sender>>>;
 
 /// Calls other daemons with requests `Q` and reads replies `R`.
@@ -83,12 +101,20 @@
         patience: Duration,
     ) -> Result<R> {
         let body = Bytes::from(encode_message(request)?);
-        let mut sent = false;
-        let exchange = self.exchange(address, class, body, &mut sent);
+        let mut used = None;
+        let exchange = self.exchange(address, class, body, &mut used);
         match timeout(patience, exchange).await {
             Ok(result) => result,
-            Err(_) if sent => Err(WireError::may_have_run(WireFault::Timeout)),
-            Err(_) => Err(WireError::not_run(WireFault::Timeout)),
+            Err(_) => match used {
+                Some((sender, replies)) => {
+                    if sender.replies.load(Relaxed) == replies {
+                        // Nothing came back in all this time: the connection may be dead.
+                        self.shared.drop_sender(address, &sender).await;
+                    }
+                    Err(WireError::may_have_run(WireFault::Timeout))
+                }
+                None => Err(WireError::not_run(WireFault::Timeout)),
+            },
         }
     }
 
@@ -104,21 +130,23 @@
         address: SocketAddr,
         class: TrafficClass,
         body: Bytes,
-        sent: &mut bool,
+        used: &mut Option<(Sender, u64)>,
     ) -> Result<R> {
         let request_bytes = body.len();
         let sender = self.shared.sender(address).await?;
-        let Ok(mut sender) = sender.ready().await else {
-            return Err(self.shared.drop_sender(address).await);
+        let Ok(mut requests) = sender.requests.clone().ready().await else {
+            self.shared.drop_sender(address, &sender).await;
+            return Err(WireError::not_run(WireFault::Broken));
         };
-        let (response, mut stream) = sender
+        let (response, mut stream) = requests
             .send_request(request_head(), false)
             .map_err(|_| WireError::not_run(WireFault::Broken))?;
-        *sent = true;
+        *used = Some((sender.clone(), sender.replies.load(Relaxed)));
         if write_body(&mut stream, body).await.is_none() {
             return Err(broken_stream(response).await);
         }
         let reply = read_reply(response).await?;
+        sender.replies.fetch_add(1, Relaxed);
         self.shared
             .meter
             .record_call(class, request_bytes, reply.len());
@@ -145,9 +173,17 @@
         Ok(sender)
     }
 
-    async fn drop_sender(&self, address: SocketAddr) -> WireError {
-        *self.slot(address).lock().await = None;
-        WireError::not_run(WireFault::Broken)
+    /// Ends a connection, unless another one has taken its place.
+    async fn drop_sender(&self, address: SocketAddr, used: &Sender) {
+        let slot = self.slot(address);
+        let mut slot = slot.lock().await;
+        if slot
+            .as_ref()
+            .is_some_and(|sender| Arc::ptr_eq(&sender.replies, &used.replies))
+        {
+            *slot = None;
+        }
+        used.stop.cancel();
     }
 
     fn slot(&self, address: SocketAddr) -> PeerSlot {
@@ -162,18 +198,28 @@
     ) -> std::result::Result<Sender, h2::Error> {
         let stream = TcpStream::connect(address).await.map_err(h2_io_error)?;
         stream.set_nodelay(true).map_err(h2_io_error)?;
-        let (sender, connection) = h2::client::Builder::new()
+        let (requests, connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(stream)
             .await?;
-        let stop = self.stop.clone();
+        let stop = self.stop.child_token();
+        let sender = Sender {
+            requests,
+            replies: Arc::default(),
+            stop: stop.clone(),
+        };
+        let replies = Arc::clone(&sender.replies);
         self.tasks.spawn(async move {
             tokio::select! {
                 _ = connection => {}
                 () = stop.cancelled() => {}
             }
-            *slot.lock().await = None;
+            let mut slot = slot.lock().await;
+            let is_own = |sender: &Sender| Arc::ptr_eq(&sender.replies, &replies);
+            if slot.as_ref().is_some_and(is_own) {
+                *slot = None;
+            }
         });
         Ok(sender)
     }
