--- a/crates/conf/src/relay_settings.rs
+++ b/crates/conf/src/relay_settings.rs
@@ -310,15 +310,12 @@
     let mut regions = HashMap::new();
     let section = sections.iter().find(|section| section.name == "regions");
     for entry in section.iter().flat_map(|section| &section.entries) {
-        match (word(entry.key), word(entry.value)) {
-            (Ok(centre), Ok(region)) => {
-                regions.insert(centre, region);
-            }
-            _ => {
-                let fault = ConfigFault::new(FaultReason::BadValue, "DATA-CENTRE = REGION");
-                let fault = fault.at(entry.line).section("regions").key(entry.key);
-                faults.push(fault.found(entry.value));
-            }
+        if let (Ok(centre), Ok(region)) = (word(entry.key), word(entry.value)) {
+            regions.insert(centre, region);
+        } else {
+            let fault = ConfigFault::new(FaultReason::BadValue, "DATA-CENTRE = REGION");
+            let fault = fault.at(entry.line).section("regions").key(entry.key);
+            faults.push(fault.found(entry.value));
         }
     }
     regions
--- a/crates/daemon/src/relay/admit.rs
+++ b/crates/daemon/src/relay/admit.rs
@@ -30,12 +30,12 @@
     }
 
     /// The present lag.
-    pub(crate) fn lag(&self) -> Duration {
+    pub(crate) fn lag(self) -> Duration {
         Duration::from_secs_f64(self.lag_ms.max(0.0) / 1000.0)
     }
 
     /// When a request of `rank` should come back, if it must be refused now.
-    pub(crate) fn refuse_for(&self, rank: u32, open: u64) -> Option<Duration> {
+    pub(crate) fn refuse_for(self, rank: u32, open: u64) -> Option<Duration> {
         let urgency = f64::from(RANK_LOWEST.saturating_sub(rank));
         let too_late = self.lag_ms > LAG_MIN_MS + LAG_STEP_MS * urgency;
         (too_late || open >= OPEN_MAX).then(|| self.lag() * 2 + Duration::from_millis(50))
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -46,6 +46,9 @@
     header::UPGRADE,
 ];
 
+/// An answer that is given before the request is relayed.
+type EarlyAnswer = Box<RelayResponse>;
+
 /// Counts a request while it is open.
 struct OpenGuard<'a>(&'a AtomicU64);
 
@@ -77,9 +80,8 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let _open = OpenGuard::new(&node.open);
-    let mut response = match take_request(&node, request).await {
-        Ok(response) | Err(response) => response,
-    };
+    let taken = take_request(&node, request).await;
+    let mut response = taken.unwrap_or_else(|early| *early);
     if node.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -90,33 +92,27 @@
 async fn take_request(
     node: &Arc<EntryNode>,
     request: Request<Incoming>,
-) -> Result<RelayResponse, RelayResponse> {
+) -> Result<RelayResponse, EarlyAnswer> {
     let arrived_at = node.timer.now();
     let (head, body) = request.into_parts();
     let Some(table) = node.table() else {
         node.metrics.count_refusal("no-config");
         let pause = Duration::from_millis(NO_CONFIG_PAUSE_MS);
-        return Err(come_back("no configuration yet", pause));
+        return Err(Box::new(come_back("no configuration yet", pause)));
     };
     let body = read_body(body, &head.headers, table.limits.body_max_bytes).await?;
     let rule = find_rule(node, &table, &head.uri, &head.headers)?;
     let names = &node.dialect.headers;
     let Some(request_id) = head.headers.get(&names.request_id).cloned() else {
         node.metrics.count_refusal("no-request-id");
-        return Err(text(StatusCode::BAD_REQUEST, "no request id"));
+        return Err(Box::new(text(StatusCode::BAD_REQUEST, "no request id")));
     };
     let times = request_times(node, &rule, &head.headers, arrived_at);
     let open = node.open.load(Relaxed);
     let refusal = lock(&node.lag).refuse_for(rule.rank, open);
     if let Some(pause) = refusal {
-        return Err(refuse_overloaded(
-            node,
-            &table,
-            &rule,
-            &request_id,
-            times,
-            pause,
-        ));
+        let refused = refuse_overloaded(node, &table, &rule, &request_id, times, pause);
+        return Err(Box::new(refused));
     }
     let ask = relay_ask(node, &rule, times);
     let mut headers = head.headers;
@@ -158,11 +154,16 @@
     mut body: Incoming,
     headers: &HeaderMap,
     limit: usize,
-) -> Result<Bytes, RelayResponse> {
+) -> Result<Bytes, EarlyAnswer> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let too_large = || text(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
+    let too_large = || {
+        Box::new(text(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "request body too large",
+        ))
+    };
     let stated = headers.get(header::CONTENT_LENGTH);
     let stated = stated.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if stated.is_some_and(|length| length > limit) {
@@ -171,7 +172,8 @@
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            return Err(text(StatusCode::BAD_REQUEST, "request body broke off"));
+            let broken = text(StatusCode::BAD_REQUEST, "request body broke off");
+            return Err(Box::new(broken));
         };
         if let Ok(data) = frame.into_data() {
             if bytes.len() + data.len() > limit {
@@ -188,15 +190,18 @@
     table: &RouteTable,
     uri: &Uri,
     headers: &HeaderMap,
-) -> Result<Arc<RouteRule>, RelayResponse> {
+) -> Result<Arc<RouteRule>, EarlyAnswer> {
     let named = headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
-    let host = named.or_else(|| uri.authority().map(|authority| authority.as_str()));
+    let host = named.or_else(|| uri.authority().map(http::uri::Authority::as_str));
     let rule = host.and_then(|host| table.find(host, uri.path()));
     rule.cloned().ok_or_else(|| {
         node.metrics.count_refusal("no-route");
-        text(StatusCode::NOT_FOUND, "no route for this host and path")
+        Box::new(text(
+            StatusCode::NOT_FOUND,
+            "no route for this host and path",
+        ))
     })
 }
 
@@ -434,16 +439,16 @@
     node: &EntryNode,
     context: &LineContext<'_>,
     outcome: &'static str,
-    status: StatusCode,
+    answer_status: StatusCode,
     stats: &RelayStats,
 ) {
     let now = node.timer.now();
     let took = now.since(context.times.arrived_at);
     node.metrics.count_request(outcome);
-    if status.is_success() {
+    if answer_status.is_success() {
         node.metrics.observe_latency(&context.rule.name, took);
     }
-    let is_trouble = !status.is_success() || stats.missing > 0;
+    let is_trouble = !answer_status.is_success() || stats.missing > 0;
     let detail = if is_trouble && node.requests.has_room(now) {
         trouble_detail(node, context, stats, now)
     } else {
@@ -456,7 +461,7 @@
         route: &context.rule.name,
         config_version: context.table.version,
         outcome,
-        status: status.as_u16(),
+        status: answer_status.as_u16(),
         verdict: stats.verdict.as_str(),
         took,
         objective: context.times.objective,
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -69,8 +69,8 @@
 fn announce(node: &KeeperNode, id: &Arc<str>, body: &[u8]) -> RelayResponse {
     match (node.dialect.decode_notice)(id, body) {
         Ok(notice) => {
-            let (outcome, keeper) = node.announce(notice);
-            let keeper = keeper.filter(|_| outcome != NoticeOutcome::Stale);
+            let (outcome, keeper) = node.announce(&notice);
+            let keeper = (outcome != NoticeOutcome::Stale).then_some(keeper);
             json(StatusCode::OK, (node.dialect.notice_reply)(keeper))
         }
         Err(fault) => {
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -127,23 +127,23 @@
     }
 
     /// Takes in an announcement; returns where the target is to announce from now on.
-    pub(crate) fn announce(&self, notice: TargetNotice) -> (NoticeOutcome, Option<SocketAddr>) {
+    pub(crate) fn announce(&self, notice: &TargetNotice) -> (NoticeOutcome, SocketAddr) {
         let now = self.timer.now();
         let keeper = self.keeper_for(&notice.centre, now);
         let outcome = lock(&self.registry).announce(notice.clone(), now);
-        self.note_outcome(outcome, &notice);
+        self.note_outcome(outcome, notice);
         (outcome, keeper)
     }
 
     /// A keeper in the target's data centre, if one is alive, to save the way between them.
-    fn keeper_for(&self, centre: &str, now: MonoTime) -> Option<SocketAddr> {
+    fn keeper_for(&self, centre: &str, now: MonoTime) -> SocketAddr {
         let own = self.contact();
         if &*own.centre == centre {
-            return Some(own.control);
+            return own.control;
         }
         let alive = self.board.alive(now);
         let near = alive.into_iter().find(|contact| &*contact.centre == centre);
-        Some(near.map_or(own.control, |contact| contact.control))
+        near.map_or(own.control, |contact| contact.control)
     }
 
     /// Takes in a target's word that it leaves.
@@ -249,14 +249,14 @@
             }
         }
         let until = now + Duration::from_millis(question.wait_ms.into());
-        let mut changes = self.changes.subscribe();
+        let mut news = self.changes.subscribe();
         loop {
             let now = self.timer.now();
             if now >= until || self.has_news(&question, now) {
                 return self.poll_reply(&question, now);
             }
             tokio::select! {
-                changed = changes.changed() => {
+                changed = news.changed() => {
                     if changed.is_err() {
                         return self.poll_reply(&question, now);
                     }
--- a/crates/daemon/src/relay/sync.rs
+++ b/crates/daemon/src/relay/sync.rs
@@ -113,14 +113,18 @@
     hasher.finish()
 }
 
+/// Builds the next question to a keeper, from the digest of its contacts and the longest wait.
+type QuestionHook = Box<dyn Fn(SocketAddr, u64, u32) -> PollRequest + Send + Sync>;
+/// Takes in an answer; returns whether the keeper's configuration is to be fetched.
+type AnswerHook = Box<dyn Fn(SocketAddr, &PollReply) -> bool + Send + Sync>;
+/// Takes in a configuration: where from, its version and its document.
+type ConfigHook = Box<dyn Fn(SocketAddr, u64, &Arc<str>) + Send + Sync>;
+
 /// What varies between entry VMs and keepers that ask for news.
 pub(crate) struct PollHooks {
-    /// The next question to a keeper.
-    pub(crate) question: Box<dyn Fn(SocketAddr, u64, u32) -> PollRequest + Send + Sync>,
-    /// Takes in the answer; returns whether the keeper's configuration is to be fetched.
-    pub(crate) answer: Box<dyn Fn(SocketAddr, &PollReply) -> bool + Send + Sync>,
-    /// Takes in a configuration.
-    pub(crate) config: Box<dyn Fn(SocketAddr, u64, &Arc<str>) + Send + Sync>,
+    pub(crate) question: QuestionHook,
+    pub(crate) answer: AnswerHook,
+    pub(crate) config: ConfigHook,
 }
 
 /// Everything that asking for news needs.
--- a/crates/pool/src/relay_link.rs
+++ b/crates/pool/src/relay_link.rs
@@ -239,9 +239,8 @@
     async fn connect(&self, address: SocketAddr) -> Result<RelaySender, RelayFault> {
         let patience = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let connected = timeout(patience, TcpStream::connect(address)).await;
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(RelayFault::Connect),
+        let Ok(Ok(stream)) = connected else {
+            return Err(RelayFault::Connect);
         };
         // Without this option small requests only wait longer.
         let _ = stream.set_nodelay(true);
