Do not take the voters' epoch for news to entry VMs

Cause: a keeper answered every poll of an entry VM at once, because entry VMs send epoch 0 and any voter epoch is higher. Polls ran back to back.

--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -267,11 +267,12 @@
     }
 
     fn has_news(&self, question: &PollRequest, now: MonoTime) -> bool {
-        let is_entry = matches!(question.source, PollSource::Entry(_));
-        let targets = is_entry && lock(&self.registry).has_news(question.mark);
-        targets
-            || self.config_version() > question.config_version
-            || self.quorum.voters().epoch > question.voter_epoch
+        // Entry VMs have no use for the voters, so a change of voters is no news to them.
+        let news = match &question.source {
+            PollSource::Entry(_) => lock(&self.registry).has_news(question.mark),
+            PollSource::Keeper(_) => self.quorum.voters().epoch > question.voter_epoch,
+        };
+        news || self.config_version() > question.config_version
             || contacts_digest(&self.contacts(now)) != question.contacts_digest
     }
 
