--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -72,7 +72,7 @@
             requests: RequestLog::new(log.clone()),
             metrics: RelayMetrics::new(),
             links: RelayLinks::new(timer.clone()),
-            book: Mutex::new(RelayBook::new(settings.extra, rand::random())),
+            book: Mutex::new(RelayBook::new(settings.extra)),
             pace: Mutex::default(),
             lag: Mutex::default(),
             board,
--- a/crates/route/src/relay/book.rs
+++ b/crates/route/src/relay/book.rs
@@ -17,8 +17,8 @@
 const WORK_WEIGHT: f64 = 0.02;
 /// Mean latency of a service before its first answer, in milliseconds.
 const WORK_DEFAULT_MS: f64 = 20.0;
-/// Connections to a target that are left to others, since VMs differ on how many they are.
-const CONNECTIONS_KEPT_SHARE: f64 = 0.1;
+/// One in so many connections to a target is left to others, since VMs differ on their number.
+const CONNECTIONS_KEPT_PART: u32 = 10;
 
 /// A target that may be asked.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -110,19 +110,16 @@
     services: HashMap<Arc<str>, ServiceDesk>,
     grant: ExtraAllowance,
     vms: u32,
-    /// Tells this VM's choices from those of others where all cannot connect to all.
-    salt: u64,
 }
 
 impl RelayBook {
-    /// A book without targets; `salt` differs between VMs.
+    /// A book without targets.
     #[must_use]
-    pub fn new(grant: ExtraAllowance, salt: u64) -> Self {
+    pub fn new(grant: ExtraAllowance) -> Self {
         Self {
             services: HashMap::new(),
             grant,
             vms: 1,
-            salt,
         }
     }
 
@@ -174,23 +171,14 @@
 
     /// Connections that this VM may hold to a target.
     ///
-    /// With more VMs than connections a hash of both names says who may hold one.
+    /// Every VM may hold one, also where they are more than the connections: few use the
+    /// same target at once, and a target turns away only what is too much.
     fn connection_share(&self, target: &RelayTarget, limit: Option<u32>) -> u32 {
         let Some(limit) = limit.filter(|limit| *limit > 0) else {
             return target.slots.max(1);
         };
-        let usable = f64::from(limit) * (1.0 - CONNECTIONS_KEPT_SHARE);
-        let share = usable / f64::from(self.vms);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a share of a u32"
-        )]
-        let whole = share as u32;
-        if whole >= 1 {
-            return whole;
-        }
-        u32::from(place_of(self.salt, &target.id) < share)
+        let kept = limit / CONNECTIONS_KEPT_PART;
+        ((limit - kept) / self.vms).max(1)
     }
 
     /// Counts a request that needs an answer of `service`.
@@ -326,16 +314,3 @@
         Duration::from_secs_f64(desk.work_ms * least.clamp(1.0, 100.0) / 1000.0)
     }
 }
-
-/// A number from 0 to 1 that depends on both arguments only.
-fn place_of(salt: u64, id: &str) -> f64 {
-    let mut hash = salt ^ 0xcbf2_9ce4_8422_2325;
-    for byte in id.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    hash ^= hash >> 32;
-    hash = hash.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    #[expect(clippy::cast_precision_loss, reason = "53 bits are kept")]
-    let place = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-    place
-}
--- a/crates/route/src/relay/card.rs
+++ b/crates/route/src/relay/card.rs
@@ -7,10 +7,15 @@
 use super::book::RelayTarget;
 use crate::ReportedLoad;
 
-/// Weight of the latest attempt in the mean latency.
+/// Least weight of the latest attempt in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.15;
+/// Time since the attempt before, after which the latest one weighs 1 - 1/e: a VM that sees
+/// few attempts must learn from each.
+const LATENCY_SPAN_MS: f64 = 800.0;
+/// One sample counts for at most this multiple of the mean: a short pause is no slow target.
+const LATENCY_SAMPLE_MAX: f64 = 2.5;
 /// Time in which a mean latency loses half of its weight against the expectation.
-const LATENCY_HALF_LIFE_MS: f64 = 4_000.0;
+const LATENCY_HALF_LIFE_MS: f64 = 2_000.0;
 /// Age at which a load report counts for nothing.
 const REPORT_AGE_MAX_MS: f64 = 800.0;
 /// Expected latency of a target that has not answered yet, without the way to it.
@@ -269,7 +274,10 @@
     }
 
     fn add_latency(&mut self, latency_ms: f64, now: MonoTime) {
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms);
+        let span = millis(now.since(self.latency_at)) / LATENCY_SPAN_MS;
+        let weight = (1.0 - (-span).exp()).max(LATENCY_WEIGHT);
+        let sample = latency_ms.min(self.latency_ms * LATENCY_SAMPLE_MAX);
+        self.latency_ms += weight * (sample - self.latency_ms);
         self.latency_at = now;
     }
 }
--- a/crates/route/src/relay/pace.rs
+++ b/crates/route/src/relay/pace.rs
@@ -13,11 +13,11 @@
 /// Weight at which all counts are halved, so that old samples fade.
 const WEIGHT_MAX: f64 = 2000.0;
 /// Share of attempts that are answered before a second one is sent.
-const HEDGE_QUANTILE: f64 = 0.95;
+const HEDGE_QUANTILE: f64 = 0.92;
 /// Samples before the quantile is used.
 const SAMPLES_MIN: f64 = 30.0;
 /// Share of the time to the soft deadline that a first attempt may take, at most and without samples.
-const SOFT_SHARE_MAX: f64 = 0.3;
+const SOFT_SHARE_MAX: f64 = 0.25;
 /// Shortest pause before a second attempt, in milliseconds.
 const HEDGE_MIN_MS: f64 = 5.0;
 
