Find keepers sooner after all processes were killed, and name targets at once

What is left in that window is the load of callers that come back at once on the targets that are known first.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -20,6 +20,7 @@
 mod serve;
 mod start;
 mod sync;
+mod target_file;
 mod voters;
 
 pub use self::{
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -30,6 +30,10 @@
 const ANSWER_MARGIN_SHARE: u32 = 5;
 /// Time before the caller's deadline at which a request is given up, in milliseconds.
 const DEADLINE_MARGIN_MS: u64 = 15;
+/// Longest time that a caller may state, in milliseconds.
+const TIME_LEFT_MAX_MS: f64 = 86_400_000.0;
+/// Part of the caller's time that a request may wait while this VM starts.
+const START_WAIT_PART: u32 = 5;
 /// Pause that a caller is told while no configuration is known, in milliseconds.
 const NO_CONFIG_PAUSE_MS: u64 = 300;
 
@@ -95,6 +99,9 @@
 ) -> Result<RelayResponse, EarlyAnswer> {
     let arrived_at = node.timer.now();
     let (head, body) = request.into_parts();
+    let patience = time_left(node, &head.headers).unwrap_or_default() / START_WAIT_PART;
+    node.wait_while_starting(patience, |node| node.table().is_some())
+        .await;
     let Some(table) = node.table() else {
         node.metrics.count_refusal("no-config");
         let pause = Duration::from_millis(NO_CONFIG_PAUSE_MS);
@@ -108,6 +115,8 @@
         return Err(Box::new(text(StatusCode::BAD_REQUEST, "no request id")));
     };
     let times = request_times(node, &rule, &head.headers, arrived_at);
+    node.wait_while_starting(patience, |node| knows_enough(node, &rule))
+        .await;
     let open = node.open.load(Relaxed);
     let refusal = lock(&node.lag).refuse_for(rule.rank, open);
     if let Some(pause) = refusal {
@@ -211,14 +220,7 @@
     headers: &HeaderMap,
     arrived_at: MonoTime,
 ) -> RequestTimes {
-    let stated = headers.get(&node.dialect.headers.time_left_ms);
-    let stated = stated.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
-    let left = match stated {
-        Some(millis) if millis.is_finite() && millis >= 0.0 => {
-            Duration::from_secs_f64(millis.min(86_400_000.0) / 1000.0)
-        }
-        _ => rule.timeout,
-    };
+    let left = time_left(node, headers).unwrap_or(rule.timeout);
     let margin = Duration::from_millis(DEADLINE_MARGIN_MS);
     let patience = left.min(rule.timeout).saturating_sub(margin);
     let deadline = arrived_at + patience;
@@ -232,6 +234,23 @@
     }
 }
 
+/// The time that a caller says it will wait.
+fn time_left(node: &EntryNode, headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get(&node.dialect.headers.time_left_ms)?;
+    let millis: f64 = stated.to_str().ok()?.trim().parse().ok()?;
+    let usable = millis.is_finite() && millis >= 0.0;
+    usable.then(|| Duration::from_secs_f64(millis.min(TIME_LEFT_MAX_MS) / 1000.0))
+}
+
+/// Whether enough services of a route have targets.
+fn knows_enough(node: &EntryNode, rule: &RouteRule) -> bool {
+    let book = lock(&node.book);
+    match &rule.destination {
+        RouteDestination::Gather(gather) => gather.shards.iter().all(|shard| book.knows(shard)),
+        RouteDestination::Split(parts) => parts.iter().any(|part| book.knows(&part.service)),
+    }
+}
+
 fn relay_ask(node: &EntryNode, rule: &RouteRule, times: RequestTimes) -> RelayAsk {
     let (services, coverage_min) = match &rule.destination {
         RouteDestination::Gather(gather) => (gather.shards.clone(), gather.coverage_min),
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -16,6 +16,7 @@
 use fulmarweir_pool::RelayLinks;
 use fulmarweir_route::{Locality, PaceTable, RelayBook, RelayTarget};
 use slog::{Logger, info, warn};
+use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
 use super::{
@@ -28,6 +29,11 @@
 /// Time without any keeper after which that is logged.
 const KEEPERS_LOST_MS: u64 = 3_000;
 
+/// Time after the start in which requests may wait for news of a keeper, in milliseconds.
+const STARTING_MS: u64 = 3_000;
+/// Longest time that a request waits for it, in milliseconds.
+const START_WAIT_MAX_MS: u64 = 500;
+
 /// A keeper's count of entry VMs.
 #[derive(Clone, Copy, Debug)]
 struct EntryCount {
@@ -57,6 +63,10 @@
     vms: AtomicU32,
     stopping: AtomicBool,
     keepers_lost: AtomicBool,
+    targets_logged: AtomicU64,
+    started_at: MonoTime,
+    /// Tells requests that wait while this VM starts that it knows more.
+    learned: Notify,
 }
 
 impl EntryNode {
@@ -84,6 +94,9 @@
             vms: AtomicU32::new(1),
             stopping: AtomicBool::new(false),
             keepers_lost: AtomicBool::new(false),
+            targets_logged: AtomicU64::new(0),
+            started_at: timer.now(),
+            learned: Notify::new(),
             settings,
             log,
             timer,
@@ -95,6 +108,30 @@
         lock(&self.table).clone()
     }
 
+    /// Waits until `is_able` holds, for as long as this VM is starting and `patience` lasts.
+    ///
+    /// Load pattern: every VM restarts at once, and callers come before the first news of a
+    /// keeper. To wait a moment costs them less than to be sent away.
+    pub(crate) async fn wait_while_starting(
+        &self,
+        patience: Duration,
+        is_able: impl Fn(&Self) -> bool,
+    ) {
+        let now = self.timer.now();
+        let starting = self.started_at + Duration::from_millis(STARTING_MS);
+        let until = starting.min(now + patience.min(Duration::from_millis(START_WAIT_MAX_MS)));
+        loop {
+            let learned = self.learned.notified();
+            if is_able(self) || self.timer.now() >= until {
+                return;
+            }
+            tokio::select! {
+                () = learned => {}
+                () = self.timer.sleep_until(until) => {}
+            }
+        }
+    }
+
     /// Whether new callers are welcome.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.table().is_some() && self.metrics.targets.get() > 0
@@ -185,6 +222,7 @@
             self.sync_targets();
         }
         self.note_keepers(now);
+        self.note_targets();
         self.links.tidy(|_| true);
         let idle = u64::try_from(self.links.idle_count()).unwrap_or(u64::MAX);
         self.metrics.connections_idle.set(idle);
@@ -224,10 +262,17 @@
         let limit = |service: &str| table.as_ref()?.connections_max(service);
         lock(&self.book).sync(targets, vms, limit, self.timer.now());
         let count = u64::try_from(count).unwrap_or(u64::MAX);
-        let before = self.metrics.targets.set(count);
+        self.metrics.targets.set(count);
+        self.learned.notify_waiters();
+    }
+
+    /// Many targets come and go one by one, so only the sum of some time is logged.
+    fn note_targets(&self) {
+        let count = self.metrics.targets.get();
+        let before = self.targets_logged.swap(count, Relaxed);
         if before != count {
             info!(self.log, "targets-changed"; "targets" => count, "before" => before,
-                "vms" => vms);
+                "vms" => self.vms.load(Relaxed));
         }
     }
 
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -177,6 +177,21 @@
         }
     }
 
+    /// Takes in the targets that an earlier run of this keeper left on its disk.
+    pub(crate) fn restore_targets(&self, notices: Vec<TargetNotice>) {
+        info!(self.log, "targets-restored"; "targets" => notices.len());
+        let period = self.settings.bounds.announce_period;
+        lock(&self.registry).restore(notices, period, self.timer.now());
+        self.tell_changes();
+    }
+
+    /// What is held of targets, if it has changed since `revision`.
+    pub(crate) fn changed_targets(&self, revision: u64) -> Option<(u64, Vec<TargetNotice>)> {
+        let registry = lock(&self.registry);
+        let changed = registry.revision() != revision;
+        changed.then(|| (registry.revision(), registry.snapshot()))
+    }
+
     /// Ends leases that have run out.
     pub(crate) fn tick(&self) {
         let now = self.timer.now();
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -28,6 +28,7 @@
     response::{come_back, text},
     serve::serve_calls,
     sync::{AsBoard, KeeperBoard, KeeperSync, PollHooks, RelayPeers, run_sync},
+    target_file::run_target_file,
     voters::{first_voters, open_voter, run_voters},
 };
 use crate::{
@@ -294,6 +295,7 @@
         tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
         tokio::spawn(run_keeper_ticks(Arc::clone(&node), stop.clone())),
         tokio::spawn(run_voters(Arc::clone(&node), stop.clone())),
+        tokio::spawn(run_target_file(Arc::clone(&node), stop.clone())),
         spawn_reload(path, &node.log, stop, Arc::clone(&node)),
     ]);
     wait_for_stop().await?;
--- a/crates/daemon/src/relay/sync.rs
+++ b/crates/daemon/src/relay/sync.rs
@@ -18,10 +18,10 @@
 /// Longest time that a keeper holds a call without news, in milliseconds.
 const POLL_WAIT_MS: u32 = 1_500;
 /// Time beyond it until the connection counts as dead, in milliseconds.
-const POLL_SLACK_MS: u64 = 1_000;
+const POLL_SLACK_MS: u64 = 700;
 /// Pause after a failed call; it doubles up to the longest one.
-const RETRY_MIN_MS: u64 = 100;
-const RETRY_MAX_MS: u64 = 800;
+const RETRY_MIN_MS: u64 = 50;
+const RETRY_MAX_MS: u64 = 400;
 /// Pause between looks for new keepers, in milliseconds.
 const BOARD_PERIOD_MS: u64 = 200;
 /// Silence after which a keeper that is no seed is forgotten, in milliseconds.
--- /dev/null
+++ b/crates/daemon/src/relay/target_file.rs
@@ -0,0 +1,78 @@
+//! The targets that a keeper knew, on its disk, so that it can name them at once after a restart.
+//!
+//! The file is a hint: it may be some changes behind, and targets that do not announce
+//! themselves again are dropped soon.
+
+use std::{
+    fs::File,
+    io::{self, Write as _},
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
+
+use fulmarweir_fleet::TargetNotice;
+use fulmarweir_wire::{decode_message, encode_message};
+use slog::{info, warn};
+use tokio_util::sync::CancellationToken;
+
+use super::keeper::KeeperNode;
+
+const FILE_NAME: &str = "targets";
+const TEMPORARY_NAME: &str = "targets.tmp";
+/// Time between two looks for changes, in milliseconds.
+const WRITE_PERIOD_MS: u64 = 500;
+
+/// Reads the file of an earlier run, then writes changes until stopped.
+pub(crate) async fn run_target_file(node: Arc<KeeperNode>, stop: CancellationToken) {
+    let Some(folder) = node.settings.data_folder.clone() else {
+        return;
+    };
+    if let Some(notices) = read_targets(&folder) {
+        node.restore_targets(notices);
+    }
+    let mut written = 0;
+    let mut failing = false;
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(Duration::from_millis(WRITE_PERIOD_MS)) => {}
+        }
+        let Some((revision, notices)) = node.changed_targets(written) else {
+            continue;
+        };
+        written = revision;
+        let target = folder.clone();
+        // A stalled disk holds up this task only.
+        let done = tokio::task::spawn_blocking(move || write_targets(&target, &notices)).await;
+        let fault = match done {
+            Ok(Ok(())) => None,
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(error) => Some(error.to_string()),
+        };
+        match &fault {
+            Some(fault) if !failing => warn!(node.log, "targets-not-written"; "fault" => fault),
+            None if failing => info!(node.log, "targets-written-again"; "revision" => revision),
+            _ => {}
+        }
+        failing = fault.is_some();
+    }
+}
+
+fn read_targets(folder: &Path) -> Option<Vec<TargetNotice>> {
+    let bytes = std::fs::read(folder.join(FILE_NAME)).ok()?;
+    // A torn file is no loss: the targets announce themselves again.
+    decode_message(&bytes).ok()
+}
+
+fn write_targets(folder: &Path, notices: &[TargetNotice]) -> io::Result<()> {
+    let bytes = encode_message(&notices.to_vec()).map_err(io::Error::other)?;
+    std::fs::create_dir_all(folder)?;
+    let temporary = folder.join(TEMPORARY_NAME);
+    let mut file = File::create(&temporary)?;
+    file.write_all(&bytes)?;
+    // Without these a loss of power could leave an older file, or none.
+    file.sync_all()?;
+    std::fs::rename(&temporary, folder.join(FILE_NAME))?;
+    File::open(folder)?.sync_all()
+}
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -16,6 +16,8 @@
 
 /// Announcements that may be missed before a lease ends.
 const MISSED_MAX: u32 = 5;
+/// Announcement periods for which a target that was read from disk is trusted.
+const RESTORED_PERIODS: u32 = 2;
 /// Time that the end of a target is remembered, longer than any lease and late announcement.
 const TOMBSTONE_MS: u64 = 60_000;
 /// Changes that are kept for readers that are behind; others get everything.
@@ -59,7 +61,7 @@
 #[derive(Debug)]
 struct HeldNotice {
     notice: TargetNotice,
-    heard_at: MonoTime,
+    lapses_at: MonoTime,
     revision: u64,
 }
 
@@ -94,13 +96,48 @@
         }
     }
 
+    /// Takes in what an earlier run of this keeper held.
+    ///
+    /// What is not announced again within [`RESTORED_PERIODS`] is dropped: the target may
+    /// have left in the meantime.
+    pub fn restore(
+        &mut self,
+        notices: Vec<TargetNotice>,
+        announce_period: Duration,
+        now: MonoTime,
+    ) {
+        let trusted = announce_period * RESTORED_PERIODS;
+        for notice in notices {
+            if self.held.contains_key(&notice.id) {
+                continue;
+            }
+            let id = Arc::clone(&notice.id);
+            self.store(notice, now);
+            if let Some(held) = self.held.get_mut(&id) {
+                held.lapses_at = now + trusted;
+            }
+        }
+    }
+
+    /// Everything held, for [`TargetRegistry::restore`] after a restart.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<TargetNotice> {
+        self.held.values().map(|held| held.notice.clone()).collect()
+    }
+
+    /// Grows with every change of what is held.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Takes in an announcement.
     pub fn announce(&mut self, notice: TargetNotice, now: MonoTime) -> NoticeOutcome {
         if let Some(held) = self.held.get_mut(&notice.id) {
             if notice.rank() <= held.notice.rank() {
                 return NoticeOutcome::Stale;
             }
-            held.heard_at = now;
+            held.lapses_at = now + self.lease;
             if !held.notice.differs_from(&notice) {
                 held.notice.sequence = notice.sequence;
                 return NoticeOutcome::Renewed;
@@ -138,19 +175,10 @@
             self.revision += 1;
             self.oldest_revision = self.revision;
         }
-        let lease = self.lease;
-        let tombstone = Duration::from_millis(TOMBSTONE_MS);
-        let is_due = |held: &HeldNotice| {
-            let kept = match held.notice.state {
-                NoticeState::Gone => tombstone,
-                NoticeState::Serving | NoticeState::Draining => lease,
-            };
-            now.since(held.heard_at) > kept
-        };
         let due: Vec<Arc<str>> = self
             .held
             .iter()
-            .filter(|(_, held)| is_due(held))
+            .filter(|(_, held)| held.lapses_at < now)
             .map(|(id, _)| Arc::clone(id))
             .collect();
         let mut lapsed = Vec::new();
@@ -204,8 +232,12 @@
 
     fn store(&mut self, notice: TargetNotice, now: MonoTime) {
         self.revision += 1;
+        let kept = match notice.state {
+            NoticeState::Gone => Duration::from_millis(TOMBSTONE_MS),
+            NoticeState::Serving | NoticeState::Draining => self.lease,
+        };
         let held = HeldNotice {
-            heard_at: now,
+            lapses_at: now + kept,
             revision: self.revision,
             notice,
         };
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -27,8 +27,10 @@
 const ARRIVALS_MAX: u32 = 6;
 /// Attempts of one lane that may be open at once.
 const OPEN_MAX: usize = 3;
-/// Part of the time to the soft deadline in which a request that nobody has taken is refused.
-const UNTAKEN_SHARE: u32 = 4;
+/// A request that no target has taken is refused after this part of the time to its soft
+/// deadline, or after the other part of all its time, whichever is later.
+const UNTAKEN_SOFT_PART: u32 = 4;
+const UNTAKEN_TIME_PART: u32 = 8;
 /// Shortest pause that a refused caller is told.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
@@ -456,7 +458,9 @@
     }
 
     fn untaken_at(&self) -> MonoTime {
-        self.started_at + self.ask.soft_deadline.since(self.started_at) / UNTAKEN_SHARE
+        let soft = self.ask.soft_deadline.since(self.started_at) / UNTAKEN_SOFT_PART;
+        let whole = self.ask.deadline.since(self.started_at) / UNTAKEN_TIME_PART;
+        self.started_at + soft.max(whole)
     }
 
     fn next_wake(&self, now: MonoTime) -> MonoTime {
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -27,7 +27,10 @@
     traffic::{TrafficClass, TrafficMeter},
 };
 
-const CONNECT_TIMEOUT_MS: u64 = 1000;
+/// Time for a new connection, in milliseconds: several times the longest way between regions.
+///
+/// A VM without power answers nothing, and is to be found soon after it is back.
+const CONNECT_TIMEOUT_MS: u64 = 300;
 const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
 
