--- /dev/null
+++ b/crates/conf/tests/route_table.rs
@@ -0,0 +1,117 @@
+//! Checking and matching of routes.
+
+use std::{sync::Arc, time::Duration};
+
+use fulmarweir_conf::{
+    CallerLimits, GatherRule, RouteDestination, RouteFault, RouteRule, RouteTable, ServiceRule,
+    WeightedService,
+};
+
+fn limits() -> CallerLimits {
+    CallerLimits {
+        head_max_bytes: 16_384,
+        body_max_bytes: 262_144,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+fn rule(name: &str, host: &str, prefix: &str, service: &str) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeatable: true,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(200),
+        rank: 1,
+        attempts_max: 2,
+        destination: RouteDestination::Split(vec![WeightedService {
+            service: service.into(),
+            weight: 1.0,
+        }]),
+    }
+}
+
+fn services(names: &[&str]) -> Vec<ServiceRule> {
+    names
+        .iter()
+        .map(|name| ServiceRule {
+            name: (*name).into(),
+            connections_max: 30,
+        })
+        .collect()
+}
+
+fn compile(routes: Vec<RouteRule>) -> Result<RouteTable, Vec<RouteFault>> {
+    RouteTable::compile(7, routes, services(&["a", "b"]), limits())
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let table = compile(vec![
+        rule("short", "one.example", "/x/", "a"),
+        rule("long", "one.example", "/x/y/", "b"),
+        rule("other", "two.example", "/x/y/z/", "a"),
+    ])
+    .unwrap();
+    let found = |host, path| table.find(host, path).map(|rule| Arc::clone(&rule.name));
+    assert_eq!(found("one.example", "/x/y/z/1").as_deref(), Some("long"));
+    assert_eq!(found("one.example:8080", "/x/q").as_deref(), Some("short"));
+    assert_eq!(found("ONE.example", "/x/q").as_deref(), Some("short"));
+    assert_eq!(found("one.example", "/x"), None);
+    assert_eq!(found("three.example", "/x/"), None);
+}
+
+#[test]
+fn every_fault_is_reported_at_once() {
+    let mut no_time = rule("no-time", "one.example", "/t/", "a");
+    no_time.timeout = Duration::ZERO;
+    let mut no_weight = rule("no-weight", "one.example", "/w/", "a");
+    no_weight.destination = RouteDestination::Split(vec![WeightedService {
+        service: "a".into(),
+        weight: 0.0,
+    }]);
+    let mut nowhere = rule("nowhere", "one.example", "/n/", "a");
+    nowhere.destination = RouteDestination::Gather(GatherRule {
+        shards: Vec::new(),
+        top: 5,
+        coverage_min: 0.5,
+    });
+    let faults = compile(vec![
+        no_time,
+        no_weight,
+        nowhere,
+        rule("unknown", "one.example", "/u/", "c"),
+        rule("first", "one.example", "/s/", "a"),
+        rule("second", "one.example", "/s/", "b"),
+        rule("slash", "one.example", "/s", "b"),
+    ])
+    .unwrap_err();
+    let name = |text: &str| -> Arc<str> { text.into() };
+    for fault in [
+        RouteFault::NoTimeout {
+            route: name("no-time"),
+        },
+        RouteFault::NoWeight {
+            route: name("no-weight"),
+        },
+        RouteFault::NoDestination {
+            route: name("nowhere"),
+        },
+        RouteFault::UnknownService {
+            route: name("unknown"),
+            service: name("c"),
+        },
+        RouteFault::SamePlace {
+            first: name("first"),
+            second: name("second"),
+        },
+        RouteFault::BadPrefix {
+            route: name("slash"),
+        },
+    ] {
+        assert!(faults.contains(&fault), "{fault} is missing in {faults:?}");
+    }
+    assert_eq!(faults.len(), 6);
+}
--- /dev/null
+++ b/crates/route/tests/relay_merge.rs
@@ -0,0 +1,23 @@
+//! Merging records, against sorting them all.
+
+use arbtest::arbtest;
+use fulmarweir_route::{RECORD_BYTES, merge_records};
+
+#[test]
+fn the_greatest_records_come_first() {
+    arbtest(|u| {
+        let parts: Vec<Vec<u8>> = u.arbitrary()?;
+        let top = u.int_in_range(0..=12)?;
+        let mut all: Vec<&[u8]> = parts
+            .iter()
+            .flat_map(|part| part.chunks_exact(RECORD_BYTES))
+            .collect();
+        all.sort_by(|a, b| b.cmp(a));
+        all.truncate(top);
+        assert_eq!(
+            merge_records(parts.iter().map(Vec::as_slice), top),
+            all.concat()
+        );
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/route/tests/relay_run.rs
@@ -0,0 +1,385 @@
+//! Decisions on relayed requests, each replayed on the load that it answers.
+
+use std::{sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, RunVerdict};
+use fulmarweir_conf::ExtraAllowance;
+use fulmarweir_route::{
+    AttemptEnd, AttemptKind, Locality, PaceTable, RefusalReason, RelayAction, RelayAsk, RelayBook,
+    RelayEnd, RelayRun, RelaySend, RelayTarget, ReportedLoad,
+};
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn target(service: &str, name: &str, locality: Locality) -> RelayTarget {
+    RelayTarget {
+        id: format!("{service}-{name}").into(),
+        service: service.into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        locality,
+        slots: 3,
+        born_ms: 1,
+        warm_up_ms: 0,
+    }
+}
+
+fn grant() -> ExtraAllowance {
+    ExtraAllowance {
+        share: 0.2,
+        burst: 50.0,
+        window: Duration::from_secs(10),
+    }
+}
+
+/// Shards `s0`, `s1` and so on, each with a near target and a far one.
+fn book(shards: usize) -> RelayBook {
+    let mut book = RelayBook::new(grant());
+    let targets = (0..shards).flat_map(|shard| {
+        let service = format!("s{shard}");
+        [
+            target(&service, "near", Locality::Centre),
+            target(&service, "far", Locality::Far),
+        ]
+    });
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    book
+}
+
+fn ask(shards: usize, repeatable: bool) -> RelayAsk {
+    RelayAsk {
+        services: (0..shards)
+            .map(|shard| format!("s{shard}").into())
+            .collect(),
+        repeatable,
+        attempts_max: 2,
+        coverage_min: 0.75,
+        soft_deadline: at(200),
+        deadline: at(2_000),
+        hedge_delay: Duration::from_millis(40),
+    }
+}
+
+fn sends(actions: &[RelayAction]) -> Vec<RelaySend> {
+    let send = |action: &RelayAction| match action {
+        RelayAction::Send(send) => Some(send.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn finish(actions: &[RelayAction]) -> Option<RelayEnd> {
+    actions.iter().find_map(|action| match action {
+        RelayAction::Finish(end) => Some(end.clone()),
+        _ => None,
+    })
+}
+
+fn wake(actions: &[RelayAction]) -> Option<MonoTime> {
+    let wakes = actions.iter().filter_map(|action| match action {
+        RelayAction::Wake(at) => Some(*at),
+        _ => None,
+    });
+    wakes.last()
+}
+
+const ANSWER: AttemptEnd = AttemptEnd::Answered { load: None };
+
+#[test]
+fn near_targets_are_asked_first_and_a_whole_answer_goes_out_at_once() {
+    let mut book = book(4);
+    let (mut run, actions) = RelayRun::start(ask(4, true), &mut book, at(0));
+    let sent = sends(&actions);
+    assert_eq!(sent.len(), 4);
+    assert!(
+        sent.iter()
+            .all(|send| send.target.locality == Locality::Centre)
+    );
+    let mut last = Vec::new();
+    for send in &sent {
+        assert!(finish(&last).is_none());
+        last = run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
+    }
+    let whole = (0..4).map(Some).collect();
+    assert_eq!(finish(&last), Some(RelayEnd::Answered(whole)));
+}
+
+/// Load pattern: one replica of one shard pauses while its sibling is idle.
+#[test]
+fn a_paused_replica_is_hedged_on_the_other_one() {
+    let mut book = book(4);
+    let (mut run, actions) = RelayRun::start(ask(4, true), &mut book, at(0));
+    let sent = sends(&actions);
+    assert_eq!(wake(&actions), Some(at(40)));
+    for send in &sent[1..] {
+        run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
+    }
+    let hedges = sends(&run.on_wake(&mut book, at(40)));
+    assert_eq!(hedges.len(), 1);
+    assert_eq!(hedges[0].kind, AttemptKind::Hedge);
+    assert_eq!(&*hedges[0].target.id, "s0-far");
+    let end = run.on_end(0, hedges[0].attempt, ANSWER, &mut book, at(80));
+    assert!(matches!(finish(&end), Some(RelayEnd::Answered(_))));
+    assert_eq!(run.hedges(), (1, 1));
+    // The paused one's answer is late and changes nothing.
+    assert!(
+        run.on_end(0, sent[0].attempt, ANSWER, &mut book, at(250))
+            .is_empty()
+    );
+}
+
+/// Load pattern: all replicas of one shard are silent; the others answer in time.
+#[test]
+fn a_silent_shard_is_left_out_at_the_soft_deadline() {
+    let mut book = book(4);
+    let (mut run, actions) = RelayRun::start(ask(4, true), &mut book, at(0));
+    for send in &sends(&actions)[1..] {
+        run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
+    }
+    let mut now = 40;
+    let end = loop {
+        let actions = run.on_wake(&mut book, at(now));
+        if let Some(end) = finish(&actions) {
+            break end;
+        }
+        now = wake(&actions).unwrap().as_micros() / 1000;
+        assert!(now <= 200);
+    };
+    assert_eq!(now, 200);
+    assert_eq!(
+        end,
+        RelayEnd::Answered(vec![None, Some(1), Some(2), Some(3)])
+    );
+}
+
+/// Load pattern: too many shards without any target, known from the start.
+#[test]
+fn a_search_that_cannot_cover_enough_is_refused_at_once() {
+    let mut book = book(2);
+    let (_, actions) = RelayRun::start(ask(4, true), &mut book, at(0));
+    assert!(sends(&actions).is_empty());
+    let Some(RelayEnd::Refused(refusal)) = finish(&actions) else {
+        panic!("expected a refusal");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoTargets);
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    assert!(refusal.retry_after.is_some());
+}
+
+/// Load pattern: every replica of a service sheds.
+#[test]
+fn a_request_that_nobody_takes_is_refused_as_not_run() {
+    let mut book = book(1);
+    let (mut run, mut actions) = RelayRun::start(ask(1, false), &mut book, at(0));
+    let mut now = 0;
+    let refusal = loop {
+        for send in sends(&actions) {
+            now += 1;
+            let end = AttemptEnd::Refused { retry_after: None };
+            actions = run.on_end(send.lane, send.attempt, end, &mut book, at(now));
+        }
+        if let Some(end) = finish(&actions) {
+            break end;
+        }
+        if sends(&actions).is_empty() {
+            now = wake(&actions).map_or(now + 1, |at| at.as_micros() / 1000);
+            actions = run.on_wake(&mut book, at(now));
+        }
+    };
+    let RelayEnd::Refused(refusal) = refusal else {
+        panic!("expected a refusal, got {refusal:?}");
+    };
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    assert!(now <= 250, "held for {now} ms");
+}
+
+/// A request that must not run twice: a lost answer ends it, a refusal does not.
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again() {
+    let mut book = book(1);
+    let (mut run, actions) = RelayRun::start(ask(1, false), &mut book, at(0));
+    let first = sends(&actions).remove(0);
+    assert_eq!(
+        wake(&actions).map(|at| at > MonoTime::from_millis(40)),
+        Some(true)
+    );
+    let end = AttemptEnd::Refused { retry_after: None };
+    let actions = run.on_end(0, first.attempt, end, &mut book, at(5));
+    let second = sends(&actions).remove(0);
+    assert_ne!(second.target.id, first.target.id);
+    let actions = run.on_end(0, second.attempt, AttemptEnd::Broken, &mut book, at(9));
+    assert!(sends(&actions).is_empty());
+    let Some(RelayEnd::Refused(refusal)) = finish(&actions) else {
+        panic!("expected an end");
+    };
+    assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
+    assert_eq!(refusal.reason, RefusalReason::Undecided);
+}
+
+#[test]
+fn a_hedge_in_flight_forbids_the_word_not_run() {
+    let mut book = book(1);
+    let (mut run, actions) = RelayRun::start(ask(1, true), &mut book, at(0));
+    let first = sends(&actions).remove(0);
+    let hedge = sends(&run.on_wake(&mut book, at(40))).remove(0);
+    let end = AttemptEnd::Refused { retry_after: None };
+    run.on_end(0, first.attempt, end, &mut book, at(50));
+    assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
+    run.on_end(0, hedge.attempt, end, &mut book, at(60));
+    assert_eq!(run.verdict(), RunVerdict::NotRun);
+}
+
+#[test]
+fn a_request_runs_on_no_more_targets_than_allowed() {
+    let mut book = RelayBook::new(grant());
+    let names = ["a", "b", "c", "d"];
+    let targets = names.map(|name| target("s0", name, Locality::Centre));
+    book.sync(targets.to_vec(), 1, |_| Some(30), at(0));
+    let (mut run, actions) = RelayRun::start(ask(1, true), &mut book, at(0));
+    let mut asked: Vec<Arc<str>> = Vec::new();
+    let mut open = sends(&actions);
+    let mut now = 0;
+    while now < 2_000 {
+        for send in open.drain(..) {
+            asked.push(Arc::clone(&send.target.id));
+        }
+        now += 5;
+        let actions = run.on_wake(&mut book, at(now));
+        open = sends(&actions);
+        if finish(&actions).is_some() {
+            break;
+        }
+    }
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 2, "{asked:?}");
+}
+
+/// Load pattern: a whole service is slow, and every request would want a second attempt.
+#[test]
+fn extra_attempts_stay_within_the_budget() {
+    let mut book = book(1);
+    let mut extras = 0;
+    let requests = 2_000_u64;
+    for number in 0..requests {
+        let now = number * 5;
+        let mut request = ask(1, true);
+        request.soft_deadline = at(now + 200);
+        request.deadline = at(now + 2_000);
+        let (mut run, actions) = RelayRun::start(request, &mut book, at(now));
+        let mut open = sends(&actions);
+        open.extend(sends(&run.on_wake(&mut book, at(now + 40))));
+        extras += open.len() as u64 - 1;
+        for send in open {
+            run.on_end(0, send.attempt, ANSWER, &mut book, at(now + 90));
+        }
+    }
+    #[expect(clippy::cast_precision_loss, reason = "small counts")]
+    let granted = requests as f64 * 0.2 + 50.0;
+    #[expect(clippy::cast_precision_loss, reason = "small counts")]
+    let used = extras as f64;
+    assert!(used <= granted, "{used} of {granted}");
+    assert!(used >= granted * 0.5, "{used} of {granted}");
+}
+
+/// Load pattern: the near replica is slow for seconds; traffic must move to its sibling, and back.
+#[test]
+fn traffic_leaves_a_slow_replica_and_returns() {
+    let mut book = book(1);
+    let mut near_late = 0;
+    let mut near_after = 0;
+    for number in 0..600_u64 {
+        let now = number * 20;
+        let mut request = ask(1, false);
+        request.soft_deadline = at(now + 500);
+        request.deadline = at(now + 2_000);
+        let (mut run, actions) = RelayRun::start(request, &mut book, at(now));
+        let send = sends(&actions).remove(0);
+        let near = send.target.locality == Locality::Centre;
+        let slow = (100..300).contains(&number);
+        let took = match (near, slow) {
+            (true, true) => 160,
+            (true, false) => 20,
+            (false, _) => 50,
+        };
+        near_late += u32::from(near && (150..300).contains(&number));
+        near_after += u32::from(near && number >= 500);
+        let load = ReportedLoad {
+            in_flight: 0,
+            slots: 3,
+            queued: 0,
+        };
+        let end = AttemptEnd::Answered { load: Some(load) };
+        run.on_end(0, send.attempt, end, &mut book, at(now + took));
+    }
+    assert!(
+        near_late < 40,
+        "{near_late} of 150 went to the slow replica"
+    );
+    assert!(
+        near_after > 80,
+        "{near_after} of 100 went to the recovered replica"
+    );
+}
+
+/// Load pattern: one pause of the near replica; it must not cost seconds of far traffic.
+#[test]
+fn one_pause_does_not_move_the_traffic() {
+    let mut book = book(1);
+    let mut far = 0;
+    for number in 0..300_u64 {
+        let now = number * 20;
+        let mut request = ask(1, false);
+        request.soft_deadline = at(now + 500);
+        request.deadline = at(now + 2_000);
+        let (mut run, actions) = RelayRun::start(request, &mut book, at(now));
+        let send = sends(&actions).remove(0);
+        let near = send.target.locality == Locality::Centre;
+        far += u32::from(!near);
+        let took = if near && number == 100 { 260 } else { 20 };
+        run.on_end(0, send.attempt, ANSWER, &mut book, at(now + took));
+    }
+    assert!(far <= 15, "{far} of 300 went far");
+}
+
+#[test]
+fn a_target_at_a_reused_address_is_not_asked_again() {
+    let mut book = book(1);
+    let (mut run, actions) = RelayRun::start(ask(1, false), &mut book, at(0));
+    let first = sends(&actions).remove(0);
+    let actions = run.on_end(0, first.attempt, AttemptEnd::Moved, &mut book, at(2));
+    let second = sends(&actions).remove(0);
+    assert_eq!(&*second.target.id, "s0-far");
+    let (_, actions) = RelayRun::start(ask(1, false), &mut book, at(10));
+    assert_eq!(&*sends(&actions).remove(0).target.id, "s0-far");
+}
+
+#[test]
+fn a_failure_of_the_target_is_passed_on() {
+    let mut book = book(1);
+    let (mut run, actions) = RelayRun::start(ask(1, false), &mut book, at(0));
+    let first = sends(&actions).remove(0);
+    let actions = run.on_end(
+        0,
+        first.attempt,
+        AttemptEnd::FailureReply,
+        &mut book,
+        at(30),
+    );
+    assert_eq!(finish(&actions), Some(RelayEnd::PassOn(first.attempt)));
+}
+
+#[test]
+fn the_hedge_delay_follows_the_latencies() {
+    let mut pace = PaceTable::default();
+    let route: Arc<str> = "browse".into();
+    let soft = Duration::from_millis(400);
+    assert_eq!(pace.hedge_delay(&route, soft), Duration::from_millis(100));
+    for number in 0..1_000_u64 {
+        let latency = if number % 50 == 0 { 300 } else { 20 };
+        pace.record(&route, Duration::from_millis(latency));
+    }
+    let delay = pace.hedge_delay(&route, soft);
+    assert!((20..=30).contains(&delay.as_millis()), "{delay:?}");
+}
