Give scarce connections up sooner, and charge no extra attempt for one that was over a limit

Cause: after a loss of power of all VMs the targets still held the connections of the processes before, and reset new ones over their limit. Tests: attempts_over_a_connection_limit_do_not_use_up_the_budget, a_connection_over_the_limit_is_told_from_a_lost_answer.

--- a/crates/daemon/src/relay/carrier.rs
+++ b/crates/daemon/src/relay/carrier.rs
@@ -244,7 +244,8 @@
         return ended(AttemptEnd::Unreachable, None, Some("bad-request"));
     };
     let address = send.target.address;
-    let reply = match node.links.exchange(address, request, need).await {
+    let exchange = node.links.exchange(address, request, need, send.keep_idle);
+    let reply = match exchange.await {
         Ok(reply) => reply,
         Err(fault) => {
             if fault == RelayFault::Broken {
@@ -253,6 +254,7 @@
             let end = match fault {
                 RelayFault::Connect => AttemptEnd::Unreachable,
                 RelayFault::NotSent => AttemptEnd::NoConnection,
+                RelayFault::Rejected => AttemptEnd::Rejected,
                 RelayFault::Broken | RelayFault::TooLarge => AttemptEnd::Broken,
             };
             return ended(end, None, Some(fault.as_str()));
--- a/crates/pool/src/relay_link.rs
+++ b/crates/pool/src/relay_link.rs
@@ -53,6 +53,10 @@
     Connect,
     /// The connection ended before the request was sent on it.
     NotSent,
+    /// A new connection was reset sooner than a target could have run anything: it had too many.
+    ///
+    /// This is no proof, so the request still may have run.
+    Rejected,
     /// The connection broke, or what came was no answer, after the request was sent.
     Broken,
     /// The answer was larger than allowed.
@@ -66,12 +70,23 @@
         match self {
             Self::Connect => "connect",
             Self::NotSent => "not-sent",
+            Self::Rejected => "rejected",
             Self::Broken => "broken",
             Self::TooLarge => "too-large",
         }
     }
 }
 
+/// Time after which a target may have run a request, beyond the way there and back, in milliseconds.
+const RUN_MIN_MS: u64 = 4;
+
+/// A connection that was just opened.
+struct NewConnection {
+    sender: RelaySender,
+    /// Time that opening it took, which is the way there and back.
+    way: Duration,
+}
+
 /// What a request needs of its connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectionNeed {
@@ -121,7 +136,8 @@
         }
     }
 
-    /// Sends one request and reads the whole answer.
+    /// Sends one request and reads the whole answer. The connection is then kept for at most
+    /// `keep_idle`.
     ///
     /// # Errors
     ///
@@ -132,6 +148,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         need: ConnectionNeed,
+        keep_idle: Duration,
     ) -> Result<RelayReply, RelayFault> {
         let (sender, response) = self.send(address, request, need).await?;
         let (head, mut incoming) = response.into_parts();
@@ -145,7 +162,7 @@
                 body.extend_from_slice(&data);
             }
         }
-        self.give_back(address, sender, &head.headers);
+        self.give_back(address, sender, &head.headers, keep_idle);
         Ok(RelayReply {
             status: head.status,
             headers: head.headers,
@@ -172,13 +189,27 @@
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
+        let NewConnection { mut sender, way } = self.connect(address).await?;
+        if need != ConnectionNeed::Any {
+            // A target with too many connections resets this one about now; the request must
+            // not be on its way then.
+            tokio::time::sleep(way).await;
+            if sender.is_closed() {
+                return Err(RelayFault::Connect);
+            }
+        }
+        let sent_at = self.timer.now();
         match sender.try_send_request(request).await {
             Ok(response) => Ok((sender, response)),
-            Err(mut error) => Err(match error.take_message() {
-                Some(_) => RelayFault::NotSent,
-                None => RelayFault::Broken,
-            }),
+            Err(mut error) => {
+                let soonest = sent_at + way + Duration::from_millis(RUN_MIN_MS);
+                let is_early = self.timer.now() < soonest && !error.error().is_parse();
+                Err(match error.take_message() {
+                    Some(_) => RelayFault::NotSent,
+                    None if is_early => RelayFault::Rejected,
+                    None => RelayFault::Broken,
+                })
+            }
         }
     }
 
@@ -236,12 +267,14 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<RelaySender, RelayFault> {
+    async fn connect(&self, address: SocketAddr) -> Result<NewConnection, RelayFault> {
+        let began = self.timer.now();
         let patience = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let connected = timeout(patience, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connected else {
             return Err(RelayFault::Connect);
         };
+        let way = self.timer.now().since(began);
         // Without this option small requests only wait longer.
         let _ = stream.set_nodelay(true);
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
@@ -255,15 +288,22 @@
                 () = stop.cancelled() => {}
             }
         });
-        Ok(sender)
+        Ok(NewConnection { sender, way })
     }
 
-    fn give_back(&self, address: SocketAddr, sender: RelaySender, headers: &HeaderMap) {
+    fn give_back(
+        &self,
+        address: SocketAddr,
+        sender: RelaySender,
+        headers: &HeaderMap,
+        keep_idle: Duration,
+    ) {
         if sender.is_closed() || says_close(headers) {
             return;
         }
         let idle_max = stated_idle(headers).unwrap_or(Duration::from_millis(IDLE_DEFAULT_MS));
         let usable = idle_max.saturating_sub(Duration::from_millis(IDLE_MARGIN_MS));
+        let usable = usable.min(keep_idle);
         if usable.is_zero() {
             return;
         }
--- a/crates/pool/tests/relay_link.rs
+++ b/crates/pool/tests/relay_link.rs
@@ -20,6 +20,8 @@
     time::{sleep, timeout},
 };
 
+const KEEP: Duration = Duration::from_secs(4);
+
 /// A target that treats each connection by a function; counts connections.
 struct RawTarget {
     address: SocketAddr,
@@ -79,7 +81,7 @@
     target: &RawTarget,
     need: ConnectionNeed,
 ) -> Result<RelayReply, RelayFault> {
-    let exchange = links.exchange(target.address, request("/q?a=1"), need);
+    let exchange = links.exchange(target.address, request("/q?a=1"), need, KEEP);
     timeout(Duration::from_secs(5), exchange).await.unwrap()
 }
 
@@ -208,7 +210,7 @@
     let address = listener.local_addr().unwrap();
     drop(listener);
     let links = links();
-    let exchange = links.exchange(address, request("/"), ConnectionNeed::Any);
+    let exchange = links.exchange(address, request("/"), ConnectionNeed::Any, KEEP);
     assert_eq!(exchange.await.unwrap_err(), RelayFault::Connect);
 }
 
@@ -227,8 +229,61 @@
     })
     .await;
     let links = links();
-    let exchange = links.exchange(target.address, request("/"), ConnectionNeed::Any);
+    let exchange = links.exchange(target.address, request("/"), ConnectionNeed::Any, KEEP);
     assert!(timeout(Duration::from_millis(50), exchange).await.is_err());
     let ended = timeout(Duration::from_millis(400), learned.recv()).await;
     assert_eq!(ended.unwrap(), Some(true));
 }
+
+/// A target with too many connections accepts and resets at once.
+#[tokio::test]
+async fn a_connection_over_the_limit_is_told_from_a_lost_answer() {
+    let full = raw_target(|_, stream| async move {
+        stream.set_zero_linger().unwrap();
+        drop(stream);
+    })
+    .await;
+    let links = links();
+    let fault = ask(&links, &full, ConnectionNeed::Any).await.unwrap_err();
+    assert!(
+        matches!(fault, RelayFault::Rejected | RelayFault::NotSent),
+        "{fault:?}"
+    );
+    // A request that must not run twice is not on its way yet.
+    let fault = ask(&links, &full, ConnectionNeed::Recent)
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(fault, RelayFault::Connect | RelayFault::NotSent),
+        "{fault:?}"
+    );
+
+    let losing = raw_target(|_, mut stream| async move {
+        read_head(&mut stream).await;
+        sleep(Duration::from_millis(20)).await;
+        stream.set_zero_linger().unwrap();
+    })
+    .await;
+    let fault = ask(&links, &losing, ConnectionNeed::Any).await.unwrap_err();
+    assert_eq!(fault, RelayFault::Broken);
+}
+
+#[tokio::test]
+async fn idle_connections_are_given_up_where_they_are_scarce() {
+    let target = raw_target(|_, mut stream| async move {
+        while read_head(&mut stream).await.is_some() {
+            answer(&mut stream, "", "part").await;
+        }
+    })
+    .await;
+    let links = links();
+    let short = Duration::from_millis(30);
+    for _ in 0..2 {
+        let exchange = links.exchange(target.address, request("/"), ConnectionNeed::Any, short);
+        exchange.await.unwrap();
+        sleep(Duration::from_millis(60)).await;
+    }
+    assert_eq!(target.connections.load(SeqCst), 2);
+    links.tidy(|_| true);
+    assert_eq!(links.idle_count(), 0);
+}
--- a/crates/route/src/relay/book.rs
+++ b/crates/route/src/relay/book.rs
@@ -20,6 +20,14 @@
 /// One in so many connections to a target is left to others, since VMs differ on their number.
 const CONNECTIONS_KEPT_PART: u32 = 10;
 
+/// Connections of one VM to a target below which they are scarce: idle ones are given up soon.
+///
+/// The connections of VMs that lost power stay open at the target, and must leave room.
+const CONNECTIONS_SCARCE: u32 = 3;
+const KEEP_IDLE_MS: u64 = 8_000;
+const KEEP_SCARCE_NEAR_MS: u64 = 2_000;
+const KEEP_SCARCE_FAR_MS: u64 = 500;
+
 /// A target that may be asked.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RelayTarget {
@@ -203,6 +211,19 @@
         desk.map_or(0.0, |desk| desk.window.left(&self.grant, self.vms, now))
     }
 
+    /// How long an idle connection to a target may be kept.
+    #[must_use]
+    pub fn keep_idle(&self, target: &RelayTarget) -> Duration {
+        let desk = self.services.get(&target.service);
+        let card = desk.and_then(|desk| desk.cards.iter().find(|c| c.target.id == target.id));
+        let scarce = card.is_some_and(|card| card.connections < CONNECTIONS_SCARCE);
+        Duration::from_millis(match (scarce, target.locality) {
+            (false, _) => KEEP_IDLE_MS,
+            (true, Locality::Far) => KEEP_SCARCE_FAR_MS,
+            (true, Locality::Centre | Locality::Region) => KEEP_SCARCE_NEAR_MS,
+        })
+    }
+
     /// Chooses the target that is expected to answer first.
     #[must_use]
     pub fn pick(&self, ask: &PickAsk<'_>, now: MonoTime) -> Pick {
--- a/crates/route/src/relay/lane.rs
+++ b/crates/route/src/relay/lane.rs
@@ -39,6 +39,8 @@
     unclear: Vec<Arc<str>>,
     /// Attempts that reached, or may have reached, a target.
     pub(crate) arrivals: u32,
+    /// Attempts among them whose connection was one too many.
+    pub(crate) rejected: u32,
     /// Rounds in which no target took the request.
     pub(crate) rounds: u32,
     /// Failed attempts that may have run.
@@ -59,6 +61,7 @@
             ran: Vec::new(),
             unclear: Vec::new(),
             arrivals: 0,
+            rejected: 0,
             rounds: 0,
             failures: 0,
             next_at: None,
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -64,6 +64,8 @@
     pub target: Arc<RelayTarget>,
     /// Whether to use a new connection, since an earlier attempt there got no answer.
     pub fresh: bool,
+    /// How long the connection may be kept idle afterwards.
+    pub keep_idle: Duration,
     /// What it is to its lane.
     pub kind: AttemptKind,
 }
@@ -87,6 +89,8 @@
     Unreachable,
     /// The request never left this VM, since no connection was free.
     NoConnection,
+    /// The target had too many connections, as far as can be told; it may have run.
+    Rejected,
     /// The target answered with a failure of its own.
     FailureReply,
     /// The attempt broke off, or its answer was unusable; it may have run.
@@ -289,6 +293,10 @@
                 progress.failures += 1;
                 progress.failure_reply = Some(attempt);
             }
+            AttemptEnd::Rejected => {
+                progress.may_have_run_at(target);
+                progress.rejected += 1;
+            }
             AttemptEnd::Broken => {
                 progress.may_have_run_at(target);
                 progress.failures += 1;
@@ -349,7 +357,8 @@
         };
         match book.pick(&ask, now) {
             Pick::Target { target, again } => {
-                let is_extra = self.lanes[lane].arrivals > 0;
+                let progress = &self.lanes[lane];
+                let is_extra = progress.arrivals > progress.rejected;
                 if is_extra && !book.take_extra(&self.lanes[lane].service, now) {
                     self.pause(lane, BUDGET_PAUSE_MS, now);
                     return;
@@ -397,6 +406,7 @@
     ) {
         let attempt = self.next_attempt;
         self.next_attempt += 1;
+        let keep_idle = book.keep_idle(&target);
         book.attempt_sent(&target, now);
         if kind == AttemptKind::Hedge {
             self.hedges += 1;
@@ -413,6 +423,7 @@
             lane,
             target,
             fresh: again,
+            keep_idle,
             kind,
         }));
     }
@@ -536,6 +547,7 @@
         AttemptEnd::Moved => AttemptSignal::Moved,
         AttemptEnd::Unreachable => AttemptSignal::Unreachable,
         AttemptEnd::NoConnection => AttemptSignal::Neutral,
+        AttemptEnd::Rejected => AttemptSignal::Refused { retry_after: None },
         AttemptEnd::FailureReply | AttemptEnd::Broken => AttemptSignal::Failed,
     }
 }
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -412,3 +412,29 @@
     }
     assert!(asked_again);
 }
+
+/// Load pattern: after a loss of power, the connections of the VMs before still fill a target's
+/// limit, and every attempt is reset at first. The budget of extra attempts must last for later.
+#[test]
+fn attempts_over_a_connection_limit_do_not_use_up_the_budget() {
+    let mut book = book(1);
+    let before = book.extra_left("s0", at(0));
+    let (mut run, actions) = RelayRun::start(ask(1, true), &mut book, at(0));
+    let mut open = sends(&actions);
+    let mut now = 0;
+    let mut attempts = 0;
+    while attempts < 4 {
+        now += 20;
+        let mut actions = run.on_wake(&mut book, at(now));
+        for send in open.drain(..) {
+            attempts += 1;
+            let end = AttemptEnd::Rejected;
+            actions.extend(run.on_end(0, send.attempt, end, &mut book, at(now)));
+        }
+        open = sends(&actions);
+        assert!(now < 2_000);
+    }
+    assert!(book.extra_left("s0", at(now)) >= before);
+    // It is no proof that nothing ran.
+    assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
+}
