--- a/crates/route/src/relay/lane.rs
+++ b/crates/route/src/relay/lane.rs
@@ -75,7 +75,7 @@
 
     /// Whether the request may have run, or may still run, for this lane.
     pub(crate) fn may_have_run(&self) -> bool {
-        !self.ran.is_empty()
+        !self.ran.is_empty() || self.rejected > 0
     }
 
     pub(crate) fn sent(&mut self, number: u32, target: &Arc<RelayTarget>, now: MonoTime) {
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -294,7 +294,8 @@
                 progress.failure_reply = Some(attempt);
             }
             AttemptEnd::Rejected => {
-                progress.may_have_run_at(target);
+                // Not counted among the targets that it may run on, but no proof either.
+                progress.did_not_run(target);
                 progress.rejected += 1;
             }
             AttemptEnd::Broken => {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -438,3 +438,27 @@
     // It is no proof that nothing ran.
     assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
 }
+
+/// Load pattern: two of three replicas are over their limit of connections; the third has room.
+#[test]
+fn a_target_over_its_limit_leaves_room_for_another_one() {
+    let mut book = RelayBook::new(grant());
+    let names = ["a", "b", "c"];
+    let targets = names.map(|name| target("s0", name, Locality::Centre));
+    book.sync(targets.to_vec(), 1, |_| Some(30), at(0));
+    let (mut run, actions) = RelayRun::start(ask(1, true), &mut book, at(0));
+    let mut asked = Vec::new();
+    let mut open = sends(&actions);
+    for now in 1..=2 {
+        let send = open.remove(0);
+        asked.push(Arc::clone(&send.target.id));
+        open = sends(&run.on_end(0, send.attempt, AttemptEnd::Rejected, &mut book, at(now)));
+    }
+    asked.push(Arc::clone(&open[0].target.id));
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 3);
+    let end = AttemptEnd::Refused { retry_after: None };
+    run.on_end(0, open[0].attempt, end, &mut book, at(4));
+    assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
+}
