--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -102,17 +102,24 @@
     let patience = time_left(node, &head.headers).unwrap_or_default() / START_WAIT_PART;
     node.wait_while_starting(patience, |node| node.table().is_some())
         .await;
+    let names = &node.dialect.headers;
+    let request_id = head.headers.get(&names.request_id).cloned();
+    let early =
+        |reason, response| refuse_early(node, request_id.as_ref(), arrived_at, reason, response);
     let Some(table) = node.table() else {
-        node.metrics.count_refusal("no-config");
         let pause = Duration::from_millis(NO_CONFIG_PAUSE_MS);
-        return Err(Box::new(come_back("no configuration yet", pause)));
+        return Err(early("no-config", come_back("no configuration yet", pause)));
     };
-    let body = read_body(body, &head.headers, table.limits.body_max_bytes).await?;
-    let rule = find_rule(node, &table, &head.uri, &head.headers)?;
-    let names = &node.dialect.headers;
-    let Some(request_id) = head.headers.get(&names.request_id).cloned() else {
-        node.metrics.count_refusal("no-request-id");
-        return Err(Box::new(text(StatusCode::BAD_REQUEST, "no request id")));
+    let body = read_body(body, &head.headers, table.limits.body_max_bytes)
+        .await
+        .map_err(|response| early("bad-body", response))?;
+    let Some(rule) = find_rule(&table, &head.uri, &head.headers) else {
+        let response = text(StatusCode::NOT_FOUND, "no route for this host and path");
+        return Err(early("no-route", response));
+    };
+    let Some(request_id) = request_id.clone() else {
+        let response = text(StatusCode::BAD_REQUEST, "no request id");
+        return Err(early("no-request-id", response));
     };
     let times = request_times(node, &rule, &head.headers, arrived_at);
     node.wait_while_starting(patience, |node| knows_enough(node, &rule))
@@ -163,16 +170,11 @@
     mut body: Incoming,
     headers: &HeaderMap,
     limit: usize,
-) -> Result<Bytes, EarlyAnswer> {
+) -> Result<Bytes, RelayResponse> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let too_large = || {
-        Box::new(text(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "request body too large",
-        ))
-    };
+    let too_large = || text(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
     let stated = headers.get(header::CONTENT_LENGTH);
     let stated = stated.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if stated.is_some_and(|length| length > limit) {
@@ -181,8 +183,7 @@
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            let broken = text(StatusCode::BAD_REQUEST, "request body broke off");
-            return Err(Box::new(broken));
+            return Err(text(StatusCode::BAD_REQUEST, "request body broke off"));
         };
         if let Ok(data) = frame.into_data() {
             if bytes.len() + data.len() > limit {
@@ -194,24 +195,53 @@
     Ok(bytes.freeze())
 }
 
-fn find_rule(
-    node: &EntryNode,
-    table: &RouteTable,
-    uri: &Uri,
-    headers: &HeaderMap,
-) -> Result<Arc<RouteRule>, EarlyAnswer> {
+fn find_rule(table: &RouteTable, uri: &Uri, headers: &HeaderMap) -> Option<Arc<RouteRule>> {
     let named = headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
-    let host = named.or_else(|| uri.authority().map(http::uri::Authority::as_str));
-    let rule = host.and_then(|host| table.find(host, uri.path()));
-    rule.cloned().ok_or_else(|| {
-        node.metrics.count_refusal("no-route");
-        Box::new(text(
-            StatusCode::NOT_FOUND,
-            "no route for this host and path",
-        ))
-    })
+    let host = named.or_else(|| uri.authority().map(http::uri::Authority::as_str))?;
+    table.find(host, uri.path()).cloned()
+}
+
+/// Counts and logs a request that is answered before its route is known.
+fn refuse_early(
+    node: &EntryNode,
+    request_id: Option<&HeaderValue>,
+    arrived_at: MonoTime,
+    reason: &'static str,
+    response: RelayResponse,
+) -> EarlyAnswer {
+    node.metrics.count_refusal(reason);
+    node.metrics.count_request(reason);
+    let now = node.timer.now();
+    let detail = format!(
+        "targets={} keepers={} up_ms={}",
+        node.metrics.targets.get(),
+        node.metrics.keepers.get(),
+        node.up_time().as_millis()
+    );
+    let request = request_id.and_then(|id| id.to_str().ok());
+    let line = RequestLine {
+        request: request.unwrap_or("none"),
+        route: "none",
+        config_version: node.config_version(),
+        outcome: reason,
+        status: response.status().as_u16(),
+        verdict: RunVerdict::NotRun.as_str(),
+        took: now.since(arrived_at),
+        objective: Duration::ZERO,
+        time_left: Duration::ZERO,
+        lanes: 0,
+        missing: 0,
+        attempts: 0,
+        hedges: 0,
+        extra_left: 0.0,
+        detail: &detail,
+    };
+    if !node.requests.write(&line, now) {
+        node.metrics.log_lines_dropped.inc();
+    }
+    Box::new(response)
 }
 
 fn request_times(
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -107,6 +107,11 @@
         })
     }
 
+    /// Time since the start of the process.
+    pub(crate) fn up_time(&self) -> Duration {
+        self.timer.now().since(self.started_at)
+    }
+
     /// The routes in force here.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         lock(&self.table).clone()
--- a/crates/pool/src/relay_link.rs
+++ b/crates/pool/src/relay_link.rs
@@ -80,6 +80,9 @@
 /// Time after which a target may have run a request, beyond the way there and back, in milliseconds.
 const RUN_MIN_MS: u64 = 4;
 
+/// Time in which a target turns a connection away that is too many, beyond the way, in milliseconds.
+const ACCEPT_MS: u64 = 2;
+
 /// A connection that was just opened.
 struct NewConnection {
     sender: RelaySender,
@@ -193,7 +196,7 @@
         if need != ConnectionNeed::Any {
             // A target with too many connections resets this one about now; the request must
             // not be on its way then.
-            tokio::time::sleep(way).await;
+            tokio::time::sleep(way + Duration::from_millis(ACCEPT_MS)).await;
             if sender.is_closed() {
                 return Err(RelayFault::Connect);
             }
--- a/crates/route/src/relay/book.rs
+++ b/crates/route/src/relay/book.rs
@@ -22,10 +22,11 @@
 
 /// Connections of one VM to a target below which they are scarce: idle ones are given up soon.
 ///
-/// The connections of VMs that lost power stay open at the target, and must leave room.
+/// The connections of VMs that lost power stay open at the target, and must leave room: so no
+/// idle connection is kept for long.
 const CONNECTIONS_SCARCE: u32 = 3;
-const KEEP_IDLE_MS: u64 = 8_000;
-const KEEP_SCARCE_NEAR_MS: u64 = 2_000;
+const KEEP_IDLE_MS: u64 = 1_500;
+const KEEP_SCARCE_NEAR_MS: u64 = 1_500;
 const KEEP_SCARCE_FAR_MS: u64 = 500;
 
 /// A target that may be asked.
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -320,7 +320,9 @@
         let progress = &mut self.lanes[lane];
         let is_hedge = !progress.open.is_empty();
         let may_run_again = self.ask.repeatable || !progress.may_have_run();
-        if !may_run_again || progress.arrivals >= ARRIVALS_MAX {
+        // A target over its limit costs nothing but the pause after all of them were tried.
+        let arrived = progress.arrivals - progress.rejected.min(progress.arrivals);
+        if !may_run_again || arrived >= ARRIVALS_MAX {
             if progress.open.is_empty() {
                 progress.state = LaneState::Failed;
             }
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -462,3 +462,29 @@
     run.on_end(0, open[0].attempt, end, &mut book, at(4));
     assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
 }
+
+/// Load pattern: for a second after all VMs came back every target is over its limit.
+#[test]
+fn a_search_outlasts_targets_that_are_over_their_limit() {
+    let mut book = book(4);
+    let (mut run, actions) = RelayRun::start(ask(4, true), &mut book, at(0));
+    let mut open = sends(&actions);
+    let mut now = 0;
+    let end = loop {
+        let mut actions = Vec::new();
+        now += 2;
+        for send in open.drain(..) {
+            let full = now < 1_000;
+            let end = if full { AttemptEnd::Rejected } else { ANSWER };
+            actions.extend(run.on_end(send.lane, send.attempt, end, &mut book, at(now)));
+        }
+        actions.extend(run.on_wake(&mut book, at(now)));
+        open = sends(&actions);
+        if let Some(end) = finish(&actions) {
+            break end;
+        }
+        assert!(now < 2_500);
+    };
+    assert!(matches!(end, RelayEnd::Answered(_)), "{end:?} at {now}");
+    assert!(run.attempts() < 200, "{} attempts", run.attempts());
+}
