--- a/crates/daemon/src/relay/voters.rs
+++ b/crates/daemon/src/relay/voters.rs
@@ -15,8 +15,9 @@
 const VOTER_FOLDER: &str = "voter";
 /// Time between two looks at the voters, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 400;
-/// Silence after which another keeper takes a voter's place, in milliseconds.
-const GONE_MS: u64 = 1_500;
+/// Share of the time to catch up after which another keeper takes a silent voter's place; the
+/// rest is for copying the registers and a second try.
+const GONE_SHARE: f64 = 0.35;
 /// Most time that keepers wait at random, so that they rarely race.
 const STAGGER_MAX_MS: u64 = 400;
 /// Time for one change of voters, in milliseconds.
@@ -211,9 +212,10 @@
         address: node.settings.peer_address(),
     };
     let lost_log = set.members.iter().find(|member| member.name == name);
+    let patience_for_voters = node.settings.bounds.catch_up.mul_f64(GONE_SHARE);
     let is_gone = |member: &&VoterMember| {
         let since = absences.get(&member.identity);
-        since.is_some_and(|since| now.since(*since) >= Duration::from_millis(GONE_MS) + stagger)
+        since.is_some_and(|since| now.since(*since) >= patience_for_voters + stagger)
     };
     let gone = lost_log.or_else(|| set.members.iter().find(is_gone));
     let patience = Duration::from_millis(CHANGE_TIMEOUT_MS);
--- a/crates/route/src/relay/book.rs
+++ b/crates/route/src/relay/book.rs
@@ -17,6 +17,8 @@
 const WORK_WEIGHT: f64 = 0.02;
 /// Mean latency of a service before its first answer, in milliseconds.
 const WORK_DEFAULT_MS: f64 = 20.0;
+/// Expected answer times are rough: only from this multiple of the useful time on is a target not asked.
+const HOPELESS_FACTOR: f64 = 1.5;
 /// One in so many connections to a target is left to others, since VMs differ on their number.
 const CONNECTIONS_KEPT_PART: u32 = 10;
 
@@ -61,6 +63,8 @@
     pub ran_max: usize,
     /// Passes over targets that are down or full: a second attempt is not worth it there.
     pub spare: bool,
+    /// Time in which an answer is of use, if the request can do without this service.
+    pub patience: Option<Duration>,
 }
 
 /// The target for one attempt.
@@ -73,6 +77,8 @@
         /// Whether it was asked before.
         again: bool,
     },
+    /// Every target would answer long after the answer is of use.
+    Hopeless,
     /// Every target that could be asked has as many open attempts as this VM has connections.
     Full,
     /// All were tried.
@@ -250,7 +256,12 @@
                 best = Some((score, card, again));
             }
         }
+        let is_hopeless = |lowest: f64| {
+            let patience = ask.patience.map(|patience| patience.as_secs_f64() * 1000.0);
+            patience.is_some_and(|patience| lowest > patience * HOPELESS_FACTOR)
+        };
         match best {
+            Some((lowest, _, _)) if is_hopeless(lowest) => Pick::Hopeless,
             Some((_, card, again)) => Pick::Target {
                 target: Arc::clone(&card.target),
                 again,
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -350,6 +350,8 @@
     ) {
         let is_hedge = kind == AttemptKind::Hedge;
         let ran_max = self.ask.attempts_max.max(1) as usize;
+        let optional = kind == AttemptKind::First && self.can_do_without_one();
+        let soft = self.ask.soft_deadline.since(now);
         let progress = &self.lanes[lane];
         let ask = PickAsk {
             service: &progress.service,
@@ -357,6 +359,7 @@
             ran: &progress.ran,
             ran_max,
             spare: is_hedge,
+            patience: optional.then_some(soft),
         };
         match book.pick(&ask, now) {
             Pick::Target { target, again } => {
@@ -368,6 +371,7 @@
                 }
                 self.send(lane, target, again, kind, book, now, actions);
             }
+            Pick::Hopeless => self.lanes[lane].state = LaneState::Failed,
             Pick::Full => self.pause(lane, ROOM_PAUSE_MS, now),
             Pick::Tried => {
                 let progress = &mut self.lanes[lane];
@@ -437,6 +441,18 @@
         !self.covers(known.count())
     }
 
+    /// Whether one more lane may fail without ending the request.
+    ///
+    /// Load pattern: all replicas of one shard far behind. Searches that leave it out are
+    /// answered in time, and its queue drains for those that come after.
+    fn can_do_without_one(&self) -> bool {
+        let left = self
+            .lanes
+            .iter()
+            .filter(|lane| lane.state != LaneState::Failed);
+        self.lanes.len() > 1 && self.covers(left.count().saturating_sub(1))
+    }
+
     fn covers(&self, answered: usize) -> bool {
         #[expect(clippy::cast_precision_loss, reason = "lane counts are small")]
         let coverage = answered as f64 / self.lanes.len().max(1) as f64;
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -488,3 +488,44 @@
     assert!(matches!(end, RelayEnd::Answered(_)), "{end:?} at {now}");
     assert!(run.attempts() < 200, "{} attempts", run.attempts());
 }
+
+/// Load pattern: all replicas of one shard are far behind what is asked of them. Searches do
+/// without it, so that they are answered in time, and ask again once it has caught up.
+#[test]
+fn a_shard_that_is_far_behind_is_left_out_until_it_recovers() {
+    let mut book = book(4);
+    let behind = ReportedLoad {
+        in_flight: 3,
+        slots: 3,
+        queued: 18,
+    };
+    let mut asked = [0_u32; 2];
+    for number in 0..400_u64 {
+        let now = number * 10;
+        let mut request = ask(4, true);
+        request.soft_deadline = at(now + 200);
+        request.deadline = at(now + 2_000);
+        let (mut run, actions) = RelayRun::start(request, &mut book, at(now));
+        let slow = now < 2_000;
+        for send in sends(&actions) {
+            let is_slow = slow && send.lane == 0;
+            if send.lane == 0 && (1_000..2_000).contains(&now) {
+                asked[0] += 1;
+            }
+            if send.lane == 0 && now >= 3_500 {
+                asked[1] += 1;
+            }
+            let load = is_slow.then_some(behind);
+            let took = if is_slow { 900 } else { 20 };
+            let end = AttemptEnd::Answered { load };
+            run.on_end(send.lane, send.attempt, end, &mut book, at(now + took));
+        }
+        run.abandon(&mut book, at(now + 900));
+    }
+    assert!(
+        asked[0] < 60,
+        "asked {} times of 100 while behind",
+        asked[0]
+    );
+    assert!(asked[1] >= 45, "asked {} times of 50 after it", asked[1]);
+}
