--- a/crates/conf/src/relay_settings.rs
+++ b/crates/conf/src/relay_settings.rs
@@ -9,7 +9,7 @@
     fault::{ConfigFault, FaultList, FaultReason, Result},
     ini::{IniSection, parse_sections},
     reader::{SectionReader, push_duplicate_section},
-    settings::read_text,
+    settings::read_checked,
     settings_value::{folder, log_level},
     value::{self, address, expected, flag, list, number, reachable_address},
 };
@@ -100,17 +100,7 @@
     ///
     /// Every fault of the text, or one fault if the file can't be read.
     pub fn read(path: impl AsRef<Path>) -> Result<Self> {
-        let path = path.as_ref();
-        let file = path.to_string_lossy();
-        match read_text(path) {
-            Ok(text) => Self::parse(&file, &text),
-            Err(error) => {
-                let mut faults = FaultList::for_file(&file);
-                let fault = ConfigFault::new(FaultReason::Unreadable, "a readable UTF-8 file");
-                faults.push(fault.found(&error.to_string()));
-                Err(faults)
-            }
-        }
+        read_checked(path.as_ref(), Self::parse)
     }
 
     /// Checks the settings in `text`, which was read from `file`.
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -121,17 +121,7 @@
     ///
     /// Every fault of the text, or one fault if the file can't be read.
     pub fn read(path: impl AsRef<Path>) -> Result<Self> {
-        let path = path.as_ref();
-        let file = path.to_string_lossy();
-        match read_text(path) {
-            Ok(text) => Self::parse(&file, &text),
-            Err(error) => {
-                let mut faults = FaultList::for_file(&file);
-                let fault = ConfigFault::new(FaultReason::Unreadable, "a readable UTF-8 file");
-                faults.push(fault.found(&error.to_string()));
-                Err(faults)
-            }
-        }
+        read_checked(path.as_ref(), Self::parse)
     }
 
     /// Checks the settings in `text`, which was read from `file`.
@@ -161,8 +151,22 @@
     }
 }
 
+/// Reads a settings file and checks it by `parse`, which gets its name and its text.
+pub(crate) fn read_checked<T>(path: &Path, parse: fn(&str, &str) -> Result<T>) -> Result<T> {
+    let file = path.to_string_lossy();
+    match read_text(path) {
+        Ok(text) => parse(&file, &text),
+        Err(error) => {
+            let mut faults = FaultList::for_file(&file);
+            let fault = ConfigFault::new(FaultReason::Unreadable, "a readable UTF-8 file");
+            faults.push(fault.found(&error.to_string()));
+            Err(faults)
+        }
+    }
+}
+
 /// Reads one byte beyond the limit, so that the parser sees a text that is too large.
-pub(crate) fn read_text(path: &Path) -> std::io::Result<String> {
+fn read_text(path: &Path) -> std::io::Result<String> {
     let limit = u64::try_from(TEXT_MAX_BYTES).unwrap_or(u64::MAX);
     let mut text = String::new();
     File::open(path)?
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod peer;
 mod reload;
+mod request_account;
 mod request_log;
 mod response;
 mod serve;
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -135,7 +135,10 @@
     let holder: Arc<dyn AsBoard> = Arc::clone(&node) as Arc<dyn AsBoard>;
     parts.loops.extend([
         tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
-        tokio::spawn(run_entry_ticks(Arc::clone(&node), stop.clone())),
+        tokio::spawn(run_ticks(node.timer.clone(), stop.clone(), {
+            let node = Arc::clone(&node);
+            move || node.tick()
+        })),
         tokio::spawn(run_lag_probe(Arc::clone(&node), stop.clone())),
         spawn_reload(path, &node.log, stop, Arc::clone(&node)),
     ]);
@@ -239,13 +242,14 @@
     }
 }
 
-async fn run_entry_ticks(node: Arc<EntryNode>, stop: CancellationToken) {
-    let mut ticks = node.timer.subscribe(Duration::from_millis(TICK_MS));
+/// Calls `tick` again and again until stopped.
+async fn run_ticks(timer: TimerService, stop: CancellationToken, tick: impl Fn() + Send + Sync) {
+    let mut ticks = timer.subscribe(Duration::from_millis(TICK_MS));
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            tick = ticks.next() => match tick {
-                Some(_) => node.tick(),
+            due = ticks.next() => match due {
+                Some(_) => tick(),
                 None => return,
             },
         }
@@ -293,7 +297,10 @@
     let holder: Arc<dyn AsBoard> = Arc::clone(&node) as Arc<dyn AsBoard>;
     parts.loops.extend([
         tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
-        tokio::spawn(run_keeper_ticks(Arc::clone(&node), stop.clone())),
+        tokio::spawn(run_ticks(node.timer.clone(), stop.clone(), {
+            let node = Arc::clone(&node);
+            move || node.tick()
+        })),
         tokio::spawn(run_voters(Arc::clone(&node), stop.clone())),
         tokio::spawn(run_target_file(Arc::clone(&node), stop.clone())),
         spawn_reload(path, &node.log, stop, Arc::clone(&node)),
@@ -361,19 +368,6 @@
     }
 }
 
-async fn run_keeper_ticks(node: Arc<KeeperNode>, stop: CancellationToken) {
-    let mut ticks = node.timer.subscribe(Duration::from_millis(TICK_MS));
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            tick = ticks.next() => match tick {
-                Some(_) => node.tick(),
-                None => return,
-            },
-        }
-    }
-}
-
 fn spawn_reload<B>(
     path: PathBuf,
     log: &Logger,
