--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -98,7 +98,7 @@
 
     /// Takes in what an earlier run of this keeper held.
     ///
-    /// What is not announced again within [`RESTORED_PERIODS`] is dropped: the target may
+    /// What is not announced again within two announcement periods is dropped: the target may
     /// have left in the meantime.
     pub fn restore(
         &mut self,
