--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -6,11 +6,13 @@
 //! calls things is in a [`RelayDialect`], which an adapter supplies.
 
 mod admit;
+mod answer;
 mod caller;
 mod carrier;
 mod control;
 mod dialect;
 mod entry;
+mod handover;
 mod keeper;
 mod metrics;
 mod peer;
@@ -18,6 +20,7 @@
 mod request_account;
 mod request_log;
 mod response;
+mod routed;
 mod serve;
 mod start;
 mod sync;
--- /dev/null
+++ b/crates/daemon/src/relay/answer.rs
@@ -0,0 +1,178 @@
+//! Answers to callers, from what targets answered or why they did not.
+
+use bytes::Bytes;
+use fulmarweir_base::RunVerdict;
+use fulmarweir_conf::{RouteDestination, RouteRule};
+use fulmarweir_pool::RelayReply;
+use fulmarweir_route::{AnswerPart, RefusalReason, RelayEnd, RelayRefusal, merge_records};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+
+use super::{
+    carrier::RelayResult,
+    entry::EntryNode,
+    response::{RelayResponse, come_back, text},
+};
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// The answer to a request that has ended, with its outcome's name.
+pub(super) fn write_answer(
+    node: &EntryNode,
+    rule: &RouteRule,
+    result: RelayResult,
+) -> (&'static str, RelayResponse) {
+    match &result.end {
+        RelayEnd::Answered(parts) => match &rule.destination {
+            RouteDestination::Gather(gather) => {
+                let outcome = match result.stats.missing {
+                    0 => "whole",
+                    _ => "partial",
+                };
+                (outcome, merged_answer(node, parts, &result, gather.top))
+            }
+            RouteDestination::Split(_) => {
+                let attempt = parts.iter().flatten().find_map(|part| match part {
+                    AnswerPart::Attempt(attempt) => Some(*attempt),
+                    AnswerPart::Group(_) => None,
+                });
+                ("answered", pass_reply(result.replies, attempt))
+            }
+        },
+        RelayEnd::PassOn(attempt) => {
+            let attempt = Some(*attempt);
+            ("target-failure", pass_reply(result.replies, attempt))
+        }
+        RelayEnd::Refused(refusal) => (
+            refusal.reason.as_str(),
+            refusal_answer(node, *refusal, result.stats.last_fault),
+        ),
+    }
+}
+
+fn find_reply(replies: &[(u32, RelayReply)], attempt: u32) -> Option<&RelayReply> {
+    let mut replies = replies.iter();
+    let found = replies.find(|(number, _)| *number == attempt);
+    found.map(|(_, reply)| reply)
+}
+
+/// The answer of one target, without the headers of its connection.
+fn pass_reply(mut replies: Vec<(u32, RelayReply)>, attempt: Option<u32>) -> RelayResponse {
+    let place = replies
+        .iter()
+        .position(|(number, _)| Some(*number) == attempt);
+    let Some(place) = place else {
+        return text(StatusCode::BAD_GATEWAY, "no answer");
+    };
+    let (_, reply) = replies.swap_remove(place);
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    strip_hop_headers(response.headers_mut());
+    response
+}
+
+/// The answer to a search: the greatest records of the parts that are in.
+fn merged_answer(
+    node: &EntryNode,
+    parts: &[Option<AnswerPart>],
+    result: &RelayResult,
+    top: usize,
+) -> RelayResponse {
+    let names = &node.dialect.headers;
+    let missing = parts.iter().filter(|part| part.is_none()).count();
+    let merged = merge_parts(node, parts, result, top);
+    let signatures = merged.signatures.join(&b", "[..]);
+    let mut response = Response::new(Full::new(Bytes::from(merged.records)));
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_bytes(&signatures) {
+        headers.insert(names.part_signatures.clone(), value);
+    }
+    let missing = HeaderValue::from(missing);
+    headers.insert(names.parts_missing.clone(), missing);
+    response
+}
+
+/// The greatest records of some parts of a search, and the signatures under them.
+pub(super) struct MergedParts {
+    pub(super) signatures: Vec<Vec<u8>>,
+    pub(super) records: Vec<u8>,
+}
+
+/// Merges what targets and brokers answered.
+pub(super) fn merge_parts(
+    node: &EntryNode,
+    parts: &[Option<AnswerPart>],
+    result: &RelayResult,
+    top: usize,
+) -> MergedParts {
+    let mut signatures: Vec<Vec<u8>> = Vec::new();
+    let mut bodies: Vec<&[u8]> = Vec::new();
+    for part in parts.iter().flatten() {
+        let AnswerPart::Attempt(attempt) = part else {
+            continue;
+        };
+        let Some(reply) = find_reply(&result.replies, *attempt) else {
+            continue;
+        };
+        let signature = reply.headers.get(&node.dialect.headers.signature);
+        signatures.extend(signature.map(|signature| signature.as_bytes().to_vec()));
+        bodies.push(&reply.body);
+    }
+    for (_, reply) in &result.group_replies {
+        signatures.extend(reply.signatures.iter().cloned());
+        bodies.push(&reply.records);
+    }
+    let records = merge_records(bodies.into_iter(), top);
+    MergedParts {
+        signatures,
+        records,
+    }
+}
+
+/// Only a request that has not run, and never will, gets a status that says so.
+fn refusal_answer(
+    node: &EntryNode,
+    refusal: RelayRefusal,
+    fault: Option<&'static str>,
+) -> RelayResponse {
+    node.metrics.count_refusal(refusal.reason.as_str());
+    let reason = refusal.reason.as_str();
+    match refusal.verdict {
+        RunVerdict::NotRun => come_back(reason, refusal.retry_after.unwrap_or_default()),
+        RunVerdict::MayHaveRun | RunVerdict::Ran => {
+            let status = match refusal.reason {
+                RefusalReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+                _ => StatusCode::BAD_GATEWAY,
+            };
+            text(status, fault.unwrap_or(reason))
+        }
+    }
+}
+
+/// Takes out the headers that concern one connection only.
+pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -1,27 +1,24 @@
 //! Requests of callers: finds the route, runs the request, and writes the answer.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering::Relaxed},
-    },
+    sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
-use fulmarweir_base::{MonoTime, RunVerdict, lock};
-use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, WeightedService};
-use fulmarweir_pool::RelayReply;
-use fulmarweir_route::{RelayAsk, RelayEnd, RelayRefusal, merge_records};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
+use fulmarweir_base::{MonoTime, lock};
+use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
 use super::{
-    carrier::{RelayCarrier, RelayMessage, RelayResult, RelayStats},
+    answer::strip_hop_headers,
+    carrier::RelayMessage,
     entry::EntryNode,
-    request_account::{LineContext, RequestTimes, log_request, refuse_early},
+    request_account::{EarlyRequest, RequestTimes, refuse_early},
     response::{RelayResponse, come_back, text},
+    routed::{RoutedRequest, answer_routed},
 };
 
 /// Time kept for the way to the caller and for writing the answer, in milliseconds.
@@ -37,44 +34,15 @@
 /// Pause that a caller is told while no configuration is known, in milliseconds.
 const NO_CONFIG_PAUSE_MS: u64 = 300;
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// An answer that is given before the request is relayed.
 type EarlyAnswer = Box<RelayResponse>;
 
-/// Counts a request while it is open.
-struct OpenGuard<'a>(&'a AtomicU64);
-
-impl<'a> OpenGuard<'a> {
-    fn new(open: &'a AtomicU64) -> Self {
-        open.fetch_add(1, Relaxed);
-        Self(open)
-    }
-}
-
-impl Drop for OpenGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Relaxed);
-    }
-}
-
 /// Answers one request of a caller.
 pub(crate) async fn answer_caller(
     node: Arc<EntryNode>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let _open = OpenGuard::new(&node.open);
+    let _open = node.open_request();
     let taken = take_request(&node, request).await;
     let mut response = taken.unwrap_or_else(|early| *early);
     if node.is_stopping() {
@@ -95,8 +63,12 @@
         .await;
     let names = &node.dialect.headers;
     let request_id = head.headers.get(&names.request_id).cloned();
-    let early =
-        |reason, response| refuse_early(node, request_id.as_ref(), arrived_at, reason, response);
+    let unrouted = EarlyRequest {
+        id: request_id.as_ref(),
+        arrived_at,
+        route: "none",
+    };
+    let early = |reason, response| refuse_early(node, &unrouted, reason, response);
     let Some(table) = node.table() else {
         let pause = Duration::from_millis(NO_CONFIG_PAUSE_MS);
         return Err(early("no-config", come_back("no configuration yet", pause)));
@@ -118,10 +90,13 @@
     let open = node.open.load(Relaxed);
     let refusal = lock(&node.lag).refuse_for(rule.rank, open);
     if let Some(pause) = refusal {
-        let refused = refuse_overloaded(node, &table, &rule, &request_id, times, pause);
-        return Err(Box::new(refused));
+        let response = come_back("vm-overloaded", pause);
+        let routed = EarlyRequest {
+            route: &rule.name,
+            ..unrouted
+        };
+        return Err(refuse_early(node, &routed, "vm-overloaded", response));
     }
-    let ask = relay_ask(node, &rule, times);
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
     let message = RelayMessage {
@@ -129,31 +104,18 @@
         uri: path_only(&head.uri),
         headers,
         body,
-        request_id: request_id.clone(),
+        request_id,
         route: Arc::clone(&rule.name),
         repeatable: rule.repeatable,
         deadline: times.deadline,
     };
-    let lanes = ask.services.len();
-    let services = ask.services.clone();
-    let (carrier, actions) = RelayCarrier::start(Arc::clone(node), message, ask);
-    let result = carrier.finish(actions).await;
-    let RelayResult {
-        end,
-        replies,
-        stats,
-    } = result;
-    let (outcome, response) = write_answer(node, &rule, end, replies, &stats);
-    let context = LineContext {
-        table: &table,
-        rule: &rule,
-        request_id: &request_id,
+    let routed = RoutedRequest {
+        table,
+        rule,
+        message: Arc::new(message),
         times,
-        lanes,
-        services: &services,
     };
-    log_request(node, &context, outcome, response.status(), &stats);
-    Ok(response)
+    Ok(answer_routed(node, &routed).await)
 }
 
 /// Reads a body up to the limit.
@@ -231,40 +193,6 @@
     }
 }
 
-fn relay_ask(node: &EntryNode, rule: &RouteRule, times: RequestTimes) -> RelayAsk {
-    let (services, coverage_min) = match &rule.destination {
-        RouteDestination::Gather(gather) => (gather.shards.clone(), gather.coverage_min),
-        RouteDestination::Split(parts) => (choose_service(parts).into_iter().collect(), 1.0),
-    };
-    let soft = times.soft_deadline.since(times.arrived_at);
-    RelayAsk {
-        services,
-        repeatable: rule.repeatable,
-        attempts_max: rule.attempts_max,
-        coverage_min,
-        soft_deadline: times.soft_deadline,
-        deadline: times.deadline,
-        hedge_delay: lock(&node.pace).hedge_delay(&rule.name, soft),
-    }
-}
-
-/// Draws one of the services by weight.
-fn choose_service(parts: &[WeightedService]) -> Option<Arc<str>> {
-    if let [only] = parts {
-        return Some(Arc::clone(&only.service));
-    }
-    let total: f64 = parts.iter().map(|part| part.weight.max(0.0)).sum();
-    let mut place = rand::random::<f64>() * total;
-    for part in parts {
-        place -= part.weight.max(0.0);
-        if place < 0.0 {
-            return Some(Arc::clone(&part.service));
-        }
-    }
-    let last = parts.iter().rev().find(|part| part.weight > 0.0);
-    last.map(|part| Arc::clone(&part.service))
-}
-
 fn path_only(uri: &Uri) -> Uri {
     if uri.authority().is_none() {
         return uri.clone();
@@ -272,154 +200,3 @@
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_else(|_| uri.clone())
 }
-
-fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_HEADERS) {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-}
-
-fn write_answer(
-    node: &EntryNode,
-    rule: &RouteRule,
-    end: RelayEnd,
-    replies: Vec<(u32, RelayReply)>,
-    stats: &RelayStats,
-) -> (&'static str, RelayResponse) {
-    match end {
-        RelayEnd::Answered(parts) => match &rule.destination {
-            RouteDestination::Gather(gather) => {
-                let response = merged_answer(node, &parts, &replies, gather.top);
-                let outcome = if stats.missing == 0 {
-                    "whole"
-                } else {
-                    "partial"
-                };
-                (outcome, response)
-            }
-            RouteDestination::Split(_) => {
-                let attempt = parts.into_iter().flatten().next();
-                ("answered", pass_reply(replies, attempt))
-            }
-        },
-        RelayEnd::PassOn(attempt) => ("target-failure", pass_reply(replies, Some(attempt))),
-        RelayEnd::Refused(refusal) => (
-            refusal.reason.as_str(),
-            refusal_answer(node, refusal, stats.last_fault),
-        ),
-    }
-}
-
-fn find_reply(replies: &[(u32, RelayReply)], attempt: u32) -> Option<&RelayReply> {
-    let mut replies = replies.iter();
-    let found = replies.find(|(number, _)| *number == attempt);
-    found.map(|(_, reply)| reply)
-}
-
-/// The answer of one target, without the headers of its connection.
-fn pass_reply(mut replies: Vec<(u32, RelayReply)>, attempt: Option<u32>) -> RelayResponse {
-    let place = replies
-        .iter()
-        .position(|(number, _)| Some(*number) == attempt);
-    let Some(place) = place else {
-        return text(StatusCode::BAD_GATEWAY, "no answer");
-    };
-    let (_, reply) = replies.swap_remove(place);
-    let mut response = Response::new(Full::new(reply.body));
-    *response.status_mut() = reply.status;
-    *response.headers_mut() = reply.headers;
-    strip_hop_headers(response.headers_mut());
-    response
-}
-
-/// The answer to a search: the greatest records of the parts that are in.
-fn merged_answer(
-    node: &EntryNode,
-    parts: &[Option<u32>],
-    replies: &[(u32, RelayReply)],
-    top: usize,
-) -> RelayResponse {
-    let names = &node.dialect.headers;
-    let included: Vec<&RelayReply> = parts
-        .iter()
-        .flatten()
-        .filter_map(|attempt| find_reply(replies, *attempt))
-        .collect();
-    let mut signatures = Vec::new();
-    for reply in &included {
-        if let Some(signature) = reply.headers.get(&names.signature) {
-            if !signatures.is_empty() {
-                signatures.extend_from_slice(b", ");
-            }
-            signatures.extend_from_slice(signature.as_bytes());
-        }
-    }
-    let body = merge_records(included.iter().map(|reply| &*reply.body), top);
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    let headers = response.headers_mut();
-    if let Ok(value) = HeaderValue::from_bytes(&signatures) {
-        headers.insert(names.part_signatures.clone(), value);
-    }
-    let missing = HeaderValue::from(parts.len() - included.len());
-    headers.insert(names.parts_missing.clone(), missing);
-    response
-}
-
-/// Only a request that has not run, and never will, gets a status that says so.
-fn refusal_answer(
-    node: &EntryNode,
-    refusal: RelayRefusal,
-    fault: Option<&'static str>,
-) -> RelayResponse {
-    node.metrics.count_refusal(refusal.reason.as_str());
-    let reason = refusal.reason.as_str();
-    match refusal.verdict {
-        RunVerdict::NotRun => come_back(reason, refusal.retry_after.unwrap_or_default()),
-        RunVerdict::MayHaveRun | RunVerdict::Ran => {
-            let status = match refusal.reason {
-                fulmarweir_route::RefusalReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
-                _ => StatusCode::BAD_GATEWAY,
-            };
-            text(status, fault.unwrap_or(reason))
-        }
-    }
-}
-
-fn refuse_overloaded(
-    node: &EntryNode,
-    table: &RouteTable,
-    rule: &RouteRule,
-    request_id: &HeaderValue,
-    times: RequestTimes,
-    pause: Duration,
-) -> RelayResponse {
-    node.metrics.count_refusal("vm-overloaded");
-    let response = come_back("vm-overloaded", pause);
-    let context = LineContext {
-        table,
-        rule,
-        request_id,
-        times,
-        lanes: 0,
-        services: &[],
-    };
-    let stats = RelayStats {
-        attempts: 0,
-        hedges: 0,
-        missing: 0,
-        verdict: RunVerdict::NotRun,
-        missing_services: Vec::new(),
-        last_fault: None,
-    };
-    log_request(node, &context, "vm-overloaded", response.status(), &stats);
-    response
-}
--- a/crates/daemon/src/relay/carrier.rs
+++ b/crates/daemon/src/relay/carrier.rs
@@ -1,16 +1,22 @@
 //! Carries the attempts of one relayed request.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
 use fulmarweir_pool::{ConnectionNeed, RelayFault, RelayReply};
-use fulmarweir_route::{AttemptEnd, RelayAction, RelayAsk, RelayEnd, RelayRun, RelaySend};
-use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use fulmarweir_route::{
+    AttemptEnd, GroupEnd, RelayAction, RelayAsk, RelayEnd, RelayRun, RelaySend, UnclearLane,
+};
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
 
-use super::{dialect::ReplyJudgement, entry::EntryNode};
+use super::{
+    dialect::ReplyJudgement,
+    entry::EntryNode,
+    handover::{GroupReply, Handover, hand_over},
+};
 use crate::metrics::{KindLabel, OutcomeLabel, ReasonLabel};
 
 /// Time that attempts may go on after their request was answered.
@@ -42,17 +48,29 @@
     fault: Option<&'static str>,
 }
 
-type AttemptFuture = BoxFuture<'static, EndedAttempt>;
+/// What ends while a request is under way.
+enum EndedWork {
+    Attempt(EndedAttempt),
+    /// What became of the group with this place.
+    Group(usize, GroupEnd, Option<GroupReply>),
+}
+
+type WorkFuture = BoxFuture<'static, EndedWork>;
 
 /// What came of a request.
 pub(crate) struct RelayResult {
     pub(crate) end: RelayEnd,
     /// Replies by attempt number, those that count among them.
     pub(crate) replies: Vec<(u32, RelayReply)>,
+    /// What brokers brought, by the place of the group.
+    pub(crate) group_replies: Vec<(usize, GroupReply)>,
+    /// The services without an answer that may have run.
+    pub(crate) unclear: Vec<UnclearLane>,
     pub(crate) stats: RelayStats,
 }
 
 /// Figures of one request, for its log line.
+#[derive(Clone)]
 pub(crate) struct RelayStats {
     pub(crate) attempts: u32,
     pub(crate) hedges: u32,
@@ -62,6 +80,8 @@
     pub(crate) missing_services: Vec<Arc<str>>,
     /// The last fault of an attempt.
     pub(crate) last_fault: Option<&'static str>,
+    /// Brokers that were asked to see to services.
+    pub(crate) brokers: Vec<SocketAddr>,
 }
 
 /// One request under way. Dropping it gives up what is open.
@@ -69,8 +89,11 @@
     node: Arc<EntryNode>,
     message: Arc<RelayMessage>,
     run: RelayRun,
-    open: FuturesUnordered<AttemptFuture>,
+    open: FuturesUnordered<WorkFuture>,
     replies: Vec<(u32, RelayReply)>,
+    group_replies: Vec<(usize, GroupReply)>,
+    /// Where groups were handed to.
+    brokers: Vec<SocketAddr>,
     last_fault: Option<&'static str>,
     /// When each attempt was sent, while it is open.
     sent: Vec<(u32, MonoTime)>,
@@ -80,16 +103,26 @@
     /// Starts a request; the actions are to be passed to [`RelayCarrier::finish`].
     pub(crate) fn start(
         node: Arc<EntryNode>,
-        message: RelayMessage,
+        message: Arc<RelayMessage>,
         ask: RelayAsk,
+        handovers: Vec<Handover>,
     ) -> (Self, Vec<RelayAction>) {
         let now = node.timer.now();
+        let open = FuturesUnordered::new();
+        let brokers = handovers.iter().map(|handover| handover.broker).collect();
+        for (place, handover) in handovers.into_iter().enumerate() {
+            let work = hand_over(Arc::clone(&node), handover);
+            let work = work.map(move |(end, reply)| EndedWork::Group(place, end, reply));
+            open.push(work.boxed());
+        }
         let (run, actions) = RelayRun::start(ask, &mut lock(&node.book), now);
         let carrier = Self {
             node,
-            message: Arc::new(message),
+            message,
             run,
-            open: FuturesUnordered::new(),
+            open,
+            group_replies: Vec::new(),
+            brokers,
             replies: Vec::new(),
             last_fault: None,
             sent: Vec::new(),
@@ -136,7 +169,10 @@
             verdict: self.run.verdict(),
             missing_services: self.run.missing_services().cloned().collect(),
             last_fault: self.last_fault,
+            brokers: std::mem::take(&mut self.brokers),
         };
+        let unclear = self.run.unclear_lanes();
+        let group_replies = std::mem::take(&mut self.group_replies);
         let replies = std::mem::take(&mut self.replies);
         if !self.open.is_empty() {
             let tasks = self.node.tasks.clone();
@@ -145,6 +181,8 @@
         RelayResult {
             end,
             replies,
+            group_replies,
+            unclear,
             stats,
         }
     }
@@ -168,8 +206,16 @@
         }
     }
 
-    fn take_end(&mut self, ended: EndedAttempt) -> Vec<RelayAction> {
+    fn take_end(&mut self, ended: EndedWork) -> Vec<RelayAction> {
         let now = self.node.timer.now();
+        let ended = match ended {
+            EndedWork::Attempt(ended) => ended,
+            EndedWork::Group(place, end, reply) => {
+                self.group_replies.extend(reply.map(|reply| (place, reply)));
+                let mut book = lock(&self.node.book);
+                return self.run.on_group_end(place, &end, &mut book, now);
+            }
+        };
         self.sent.retain(|(attempt, _)| *attempt != ended.attempt);
         if let AttemptEnd::Answered { .. } = ended.end {
             let latency = now.since(ended.sent_at);
@@ -201,7 +247,7 @@
             .inc();
         self.sent.push((send.attempt, self.node.timer.now()));
         let attempt = run_attempt(Arc::clone(&self.node), Arc::clone(&self.message), send);
-        self.open.push(Box::pin(attempt));
+        self.open.push(attempt.map(EndedWork::Attempt).boxed());
     }
 }
 
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -14,7 +14,9 @@
 use fulmarweir_conf::{RelaySettings, RouteTable};
 use fulmarweir_fleet::{TargetNotice, TargetRoster};
 use fulmarweir_pool::RelayLinks;
-use fulmarweir_route::{Locality, PaceTable, RelayBook, RelayTarget};
+use fulmarweir_route::{
+    BrokerDesk, BrokerPlace, Locality, PaceTable, RelayBook, RelayTarget, ShardGroup,
+};
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
@@ -23,14 +25,14 @@
     admit::LoopLag,
     dialect::RelayDialect,
     metrics::RelayMetrics,
-    peer::PollReply,
+    peer::{EntryContact, PollReply},
     request_log::RequestLog,
-    sync::{ConfigFetch, KeeperBoard},
+    sync::{ConfigFetch, KeeperBoard, RelayPeers, contacts_digest},
 };
 
-/// Time that a keeper's word on the number of entry VMs counts.
+/// Time that a keeper's word on entry VMs counts, in milliseconds.
 const ENTRY_COUNT_MS: u64 = 6_000;
-/// Time without any keeper after which that is logged.
+/// Time without any keeper after which that is logged, in milliseconds.
 const KEEPERS_LOST_MS: u64 = 3_000;
 
 /// Time after the start in which requests may wait for news of a keeper, in milliseconds.
@@ -45,6 +47,29 @@
     heard_at: MonoTime,
 }
 
+/// Counts a request while it is open.
+pub(crate) struct OpenGuard<'a>(&'a AtomicU64);
+
+impl<'a> OpenGuard<'a> {
+    fn new(open: &'a AtomicU64) -> Self {
+        open.fetch_add(1, Relaxed);
+        Self(open)
+    }
+}
+
+impl Drop for OpenGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
+}
+
+/// The brokers that one keeper names.
+struct BrokerView {
+    digest: u64,
+    places: Vec<BrokerPlace>,
+    heard_at: MonoTime,
+}
+
 /// The shared state of an entry VM.
 pub(crate) struct EntryNode {
     pub(crate) settings: RelaySettings,
@@ -58,10 +83,15 @@
     pub(crate) pace: Mutex<PaceTable>,
     pub(crate) lag: Mutex<LoopLag>,
     pub(crate) board: KeeperBoard,
+    pub(crate) peers: RelayPeers,
+    pub(crate) brokers: Mutex<BrokerDesk>,
     /// Attempts that outlive their request.
     pub(crate) tasks: TaskTracker,
     pub(crate) open: AtomicU64,
     table: Mutex<Option<Arc<RouteTable>>>,
+    broker_views: Mutex<HashMap<SocketAddr, BrokerView>>,
+    /// Which shards of a route are handed over, worked out when the first search comes.
+    shard_groups: Mutex<HashMap<Arc<str>, Arc<[ShardGroup]>>>,
     roster: Mutex<TargetRoster>,
     entry_counts: Mutex<HashMap<SocketAddr, EntryCount>>,
     vms: AtomicU32,
@@ -79,6 +109,7 @@
         dialect: RelayDialect,
         log: Logger,
         timer: TimerService,
+        peers: RelayPeers,
     ) -> Arc<Self> {
         let board = KeeperBoard::new(&settings.seeds);
         Arc::new(Self {
@@ -90,9 +121,13 @@
             pace: Mutex::default(),
             lag: Mutex::default(),
             board,
+            peers,
+            brokers: Mutex::default(),
             tasks: TaskTracker::new(),
             open: AtomicU64::new(0),
             table: Mutex::default(),
+            broker_views: Mutex::default(),
+            shard_groups: Mutex::default(),
             roster: Mutex::default(),
             entry_counts: Mutex::default(),
             vms: AtomicU32::new(1),
@@ -107,6 +142,11 @@
         })
     }
 
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn open_request(&self) -> OpenGuard<'_> {
+        OpenGuard::new(&self.open)
+    }
+
     /// Time since the start of the process.
     pub(crate) fn up_time(&self) -> Duration {
         self.timer.now().since(self.started_at)
@@ -168,12 +208,74 @@
         if let Some(news) = &reply.news {
             changed = lock(&self.roster).take(keeper, news.clone(), now);
         }
+        if let Some(view) = lock(&self.broker_views).get_mut(&keeper) {
+            view.heard_at = now;
+        }
+        if let Some(contacts) = &reply.brokers {
+            self.take_brokers(keeper, contacts, now);
+        }
         changed |= self.take_entry_count(keeper, reply.entries, settled, now);
         if changed {
             self.sync_targets();
         }
     }
 
+    /// Digest of the brokers that a keeper has named; `None` if others are asked for them.
+    ///
+    /// Brokers are in this region, and so are the keepers that know them best.
+    pub(crate) fn brokers_digest(&self, keeper: SocketAddr) -> Option<u64> {
+        let own = self.settings.region_of(&self.settings.centre);
+        let is_near = |centre: &str| self.settings.region_of(centre) == own;
+        let centre = self.board.centre_of(keeper)?;
+        let any_near = || {
+            let alive = self.board.alive(self.timer.now());
+            alive.iter().any(|contact| is_near(&contact.centre))
+        };
+        if !is_near(&centre) && any_near() {
+            return None;
+        }
+        let views = lock(&self.broker_views);
+        Some(views.get(&keeper).map_or(0, |view| view.digest))
+    }
+
+    fn take_brokers(&self, keeper: SocketAddr, contacts: &[EntryContact], now: MonoTime) {
+        let mut views = lock(&self.broker_views);
+        let places = contacts.iter().map(|contact| BrokerPlace {
+            address: contact.peers,
+            centre: Arc::clone(&contact.centre),
+        });
+        let view = BrokerView {
+            digest: contacts_digest(contacts),
+            places: places.collect(),
+            heard_at: now,
+        };
+        views.insert(keeper, view);
+        let fresh = Duration::from_millis(ENTRY_COUNT_MS);
+        views.retain(|_, view| now.since(view.heard_at) <= fresh);
+        let mut all: Vec<BrokerPlace> = Vec::new();
+        all.extend(views.values().flat_map(|view| view.places.iter().cloned()));
+        drop(views);
+        all.sort_unstable();
+        all.dedup();
+        info!(self.log, "brokers-changed"; "brokers" => all.len(), "source" => %keeper);
+        lock(&self.brokers).sync(&all, now);
+    }
+
+    /// The shards of a route that other data centres of the region are nearer to.
+    pub(crate) fn shard_groups(&self, route: &Arc<str>, shards: &[Arc<str>]) -> Arc<[ShardGroup]> {
+        let mut groups = lock(&self.shard_groups);
+        let known = groups.entry(Arc::clone(route));
+        let known = known.or_insert_with(|| lock(&self.book).shard_groups(shards).into());
+        Arc::clone(known)
+    }
+
+    /// Data centres to which shards of some route are handed over.
+    pub(crate) fn broker_centres(&self) -> Vec<Arc<str>> {
+        let groups = lock(&self.shard_groups);
+        let all = groups.values().flat_map(|groups| groups.iter());
+        all.map(|group| Arc::clone(&group.centre)).collect()
+    }
+
     /// Keepers that have just started undercount, so only a settled one lowers the number.
     fn take_entry_count(
         &self,
@@ -257,6 +359,10 @@
             .connections_opened
             .set(self.links.opened_count());
         self.metrics.requests_open.set(self.open.load(Relaxed));
+        let brokers = lock(&self.brokers).fit_count(now);
+        self.metrics
+            .brokers
+            .set(u64::try_from(brokers).unwrap_or(u64::MAX));
     }
 
     fn note_keepers(&self, now: MonoTime) {
@@ -288,6 +394,7 @@
             .collect();
         let limit = |service: &str| table.as_ref()?.connections_max(service);
         lock(&self.book).sync(targets, vms, limit, self.timer.now());
+        lock(&self.shard_groups).clear();
         let count = u64::try_from(count).unwrap_or(u64::MAX);
         self.metrics.targets.set(count);
         self.learned.notify_waiters();
@@ -316,6 +423,7 @@
             id: notice.id,
             service: notice.service,
             address: notice.address,
+            centre: notice.centre,
             locality,
             slots: notice.slots,
             born_ms: notice.born_ms,
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -1,7 +1,7 @@
 //! A keeper: holds what targets announce, votes on configurations, and tells entry VMs.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -17,7 +17,9 @@
 use super::{
     dialect::RelayDialect,
     metrics::RelayMetrics,
-    peer::{KeeperContact, PollReply, PollRequest, PollSource, RelayAnswer, RelayCall},
+    peer::{
+        EntryContact, KeeperContact, PollReply, PollRequest, PollSource, RelayAnswer, RelayCall,
+    },
     sync::{AsBoard, KeeperBoard, contacts_digest},
 };
 use crate::metrics::OutcomeLabel;
@@ -25,6 +27,11 @@
 /// Time that an entry VM counts after its last call, in milliseconds.
 const ENTRY_ALIVE_MS: u64 = 4_500;
 
+/// Entry VMs that an entry VM is told of to hand searches to, at most.
+///
+/// More than the VMs of a data centre that share the work of another one; bounds the bytes of a poll.
+const BROKERS_MAX: usize = 32;
+
 /// The configuration in force, as it was submitted.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KeptConfig {
@@ -45,7 +52,7 @@
     pub(crate) voter: Arc<Mutex<Option<Arc<VoterService>>>>,
     registry: Mutex<TargetRegistry>,
     config: Mutex<KeptConfig>,
-    entries: Mutex<HashMap<SocketAddr, MonoTime>>,
+    entries: Mutex<BTreeMap<EntryContact, MonoTime>>,
     /// Counts whatever may be news to those who ask.
     changes: watch::Sender<u64>,
 }
@@ -224,6 +231,25 @@
         u32::try_from(entries.len()).unwrap_or(u32::MAX)
     }
 
+    /// Entry VMs that may run searches for `asker`: those in other data centres of its region.
+    fn brokers_for(&self, asker: &EntryContact, now: MonoTime) -> Vec<EntryContact> {
+        let alive = Duration::from_millis(ENTRY_ALIVE_MS);
+        let region = self.settings.region_of(&asker.centre);
+        let entries = lock(&self.entries);
+        let fit = entries.iter().filter(|(entry, heard_at)| {
+            let is_near = self.settings.region_of(&entry.centre) == region;
+            is_near && entry.centre != asker.centre && now.since(**heard_at) < alive
+        });
+        let mut brokers: Vec<EntryContact> = fit.map(|(entry, _)| entry.clone()).collect();
+        if brokers.len() > BROKERS_MAX {
+            // Each asker is told of others, so that all get their share of the work.
+            brokers.sort_by_cached_key(|broker| contacts_digest(&[asker, broker]));
+            brokers.truncate(BROKERS_MAX);
+            brokers.sort_unstable();
+        }
+        brokers
+    }
+
     /// Keepers to tell others of: those heard of lately, and this one.
     fn contacts(&self, now: MonoTime) -> Vec<KeeperContact> {
         let mut contacts = self.board.alive(now);
@@ -249,14 +275,16 @@
                 };
                 RelayAnswer::Voter(reply)
             }
+            RelayCall::Search(_) => RelayAnswer::NotTaken("not-an-entry-vm".into()),
+            RelayCall::Probe => RelayAnswer::Alive(false),
         }
     }
 
     async fn answer_poll(&self, question: PollRequest) -> PollReply {
         let now = self.timer.now();
         match &question.source {
-            PollSource::Entry(address) => {
-                lock(&self.entries).insert(*address, now);
+            PollSource::Entry(contact) => {
+                lock(&self.entries).insert(contact.clone(), now);
             }
             PollSource::Keeper(contact) => {
                 self.board.learn(contact, now);
@@ -284,7 +312,13 @@
     fn has_news(&self, question: &PollRequest, now: MonoTime) -> bool {
         // Entry VMs have no use for the voters, so a change of voters is no news to them.
         let news = match &question.source {
-            PollSource::Entry(_) => lock(&self.registry).has_news(question.mark),
+            PollSource::Entry(asker) => {
+                let brokers = || contacts_digest(&self.brokers_for(asker, now));
+                lock(&self.registry).has_news(question.mark)
+                    || question
+                        .brokers_digest
+                        .is_some_and(|known| known != brokers())
+            }
             PollSource::Keeper(_) => self.quorum.voters().epoch > question.voter_epoch,
         };
         news || self.config_version() > question.config_version
@@ -293,6 +327,13 @@
 
     fn poll_reply(&self, question: &PollRequest, now: MonoTime) -> PollReply {
         let is_entry = matches!(question.source, PollSource::Entry(_));
+        let brokers = match (&question.source, question.brokers_digest) {
+            (PollSource::Entry(asker), Some(known)) => {
+                let brokers = self.brokers_for(asker, now);
+                (contacts_digest(&brokers) != known).then_some(brokers)
+            }
+            _ => None,
+        };
         let contacts = self.contacts(now);
         let contacts_digest = contacts_digest(&contacts);
         let voters = self.quorum.voters();
@@ -303,6 +344,7 @@
             contacts: (contacts_digest != question.contacts_digest).then_some(contacts),
             contacts_digest,
             entries: self.entry_count(now),
+            brokers,
         }
     }
 
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -29,6 +29,7 @@
     pub(crate) attempts: Family<KindLabel, Counter>,
     pub(crate) attempt_failures: Family<ReasonLabel, Counter>,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
+    pub(crate) handovers: Family<OutcomeLabel, Counter>,
     pub(crate) latency: Family<ServiceLabel, Histogram>,
     pub(crate) announcements: Family<OutcomeLabel, Counter>,
     pub(crate) config_changes: Family<OutcomeLabel, Counter>,
@@ -37,6 +38,7 @@
     pub(crate) targets: LevelGauge,
     pub(crate) keepers: LevelGauge,
     pub(crate) entries: LevelGauge,
+    pub(crate) brokers: LevelGauge,
     pub(crate) requests_open: LevelGauge,
     pub(crate) connections_idle: LevelGauge,
     pub(crate) connections_opened: LevelGauge,
@@ -59,6 +61,7 @@
             attempts: Family::default(),
             attempt_failures: Family::default(),
             hedges: Family::default(),
+            handovers: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             announcements: Family::default(),
             config_changes: Family::default(),
@@ -67,6 +70,7 @@
             targets: Gauge::default(),
             keepers: Gauge::default(),
             entries: Gauge::default(),
+            brokers: Gauge::default(),
             requests_open: Gauge::default(),
             connections_idle: Gauge::default(),
             connections_opened: Gauge::default(),
@@ -98,6 +102,11 @@
             self.attempt_failures.clone(),
         );
         registry.register("hedges", "Second attempts, by outcome", self.hedges.clone());
+        registry.register(
+            "handovers",
+            "Searches handed over to other VMs or run for them, by outcome",
+            self.handovers.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time to an answer, by route",
@@ -130,6 +139,11 @@
             ("targets", "Targets in use", &self.targets),
             ("keepers", "Keepers that answer", &self.keepers),
             ("entries", "Entry VMs that share the targets", &self.entries),
+            (
+                "brokers",
+                "VMs that searches can be handed to",
+                &self.brokers,
+            ),
             ("requests_open", "Requests in flight", &self.requests_open),
             (
                 "connections_idle",
@@ -163,6 +177,12 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts how a search fared that was handed over.
+    pub(crate) fn count_handover(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.handovers.get_or_create(&label).inc();
+    }
+
     /// Counts a refusal.
     pub(crate) fn count_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -1,6 +1,6 @@
 //! What the log and the counters tell of a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
 use fulmarweir_conf::{RouteRule, RouteTable};
@@ -19,6 +19,14 @@
     pub(super) objective: Duration,
 }
 
+/// A request that is answered before it is relayed.
+#[derive(Clone, Copy)]
+pub(super) struct EarlyRequest<'a> {
+    pub(super) id: Option<&'a HeaderValue>,
+    pub(super) arrived_at: MonoTime,
+    pub(super) route: &'a str,
+}
+
 /// What a log line tells of the request itself.
 pub(super) struct LineContext<'a> {
     pub(super) table: &'a RouteTable,
@@ -27,6 +35,30 @@
     pub(super) times: RequestTimes,
     pub(super) lanes: usize,
     pub(super) services: &'a [Arc<str>],
+    /// The VMs that share the request with this one.
+    pub(super) other_vm: OtherVm<'a>,
+}
+
+/// The VMs that share a request with this one.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum OtherVm<'a> {
+    /// It was handed over by the VM of this name.
+    From(&'a str),
+    /// Parts of it were handed over to the brokers at these addresses.
+    To(&'a [SocketAddr]),
+}
+
+impl fmt::Display for OtherVm<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::From(name) => write!(f, "from:{name}"),
+            Self::To([]) => f.write_str("none"),
+            Self::To(addresses) => {
+                f.write_str("to")?;
+                addresses.iter().try_for_each(|a| write!(f, ":{a}"))
+            }
+        }
+    }
 }
 
 /// Counts a request that was relayed, or refused after its route was known, and logs it.
@@ -39,18 +71,21 @@
 ) {
     let now = node.timer.now();
     let took = now.since(context.times.arrived_at);
-    node.metrics.count_request(outcome);
-    if answer_status.is_success() {
+    let is_handed = matches!(context.other_vm, OtherVm::From(_));
+    if is_handed {
+        node.metrics.count_handover("run-for-others");
+    } else {
+        node.metrics.count_request(outcome);
+    }
+    if answer_status.is_success() && !is_handed {
         node.metrics.observe_latency(&context.rule.name, took);
     }
     let is_trouble = !answer_status.is_success() || stats.missing > 0;
     let detail = if is_trouble && node.requests.has_room(now) {
-        trouble_detail(node, context, stats, now)
+        trouble_detail(node, stats, now)
     } else {
         String::new()
     };
-    let first = context.services.first();
-    let extra_left = first.map_or(0.0, |service| lock(&node.book).extra_left(service, now));
     let line = RequestLine {
         request: context.request_id.to_str().unwrap_or("unreadable"),
         route: &context.rule.name,
@@ -65,7 +100,11 @@
         missing: stats.missing,
         attempts: stats.attempts,
         hedges: stats.hedges,
-        extra_left,
+        other_vm: context.other_vm,
+        extra_left: &|| {
+            let first = context.services.first();
+            first.map_or(0.0, |service| lock(&node.book).extra_left(service, now))
+        },
         detail: &detail,
     };
     if !node.requests.write(&line, now) {
@@ -74,12 +113,7 @@
 }
 
 /// How the targets of the services without an answer look from here.
-fn trouble_detail(
-    node: &EntryNode,
-    context: &LineContext<'_>,
-    stats: &RelayStats,
-    now: MonoTime,
-) -> String {
+fn trouble_detail(node: &EntryNode, stats: &RelayStats, now: MonoTime) -> String {
     use std::fmt::Write as _;
     /// Services that one line describes.
     const SERVICES_MAX: usize = 2;
@@ -88,10 +122,6 @@
     if let Some(fault) = stats.last_fault {
         let _ = write!(detail, "fault={fault} ");
     }
-    if context.lanes == 0 {
-        let lag = lock(&node.lag).lag();
-        let _ = write!(detail, "loop_lag_ms={} ", lag.as_millis());
-    }
     let book = lock(&node.book);
     for service in missing.take(SERVICES_MAX) {
         let _ = write!(detail, "{service}:");
@@ -117,8 +147,7 @@
 /// Counts and logs a request that is answered before its route is known.
 pub(super) fn refuse_early(
     node: &EntryNode,
-    request_id: Option<&HeaderValue>,
-    arrived_at: MonoTime,
+    early: &EarlyRequest<'_>,
     reason: &'static str,
     response: RelayResponse,
 ) -> Box<RelayResponse> {
@@ -126,27 +155,29 @@
     node.metrics.count_request(reason);
     let now = node.timer.now();
     let detail = format!(
-        "targets={} keepers={} up_ms={}",
+        "targets={} keepers={} loop_lag_ms={} up_ms={}",
         node.metrics.targets.get(),
         node.metrics.keepers.get(),
+        lock(&node.lag).lag().as_millis(),
         node.up_time().as_millis()
     );
-    let request = request_id.and_then(|id| id.to_str().ok());
+    let request = early.id.and_then(|id| id.to_str().ok());
     let line = RequestLine {
         request: request.unwrap_or("none"),
-        route: "none",
+        route: early.route,
         config_version: node.config_version(),
         outcome: reason,
         status: response.status().as_u16(),
         verdict: RunVerdict::NotRun.as_str(),
-        took: now.since(arrived_at),
+        took: now.since(early.arrived_at),
         objective: Duration::ZERO,
         time_left: Duration::ZERO,
         lanes: 0,
         missing: 0,
         attempts: 0,
         hedges: 0,
-        extra_left: 0.0,
+        other_vm: OtherVm::To(&[]),
+        extra_left: &|| 0.0,
         detail: &detail,
     };
     if !node.requests.write(&line, now) {
--- a/crates/daemon/src/relay/request_log.rs
+++ b/crates/daemon/src/relay/request_log.rs
@@ -5,6 +5,8 @@
 use fulmarweir_base::{MonoTime, lock};
 use slog::{Logger, info, warn};
 
+use super::request_account::OtherVm;
+
 /// Lines of requests that went wrong: each second, and at once.
 const TROUBLE_PER_S: f64 = 40.0;
 const TROUBLE_BURST: f64 = 200.0;
@@ -29,7 +31,9 @@
     pub(crate) missing: usize,
     pub(crate) attempts: u32,
     pub(crate) hedges: u32,
-    pub(crate) extra_left: f64,
+    pub(super) other_vm: OtherVm<'a>,
+    /// Reads the budget of extra attempts; only asked for a line that is written.
+    pub(crate) extra_left: &'a dyn Fn() -> f64,
     /// What went wrong, with the state of the targets concerned and its age.
     pub(crate) detail: &'a str,
 }
@@ -118,11 +122,20 @@
             "took_ms" => line.took.as_millis(), "objective_ms" => line.objective.as_millis(),
             "time_left_ms" => line.time_left.as_millis(),
             "lanes" => line.lanes, "missing" => line.missing, "attempts" => line.attempts,
-            "hedges" => line.hedges, "extra_left" => format_args!("{:.1}", line.extra_left),
+            "hedges" => line.hedges, "extra_left" => format_args!("{:.1}", (line.extra_left)()),
+            "other_vm" => %line.other_vm,
             "detail" => line.detail);
         true
     }
 
+    /// Takes the room of a line about a troubled request, or counts it as left out.
+    pub(crate) fn take_trouble(&self, now: MonoTime) -> bool {
+        let mut state = lock(&self.state);
+        let taken = state.trouble.take(now);
+        state.dropped += u64::from(!taken);
+        taken
+    }
+
     /// Whether a line about a troubled request would be written now.
     pub(crate) fn has_room(&self, now: MonoTime) -> bool {
         let state = lock(&self.state);
--- /dev/null
+++ b/crates/daemon/src/relay/routed.rs
@@ -0,0 +1,85 @@
+//! A request whose route is known: which services it needs, who asks them, and the answer.
+
+use std::sync::Arc;
+
+use fulmarweir_base::lock;
+use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, WeightedService};
+use fulmarweir_route::RelayAsk;
+
+use super::{
+    answer::write_answer,
+    carrier::{RelayCarrier, RelayMessage},
+    entry::EntryNode,
+    handover::plan_handovers,
+    request_account::{LineContext, OtherVm, RequestTimes, log_request},
+    response::RelayResponse,
+};
+
+/// A request whose route is known.
+pub(super) struct RoutedRequest {
+    pub(super) table: Arc<RouteTable>,
+    pub(super) rule: Arc<RouteRule>,
+    pub(super) message: Arc<RelayMessage>,
+    pub(super) times: RequestTimes,
+}
+
+/// Carries a request of a caller to its end and writes the answer.
+pub(super) async fn answer_routed(node: &Arc<EntryNode>, routed: &RoutedRequest) -> RelayResponse {
+    let mut ask = relay_ask(node, &routed.rule, routed.times);
+    let handovers = plan_handovers(node, routed, &ask.services);
+    ask.handed_over = handovers.iter().map(|h| h.group.clone()).collect();
+    let services = ask.services.clone();
+    let message = Arc::clone(&routed.message);
+    let (carrier, actions) = RelayCarrier::start(Arc::clone(node), message, ask, handovers);
+    let result = carrier.finish(actions).await;
+    let stats = result.stats.clone();
+    let (outcome, response) = write_answer(node, &routed.rule, result);
+    let context = LineContext {
+        table: &routed.table,
+        rule: &routed.rule,
+        request_id: &routed.message.request_id,
+        times: routed.times,
+        lanes: services.len(),
+        services: &services,
+        other_vm: OtherVm::To(&stats.brokers),
+    };
+    log_request(node, &context, outcome, response.status(), &stats);
+    response
+}
+
+/// What a request asks of its services.
+pub(super) fn relay_ask(node: &EntryNode, rule: &RouteRule, times: RequestTimes) -> RelayAsk {
+    let (services, coverage_min) = match &rule.destination {
+        RouteDestination::Gather(gather) => (gather.shards.clone(), gather.coverage_min),
+        RouteDestination::Split(parts) => (choose_service(parts).into_iter().collect(), 1.0),
+    };
+    let soft = times.soft_deadline.since(times.arrived_at);
+    RelayAsk {
+        services,
+        repeatable: rule.repeatable,
+        attempts_max: rule.attempts_max,
+        coverage_min,
+        is_part: false,
+        soft_deadline: times.soft_deadline,
+        deadline: times.deadline,
+        hedge_delay: lock(&node.pace).hedge_delay(&rule.name, soft),
+        handed_over: Vec::new(),
+    }
+}
+
+/// Draws one of the services by weight.
+fn choose_service(parts: &[WeightedService]) -> Option<Arc<str>> {
+    if let [only] = parts {
+        return Some(Arc::clone(&only.service));
+    }
+    let total: f64 = parts.iter().map(|part| part.weight.max(0.0)).sum();
+    let mut place = rand::random::<f64>() * total;
+    for part in parts {
+        place -= part.weight.max(0.0);
+        if place < 0.0 {
+            return Some(Arc::clone(&part.service));
+        }
+    }
+    let last = parts.iter().rev().find(|part| part.weight > 0.0);
+    last.map(|part| Arc::clone(&part.service))
+}
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -22,8 +22,9 @@
     control::answer_control,
     dialect::RelayDialect,
     entry::EntryNode,
+    handover::{answer_handed, probe_brokers},
     keeper::KeeperNode,
-    peer::{PollRequest, PollSource, RelayAnswer, RelayCall},
+    peer::{EntryContact, PollRequest, PollSource, RelayAnswer, RelayCall},
     reload::run_reload,
     response::{come_back, text},
     serve::serve_calls,
@@ -115,33 +116,69 @@
     }
 }
 
+/// What the loops of entry VMs and keepers have in common.
+struct CommonLoops {
+    peers: RelayPeers,
+    timer: TimerService,
+    log: Logger,
+    own: SocketAddr,
+    /// The settings file.
+    path: PathBuf,
+}
+
+impl CommonLoops {
+    /// Starts asking keepers, ticking, and reading the settings again.
+    fn spawn(
+        self,
+        holder: Arc<dyn AsBoard>,
+        hooks: PollHooks,
+        tick: impl Fn() + Send + Sync + 'static,
+        parts: &mut RelayParts,
+    ) {
+        let stop = &parts.stop;
+        let sync = Arc::new(KeeperSync {
+            peers: self.peers,
+            timer: self.timer.clone(),
+            log: self.log.clone(),
+            hooks,
+            own: self.own,
+            stop: stop.clone(),
+        });
+        let reloaded = Arc::clone(&holder);
+        let apply = move |settings: &RelaySettings| reloaded.board().set_seeds(&settings.seeds);
+        parts.loops.extend([
+            tokio::spawn(run_sync(sync, holder)),
+            tokio::spawn(run_ticks(self.timer, stop.clone(), tick)),
+            tokio::spawn(run_reload(self.path, self.log, stop.clone(), apply)),
+        ]);
+    }
+}
+
 async fn run_entry(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
     let log = build_relay_logger(settings.log_level, &settings.name);
     log_start(&log, &settings);
     let timer = TimerService::new();
-    let peers: RelayPeers = PeerClient::new(Arc::new(TrafficMeter::default()));
-    let node = EntryNode::new(settings, dialect, log, timer);
+    let meter = Arc::new(TrafficMeter::default());
+    let peers: RelayPeers = PeerClient::new(Arc::clone(&meter));
+    let node = EntryNode::new(settings, dialect, log, timer, peers.clone());
     let mut parts = RelayParts::new();
-    start_entry_calls(&node, &mut parts).await?;
-    let stop = &parts.stop;
-    let sync = Arc::new(KeeperSync {
+    start_entry_calls(&node, meter, &mut parts).await?;
+    let common = CommonLoops {
         peers: peers.clone(),
         timer: node.timer.clone(),
         log: node.log.clone(),
-        hooks: entry_hooks(&node),
         own: node.settings.peer_address(),
-        stop: stop.clone(),
-    });
-    let holder: Arc<dyn AsBoard> = Arc::clone(&node) as Arc<dyn AsBoard>;
-    parts.loops.extend([
-        tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
-        tokio::spawn(run_ticks(node.timer.clone(), stop.clone(), {
-            let node = Arc::clone(&node);
-            move || node.tick()
-        })),
-        tokio::spawn(run_lag_probe(Arc::clone(&node), stop.clone())),
-        spawn_reload(path, &node.log, stop, Arc::clone(&node)),
-    ]);
+        path,
+    };
+    let ticking = Arc::clone(&node);
+    let tick = move || {
+        ticking.tick();
+        probe_brokers(&ticking);
+    };
+    let holder = Arc::clone(&node) as Arc<dyn AsBoard>;
+    common.spawn(holder, entry_hooks(&node), tick, &mut parts);
+    let lag_probe = run_lag_probe(Arc::clone(&node), parts.stop.clone());
+    parts.loops.push(tokio::spawn(lag_probe));
     wait_for_stop().await?;
     let grace = node.settings.bounds.stop_grace;
     info!(node.log, "stopping"; "grace_ms" => grace.as_millis());
@@ -164,7 +201,14 @@
     Ok(())
 }
 
-async fn start_entry_calls(node: &Arc<EntryNode>, parts: &mut RelayParts) -> Result<()> {
+async fn start_entry_calls(
+    node: &Arc<EntryNode>,
+    meter: Arc<TrafficMeter>,
+    parts: &mut RelayParts,
+) -> Result<()> {
+    let shared = Arc::clone(node);
+    let answer = move |call: RelayCall| answer_vm(Arc::clone(&shared), call);
+    serve_peers(node.settings.peers, answer, meter, parts).await?;
     let idle = Duration::from_millis(CALLER_IDLE_MS);
     if let Some(address) = node.settings.callers {
         let (listener, _) = bind(address).await?;
@@ -198,6 +242,39 @@
     Ok(())
 }
 
+/// Takes the calls of other daemons until the process has finished its own.
+async fn serve_peers<F>(
+    address: SocketAddr,
+    answer: impl Fn(RelayCall) -> F + Send + Sync + 'static,
+    meter: Arc<TrafficMeter>,
+    parts: &mut RelayParts,
+) -> Result<()>
+where
+    F: Future<Output = RelayAnswer> + Send + 'static,
+{
+    let (listener, _) = bind(address).await?;
+    let answer = move |_from: SocketAddr, call: RelayCall| {
+        let class = match &call {
+            RelayCall::Search(_) => TrafficClass::Query,
+            _ => TrafficClass::Control,
+        };
+        (class, answer(call))
+    };
+    let server: PeerServer<RelayCall, RelayAnswer, _> =
+        PeerServer::new(answer, meter, parts.stop.clone());
+    parts.loops.push(tokio::spawn(server.serve(listener)));
+    Ok(())
+}
+
+/// Answers a call of another VM to an entry VM.
+async fn answer_vm(node: Arc<EntryNode>, call: RelayCall) -> RelayAnswer {
+    match call {
+        RelayCall::Search(search) => answer_handed(node, *search).await,
+        RelayCall::Probe => RelayAnswer::Alive(node.is_ready()),
+        RelayCall::Poll(_) | RelayCall::FetchConfig | RelayCall::Voter(_) => RelayAnswer::NotKept,
+    }
+}
+
 async fn serve_metrics(
     address: SocketAddr,
     parts: &mut RelayParts,
@@ -218,11 +295,15 @@
     let (asker, taker, holder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
     PollHooks {
         question: Box::new(move |keeper, contacts_digest, wait_ms| PollRequest {
-            source: PollSource::Entry(asker.settings.peer_address()),
+            source: PollSource::Entry(EntryContact {
+                peers: asker.settings.peer_address(),
+                centre: Arc::clone(&asker.settings.centre),
+            }),
             mark: asker.mark(keeper),
             config_version: asker.config_version(),
             voter_epoch: 0,
             contacts_digest,
+            brokers_digest: asker.brokers_digest(keeper),
             wait_ms,
         }),
         answer: Box::new(move |keeper, reply| {
@@ -285,25 +366,24 @@
     let node = KeeperNode::new(settings, dialect, log, timer, quorum, voter);
     let mut parts = RelayParts::new();
     start_keeper_calls(&node, meter, &mut parts).await?;
-    let stop = &parts.stop;
-    let sync = Arc::new(KeeperSync {
+    let common = CommonLoops {
         peers: peers.clone(),
         timer: node.timer.clone(),
         log: node.log.clone(),
-        hooks: keeper_hooks(&node),
         own: node.settings.peer_address(),
-        stop: stop.clone(),
-    });
-    let holder: Arc<dyn AsBoard> = Arc::clone(&node) as Arc<dyn AsBoard>;
+        path,
+    };
+    let ticking = Arc::clone(&node);
+    let holder = Arc::clone(&node) as Arc<dyn AsBoard>;
+    common.spawn(
+        holder,
+        keeper_hooks(&node),
+        move || ticking.tick(),
+        &mut parts,
+    );
     parts.loops.extend([
-        tokio::spawn(run_sync(sync, move || Arc::clone(&holder))),
-        tokio::spawn(run_ticks(node.timer.clone(), stop.clone(), {
-            let node = Arc::clone(&node);
-            move || node.tick()
-        })),
-        tokio::spawn(run_voters(Arc::clone(&node), stop.clone())),
-        tokio::spawn(run_target_file(Arc::clone(&node), stop.clone())),
-        spawn_reload(path, &node.log, stop, Arc::clone(&node)),
+        tokio::spawn(run_voters(Arc::clone(&node), parts.stop.clone())),
+        tokio::spawn(run_target_file(Arc::clone(&node), parts.stop.clone())),
     ]);
     wait_for_stop().await?;
     info!(node.log, "stopping");
@@ -318,14 +398,9 @@
     meter: Arc<TrafficMeter>,
     parts: &mut RelayParts,
 ) -> Result<()> {
-    let (listener, _) = bind(node.settings.peers).await?;
     let shared = Arc::clone(node);
-    let answer = move |_from: SocketAddr, call: RelayCall| {
-        (TrafficClass::Control, Arc::clone(&shared).answer(call))
-    };
-    let server: PeerServer<RelayCall, RelayAnswer, _> =
-        PeerServer::new(answer, meter, parts.stop.clone());
-    tokio::spawn(server.serve(listener));
+    let answer = move |call| Arc::clone(&shared).answer(call);
+    serve_peers(node.settings.peers, answer, meter, parts).await?;
     if let Some(address) = node.settings.control {
         let (listener, _) = bind(address).await?;
         let shared = Arc::clone(node);
@@ -350,6 +425,7 @@
             config_version: asker.config_version(),
             voter_epoch: asker.quorum.voters().epoch,
             contacts_digest,
+            brokers_digest: None,
             wait_ms,
         }),
         answer: Box::new(move |_, reply| {
@@ -368,19 +444,6 @@
     }
 }
 
-fn spawn_reload<B>(
-    path: PathBuf,
-    log: &Logger,
-    stop: &CancellationToken,
-    holder: Arc<B>,
-) -> JoinHandle<()>
-where
-    B: AsBoard + 'static,
-{
-    let apply = move |settings: &RelaySettings| holder.board().set_seeds(&settings.seeds);
-    tokio::spawn(run_reload(path, log.clone(), stop.clone(), apply))
-}
-
 /// Carries a request to a voter: over the network, or within this process.
 fn voter_transport(
     peers: RelayPeers,
--- a/crates/daemon/src/relay/sync.rs
+++ b/crates/daemon/src/relay/sync.rs
@@ -117,8 +117,8 @@
     }
 }
 
-/// Digest by which a caller and a keeper find out whether their lists of keepers differ.
-pub(crate) fn contacts_digest(contacts: &[KeeperContact]) -> u64 {
+/// Digest by which a caller and a keeper find out whether their lists of VMs differ.
+pub(crate) fn contacts_digest<T: Hash>(contacts: &[T]) -> u64 {
     let mut hasher = DefaultHasher::new();
     contacts.hash(&mut hasher);
     hasher.finish()
@@ -160,14 +160,10 @@
 }
 
 /// Asks every keeper of the board until stopped.
-pub(crate) async fn run_sync<B>(sync: Arc<KeeperSync>, board: B)
-where
-    B: Fn() -> Arc<dyn AsBoard> + Send + Sync,
-{
+pub(crate) async fn run_sync(sync: Arc<KeeperSync>, holder: Arc<dyn AsBoard>) {
     let tasks = TaskTracker::new();
     let mut asked: HashSet<SocketAddr> = HashSet::new();
     loop {
-        let holder = board();
         let keepers = holder.board();
         keepers.forget_silent(sync.timer.now());
         let known = keepers.addresses();
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -50,8 +50,9 @@
 pub use hits::{HitScore, HitsError, SearchHit, merge_hits, parse_hits, write_hits};
 pub use refusal::{RefusalReason, RouteRefusal};
 pub use relay::{
-    AttemptEnd, AttemptSignal, Locality, PaceTable, Pick, PickAsk, RECORD_BYTES, RelayAction,
-    RelayAsk, RelayBook, RelayEnd, RelayRefusal, RelayRun, RelaySend, RelayTarget, TargetSight,
+    AnswerPart, AttemptEnd, AttemptSignal, BrokerDesk, BrokerPlace, GroupEnd, HandoverEnd,
+    Locality, PaceTable, Pick, PickAsk, RECORD_BYTES, RelayAction, RelayAsk, RelayBook, RelayEnd,
+    RelayRefusal, RelayRun, RelaySend, RelayTarget, ShardGroup, TargetSight, UnclearLane,
     merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchAsk, SearchOutcome, SearchRun};
--- a/crates/route/src/relay/book.rs
+++ b/crates/route/src/relay/book.rs
@@ -3,7 +3,12 @@
 //! Load patterns: a replica that pauses, is slow, is near its limit or has just
 //! gone, while its siblings can take the work.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAllowance;
@@ -22,6 +27,9 @@
 /// One in so many connections to a target is left to others, since VMs differ on their number.
 const CONNECTIONS_KEPT_PART: u32 = 10;
 
+/// Shards for which one message to a broker is cheaper than one to each target.
+const GROUP_MIN: usize = 4;
+
 /// Connections of one VM to a target below which they are scarce: idle ones are given up soon.
 ///
 /// The connections of VMs that lost power stay open at the target, and must leave room: so no
@@ -40,7 +48,9 @@
     pub service: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
-    /// How far it is.
+    /// Its data centre.
+    pub centre: Arc<str>,
+    /// How far that is.
     pub locality: Locality,
     /// Requests that it runs at once.
     pub slots: u32,
@@ -63,6 +73,8 @@
     pub ran_max: usize,
     /// Passes over targets that are down or full: a second attempt is not worth it there.
     pub spare: bool,
+    /// Passes over targets outside this data centre.
+    pub only_centre: Option<&'a Arc<str>>,
     /// Time in which an answer is of use, if the request can do without this service.
     pub patience: Option<Duration>,
 }
@@ -76,6 +88,8 @@
         target: Arc<RelayTarget>,
         /// Whether it was asked before.
         again: bool,
+        /// How long a connection to it may be kept idle.
+        keep_idle: Duration,
     },
     /// Every target would answer long after the answer is of use.
     Hopeless,
@@ -87,6 +101,15 @@
     Unknown,
 }
 
+/// Shards of a search whose nearest targets are in one other data centre of the region.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ShardGroup {
+    /// The data centre.
+    pub centre: Arc<str>,
+    /// Their places in the list of services.
+    pub lanes: Vec<usize>,
+}
+
 /// One target as this VM sees it, for status pages and logs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetSight {
@@ -218,19 +241,6 @@
         desk.map_or(0.0, |desk| desk.window.left(&self.grant, self.vms, now))
     }
 
-    /// How long an idle connection to a target may be kept.
-    #[must_use]
-    pub fn keep_idle(&self, target: &RelayTarget) -> Duration {
-        let desk = self.services.get(&target.service);
-        let card = desk.and_then(|desk| desk.cards.iter().find(|c| c.target.id == target.id));
-        let scarce = card.is_some_and(|card| card.connections < CONNECTIONS_SCARCE);
-        Duration::from_millis(match (scarce, target.locality) {
-            (false, _) => KEEP_IDLE_MS,
-            (true, Locality::Far) => KEEP_SCARCE_FAR_MS,
-            (true, Locality::Centre | Locality::Region) => KEEP_SCARCE_NEAR_MS,
-        })
-    }
-
     /// Chooses the target that is expected to answer first.
     #[must_use]
     pub fn pick(&self, ask: &PickAsk<'_>, now: MonoTime) -> Pick {
@@ -241,7 +251,11 @@
         let mut best: Option<(f64, &TargetCard, bool)> = None;
         let mut any = false;
         let mut any_untried = false;
-        for card in desk.cards.iter().filter(|card| !card.moved) {
+        let is_allowed = |card: &&TargetCard| {
+            let only = ask.only_centre;
+            !card.moved && only.is_none_or(|centre| *centre == card.target.centre)
+        };
+        for card in desk.cards.iter().filter(is_allowed) {
             any = true;
             let again = ask.ran.contains(&card.target.id);
             if ask.tried.contains(&card.target.id) || (used_up && !again) {
@@ -265,6 +279,7 @@
             Some((_, card, again)) => Pick::Target {
                 target: Arc::clone(&card.target),
                 again,
+                keep_idle: keep_idle(card),
             },
             None if any_untried => Pick::Full,
             None if any => Pick::Tried,
@@ -314,10 +329,27 @@
         desk.is_some_and(|desk| desk.cards.iter().any(|card| !card.moved))
     }
 
-    /// Number of targets in use.
+    /// The shards of a search that are better asked from another data centre of the region.
+    ///
+    /// Those without a target in this data centre, by the data centre that has one; a data
+    /// centre with too few of them is left out.
     #[must_use]
-    pub fn target_count(&self) -> usize {
-        self.services.values().map(|desk| desk.cards.len()).sum()
+    pub fn shard_groups(&self, services: &[Arc<str>]) -> Vec<ShardGroup> {
+        let mut groups: BTreeMap<Arc<str>, Vec<usize>> = BTreeMap::new();
+        for (lane, service) in services.iter().enumerate() {
+            let desk = self.services.get(service);
+            let cards = desk.map_or(&[][..], |desk| &desk.cards);
+            let live = cards.iter().filter(|card| !card.moved);
+            let nearest = live.min_by_key(|card| (card.target.locality, &card.target.centre));
+            let Some(nearest) = nearest.filter(|c| c.target.locality == Locality::Region) else {
+                continue;
+            };
+            let centre = Arc::clone(&nearest.target.centre);
+            groups.entry(centre).or_default().push(lane);
+        }
+        let groups = groups.into_iter();
+        let groups = groups.map(|(centre, lanes)| ShardGroup { centre, lanes });
+        groups.filter(|g| g.lanes.len() >= GROUP_MIN).collect()
     }
 
     /// How this VM sees the targets of a service.
@@ -347,3 +379,13 @@
         Duration::from_secs_f64(desk.work_ms * least.clamp(1.0, 100.0) / 1000.0)
     }
 }
+
+/// How long an idle connection to a target may be kept.
+fn keep_idle(card: &TargetCard) -> Duration {
+    let scarce = card.connections < CONNECTIONS_SCARCE;
+    Duration::from_millis(match (scarce, card.target.locality) {
+        (false, _) => KEEP_IDLE_MS,
+        (true, Locality::Far) => KEEP_SCARCE_FAR_MS,
+        (true, Locality::Centre | Locality::Region) => KEEP_SCARCE_NEAR_MS,
+    })
+}
--- a/crates/route/src/relay/lane.rs
+++ b/crates/route/src/relay/lane.rs
@@ -13,6 +13,10 @@
     Open,
     /// Has the answer of this attempt.
     Answered(u32),
+    /// A broker has been asked to see to it: the group's place.
+    HandedOver(usize),
+    /// Has its answer from a broker: the group's place.
+    AnsweredBy(usize),
     /// Gets no answer.
     Failed,
 }
@@ -47,6 +51,8 @@
     pub(crate) failures: u32,
     /// When the next attempt is due.
     pub(crate) next_at: Option<MonoTime>,
+    /// Data centre of a broker that may have run the lane.
+    pub(crate) again_in: Option<Arc<str>>,
     /// The latest failure that a target answered with, to pass on.
     pub(crate) failure_reply: Option<u32>,
 }
@@ -65,17 +71,50 @@
             rounds: 0,
             failures: 0,
             next_at: None,
+            again_in: None,
             failure_reply: None,
         }
     }
 
+    /// Whether attempts of this VM may bring its answer.
     pub(crate) fn is_open(&self) -> bool {
         self.state == LaneState::Open
     }
 
+    /// Whether an answer may still come.
+    pub(crate) fn is_undecided(&self) -> bool {
+        matches!(self.state, LaneState::Open | LaneState::HandedOver(_))
+    }
+
+    pub(crate) fn is_answered(&self) -> bool {
+        matches!(
+            self.state,
+            LaneState::Answered(_) | LaneState::AnsweredBy(_)
+        )
+    }
+
+    /// Takes the lane back from a broker that may have run it on these targets.
+    ///
+    /// Every attempt is then an extra one. If the targets are not known, attempts go to a
+    /// target in `centre`: the broker has most probably asked the same, so that no shard
+    /// runs on more targets than it may.
+    pub(crate) fn take_back_unclear(&mut self, ran: &[Arc<str>], centre: &Arc<str>) {
+        self.state = LaneState::Open;
+        self.arrivals = u32::try_from(ran.len().max(1)).unwrap_or(u32::MAX);
+        self.ran = ran.to_vec();
+        self.unclear = ran.to_vec();
+        self.again_in = ran.is_empty().then(|| Arc::clone(centre));
+    }
+
     /// Whether the request may have run, or may still run, for this lane.
     pub(crate) fn may_have_run(&self) -> bool {
-        !self.ran.is_empty() || self.rejected > 0
+        !self.ran.is_empty()
+            || self.rejected > 0
+            || self.again_in.is_some()
+            || matches!(
+                self.state,
+                LaneState::HandedOver(_) | LaneState::AnsweredBy(_)
+            )
     }
 
     pub(crate) fn sent(&mut self, number: u32, target: &Arc<RelayTarget>, now: MonoTime) {
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -10,7 +10,7 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 
 use super::{
-    book::{Pick, PickAsk, RelayBook, RelayTarget},
+    book::{Pick, PickAsk, RelayBook, RelayTarget, ShardGroup},
     card::AttemptSignal,
     lane::{Lane, LaneState},
 };
@@ -45,12 +45,45 @@
     pub attempts_max: u32,
     /// Share of the services below which there is no answer.
     pub coverage_min: f64,
+    /// Whether another VM puts the answer together: then all there is goes out at the soft
+    /// deadline, and no service is left out before.
+    pub is_part: bool,
     /// When an answer with enough coverage goes out.
     pub soft_deadline: MonoTime,
     /// When the request is given up.
     pub deadline: MonoTime,
     /// How long an attempt is waited for before a second one is sent.
     pub hedge_delay: Duration,
+    /// Services that brokers are asked to see to; report their ends by
+    /// [`RelayRun::on_group_end`].
+    pub handed_over: Vec<ShardGroup>,
+}
+
+/// What a broker has done for a group of services, by their places in [`RelayAsk::services`].
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GroupEnd {
+    /// Those with an answer.
+    pub answered: Vec<usize>,
+    /// Those without one that may have run.
+    pub unclear: Vec<UnclearLane>,
+}
+
+/// A service without an answer that may have run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnclearLane {
+    /// Its place in the list of services.
+    pub lane: usize,
+    /// The targets on which it may have run; empty if they are not known.
+    pub ran: Vec<Arc<str>>,
+}
+
+/// Where the answer of one service is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerPart {
+    /// With this attempt.
+    Attempt(u32),
+    /// Among those of this group, by its place in [`RelayAsk::handed_over`].
+    Group(usize),
 }
 
 /// One attempt to send.
@@ -111,8 +144,8 @@
 /// How a request ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RelayEnd {
-    /// The attempt whose answer counts for each lane, `None` for lanes left out.
-    Answered(Vec<Option<u32>>),
+    /// Where the answer of each lane is, `None` for lanes left out.
+    Answered(Vec<Option<AnswerPart>>),
     /// The failure that a target answered with is passed on.
     PassOn(u32),
     /// There is no answer.
@@ -149,7 +182,12 @@
 impl RelayRun {
     /// Starts a request: sends the first attempt of each lane.
     pub fn start(ask: RelayAsk, book: &mut RelayBook, now: MonoTime) -> (Self, Vec<RelayAction>) {
-        let lanes = ask.services.iter().cloned().map(Lane::new).collect();
+        let mut lanes: Vec<Lane> = ask.services.iter().cloned().map(Lane::new).collect();
+        for (place, group) in ask.handed_over.iter().enumerate() {
+            for lane in &group.lanes {
+                lanes[*lane].state = LaneState::HandedOver(place);
+            }
+        }
         let mut run = Self {
             lanes,
             started_at: now,
@@ -168,8 +206,9 @@
             return (run, actions);
         }
         for lane in 0..run.lanes.len() {
-            book.count_first(&run.lanes[lane].service, now);
-            run.try_send(lane, AttemptKind::First, book, now, &mut actions);
+            if run.lanes[lane].is_open() {
+                run.send_first(lane, book, now, &mut actions);
+            }
         }
         run.conclude(book, now, &mut actions);
         (run, actions)
@@ -199,6 +238,50 @@
         actions
     }
 
+    /// Takes in what a broker has done for a group; a second report changes nothing.
+    ///
+    /// Services without an answer are asked from here, if the answer still needs them.
+    pub fn on_group_end(
+        &mut self,
+        group: usize,
+        end: &GroupEnd,
+        book: &mut RelayBook,
+        now: MonoTime,
+    ) -> Vec<RelayAction> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        let mut left = Vec::new();
+        for (place, lane) in self.lanes.iter_mut().enumerate() {
+            if lane.state != LaneState::HandedOver(group) {
+                continue;
+            }
+            if end.answered.contains(&place) {
+                lane.state = LaneState::AnsweredBy(group);
+                self.answered += 1;
+                continue;
+            }
+            lane.state = LaneState::Open;
+            if let Some(unclear) = end.unclear.iter().find(|u| u.lane == place) {
+                lane.take_back_unclear(&unclear.ran, &self.ask.handed_over[group].centre);
+            }
+            left.push(place);
+        }
+        if !self.can_answer(now) {
+            for lane in left {
+                if self.lanes[lane].may_have_run() {
+                    let kind = AttemptKind::Retry(RetryReason::Failed);
+                    self.try_send(lane, kind, book, now, &mut actions);
+                } else {
+                    self.send_first(lane, book, now, &mut actions);
+                }
+            }
+        }
+        self.conclude(book, now, &mut actions);
+        actions
+    }
+
     /// Takes in a wake-up.
     pub fn on_wake(&mut self, book: &mut RelayBook, now: MonoTime) -> Vec<RelayAction> {
         let mut actions = Vec::new();
@@ -206,6 +289,11 @@
             return actions;
         }
         self.wake_at = None;
+        // An attempt that starts when the answer goes out would be of no use.
+        if self.can_answer(now) {
+            self.conclude(book, now, &mut actions);
+            return actions;
+        }
         for lane in 0..self.lanes.len() {
             let is_due = self.lanes[lane].next_at.is_some_and(|at| at <= now);
             if is_due && self.lanes[lane].is_open() {
@@ -245,9 +333,21 @@
         self.lanes.len() - self.answered
     }
 
+    /// The services without an answer that may have run.
+    #[must_use]
+    pub fn unclear_lanes(&self) -> Vec<UnclearLane> {
+        let lanes = self.lanes.iter().enumerate();
+        let unclear = lanes.filter(|(_, lane)| !lane.is_answered() && lane.may_have_run());
+        let unclear = unclear.map(|(place, lane)| UnclearLane {
+            lane: place,
+            ran: lane.ran.clone(),
+        });
+        unclear.collect()
+    }
+
     /// Names of the services without an answer, for logs.
     pub fn missing_services(&self) -> impl Iterator<Item = &Arc<str>> {
-        let missing = |lane: &&Lane| !matches!(lane.state, LaneState::Answered(_));
+        let missing = |lane: &&Lane| !lane.is_answered();
         self.lanes.iter().filter(missing).map(|lane| &lane.service)
     }
 
@@ -340,6 +440,17 @@
         self.try_send(lane, kind, book, now, actions);
     }
 
+    fn send_first(
+        &mut self,
+        lane: usize,
+        book: &mut RelayBook,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        book.count_first(&self.lanes[lane].service, now);
+        self.try_send(lane, AttemptKind::First, book, now, actions);
+    }
+
     fn try_send(
         &mut self,
         lane: usize,
@@ -359,17 +470,35 @@
             ran: &progress.ran,
             ran_max,
             spare: is_hedge,
+            only_centre: progress.again_in.as_ref(),
             patience: optional.then_some(soft),
         };
         match book.pick(&ask, now) {
-            Pick::Target { target, again } => {
+            Pick::Target {
+                target,
+                again,
+                keep_idle,
+            } => {
                 let progress = &self.lanes[lane];
                 let is_extra = progress.arrivals > progress.rejected;
                 if is_extra && !book.take_extra(&self.lanes[lane].service, now) {
-                    self.pause(lane, BUDGET_PAUSE_MS, now);
+                    // Waiting for the budget would hold up callers who can ask again themselves.
+                    if self.lanes[lane].again_in.is_some() {
+                        self.lanes[lane].state = LaneState::Failed;
+                    } else {
+                        self.pause(lane, BUDGET_PAUSE_MS, now);
+                    }
                     return;
                 }
-                self.send(lane, target, again, kind, book, now, actions);
+                let send = RelaySend {
+                    attempt: self.next_attempt,
+                    lane,
+                    target,
+                    fresh: again,
+                    keep_idle,
+                    kind,
+                };
+                self.send(send, book, now, actions);
             }
             Pick::Hopeless => self.lanes[lane].state = LaneState::Failed,
             Pick::Full => self.pause(lane, ROOM_PAUSE_MS, now),
@@ -400,39 +529,26 @@
         self.lanes[lane].next_at = Some(now + Duration::from_millis(pause_ms));
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one step with its context")]
     fn send(
         &mut self,
-        lane: usize,
-        target: Arc<RelayTarget>,
-        again: bool,
-        kind: AttemptKind,
+        send: RelaySend,
         book: &mut RelayBook,
         now: MonoTime,
         actions: &mut Vec<RelayAction>,
     ) {
-        let attempt = self.next_attempt;
         self.next_attempt += 1;
-        let keep_idle = book.keep_idle(&target);
-        book.attempt_sent(&target, now);
-        if kind == AttemptKind::Hedge {
+        book.attempt_sent(&send.target, now);
+        if send.kind == AttemptKind::Hedge {
             self.hedges += 1;
-            self.hedge_numbers.push(attempt);
+            self.hedge_numbers.push(send.attempt);
         }
-        let progress = &mut self.lanes[lane];
-        progress.sent(attempt, &target, now);
+        let progress = &mut self.lanes[send.lane];
+        progress.sent(send.attempt, &send.target, now);
         if self.ask.repeatable {
             let turns = u32::try_from(progress.open.len()).unwrap_or(1);
             progress.next_at = Some(now + self.ask.hedge_delay * turns);
         }
-        actions.push(RelayAction::Send(RelaySend {
-            attempt,
-            lane,
-            target,
-            fresh: again,
-            keep_idle,
-            kind,
-        }));
+        actions.push(RelayAction::Send(send));
     }
 
     /// Whether so many services have no target that there can be no answer.
@@ -450,23 +566,22 @@
             .lanes
             .iter()
             .filter(|lane| lane.state != LaneState::Failed);
-        self.lanes.len() > 1 && self.covers(left.count().saturating_sub(1))
+        !self.ask.is_part && self.lanes.len() > 1 && self.covers(left.count().saturating_sub(1))
     }
 
     fn covers(&self, answered: usize) -> bool {
         #[expect(clippy::cast_precision_loss, reason = "lane counts are small")]
         let coverage = answered as f64 / self.lanes.len().max(1) as f64;
-        answered > 0 && coverage >= self.ask.coverage_min
+        answered > 0 && (self.ask.is_part || coverage >= self.ask.coverage_min)
     }
 
     /// Ends the step: finishes if it is time, else sets the next wake-up.
     fn conclude(&mut self, book: &RelayBook, now: MonoTime, actions: &mut Vec<RelayAction>) {
-        if self.answered == self.lanes.len()
-            || (now >= self.ask.soft_deadline && self.covers(self.answered))
-        {
+        if self.can_answer(now) {
             return self.answer(actions);
         }
-        let undecided = self.lanes.iter().filter(|lane| lane.is_open()).count();
+        let undecided = self.lanes.iter().filter(|lane| lane.is_undecided());
+        let undecided = undecided.count();
         if undecided == 0 && self.covers(self.answered) {
             return self.answer(actions);
         }
@@ -486,9 +601,15 @@
         }
     }
 
+    /// Whether the answer is whole, or good enough for its time.
+    fn can_answer(&self, now: MonoTime) -> bool {
+        let is_whole = self.answered == self.lanes.len();
+        is_whole || (now >= self.ask.soft_deadline && self.covers(self.answered))
+    }
+
     /// Whether no target has taken the request although it has waited long enough.
     fn is_untaken(&self, now: MonoTime) -> bool {
-        now >= self.untaken_at() && self.lanes.iter().all(|lane| !lane.may_have_run())
+        now >= self.untaken_at() && self.verdict() == RunVerdict::NotRun
     }
 
     fn untaken_at(&self) -> MonoTime {
@@ -512,8 +633,9 @@
     fn answer(&mut self, actions: &mut Vec<RelayAction>) {
         self.finished = true;
         let part = |lane: &Lane| match lane.state {
-            LaneState::Answered(attempt) => Some(attempt),
-            LaneState::Open | LaneState::Failed => None,
+            LaneState::Answered(attempt) => Some(AnswerPart::Attempt(attempt)),
+            LaneState::AnsweredBy(group) => Some(AnswerPart::Group(group)),
+            LaneState::Open | LaneState::HandedOver(_) | LaneState::Failed => None,
         };
         let parts = self.lanes.iter().map(part).collect();
         actions.push(RelayAction::Finish(RelayEnd::Answered(parts)));
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -5,8 +5,9 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAllowance;
 use fulmarweir_route::{
-    AttemptEnd, AttemptKind, Locality, PaceTable, RefusalReason, RelayAction, RelayAsk, RelayBook,
-    RelayEnd, RelayRun, RelaySend, RelayTarget, ReportedLoad,
+    AnswerPart, AttemptEnd, AttemptKind, GroupEnd, Locality, PaceTable, RefusalReason, RelayAction,
+    RelayAsk, RelayBook, RelayEnd, RelayRun, RelaySend, RelayTarget, ReportedLoad, ShardGroup,
+    UnclearLane,
 };
 
 fn at(millis: u64) -> MonoTime {
@@ -18,6 +19,11 @@
         id: format!("{service}-{name}").into(),
         service: service.into(),
         address: ([10, 0, 0, 1], 80).into(),
+        centre: match locality {
+            Locality::Centre => "here".into(),
+            Locality::Region => "next".into(),
+            Locality::Far => "far".into(),
+        },
         locality,
         slots: 3,
         born_ms: 1,
@@ -55,9 +61,11 @@
         repeatable,
         attempts_max: 2,
         coverage_min: 0.75,
+        is_part: false,
         soft_deadline: at(200),
         deadline: at(2_000),
         hedge_delay: Duration::from_millis(40),
+        handed_over: Vec::new(),
     }
 }
 
@@ -84,6 +92,10 @@
     wakes.next_back()
 }
 
+fn part(attempt: u32) -> Option<AnswerPart> {
+    Some(AnswerPart::Attempt(attempt))
+}
+
 const ANSWER: AttemptEnd = AttemptEnd::Answered { load: None };
 
 #[test]
@@ -101,7 +113,7 @@
         assert!(finish(&last).is_none());
         last = run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
     }
-    let whole = (0..4).map(Some).collect();
+    let whole = (0..4).map(part).collect();
     assert_eq!(finish(&last), Some(RelayEnd::Answered(whole)));
 }
 
@@ -149,7 +161,7 @@
     assert_eq!(now, 200);
     assert_eq!(
         end,
-        RelayEnd::Answered(vec![None, Some(1), Some(2), Some(3)])
+        RelayEnd::Answered(vec![None, part(1), part(2), part(3)])
     );
 }
 
@@ -529,3 +541,215 @@
     );
     assert!(asked[1] >= 45, "asked {} times of 50 after it", asked[1]);
 }
+
+/// Shards `s0` to `s3`: the last two have their nearest target in the next data centre.
+fn regional_book() -> RelayBook {
+    let mut book = RelayBook::new(grant());
+    let targets = (0..4).flat_map(|shard| {
+        let service = format!("s{shard}");
+        let near = if shard < 2 {
+            Locality::Centre
+        } else {
+            Locality::Region
+        };
+        [
+            target(&service, "near", near),
+            target(&service, "far", Locality::Far),
+        ]
+    });
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    book
+}
+
+fn unclear(lane: usize, ran: &[&str]) -> UnclearLane {
+    UnclearLane {
+        lane,
+        ran: ran.iter().map(|id| (*id).into()).collect(),
+    }
+}
+
+fn regional_ask() -> RelayAsk {
+    RelayAsk {
+        handed_over: vec![ShardGroup {
+            centre: "next".into(),
+            lanes: vec![2, 3],
+        }],
+        ..ask(4, true)
+    }
+}
+
+/// Load pattern: the nearest targets of many shards are in another data centre.
+#[test]
+fn shards_of_another_data_centre_are_grouped_unless_they_are_few() {
+    let mut book = RelayBook::new(grant());
+    let targets = (0..9).flat_map(|shard| {
+        let service = format!("s{shard}");
+        let near = match shard {
+            0..3 => Locality::Centre,
+            3..8 => Locality::Region,
+            _ => Locality::Far,
+        };
+        [
+            target(&service, "near", near),
+            target(&service, "far", Locality::Far),
+        ]
+    });
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    let services: Vec<Arc<str>> = (0..9).map(|shard| format!("s{shard}").into()).collect();
+    let groups = book.shard_groups(&services);
+    assert_eq!(groups.len(), 1);
+    assert_eq!(&*groups[0].centre, "next");
+    assert_eq!(groups[0].lanes, [3, 4, 5, 6, 7]);
+    assert!(book.shard_groups(&services[..5]).is_empty());
+}
+
+#[test]
+fn a_search_is_answered_from_here_and_by_a_broker() {
+    let mut book = regional_book();
+    let (mut run, actions) = RelayRun::start(regional_ask(), &mut book, at(0));
+    let sent = sends(&actions);
+    assert_eq!(sent.len(), 2);
+    for send in &sent {
+        let after = run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
+        assert!(finish(&after).is_none());
+    }
+    let end = GroupEnd {
+        answered: vec![2, 3],
+        unclear: Vec::new(),
+    };
+    let after = run.on_group_end(0, &end, &mut book, at(30));
+    let group = Some(AnswerPart::Group(0));
+    let parts = vec![part(0), part(1), group, group];
+    assert_eq!(finish(&after), Some(RelayEnd::Answered(parts)));
+    assert_eq!(run.missing(), 0);
+}
+
+/// Load pattern: a broker leaves, or holds another configuration.
+#[test]
+fn shards_that_a_broker_did_not_take_are_asked_from_here_as_first_attempts() {
+    let mut book = regional_book();
+    let (mut run, _) = RelayRun::start(regional_ask(), &mut book, at(0));
+    let before = book.extra_left("s2", at(0));
+    let after = run.on_group_end(0, &GroupEnd::default(), &mut book, at(5));
+    let sent = sends(&after);
+    assert_eq!(sent.len(), 2);
+    assert!(sent.iter().all(|send| send.kind == AttemptKind::First));
+    assert!(
+        sent.iter()
+            .all(|send| send.target.locality == Locality::Region)
+    );
+    assert!(book.extra_left("s2", at(5)) >= before);
+    // A second report of the same group changes nothing.
+    let twice = run.on_group_end(0, &GroupEnd::default(), &mut book, at(6));
+    assert!(sends(&twice).is_empty());
+}
+
+/// Load pattern: a broker falls silent, and its shards may have run.
+#[test]
+fn shards_that_a_lost_broker_may_have_run_are_extra_and_go_to_the_same_targets() {
+    let mut book = regional_book();
+    let (mut run, _) = RelayRun::start(regional_ask(), &mut book, at(0));
+    let before = book.extra_left("s2", at(100));
+    let end = GroupEnd {
+        answered: vec![3],
+        unclear: vec![unclear(2, &[])],
+    };
+    let sent = sends(&run.on_group_end(0, &end, &mut book, at(100)));
+    assert_eq!(sent.len(), 1);
+    assert_eq!(&*sent[0].target.id, "s2-near");
+    assert!(book.extra_left("s2", at(100)) <= before - 1.0);
+    // The far target is not asked either later: the shard may run on two targets at most.
+    let hedges = sends(&run.on_wake(&mut book, at(145)));
+    assert!(hedges.iter().all(|send| &*send.target.id != "s2-far"));
+    assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
+}
+
+#[test]
+fn without_a_budget_for_them_the_caller_is_answered_at_once() {
+    let mut poor = grant();
+    poor.burst = 0.0;
+    let mut book = RelayBook::new(poor);
+    let targets = (0..4).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    let ask = RelayAsk {
+        handed_over: vec![ShardGroup {
+            centre: "next".into(),
+            lanes: vec![0, 1, 2, 3],
+        }],
+        ..ask(4, true)
+    };
+    let (mut run, _) = RelayRun::start(ask, &mut book, at(0));
+    let end = GroupEnd {
+        answered: Vec::new(),
+        unclear: (0..4).map(|lane| unclear(lane, &[])).collect(),
+    };
+    let after = run.on_group_end(0, &end, &mut book, at(150));
+    let Some(RelayEnd::Refused(refusal)) = finish(&after) else {
+        panic!("no attempt is left");
+    };
+    assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
+}
+
+/// Load pattern: a shard that stalls at a broker must not hold the others up there.
+#[test]
+fn a_broker_gives_all_it_has_at_the_soft_deadline() {
+    let mut book = book(4);
+    let part_ask = RelayAsk {
+        is_part: true,
+        deadline: at(200),
+        ..ask(4, true)
+    };
+    let (mut run, actions) = RelayRun::start(part_ask.clone(), &mut book, at(0));
+    let sent = sends(&actions);
+    run.on_end(0, sent[0].attempt, ANSWER, &mut book, at(20));
+    let after = run.on_wake(&mut book, at(200));
+    let parts = vec![part(0), None, None, None];
+    assert_eq!(finish(&after), Some(RelayEnd::Answered(parts)));
+    let left: Vec<UnclearLane> = (1..4)
+        .map(|lane| unclear(lane, &[&format!("s{lane}-near")]))
+        .collect();
+    assert_eq!(run.unclear_lanes(), left);
+    // With nothing in, it says so at the same time.
+    let later = RelayAsk {
+        soft_deadline: at(500),
+        deadline: at(500),
+        ..part_ask
+    };
+    let (mut run, _) = RelayRun::start(later, &mut book, at(300));
+    let after = run.on_wake(&mut book, at(500));
+    assert!(matches!(finish(&after), Some(RelayEnd::Refused(_))));
+}
+
+/// Found by the bench: a shard ran on a third target, since the broker had asked two others.
+#[test]
+fn shards_that_a_broker_leaves_open_run_on_no_more_targets_than_they_may() {
+    let mut book = RelayBook::new(grant());
+    let targets = (0..4).flat_map(|shard| {
+        let service = format!("s{shard}");
+        [
+            target(&service, "near", Locality::Region),
+            target(&service, "far", Locality::Far),
+            target(&service, "farther", Locality::Far),
+        ]
+    });
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    let ask = RelayAsk {
+        coverage_min: 1.0,
+        ..regional_ask()
+    };
+    let (mut run, first) = RelayRun::start(ask, &mut book, at(0));
+    for send in sends(&first) {
+        run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
+    }
+    let end = GroupEnd {
+        answered: vec![2],
+        unclear: vec![unclear(3, &["s3-far", "s3-farther"])],
+    };
+    let mut actions = run.on_group_end(0, &end, &mut book, at(190));
+    for millis in (200..1_900).step_by(20) {
+        for send in sends(&actions) {
+            assert_ne!(&*send.target.id, "s3-near");
+        }
+        actions = run.on_wake(&mut book, at(millis));
+    }
+}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -142,9 +142,12 @@
     };
     let (class, reply) = (shared.handler)(address, message);
     let reply = tokio::select! {
-        reply = reply => reply,
+        // In this order, so that a call that waited while this process was stopped, and was
+        // given up in the meantime, is not begun.
+        biased;
         // The caller reset the stream: dropping the handler's future cancels the work.
         _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
+        reply = reply => reply,
     };
     let Ok(reply) = encode_message(&reply) else {
         return refuse_call(&mut respond, StatusCode::INTERNAL_SERVER_ERROR);
