--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,6 +19,12 @@
     pub(crate) reason: &'static str,
 }
 
+/// How far a target is.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DistanceLabel {
+    pub(crate) distance: &'static str,
+}
+
 /// Kind of an attempt: first, hedge or retry.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct KindLabel {
--- a/crates/daemon/src/relay/carrier.rs
+++ b/crates/daemon/src/relay/carrier.rs
@@ -17,7 +17,7 @@
     entry::EntryNode,
     handover::{GroupReply, Handover, hand_over},
 };
-use crate::metrics::{KindLabel, OutcomeLabel, ReasonLabel};
+use crate::metrics::{DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel};
 
 /// Time that attempts may go on after their request was answered.
 ///
@@ -245,6 +245,12 @@
             .attempts
             .get_or_create(&KindLabel { kind })
             .inc();
+        let distance = send.target.locality.as_str();
+        self.node
+            .metrics
+            .attempt_distances
+            .get_or_create(&DistanceLabel { distance })
+            .inc();
         self.sent.push((send.attempt, self.node.timer.now()));
         let attempt = run_attempt(Arc::clone(&self.node), Arc::clone(&self.message), send);
         self.open.push(attempt.map(EndedWork::Attempt).boxed());
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use fulmarweir_wire::{TrafficClass, TrafficMeter};
 use prometheus_client::{
     encoding::text::encode,
     metrics::{
@@ -16,7 +17,7 @@
     registry::Registry,
 };
 
-use crate::metrics::{KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel};
+use crate::metrics::{DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel};
 
 type LevelGauge = Gauge<u64, AtomicU64>;
 
@@ -27,6 +28,7 @@
     pub(crate) requests: Family<OutcomeLabel, Counter>,
     pub(crate) refusals: Family<ReasonLabel, Counter>,
     pub(crate) attempts: Family<KindLabel, Counter>,
+    pub(crate) attempt_distances: Family<DistanceLabel, Counter>,
     pub(crate) attempt_failures: Family<ReasonLabel, Counter>,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
     pub(crate) handovers: Family<OutcomeLabel, Counter>,
@@ -40,6 +42,8 @@
     pub(crate) entries: LevelGauge,
     pub(crate) brokers: LevelGauge,
     pub(crate) requests_open: LevelGauge,
+    pub(crate) control_bytes: LevelGauge,
+    pub(crate) query_bytes: LevelGauge,
     pub(crate) connections_idle: LevelGauge,
     pub(crate) connections_opened: LevelGauge,
     pub(crate) voter_epoch: LevelGauge,
@@ -59,6 +63,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             attempts: Family::default(),
+            attempt_distances: Family::default(),
             attempt_failures: Family::default(),
             hedges: Family::default(),
             handovers: Family::default(),
@@ -72,6 +77,8 @@
             entries: Gauge::default(),
             brokers: Gauge::default(),
             requests_open: Gauge::default(),
+            control_bytes: Gauge::default(),
+            query_bytes: Gauge::default(),
             connections_idle: Gauge::default(),
             connections_opened: Gauge::default(),
             voter_epoch: Gauge::default(),
@@ -96,6 +103,11 @@
             "Attempts at targets, by kind",
             self.attempts.clone(),
         );
+        registry.register(
+            "attempt_distances",
+            "Attempts at targets, by how far these are",
+            self.attempt_distances.clone(),
+        );
         registry.register(
             "attempt_failures",
             "Attempts without a usable answer, by reason",
@@ -145,6 +157,16 @@
                 &self.brokers,
             ),
             ("requests_open", "Requests in flight", &self.requests_open),
+            (
+                "control_bytes",
+                "Bytes to and from other VMs for what is known of targets, VMs and configurations, since the start",
+                &self.control_bytes,
+            ),
+            (
+                "query_bytes",
+                "Bytes to and from other VMs for searches, since the start",
+                &self.query_bytes,
+            ),
             (
                 "connections_idle",
                 "Idle connections to targets",
@@ -172,6 +194,13 @@
         }
     }
 
+    /// Takes over what the calls between VMs came to.
+    pub(crate) fn note_traffic(&self, meter: &TrafficMeter) {
+        let bytes = |class| meter.totals(class).bytes;
+        self.control_bytes.set(bytes(TrafficClass::Control));
+        self.query_bytes.set(bytes(TrafficClass::Query));
+    }
+
     /// Counts a request's outcome.
     pub(crate) fn count_request(&self, outcome: &'static str) {
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -162,7 +162,7 @@
     let peers: RelayPeers = PeerClient::new(Arc::clone(&meter));
     let node = EntryNode::new(settings, dialect, log, timer, peers.clone());
     let mut parts = RelayParts::new();
-    start_entry_calls(&node, meter, &mut parts).await?;
+    start_entry_calls(&node, Arc::clone(&meter), &mut parts).await?;
     let common = CommonLoops {
         peers: peers.clone(),
         timer: node.timer.clone(),
@@ -173,6 +173,7 @@
     let ticking = Arc::clone(&node);
     let tick = move || {
         ticking.tick();
+        ticking.metrics.note_traffic(&meter);
         probe_brokers(&ticking);
     };
     let holder = Arc::clone(&node) as Arc<dyn AsBoard>;
@@ -365,7 +366,7 @@
     let quorum = Arc::new(QuorumClient::new(client, transport, timer.clone()));
     let node = KeeperNode::new(settings, dialect, log, timer, quorum, voter);
     let mut parts = RelayParts::new();
-    start_keeper_calls(&node, meter, &mut parts).await?;
+    start_keeper_calls(&node, Arc::clone(&meter), &mut parts).await?;
     let common = CommonLoops {
         peers: peers.clone(),
         timer: node.timer.clone(),
@@ -378,7 +379,10 @@
     common.spawn(
         holder,
         keeper_hooks(&node),
-        move || ticking.tick(),
+        move || {
+            ticking.tick();
+            ticking.metrics.note_traffic(&meter);
+        },
         &mut parts,
     );
     parts.loops.extend([
--- a/crates/route/src/relay/card.rs
+++ b/crates/route/src/relay/card.rs
@@ -59,6 +59,16 @@
 }
 
 impl Locality {
+    /// The label of this distance in metrics; it never changes.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Centre => "centre",
+            Self::Region => "region",
+            Self::Far => "far",
+        }
+    }
+
     const fn way_ms(self) -> f64 {
         match self {
             Self::Centre => 0.0,
