--- a/crates/route/src/relay/pace.rs
+++ b/crates/route/src/relay/pace.rs
@@ -17,7 +17,7 @@
 /// Samples before the quantile is used.
 const SAMPLES_MIN: f64 = 30.0;
 /// Share of the time to the soft deadline that a first attempt may take, at most and without samples.
-const SOFT_SHARE_MAX: f64 = 0.25;
+const SOFT_SHARE_MAX: f64 = 0.45;
 /// Shortest pause before a second attempt, in milliseconds.
 const HEDGE_MIN_MS: f64 = 5.0;
 
