Give a late search up at once when the budget for its shards is empty

Now a search past its useful time fails such shards at once: 502 as may have run, and the caller's next request, a new one with first attempts of its own, usually succeeds.

--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -482,8 +482,7 @@
                 let progress = &self.lanes[lane];
                 let is_extra = progress.arrivals > progress.rejected;
                 if is_extra && !book.take_extra(&self.lanes[lane].service, now) {
-                    // Waiting for the budget would hold up callers who can ask again themselves.
-                    if self.lanes[lane].again_in.is_some() {
+                    if self.is_beyond_budget(lane, now) {
                         self.lanes[lane].state = LaneState::Failed;
                     } else {
                         self.pause(lane, BUDGET_PAUSE_MS, now);
@@ -551,6 +550,16 @@
         actions.push(RelayAction::Send(send));
     }
 
+    /// Whether a lane that the budget refuses an attempt had better fail.
+    ///
+    /// Load pattern: many shards slow at once, and their budgets empty. The budget comes back
+    /// over seconds, and a caller that is told at once can ask again, which is a new request.
+    fn is_beyond_budget(&self, lane: usize, now: MonoTime) -> bool {
+        let lane = &self.lanes[lane];
+        let is_late = self.ask.repeatable && now >= self.ask.soft_deadline;
+        lane.open.is_empty() && (is_late || lane.again_in.is_some())
+    }
+
     /// Whether so many services have no target that there can be no answer.
     fn too_few_known(&self, book: &RelayBook) -> bool {
         let known = self.lanes.iter().filter(|lane| book.knows(&lane.service));
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -753,3 +753,48 @@
         actions = run.on_wake(&mut book, at(millis));
     }
 }
+
+/// Load pattern: many shards slow at once, and their budgets empty. Found on the grown permits:
+/// searches waited idle for the budget until their deadline, and their callers could not ask again.
+#[test]
+fn a_late_search_without_a_budget_is_given_up_at_once() {
+    let mut poor = grant();
+    poor.share = 0.0;
+    poor.burst = 0.0;
+    let mut book = RelayBook::new(poor);
+    let targets = (0..4).flat_map(|shard| {
+        let service = format!("s{shard}");
+        [
+            target(&service, "near", Locality::Centre),
+            target(&service, "far", Locality::Far),
+        ]
+    });
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    let (mut run, actions) = RelayRun::start(ask(4, true), &mut book, at(0));
+    let sent = sends(&actions);
+    for send in &sent[2..] {
+        run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
+    }
+    // Before the soft deadline the budget may still come back in time.
+    let after = run.on_end(0, sent[0].attempt, AttemptEnd::Broken, &mut book, at(150));
+    assert!(finish(&after).is_none());
+    let mut now = 150;
+    let end = loop {
+        now += 5;
+        assert!(now < 300, "still waiting at {now} ms");
+        let actions = run.on_wake(&mut book, at(now));
+        if now == 210 {
+            let late = run.on_end(1, sent[1].attempt, AttemptEnd::Broken, &mut book, at(now));
+            if let Some(end) = finish(&late) {
+                break end;
+            }
+        }
+        if let Some(end) = finish(&actions) {
+            break end;
+        }
+    };
+    let RelayEnd::Refused(refusal) = end else {
+        panic!("nothing to answer with");
+    };
+    assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
+}
