--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -110,6 +110,16 @@
             optional --idempotency-key id: String
         }
 
+        /// Tells from the logs of all VMs what became of one request, and what
+        /// these VMs believed of their surroundings then. Needs no VM.
+        cmd explain {
+            /// The caller's id of the request.
+            required request: String
+
+            /// Log files, in any order.
+            repeated files: PathBuf
+        }
+
         /// Prints the version of this tool.
         cmd version {}
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,10 +7,12 @@
 mod call;
 mod config;
 mod exchange;
+mod explain;
 mod failure;
 mod fallback;
 mod flags;
 mod inspect;
+mod log_line;
 mod report;
 mod request;
 mod submit;
@@ -65,6 +67,7 @@
         FulmarweirCmd::Targets(_) => inspect::list_targets(&operators).await,
         FulmarweirCmd::Search(search) => request::search(&callers, search).await,
         FulmarweirCmd::Act(act) => request::act(&callers, act).await,
+        FulmarweirCmd::Explain(ask) => explain::explain(&ask.request, &ask.files),
         FulmarweirCmd::Version(_) => Ok(version_report()),
     }
 }
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -134,7 +134,7 @@
         signatures.extend(reply.signatures.iter().cloned());
         bodies.push(&reply.records);
     }
-    let records = merge_records(bodies.into_iter(), top);
+    let records = merge_records(bodies, top);
     MergedParts {
         signatures,
         records,
--- a/crates/daemon/src/relay/serve.rs
+++ b/crates/daemon/src/relay/serve.rs
@@ -13,19 +13,28 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-/// Largest request head in bytes that is read at all.
-const HEAD_MAX_BYTES: usize = 32 * 1024;
+/// Least room for a request head that the HTTP library works with, in bytes.
+const HEAD_ROOM_MIN_BYTES: usize = 8 * 1024;
 /// Pause after a failed accept, which the lack of file descriptors causes, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// What a connection may take.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionBounds {
+    /// Largest request head in bytes; a larger one is answered with 431.
+    pub(crate) head_max_bytes: usize,
+    /// Time from one answer to the end of the next request head.
+    pub(crate) idle_timeout: Duration,
+}
+
 /// Answers the requests of all connections to `listener` until `stop`.
 ///
 /// Then requests in flight are finished, each with an announcement that its connection
-/// closes, and idle connections are closed.
+/// closes, and idle connections are closed. `bounds` is asked for each new connection.
 pub(crate) async fn serve_calls<H, F>(
     listener: TcpListener,
     handler: H,
-    idle_timeout: Duration,
+    bounds: impl Fn() -> ConnectionBounds,
     stop: CancellationToken,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
@@ -43,13 +52,7 @@
             tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             continue;
         };
-        serve_connection(
-            stream,
-            Arc::clone(&handler),
-            idle_timeout,
-            &graceful,
-            &tasks,
-        );
+        serve_connection(stream, Arc::clone(&handler), bounds(), &graceful, &tasks);
     }
     drop(listener);
     graceful.shutdown().await;
@@ -60,7 +63,7 @@
 fn serve_connection<H, F>(
     stream: TcpStream,
     handler: Arc<H>,
-    idle_timeout: Duration,
+    bounds: ConnectionBounds,
     graceful: &GracefulShutdown,
     tasks: &TaskTracker,
 ) where
@@ -76,8 +79,8 @@
     // The timeout for a request head also runs while a connection is idle.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(HEAD_MAX_BYTES)
+        .header_read_timeout(bounds.idle_timeout)
+        .max_buf_size(bounds.head_max_bytes.max(HEAD_ROOM_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
     tasks.spawn(async move {
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -27,7 +27,7 @@
     peer::{EntryContact, PollRequest, PollSource, RelayAnswer, RelayCall},
     reload::run_reload,
     response::{come_back, text},
-    serve::serve_calls,
+    serve::{ConnectionBounds, serve_calls},
     sync::{AsBoard, ConfigFetch, KeeperBoard, KeeperSync, PollHooks, RelayPeers, run_sync},
     target_file::run_target_file,
     voters::{first_voters, open_voter, run_voters},
@@ -38,12 +38,12 @@
     logging::build_relay_logger,
 };
 
-/// Time that a connection of a caller may stay idle, in milliseconds.
-///
-/// Longer than what callers are told, so that a connection is not closed under a request.
-const CALLER_IDLE_MS: u64 = 16_000;
-/// Time that other connections may stay idle, in milliseconds.
-const CONTROL_IDLE_MS: u64 = 30_000;
+/// Time beyond what callers are told for which a connection stays open, in milliseconds, so
+/// that it is not closed under a request.
+const CALLER_IDLE_SLACK_MS: u64 = 1_000;
+/// Bounds of connections while there is no configuration, and of those to other listeners.
+const HEAD_MAX_BYTES: usize = 32 * 1024;
+const IDLE_MS: u64 = 30_000;
 /// Time between two looks at leases, keepers and connections, in milliseconds.
 const TICK_MS: u64 = 250;
 /// Period of the timer by which the event loop's lag is measured, in milliseconds.
@@ -210,12 +210,13 @@
     let shared = Arc::clone(node);
     let answer = move |call: RelayCall| answer_vm(Arc::clone(&shared), call);
     serve_peers(node.settings.peers, answer, meter, parts).await?;
-    let idle = Duration::from_millis(CALLER_IDLE_MS);
     if let Some(address) = node.settings.callers {
         let (listener, _) = bind(address).await?;
         let shared = Arc::clone(node);
         let handler = move |request| answer_caller(Arc::clone(&shared), request);
-        let serve = serve_calls(listener, handler, idle, parts.stop_calls.clone());
+        let limited = Arc::clone(node);
+        let bounds = move || caller_bounds(&limited);
+        let serve = serve_calls(listener, handler, bounds, parts.stop_calls.clone());
         parts.calls.push(tokio::spawn(serve));
     }
     if let Some(address) = node.settings.ready {
@@ -233,7 +234,7 @@
             }
         };
         // Readiness is answered until the very end.
-        let serve = serve_calls(listener, handler, idle, parts.stop.clone());
+        let serve = serve_calls(listener, handler, other_bounds, parts.stop.clone());
         parts.loops.push(tokio::spawn(serve));
     }
     if let Some(address) = node.settings.metrics {
@@ -276,6 +277,25 @@
     }
 }
 
+/// Bounds of a new connection of a caller, by the configuration in force.
+fn caller_bounds(node: &EntryNode) -> ConnectionBounds {
+    let Some(table) = node.table() else {
+        return other_bounds();
+    };
+    let slack = Duration::from_millis(CALLER_IDLE_SLACK_MS);
+    ConnectionBounds {
+        head_max_bytes: table.limits.head_max_bytes,
+        idle_timeout: table.limits.idle_timeout.max(table.limits.head_timeout) + slack,
+    }
+}
+
+fn other_bounds() -> ConnectionBounds {
+    ConnectionBounds {
+        head_max_bytes: HEAD_MAX_BYTES,
+        idle_timeout: Duration::from_millis(IDLE_MS),
+    }
+}
+
 async fn serve_metrics(
     address: SocketAddr,
     parts: &mut RelayParts,
@@ -286,8 +306,7 @@
         let page = render();
         async move { text(StatusCode::OK, page) }
     };
-    let idle = Duration::from_millis(CONTROL_IDLE_MS);
-    let serve = serve_calls(listener, handler, idle, parts.stop_calls.clone());
+    let serve = serve_calls(listener, handler, other_bounds, parts.stop_calls.clone());
     parts.calls.push(tokio::spawn(serve));
     Ok(())
 }
@@ -409,8 +428,7 @@
         let (listener, _) = bind(address).await?;
         let shared = Arc::clone(node);
         let handler = move |request| answer_control(Arc::clone(&shared), request);
-        let idle = Duration::from_millis(CONTROL_IDLE_MS);
-        let serve = serve_calls(listener, handler, idle, parts.stop_calls.clone());
+        let serve = serve_calls(listener, handler, other_bounds, parts.stop_calls.clone());
         parts.calls.push(tokio::spawn(serve));
     }
     if let Some(address) = node.settings.metrics {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -92,10 +92,6 @@
     wakes.next_back()
 }
 
-fn part(attempt: u32) -> Option<AnswerPart> {
-    Some(AnswerPart::Attempt(attempt))
-}
-
 const ANSWER: AttemptEnd = AttemptEnd::Answered { load: None };
 
 #[test]
@@ -113,7 +109,9 @@
         assert!(finish(&last).is_none());
         last = run.on_end(send.lane, send.attempt, ANSWER, &mut book, at(20));
     }
-    let whole = (0..4).map(part).collect();
+    let whole = (0..4)
+        .map(|number| Some(AnswerPart::Attempt(number)))
+        .collect();
     assert_eq!(finish(&last), Some(RelayEnd::Answered(whole)));
 }
 
@@ -161,7 +159,12 @@
     assert_eq!(now, 200);
     assert_eq!(
         end,
-        RelayEnd::Answered(vec![None, part(1), part(2), part(3)])
+        RelayEnd::Answered(vec![
+            None,
+            Some(AnswerPart::Attempt(1)),
+            Some(AnswerPart::Attempt(2)),
+            Some(AnswerPart::Attempt(3))
+        ])
     );
 }
 
@@ -619,7 +622,12 @@
     };
     let after = run.on_group_end(0, &end, &mut book, at(30));
     let group = Some(AnswerPart::Group(0));
-    let parts = vec![part(0), part(1), group, group];
+    let parts = vec![
+        Some(AnswerPart::Attempt(0)),
+        Some(AnswerPart::Attempt(1)),
+        group,
+        group,
+    ];
     assert_eq!(finish(&after), Some(RelayEnd::Answered(parts)));
     assert_eq!(run.missing(), 0);
 }
@@ -703,7 +711,7 @@
     let sent = sends(&actions);
     run.on_end(0, sent[0].attempt, ANSWER, &mut book, at(20));
     let after = run.on_wake(&mut book, at(200));
-    let parts = vec![part(0), None, None, None];
+    let parts = vec![Some(AnswerPart::Attempt(0)), None, None, None];
     assert_eq!(finish(&after), Some(RelayEnd::Answered(parts)));
     let left: Vec<UnclearLane> = (1..4)
         .map(|lane| unclear(lane, &[&format!("s{lane}-near")]))
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -30,6 +30,8 @@
 const PEERS_PORT: u16 = 7_804;
 const TARGET_PORT: u16 = 7_805;
 const STOP_GRACE_S: u64 = 4;
+/// Data centres; the last one has no target, so its entry VM hands shards over to another one.
+const CENTRES: u8 = 3;
 /// Time after a kill or pause in which an entry VM owes no answer.
 const HURT_SPAN: Duration = Duration::from_millis(2_500);
 /// Third octets of what listens for real, and of the proxies before it.
@@ -187,8 +189,9 @@
              [listen]\npeers = {peers}\nadvertise-peers = {advertised}\n{listen}\n\
              [peers]\nseeds = {}\nfirst-start = true\nlosses-max = 1\n\
              [bounds]\nannounce-ms = 400\nstop-grace-s = {STOP_GRACE_S}\n\
-             [extra]\nshare = 0.3\nburst = 100\n",
-            number % 2,
+             [extra]\nshare = 0.3\nburst = 100\n\
+             [regions]\ncentre-0 = north\ncentre-1 = south\ncentre-2 = north\n",
+            number % CENTRES,
             folder_line.unwrap_or_default(),
             seeds.join(", "),
         );
