--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,4 +27,4 @@
 pub use traffic::{TrafficClass, TrafficMeter, TrafficTotals};
 
 /// Path that names the protocol and its version.
-pub(crate) const PROTOCOL_PATH: &str = "/fulmarweir/peer/2";
+pub(crate) const PROTOCOL_PATH: &str = "/fulmarweir/peer/3";
