Split brokers, messages, listeners and loops of the relay into modules of their own

No change of behaviour: handover.rs asks brokers, broker.rs answers for others, handed.rs writes and reads the messages, broker_views.rs merges what keepers say, listen.rs and parts.rs take the listeners and the loops out of start.rs.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -7,14 +7,19 @@
 
 mod admit;
 mod answer;
+mod broker;
+mod broker_views;
 mod caller;
 mod carrier;
 mod control;
 mod dialect;
 mod entry;
+mod handed;
 mod handover;
 mod keeper;
+mod listen;
 mod metrics;
+mod parts;
 mod peer;
 mod reload;
 mod request_account;
--- /dev/null
+++ b/crates/daemon/src/relay/broker.rs
@@ -0,0 +1,106 @@
+//! Asking shards for other VMs.
+
+use std::sync::{Arc, atomic::Ordering::Relaxed};
+
+use fulmarweir_base::lock;
+use fulmarweir_conf::RouteDestination;
+use fulmarweir_route::RelayEnd;
+use http::StatusCode;
+
+use super::{
+    carrier::{RelayCarrier, RelayResult},
+    entry::EntryNode,
+    handed::{read_places, read_search, write_result},
+    peer::{HandedSearch, RelayAnswer},
+    request_account::{LineContext, OtherVm, log_request},
+    routed::{RoutedRequest, relay_ask},
+};
+
+/// Asks shards for another VM, or says why it does not.
+pub(super) async fn answer_handed(node: Arc<EntryNode>, search: HandedSearch) -> RelayAnswer {
+    let routed = match take_search(&node, &search) {
+        Ok(routed) => routed,
+        Err(reason) => {
+            node.metrics.count_handover("refused-for-others");
+            return RelayAnswer::NotTaken(reason.into());
+        }
+    };
+    let RouteDestination::Gather(gather) = &routed.rule.destination else {
+        return RelayAnswer::NotTaken("no-search".into());
+    };
+    let places = read_places(&search.lanes);
+    if places.iter().any(|place| *place >= gather.shards.len()) {
+        return RelayAnswer::NotTaken("unreadable".into());
+    }
+    let _open = node.open_request();
+    let mut ask = relay_ask(&node, &routed.rule, routed.times);
+    ask.services = places
+        .iter()
+        .map(|place| Arc::clone(&gather.shards[*place]))
+        .collect();
+    ask.is_part = true;
+    // What is missing then, the asker may ask for itself.
+    ask.deadline = ask.soft_deadline;
+    let services = ask.services.clone();
+    let message = Arc::clone(&routed.message);
+    let (carrier, actions) = RelayCarrier::start(Arc::clone(&node), message, ask, Vec::new());
+    let result = carrier.finish(actions).await;
+    log_handed(&node, &routed, &search.origin, &services, &result);
+    let answer = write_result(&node, &result, &search.lanes, gather.top);
+    RelayAnswer::Search(Box::new(answer))
+}
+
+fn take_search(
+    node: &Arc<EntryNode>,
+    search: &HandedSearch,
+) -> Result<RoutedRequest, &'static str> {
+    if node.is_stopping() {
+        return Err("stopping");
+    }
+    let table = node.table().ok_or("no-config")?;
+    // An answer by another version could be older than what this caller has seen.
+    if table.version != search.config_version {
+        return Err("other-config-version");
+    }
+    let rule = table
+        .routes()
+        .find(|rule| rule.name == search.route)
+        .cloned()
+        .ok_or("no-route")?;
+    let open = node.open.load(Relaxed);
+    if lock(&node.lag).refuse_for(rule.rank, open).is_some() {
+        return Err("vm-overloaded");
+    }
+    let (message, times) = read_search(node, search, &rule).ok_or("unreadable")?;
+    Ok(RoutedRequest {
+        table,
+        rule,
+        message: Arc::new(message),
+        times,
+    })
+}
+
+fn log_handed(
+    node: &EntryNode,
+    routed: &RoutedRequest,
+    origin: &str,
+    services: &[Arc<str>],
+    result: &RelayResult,
+) {
+    let (outcome, status) = match &result.end {
+        RelayEnd::Answered(_) if result.stats.missing == 0 => ("whole", StatusCode::OK),
+        RelayEnd::Answered(_) => ("partial", StatusCode::OK),
+        RelayEnd::PassOn(_) => ("target-failure", StatusCode::BAD_GATEWAY),
+        RelayEnd::Refused(refusal) => (refusal.reason.as_str(), StatusCode::BAD_GATEWAY),
+    };
+    let context = LineContext {
+        table: &routed.table,
+        rule: &routed.rule,
+        request_id: &routed.message.request_id,
+        times: routed.times,
+        lanes: services.len(),
+        services,
+        other_vm: OtherVm::From(origin),
+    };
+    log_request(node, &context, outcome, status, &result.stats);
+}
--- a/crates/daemon/src/relay/carrier.rs
+++ b/crates/daemon/src/relay/carrier.rs
@@ -15,7 +15,8 @@
 use super::{
     dialect::ReplyJudgement,
     entry::EntryNode,
-    handover::{GroupReply, Handover, hand_over},
+    handed::GroupReply,
+    handover::{Handover, hand_over},
 };
 use crate::metrics::{DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel};
 
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -14,20 +14,19 @@
 use fulmarweir_conf::{RelaySettings, RouteTable};
 use fulmarweir_fleet::{TargetNotice, TargetRoster};
 use fulmarweir_pool::RelayLinks;
-use fulmarweir_route::{
-    BrokerDesk, BrokerPlace, Locality, PaceTable, RelayBook, RelayTarget, ShardGroup,
-};
+use fulmarweir_route::{BrokerDesk, Locality, PaceTable, RelayBook, RelayTarget, ShardGroup};
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
 use super::{
     admit::LoopLag,
+    broker_views::BrokerViews,
     dialect::RelayDialect,
     metrics::RelayMetrics,
-    peer::{EntryContact, PollReply},
+    peer::PollReply,
     request_log::RequestLog,
-    sync::{ConfigFetch, KeeperBoard, RelayPeers, contacts_digest},
+    sync::{ConfigFetch, KeeperBoard, RelayPeers},
 };
 
 /// Time that a keeper's word on entry VMs counts, in milliseconds.
@@ -63,13 +62,6 @@
     }
 }
 
-/// The brokers that one keeper names.
-struct BrokerView {
-    digest: u64,
-    places: Vec<BrokerPlace>,
-    heard_at: MonoTime,
-}
-
 /// The shared state of an entry VM.
 pub(crate) struct EntryNode {
     pub(crate) settings: RelaySettings,
@@ -89,7 +81,7 @@
     pub(crate) tasks: TaskTracker,
     pub(crate) open: AtomicU64,
     table: Mutex<Option<Arc<RouteTable>>>,
-    broker_views: Mutex<HashMap<SocketAddr, BrokerView>>,
+    broker_views: Mutex<BrokerViews>,
     /// Which shards of a route are handed over, worked out when the first search comes.
     shard_groups: Mutex<HashMap<Arc<str>, Arc<[ShardGroup]>>>,
     roster: Mutex<TargetRoster>,
@@ -208,11 +200,10 @@
         if let Some(news) = &reply.news {
             changed = lock(&self.roster).take(keeper, news.clone(), now);
         }
-        if let Some(view) = lock(&self.broker_views).get_mut(&keeper) {
-            view.heard_at = now;
-        }
-        if let Some(contacts) = &reply.brokers {
-            self.take_brokers(keeper, contacts, now);
+        let brokers = lock(&self.broker_views).take(keeper, reply.brokers.as_deref(), now);
+        if let Some(brokers) = brokers {
+            info!(self.log, "brokers-changed"; "brokers" => brokers.len(), "source" => %keeper);
+            lock(&self.brokers).sync(&brokers, now);
         }
         changed |= self.take_entry_count(keeper, reply.entries, settled, now);
         if changed {
@@ -234,31 +225,7 @@
         if !is_near(&centre) && any_near() {
             return None;
         }
-        let views = lock(&self.broker_views);
-        Some(views.get(&keeper).map_or(0, |view| view.digest))
-    }
-
-    fn take_brokers(&self, keeper: SocketAddr, contacts: &[EntryContact], now: MonoTime) {
-        let mut views = lock(&self.broker_views);
-        let places = contacts.iter().map(|contact| BrokerPlace {
-            address: contact.peers,
-            centre: Arc::clone(&contact.centre),
-        });
-        let view = BrokerView {
-            digest: contacts_digest(contacts),
-            places: places.collect(),
-            heard_at: now,
-        };
-        views.insert(keeper, view);
-        let fresh = Duration::from_millis(ENTRY_COUNT_MS);
-        views.retain(|_, view| now.since(view.heard_at) <= fresh);
-        let mut all: Vec<BrokerPlace> = Vec::new();
-        all.extend(views.values().flat_map(|view| view.places.iter().cloned()));
-        drop(views);
-        all.sort_unstable();
-        all.dedup();
-        info!(self.log, "brokers-changed"; "brokers" => all.len(), "source" => %keeper);
-        lock(&self.brokers).sync(&all, now);
+        Some(lock(&self.broker_views).digest(keeper))
     }
 
     /// The shards of a route that other data centres of the region are nearer to.
--- /dev/null
+++ b/crates/daemon/src/relay/handed.rs
@@ -0,0 +1,147 @@
+//! Shards of searches and their answers as messages between VMs.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use fulmarweir_conf::RouteRule;
+use fulmarweir_route::{AnswerPart, GroupEnd, RelayEnd, UnclearLane};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+use super::{
+    answer::merge_parts,
+    carrier::{RelayMessage, RelayResult},
+    entry::EntryNode,
+    peer::{HandedAnswer, HandedSearch},
+    request_account::RequestTimes,
+    routed::RoutedRequest,
+};
+
+/// Time kept for the way back from a broker and for merging, in milliseconds.
+const ANSWER_MARGIN_MS: u64 = 8;
+
+/// What a broker brought.
+pub(super) struct GroupReply {
+    pub(super) signatures: Vec<Vec<u8>>,
+    pub(super) records: Vec<u8>,
+}
+
+/// The message that hands `lanes` of a search over.
+pub(super) fn write_search(
+    node: &EntryNode,
+    routed: &RoutedRequest,
+    lanes: &[usize],
+) -> HandedSearch {
+    let now = node.timer.now();
+    let message = &routed.message;
+    let millis = |left: Duration| u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let margin = Duration::from_millis(ANSWER_MARGIN_MS);
+    let answer_in = routed.times.soft_deadline.since(now).saturating_sub(margin);
+    HandedSearch {
+        origin: Arc::clone(&node.settings.name),
+        config_version: routed.table.version,
+        route: Arc::clone(&routed.rule.name),
+        lanes: write_places(lanes),
+        method: message.method.as_str().to_owned(),
+        uri: message.uri.to_string(),
+        headers: write_headers(&message.headers),
+        body: message.body.to_vec(),
+        answer_in_ms: millis(answer_in),
+        time_left_ms: millis(routed.times.deadline.since(now)),
+    }
+}
+
+/// The request of a message; `None` if it cannot be read.
+pub(super) fn read_search(
+    node: &EntryNode,
+    search: &HandedSearch,
+    rule: &RouteRule,
+) -> Option<(RelayMessage, RequestTimes)> {
+    let now = node.timer.now();
+    let headers = read_headers(&search.headers)?;
+    let request_id = headers.get(&node.dialect.headers.request_id)?.clone();
+    let deadline = now + Duration::from_millis(search.time_left_ms);
+    let message = RelayMessage {
+        method: Method::from_bytes(search.method.as_bytes()).ok()?,
+        uri: search.uri.parse().ok()?,
+        headers,
+        body: Bytes::copy_from_slice(&search.body),
+        request_id,
+        route: Arc::clone(&rule.name),
+        repeatable: rule.repeatable,
+        deadline,
+    };
+    let times = RequestTimes {
+        arrived_at: now,
+        soft_deadline: now + Duration::from_millis(search.answer_in_ms),
+        deadline,
+        objective: rule.objective,
+    };
+    Some((message, times))
+}
+
+/// The answer to a message about `lanes`.
+pub(super) fn write_result(
+    node: &EntryNode,
+    result: &RelayResult,
+    lanes: &[u16],
+    top: usize,
+) -> HandedAnswer {
+    let parts: &[Option<AnswerPart>] = match &result.end {
+        RelayEnd::Answered(parts) => parts,
+        RelayEnd::PassOn(_) | RelayEnd::Refused(_) => &[],
+    };
+    let answered = lanes.iter().zip(parts).filter(|(_, part)| part.is_some());
+    let unclear = result.unclear.iter();
+    let unclear = unclear.map(|unclear| (lanes[unclear.lane], unclear.ran.clone()));
+    let merged = merge_parts(node, parts, result, top);
+    HandedAnswer {
+        answered: answered.map(|(lane, _)| *lane).collect(),
+        unclear: unclear.collect(),
+        signatures: merged.signatures,
+        records: merged.records,
+    }
+}
+
+/// What a broker's answer says of the group, and what it brought.
+pub(super) fn read_answer(answer: HandedAnswer) -> (GroupEnd, Option<GroupReply>) {
+    let unclear = answer.unclear.into_iter();
+    let unclear = unclear.map(|(lane, ran)| UnclearLane {
+        lane: usize::from(lane),
+        ran,
+    });
+    let end = GroupEnd {
+        answered: read_places(&answer.answered),
+        unclear: unclear.collect(),
+    };
+    let reply = GroupReply {
+        signatures: answer.signatures,
+        records: answer.records,
+    };
+    (end, Some(reply))
+}
+
+/// No route has more shards than this type can count: the document's limit is far below.
+fn write_places(places: &[usize]) -> Vec<u16> {
+    let places = places.iter().map(|place| u16::try_from(*place));
+    places.filter_map(std::result::Result::ok).collect()
+}
+
+pub(super) fn read_places(places: &[u16]) -> Vec<usize> {
+    places.iter().map(|place| usize::from(*place)).collect()
+}
+
+fn write_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let pair = |(name, value): (&HeaderName, &HeaderValue)| {
+        (name.as_str().to_owned(), value.as_bytes().to_vec())
+    };
+    headers.iter().map(pair).collect()
+}
+
+fn read_headers(pairs: &[(String, Vec<u8>)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(pairs.len());
+    for (name, value) in pairs {
+        let name: HeaderName = name.parse().ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
--- /dev/null
+++ b/crates/daemon/src/relay/listen.rs
@@ -0,0 +1,159 @@
+//! The listeners of a VM that relays requests.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use fulmarweir_wire::{PeerServer, TrafficClass, TrafficMeter};
+use http::StatusCode;
+
+use super::{
+    broker::answer_handed,
+    caller::answer_caller,
+    control::answer_control,
+    entry::EntryNode,
+    keeper::KeeperNode,
+    parts::RelayParts,
+    peer::{RelayAnswer, RelayCall},
+    response::{come_back, text},
+    serve::{ConnectionBounds, serve_calls},
+};
+use crate::{error::Result, listener::bind};
+
+/// Time beyond what callers are told for which a connection stays open, in milliseconds, so
+/// that it is not closed under a request.
+const CALLER_IDLE_SLACK_MS: u64 = 1_000;
+/// Bounds of connections while there is no configuration, and of those to other listeners.
+const HEAD_MAX_BYTES: usize = 32 * 1024;
+const IDLE_MS: u64 = 30_000;
+
+/// Starts the listeners of an entry VM.
+pub(super) async fn start_entry_calls(
+    node: &Arc<EntryNode>,
+    meter: Arc<TrafficMeter>,
+    parts: &mut RelayParts,
+) -> Result<()> {
+    let shared = Arc::clone(node);
+    let answer = move |call: RelayCall| answer_vm(Arc::clone(&shared), call);
+    serve_peers(node.settings.peers, answer, meter, parts).await?;
+    if let Some(address) = node.settings.callers {
+        let (listener, _) = bind(address).await?;
+        let shared = Arc::clone(node);
+        let handler = move |request| answer_caller(Arc::clone(&shared), request);
+        let limited = Arc::clone(node);
+        let bounds = move || caller_bounds(&limited);
+        let serve = serve_calls(listener, handler, bounds, parts.stop_calls.clone());
+        parts.calls.push(tokio::spawn(serve));
+    }
+    if let Some(address) = node.settings.ready {
+        let (listener, _) = bind(address).await?;
+        let shared = Arc::clone(node);
+        let handler = move |request: http::Request<hyper::body::Incoming>| {
+            let is_ready = shared.is_ready();
+            let known = request.uri().path() == shared.dialect.ready_path;
+            async move {
+                match (known, is_ready) {
+                    (false, _) => text(StatusCode::NOT_FOUND, "no such page"),
+                    (true, true) => text(StatusCode::OK, "ready"),
+                    (true, false) => come_back("not ready", Duration::from_secs(1)),
+                }
+            }
+        };
+        // Readiness is answered until the very end.
+        let serve = serve_calls(listener, handler, other_bounds, parts.stop.clone());
+        parts.loops.push(tokio::spawn(serve));
+    }
+    if let Some(address) = node.settings.metrics {
+        let shared = Arc::clone(node);
+        serve_metrics(address, parts, move || shared.metrics.render()).await?;
+    }
+    Ok(())
+}
+
+/// Starts the listeners of a keeper.
+pub(super) async fn start_keeper_calls(
+    node: &Arc<KeeperNode>,
+    meter: Arc<TrafficMeter>,
+    parts: &mut RelayParts,
+) -> Result<()> {
+    let shared = Arc::clone(node);
+    let answer = move |call| Arc::clone(&shared).answer(call);
+    serve_peers(node.settings.peers, answer, meter, parts).await?;
+    if let Some(address) = node.settings.control {
+        let (listener, _) = bind(address).await?;
+        let shared = Arc::clone(node);
+        let handler = move |request| answer_control(Arc::clone(&shared), request);
+        let serve = serve_calls(listener, handler, other_bounds, parts.stop_calls.clone());
+        parts.calls.push(tokio::spawn(serve));
+    }
+    if let Some(address) = node.settings.metrics {
+        let shared = Arc::clone(node);
+        serve_metrics(address, parts, move || shared.metrics.render()).await?;
+    }
+    Ok(())
+}
+
+/// Takes the calls of other daemons until the process has finished its own.
+async fn serve_peers<F>(
+    address: SocketAddr,
+    answer: impl Fn(RelayCall) -> F + Send + Sync + 'static,
+    meter: Arc<TrafficMeter>,
+    parts: &mut RelayParts,
+) -> Result<()>
+where
+    F: Future<Output = RelayAnswer> + Send + 'static,
+{
+    let (listener, _) = bind(address).await?;
+    let answer = move |_from: SocketAddr, call: RelayCall| {
+        let class = match &call {
+            RelayCall::Search(_) => TrafficClass::Query,
+            _ => TrafficClass::Control,
+        };
+        (class, answer(call))
+    };
+    let server: PeerServer<RelayCall, RelayAnswer, _> =
+        PeerServer::new(answer, meter, parts.stop.clone());
+    parts.loops.push(tokio::spawn(server.serve(listener)));
+    Ok(())
+}
+
+/// Answers a call of another VM to an entry VM.
+async fn answer_vm(node: Arc<EntryNode>, call: RelayCall) -> RelayAnswer {
+    match call {
+        RelayCall::Search(search) => answer_handed(node, *search).await,
+        RelayCall::Probe => RelayAnswer::Alive(node.is_ready()),
+        RelayCall::Poll(_) | RelayCall::FetchConfig | RelayCall::Voter(_) => RelayAnswer::NotKept,
+    }
+}
+
+/// Bounds of a new connection of a caller, by the configuration in force.
+fn caller_bounds(node: &EntryNode) -> ConnectionBounds {
+    let Some(table) = node.table() else {
+        return other_bounds();
+    };
+    let slack = Duration::from_millis(CALLER_IDLE_SLACK_MS);
+    ConnectionBounds {
+        head_max_bytes: table.limits.head_max_bytes,
+        idle_timeout: table.limits.idle_timeout.max(table.limits.head_timeout) + slack,
+    }
+}
+
+fn other_bounds() -> ConnectionBounds {
+    ConnectionBounds {
+        head_max_bytes: HEAD_MAX_BYTES,
+        idle_timeout: Duration::from_millis(IDLE_MS),
+    }
+}
+
+async fn serve_metrics(
+    address: SocketAddr,
+    parts: &mut RelayParts,
+    render: impl Fn() -> String + Send + Sync + 'static,
+) -> Result<()> {
+    let (listener, _) = bind(address).await?;
+    let handler = move |_request| {
+        let page = render();
+        async move { text(StatusCode::OK, page) }
+    };
+    let serve = serve_calls(listener, handler, other_bounds, parts.stop_calls.clone());
+    parts.calls.push(tokio::spawn(serve));
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/relay/parts.rs
@@ -0,0 +1,124 @@
+//! The tasks of a VM that relays requests, and those that every role has.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use fulmarweir_base::{TimerService, lock};
+use fulmarweir_conf::RelaySettings;
+use slog::Logger;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    entry::EntryNode,
+    reload::run_reload,
+    sync::{AsBoard, KeeperSync, PollHooks, RelayPeers, run_sync},
+};
+
+/// Time between two looks at leases, keepers and connections, in milliseconds.
+const TICK_MS: u64 = 250;
+/// Period of the timer by which the event loop's lag is measured, in milliseconds.
+const LAG_PERIOD_MS: u64 = 25;
+
+/// Tasks of a process and what ends them.
+pub(super) struct RelayParts {
+    /// Ends the listeners, after which their calls are finished.
+    pub(super) stop_calls: CancellationToken,
+    pub(super) calls: Vec<JoinHandle<()>>,
+    /// Ends everything else.
+    pub(super) stop: CancellationToken,
+    pub(super) loops: Vec<JoinHandle<()>>,
+}
+
+impl RelayParts {
+    pub(super) fn new() -> Self {
+        Self {
+            stop_calls: CancellationToken::new(),
+            calls: Vec::new(),
+            stop: CancellationToken::new(),
+            loops: Vec::new(),
+        }
+    }
+
+    async fn finish_calls(&mut self) {
+        self.stop_calls.cancel();
+        for task in self.calls.drain(..) {
+            // A panicking listener has logged its panic.
+            let _ = task.await;
+        }
+    }
+
+    /// Finishes the calls, then ends the loops.
+    pub(super) async fn finish(mut self) {
+        self.finish_calls().await;
+        self.stop.cancel();
+        for task in self.loops {
+            let _ = task.await;
+        }
+    }
+}
+
+/// What the loops of entry VMs and keepers have in common.
+pub(super) struct CommonLoops {
+    pub(super) peers: RelayPeers,
+    pub(super) timer: TimerService,
+    pub(super) log: Logger,
+    pub(super) own: SocketAddr,
+    /// The settings file.
+    pub(super) path: PathBuf,
+}
+
+impl CommonLoops {
+    /// Starts asking keepers, ticking, and reading the settings again.
+    pub(super) fn spawn(
+        self,
+        holder: Arc<dyn AsBoard>,
+        hooks: PollHooks,
+        tick: impl Fn() + Send + Sync + 'static,
+        parts: &mut RelayParts,
+    ) {
+        let stop = &parts.stop;
+        let sync = Arc::new(KeeperSync {
+            peers: self.peers,
+            timer: self.timer.clone(),
+            log: self.log.clone(),
+            hooks,
+            own: self.own,
+            stop: stop.clone(),
+        });
+        let reloaded = Arc::clone(&holder);
+        let apply = move |settings: &RelaySettings| reloaded.board().set_seeds(&settings.seeds);
+        parts.loops.extend([
+            tokio::spawn(run_sync(sync, holder)),
+            tokio::spawn(run_ticks(self.timer, stop.clone(), tick)),
+            tokio::spawn(run_reload(self.path, self.log, stop.clone(), apply)),
+        ]);
+    }
+}
+
+/// Calls `tick` again and again until stopped.
+async fn run_ticks(timer: TimerService, stop: CancellationToken, tick: impl Fn() + Send + Sync) {
+    let mut ticks = timer.subscribe(Duration::from_millis(TICK_MS));
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            due = ticks.next() => match due {
+                Some(_) => tick(),
+                None => return,
+            },
+        }
+    }
+}
+
+/// Measures how late a timer fires, which is how far the event loop is behind.
+pub(super) async fn run_lag_probe(node: Arc<EntryNode>, stop: CancellationToken) {
+    let period = Duration::from_millis(LAG_PERIOD_MS);
+    loop {
+        let due = node.timer.now() + period;
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.timer.sleep_until(due) => {}
+        }
+        let late = node.timer.now().since(due);
+        lock(&node.lag).record(late);
+    }
+}
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -6,48 +6,31 @@
 use fulmarweir_base::{TimerService, lock};
 use fulmarweir_conf::{RelayRole, RelaySettings};
 use fulmarweir_quorum::{ClientSettings, QuorumClient, VoterService, VoterTransport};
-use fulmarweir_wire::{PeerClient, PeerServer, TrafficClass, TrafficMeter};
+use fulmarweir_wire::{PeerClient, TrafficClass, TrafficMeter};
 use futures::FutureExt;
-use http::StatusCode;
 use slog::{Logger, error, info};
 use tokio::{
     signal::unix::{SignalKind, signal},
-    task::JoinHandle,
     time::{sleep, timeout},
 };
-use tokio_util::sync::CancellationToken;
 
 use super::{
-    caller::answer_caller,
-    control::answer_control,
     dialect::RelayDialect,
     entry::EntryNode,
-    handover::{answer_handed, probe_brokers},
+    handover::probe_brokers,
     keeper::KeeperNode,
+    listen::{start_entry_calls, start_keeper_calls},
+    parts::{CommonLoops, RelayParts, run_lag_probe},
     peer::{EntryContact, PollRequest, PollSource, RelayAnswer, RelayCall},
-    reload::run_reload,
-    response::{come_back, text},
-    serve::{ConnectionBounds, serve_calls},
-    sync::{AsBoard, ConfigFetch, KeeperBoard, KeeperSync, PollHooks, RelayPeers, run_sync},
+    sync::{AsBoard, ConfigFetch, KeeperBoard, PollHooks, RelayPeers},
     target_file::run_target_file,
     voters::{first_voters, open_voter, run_voters},
 };
 use crate::{
     error::{DaemonError, Result},
-    listener::bind,
     logging::build_relay_logger,
 };
 
-/// Time beyond what callers are told for which a connection stays open, in milliseconds, so
-/// that it is not closed under a request.
-const CALLER_IDLE_SLACK_MS: u64 = 1_000;
-/// Bounds of connections while there is no configuration, and of those to other listeners.
-const HEAD_MAX_BYTES: usize = 32 * 1024;
-const IDLE_MS: u64 = 30_000;
-/// Time between two looks at leases, keepers and connections, in milliseconds.
-const TICK_MS: u64 = 250;
-/// Period of the timer by which the event loop's lag is measured, in milliseconds.
-const LAG_PERIOD_MS: u64 = 25;
 /// Part of the stop grace in which callers still find their connections open.
 const SETTLE_SHARE: f64 = 0.5;
 /// Time before the end of the stop grace at which the process ends by itself, in milliseconds.
@@ -79,81 +62,6 @@
     ended
 }
 
-/// Tasks of a process and what ends them.
-struct RelayParts {
-    /// Ends the listeners, after which their calls are finished.
-    stop_calls: CancellationToken,
-    calls: Vec<JoinHandle<()>>,
-    /// Ends everything else.
-    stop: CancellationToken,
-    loops: Vec<JoinHandle<()>>,
-}
-
-impl RelayParts {
-    fn new() -> Self {
-        Self {
-            stop_calls: CancellationToken::new(),
-            calls: Vec::new(),
-            stop: CancellationToken::new(),
-            loops: Vec::new(),
-        }
-    }
-
-    async fn finish_calls(&mut self) {
-        self.stop_calls.cancel();
-        for task in self.calls.drain(..) {
-            // A panicking listener has logged its panic.
-            let _ = task.await;
-        }
-    }
-
-    async fn finish(mut self) {
-        self.finish_calls().await;
-        self.stop.cancel();
-        for task in self.loops {
-            let _ = task.await;
-        }
-    }
-}
-
-/// What the loops of entry VMs and keepers have in common.
-struct CommonLoops {
-    peers: RelayPeers,
-    timer: TimerService,
-    log: Logger,
-    own: SocketAddr,
-    /// The settings file.
-    path: PathBuf,
-}
-
-impl CommonLoops {
-    /// Starts asking keepers, ticking, and reading the settings again.
-    fn spawn(
-        self,
-        holder: Arc<dyn AsBoard>,
-        hooks: PollHooks,
-        tick: impl Fn() + Send + Sync + 'static,
-        parts: &mut RelayParts,
-    ) {
-        let stop = &parts.stop;
-        let sync = Arc::new(KeeperSync {
-            peers: self.peers,
-            timer: self.timer.clone(),
-            log: self.log.clone(),
-            hooks,
-            own: self.own,
-            stop: stop.clone(),
-        });
-        let reloaded = Arc::clone(&holder);
-        let apply = move |settings: &RelaySettings| reloaded.board().set_seeds(&settings.seeds);
-        parts.loops.extend([
-            tokio::spawn(run_sync(sync, holder)),
-            tokio::spawn(run_ticks(self.timer, stop.clone(), tick)),
-            tokio::spawn(run_reload(self.path, self.log, stop.clone(), apply)),
-        ]);
-    }
-}
-
 async fn run_entry(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
     let log = build_relay_logger(settings.log_level, &settings.name);
     log_start(&log, &settings);
@@ -202,115 +110,6 @@
     Ok(())
 }
 
-async fn start_entry_calls(
-    node: &Arc<EntryNode>,
-    meter: Arc<TrafficMeter>,
-    parts: &mut RelayParts,
-) -> Result<()> {
-    let shared = Arc::clone(node);
-    let answer = move |call: RelayCall| answer_vm(Arc::clone(&shared), call);
-    serve_peers(node.settings.peers, answer, meter, parts).await?;
-    if let Some(address) = node.settings.callers {
-        let (listener, _) = bind(address).await?;
-        let shared = Arc::clone(node);
-        let handler = move |request| answer_caller(Arc::clone(&shared), request);
-        let limited = Arc::clone(node);
-        let bounds = move || caller_bounds(&limited);
-        let serve = serve_calls(listener, handler, bounds, parts.stop_calls.clone());
-        parts.calls.push(tokio::spawn(serve));
-    }
-    if let Some(address) = node.settings.ready {
-        let (listener, _) = bind(address).await?;
-        let shared = Arc::clone(node);
-        let handler = move |request: http::Request<hyper::body::Incoming>| {
-            let is_ready = shared.is_ready();
-            let known = request.uri().path() == shared.dialect.ready_path;
-            async move {
-                match (known, is_ready) {
-                    (false, _) => text(StatusCode::NOT_FOUND, "no such page"),
-                    (true, true) => text(StatusCode::OK, "ready"),
-                    (true, false) => come_back("not ready", Duration::from_secs(1)),
-                }
-            }
-        };
-        // Readiness is answered until the very end.
-        let serve = serve_calls(listener, handler, other_bounds, parts.stop.clone());
-        parts.loops.push(tokio::spawn(serve));
-    }
-    if let Some(address) = node.settings.metrics {
-        let shared = Arc::clone(node);
-        serve_metrics(address, parts, move || shared.metrics.render()).await?;
-    }
-    Ok(())
-}
-
-/// Takes the calls of other daemons until the process has finished its own.
-async fn serve_peers<F>(
-    address: SocketAddr,
-    answer: impl Fn(RelayCall) -> F + Send + Sync + 'static,
-    meter: Arc<TrafficMeter>,
-    parts: &mut RelayParts,
-) -> Result<()>
-where
-    F: Future<Output = RelayAnswer> + Send + 'static,
-{
-    let (listener, _) = bind(address).await?;
-    let answer = move |_from: SocketAddr, call: RelayCall| {
-        let class = match &call {
-            RelayCall::Search(_) => TrafficClass::Query,
-            _ => TrafficClass::Control,
-        };
-        (class, answer(call))
-    };
-    let server: PeerServer<RelayCall, RelayAnswer, _> =
-        PeerServer::new(answer, meter, parts.stop.clone());
-    parts.loops.push(tokio::spawn(server.serve(listener)));
-    Ok(())
-}
-
-/// Answers a call of another VM to an entry VM.
-async fn answer_vm(node: Arc<EntryNode>, call: RelayCall) -> RelayAnswer {
-    match call {
-        RelayCall::Search(search) => answer_handed(node, *search).await,
-        RelayCall::Probe => RelayAnswer::Alive(node.is_ready()),
-        RelayCall::Poll(_) | RelayCall::FetchConfig | RelayCall::Voter(_) => RelayAnswer::NotKept,
-    }
-}
-
-/// Bounds of a new connection of a caller, by the configuration in force.
-fn caller_bounds(node: &EntryNode) -> ConnectionBounds {
-    let Some(table) = node.table() else {
-        return other_bounds();
-    };
-    let slack = Duration::from_millis(CALLER_IDLE_SLACK_MS);
-    ConnectionBounds {
-        head_max_bytes: table.limits.head_max_bytes,
-        idle_timeout: table.limits.idle_timeout.max(table.limits.head_timeout) + slack,
-    }
-}
-
-fn other_bounds() -> ConnectionBounds {
-    ConnectionBounds {
-        head_max_bytes: HEAD_MAX_BYTES,
-        idle_timeout: Duration::from_millis(IDLE_MS),
-    }
-}
-
-async fn serve_metrics(
-    address: SocketAddr,
-    parts: &mut RelayParts,
-    render: impl Fn() -> String + Send + Sync + 'static,
-) -> Result<()> {
-    let (listener, _) = bind(address).await?;
-    let handler = move |_request| {
-        let page = render();
-        async move { text(StatusCode::OK, page) }
-    };
-    let serve = serve_calls(listener, handler, other_bounds, parts.stop_calls.clone());
-    parts.calls.push(tokio::spawn(serve));
-    Ok(())
-}
-
 fn entry_hooks(node: &Arc<EntryNode>) -> PollHooks {
     let (asker, taker, holder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
     PollHooks {
@@ -343,34 +142,6 @@
     }
 }
 
-/// Calls `tick` again and again until stopped.
-async fn run_ticks(timer: TimerService, stop: CancellationToken, tick: impl Fn() + Send + Sync) {
-    let mut ticks = timer.subscribe(Duration::from_millis(TICK_MS));
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            due = ticks.next() => match due {
-                Some(_) => tick(),
-                None => return,
-            },
-        }
-    }
-}
-
-/// Measures how late a timer fires, which is how far the event loop is behind.
-async fn run_lag_probe(node: Arc<EntryNode>, stop: CancellationToken) {
-    let period = Duration::from_millis(LAG_PERIOD_MS);
-    loop {
-        let due = node.timer.now() + period;
-        tokio::select! {
-            () = stop.cancelled() => return,
-            () = node.timer.sleep_until(due) => {}
-        }
-        let late = node.timer.now().since(due);
-        lock(&node.lag).record(late);
-    }
-}
-
 async fn run_keeper(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
     let log = build_relay_logger(settings.log_level, &settings.name);
     log_start(&log, &settings);
@@ -416,28 +187,6 @@
     Ok(())
 }
 
-async fn start_keeper_calls(
-    node: &Arc<KeeperNode>,
-    meter: Arc<TrafficMeter>,
-    parts: &mut RelayParts,
-) -> Result<()> {
-    let shared = Arc::clone(node);
-    let answer = move |call| Arc::clone(&shared).answer(call);
-    serve_peers(node.settings.peers, answer, meter, parts).await?;
-    if let Some(address) = node.settings.control {
-        let (listener, _) = bind(address).await?;
-        let shared = Arc::clone(node);
-        let handler = move |request| answer_control(Arc::clone(&shared), request);
-        let serve = serve_calls(listener, handler, other_bounds, parts.stop_calls.clone());
-        parts.calls.push(tokio::spawn(serve));
-    }
-    if let Some(address) = node.settings.metrics {
-        let shared = Arc::clone(node);
-        serve_metrics(address, parts, move || shared.metrics.render()).await?;
-    }
-    Ok(())
-}
-
 fn keeper_hooks(node: &Arc<KeeperNode>) -> PollHooks {
     let (asker, taker, holder) = (Arc::clone(node), Arc::clone(node), Arc::clone(node));
     PollHooks {
