Hand nothing over of a search that is refused at once

Found by reading: a search whose shards mostly have no target is refused as not run when it starts, but its hand-overs were already prepared. They were sent to the broker while the refused request's open work was let go on, and since parts counted as handed over the caller was told 502, may have run, instead of 503. A hand-over that never began also kept its broker's place taken for ever.

Now the parts are marked and sent only if the search goes on, and the place is freed with the hand-over.

--- a/crates/daemon/src/relay/carrier.rs
+++ b/crates/daemon/src/relay/carrier.rs
@@ -109,28 +109,34 @@
         handovers: Vec<Handover>,
     ) -> (Self, Vec<RelayAction>) {
         let now = node.timer.now();
-        let open = FuturesUnordered::new();
-        let brokers = handovers.iter().map(|handover| handover.broker).collect();
-        for (place, handover) in handovers.into_iter().enumerate() {
-            let work = hand_over(Arc::clone(&node), handover);
-            let work = work.map(move |(end, reply)| EndedWork::Group(place, end, reply));
-            open.push(work.boxed());
-        }
         let (run, actions) = RelayRun::start(ask, &mut lock(&node.book), now);
-        let carrier = Self {
+        let mut carrier = Self {
             node,
             message,
             run,
-            open,
+            open: FuturesUnordered::new(),
             group_replies: Vec::new(),
-            brokers,
+            brokers: Vec::new(),
             replies: Vec::new(),
             last_fault: None,
             sent: Vec::new(),
         };
+        let is_over = |action: &RelayAction| matches!(action, RelayAction::Finish(_));
+        if !actions.iter().any(is_over) {
+            carrier.start_handovers(handovers);
+        }
         (carrier, actions)
     }
 
+    fn start_handovers(&mut self, handovers: Vec<Handover>) {
+        for (place, handover) in handovers.into_iter().enumerate() {
+            self.brokers.push(handover.broker());
+            let work = hand_over(Arc::clone(&self.node), handover);
+            let work = work.map(move |(end, reply)| EndedWork::Group(place, end, reply));
+            self.open.push(work.boxed());
+        }
+    }
+
     /// Carries the request to its end.
     pub(crate) async fn finish(mut self, mut actions: Vec<RelayAction>) -> RelayResult {
         let mut wake_at = self.message.deadline;
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -23,15 +23,23 @@
 const PROBE_PERIOD_MS: u64 = 150;
 /// Time for the answer, in milliseconds: the way within a region and back, and some lag.
 const PROBE_PATIENCE_MS: u64 = 100;
+
 /// Shards of a search and the broker that is asked to see to them.
 pub(super) struct Handover {
-    pub(super) broker: SocketAddr,
+    hold: BrokerHold,
     pub(super) group: ShardGroup,
     /// The caller's id of the request, for logs.
     request_id: HeaderValue,
     search: HandedSearch,
 }
 
+impl Handover {
+    /// The broker's address.
+    pub(super) fn broker(&self) -> SocketAddr {
+        self.hold.broker
+    }
+}
+
 /// What a broker said, or that it said nothing.
 enum BrokerWord {
     Answer(Box<HandedAnswer>),
@@ -39,14 +47,14 @@
     Lost(RunVerdict),
 }
 
-/// Frees the broker's place when the hand-over ends, also by a caller that leaves.
-struct BrokerHold<'a> {
-    node: &'a EntryNode,
+/// Frees the broker's place when the hand-over ends, also one that never began.
+struct BrokerHold {
+    node: Arc<EntryNode>,
     broker: SocketAddr,
     end: HandoverEnd,
 }
 
-impl Drop for BrokerHold<'_> {
+impl Drop for BrokerHold {
     fn drop(&mut self) {
         let now = self.node.timer.now();
         lock(&self.node.brokers).ended(self.broker, self.end, now);
@@ -55,7 +63,7 @@
 
 /// Chooses brokers for the shards of a search whose targets are in other data centres.
 pub(super) fn plan_handovers(
-    node: &EntryNode,
+    node: &Arc<EntryNode>,
     routed: &RoutedRequest,
     services: &[Arc<str>],
 ) -> Vec<Handover> {
@@ -67,8 +75,13 @@
     let now = node.timer.now();
     let plan = |group: &ShardGroup| {
         let broker = lock(&node.brokers).choose(&group.centre, now)?;
-        Some(Handover {
+        let hold = BrokerHold {
+            node: Arc::clone(node),
             broker,
+            end: HandoverEnd::Abandoned,
+        };
+        Some(Handover {
+            hold,
             group: group.clone(),
             request_id: routed.message.request_id.clone(),
             search: write_search(node, routed, &group.lanes),
@@ -83,17 +96,13 @@
     handover: Handover,
 ) -> (GroupEnd, Option<GroupReply>) {
     let Handover {
-        broker,
+        mut hold,
         group,
         request_id,
         search,
     } = handover;
+    let broker = hold.broker;
     let config_version = search.config_version;
-    let mut hold = BrokerHold {
-        node: &node,
-        broker,
-        end: HandoverEnd::Abandoned,
-    };
     let word = ask_broker(&node, broker, search).await;
     let (end, outcome) = match &word {
         BrokerWord::Answer(_) => (HandoverEnd::Answered, "answered"),
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -180,14 +180,11 @@
 }
 
 impl RelayRun {
-    /// Starts a request: sends the first attempt of each lane.
+    /// Starts a request: sends the first attempt of each lane that is not handed over.
+    ///
+    /// If the actions finish the request at once, no group may be handed over.
     pub fn start(ask: RelayAsk, book: &mut RelayBook, now: MonoTime) -> (Self, Vec<RelayAction>) {
-        let mut lanes: Vec<Lane> = ask.services.iter().cloned().map(Lane::new).collect();
-        for (place, group) in ask.handed_over.iter().enumerate() {
-            for lane in &group.lanes {
-                lanes[*lane].state = LaneState::HandedOver(place);
-            }
-        }
+        let lanes = ask.services.iter().cloned().map(Lane::new).collect();
         let mut run = Self {
             lanes,
             started_at: now,
@@ -202,9 +199,15 @@
         };
         let mut actions = Vec::with_capacity(run.lanes.len() + 1);
         if run.too_few_known(book) {
+            // Nothing has been handed over yet either.
             run.refuse(RefusalReason::NoTargets, book, now, &mut actions);
             return (run, actions);
         }
+        for (place, group) in run.ask.handed_over.iter().enumerate() {
+            for lane in &group.lanes {
+                run.lanes[*lane].state = LaneState::HandedOver(place);
+            }
+        }
         for lane in 0..run.lanes.len() {
             if run.lanes[lane].is_open() {
                 run.send_first(lane, book, now, &mut actions);
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -806,3 +806,17 @@
     };
     assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
 }
+
+/// Found by reading: such a search was said to have run perhaps, since parts were to be handed over.
+#[test]
+fn a_search_without_enough_targets_is_refused_before_any_part_is_handed_over() {
+    let mut book = RelayBook::new(grant());
+    let targets = (0..2).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
+    book.sync(targets.collect(), 1, |_| Some(30), at(0));
+    let (_, actions) = RelayRun::start(regional_ask(), &mut book, at(0));
+    let Some(RelayEnd::Refused(refusal)) = finish(&actions) else {
+        panic!("half of the shards have no target");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoTargets);
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+}
