Wake a paused process that the soak asks to stop

Traced: it was paused at 7831 ms and sent SIGTERM at 7904 ms; the run of faults waited for its end and did not wake it, and its log ends at the pause without the line "stopping". A stopped process cannot act on a signal, so the fault was the soak's. The signal is now followed by SIGCONT, and the grace counts from there.

--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -257,6 +257,8 @@
     /// Asks the process to stop, and waits for it; tells whether it ended in its grace.
     pub(crate) async fn terminate(&mut self) -> bool {
         self.signal(Signal::TERM);
+        // A paused process gets its signals when it is woken, and its grace counts from then on.
+        self.signal(Signal::CONT);
         let grace = Duration::from_secs(STOP_GRACE_S);
         let Some(child) = &mut self.child else {
             return true;
