--- a/crates/conf/src/reader.rs
+++ b/crates/conf/src/reader.rs
@@ -122,3 +122,19 @@
     let fault = ConfigFault::new(FaultReason::DuplicateSection, expected);
     faults.push(fault.at(section.line).section(section.name));
 }
+
+/// Reports sections that are not among `known`, and those that stand twice.
+pub(crate) fn check_sections(sections: &[IniSection<'_>], known: &[&str], faults: &mut FaultList) {
+    for (index, section) in sections.iter().enumerate() {
+        if !known.contains(&section.name) {
+            let expected = format!("one of [{}]", known.join("], ["));
+            let fault = ConfigFault::new(FaultReason::UnknownSection, expected);
+            faults.push(fault.at(section.line).section(section.name));
+            continue;
+        }
+        let earlier = sections[..index].iter().find(|s| s.name == section.name);
+        if let Some(first) = earlier {
+            push_duplicate_section(section, first.line, faults);
+        }
+    }
+}
--- a/crates/conf/src/relay_settings.rs
+++ b/crates/conf/src/relay_settings.rs
@@ -8,7 +8,7 @@
 use crate::{
     fault::{ConfigFault, FaultList, FaultReason, Result},
     ini::{IniSection, parse_sections},
-    reader::{SectionReader, push_duplicate_section},
+    reader::{SectionReader, check_sections},
     settings::read_checked,
     settings_value::{folder, log_level},
     value::{self, address, expected, flag, list, number, reachable_address},
@@ -170,7 +170,7 @@
 }
 
 fn read_sections(sections: &[IniSection<'_>], faults: &mut FaultList) -> Option<RelaySettings> {
-    check_sections(sections, faults);
+    check_sections(sections, &SECTIONS, faults);
     let (name, centre, role, data_folder) = with_section(sections, "vm", faults, |vm| {
         (
             vm.required("name", word),
@@ -232,21 +232,6 @@
     })
 }
 
-fn check_sections(sections: &[IniSection<'_>], faults: &mut FaultList) {
-    for (index, section) in sections.iter().enumerate() {
-        if !SECTIONS.contains(&section.name) {
-            let expected = format!("one of [{}]", SECTIONS.join("], ["));
-            let fault = ConfigFault::new(FaultReason::UnknownSection, expected);
-            faults.push(fault.at(section.line).section(section.name));
-            continue;
-        }
-        let earlier = sections[..index].iter().find(|s| s.name == section.name);
-        if let Some(first) = earlier {
-            push_duplicate_section(section, first.line, faults);
-        }
-    }
-}
-
 /// The section `[listen]`.
 struct RelayListen {
     callers: Option<SocketAddr>,
--- a/crates/conf/src/settings_parse.rs
+++ b/crates/conf/src/settings_parse.rs
@@ -10,7 +10,7 @@
 use crate::{
     fault::{ConfigFault, FaultList, FaultReason},
     ini::IniSection,
-    reader::{SectionReader, push_duplicate_section},
+    reader::{SectionReader, check_sections},
     settings::{
         ListenSettings, PeerSettings, PolicySettings, RepairSettings, ShutdownSettings, VmSettings,
         VoterAddress,
@@ -49,7 +49,7 @@
     sections: &[IniSection<'_>],
     faults: &mut FaultList,
 ) -> Option<VmSettings> {
-    check_sections(sections, faults);
+    check_sections(sections, &SECTIONS, faults);
     let vm = read_vm(sections, faults);
     let listen = read_listen(sections, faults);
     let peers = read_peers(sections, faults);
@@ -78,21 +78,6 @@
     Some(settings)
 }
 
-fn check_sections(sections: &[IniSection<'_>], faults: &mut FaultList) {
-    for (index, section) in sections.iter().enumerate() {
-        if !SECTIONS.contains(&section.name) {
-            let expected = format!("one of [{}]", SECTIONS.join("], ["));
-            let fault = ConfigFault::new(FaultReason::UnknownSection, expected);
-            faults.push(fault.at(section.line).section(section.name));
-            continue;
-        }
-        let earlier = sections[..index].iter().find(|s| s.name == section.name);
-        if let Some(first) = earlier {
-            push_duplicate_section(section, first.line, faults);
-        }
-    }
-}
-
 fn find<'a>(sections: &'a [IniSection<'a>], name: &str) -> Option<&'a IniSection<'a>> {
     sections.iter().find(|section| section.name == name)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod operator_api;
 mod peer_api;
 mod peer_message;
+mod program;
 mod relay;
 mod run;
 mod search;
@@ -32,5 +33,6 @@
 mod voter_repair;
 
 pub use error::{DaemonError, Result};
+pub use program::run_program;
 pub use relay::{ControlCall, HeaderNames, RelayDialect, ReplyJudgement, run_relay};
 pub use run::run;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -31,6 +31,19 @@
 
 /// Serves `router` until `stop`, then finishes the requests in flight.
 pub(crate) async fn serve_http(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let serve = move |stream, graceful: &GracefulShutdown, tasks: &TaskTracker| {
+        serve_connection(stream, router.clone(), graceful, tasks);
+    };
+    accept_until(listener, serve, stop).await;
+}
+
+/// Passes accepted connections to `serve` until `stop`, then finishes the requests in flight
+/// and closes idle connections.
+pub(crate) async fn accept_until(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream, &GracefulShutdown, &TaskTracker),
+    stop: CancellationToken,
+) {
     let graceful = GracefulShutdown::new();
     let tasks = TaskTracker::new();
     loop {
@@ -42,7 +55,9 @@
             tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             continue;
         };
-        serve_connection(stream, router.clone(), &graceful, &tasks);
+        // Without this option small answers only wait longer.
+        let _ = stream.set_nodelay(true);
+        serve(stream, &graceful, &tasks);
     }
     drop(listener);
     graceful.shutdown().await;
@@ -56,7 +71,6 @@
     graceful: &GracefulShutdown,
     tasks: &TaskTracker,
 ) {
-    let _ = stream.set_nodelay(true);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -169,9 +169,14 @@
 
     /// The text for `GET /metrics`.
     pub(crate) fn render(&self) -> String {
-        let mut text = String::new();
-        // Writing to a string does not fail.
-        let _ = encode(&mut text, &self.registry);
-        text
+        render_registry(&self.registry)
     }
 }
+
+/// The text of a metrics page.
+pub(crate) fn render_registry(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = encode(&mut text, registry);
+    text
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod answer;
+mod body;
 mod broker;
 mod broker_views;
 mod caller;
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -27,37 +27,28 @@
     header::UPGRADE,
 ];
 
-/// The answer to a request that has ended, with its outcome's name.
+/// The answer to a request that has ended; takes the reply out that is passed on.
 pub(super) fn write_answer(
     node: &EntryNode,
     rule: &RouteRule,
-    result: RelayResult,
-) -> (&'static str, RelayResponse) {
+    result: &mut RelayResult,
+) -> RelayResponse {
     match &result.end {
         RelayEnd::Answered(parts) => match &rule.destination {
-            RouteDestination::Gather(gather) => {
-                let outcome = match result.stats.missing {
-                    0 => "whole",
-                    _ => "partial",
-                };
-                (outcome, merged_answer(node, parts, &result, gather.top))
-            }
+            RouteDestination::Gather(gather) => merged_answer(node, parts, result, gather.top),
             RouteDestination::Split(_) => {
                 let attempt = parts.iter().flatten().find_map(|part| match part {
                     AnswerPart::Attempt(attempt) => Some(*attempt),
                     AnswerPart::Group(_) => None,
                 });
-                ("answered", pass_reply(result.replies, attempt))
+                pass_reply(&mut result.replies, attempt)
             }
         },
         RelayEnd::PassOn(attempt) => {
             let attempt = Some(*attempt);
-            ("target-failure", pass_reply(result.replies, attempt))
+            pass_reply(&mut result.replies, attempt)
         }
-        RelayEnd::Refused(refusal) => (
-            refusal.reason.as_str(),
-            refusal_answer(node, *refusal, result.stats.last_fault),
-        ),
+        RelayEnd::Refused(refusal) => refusal_answer(node, *refusal, result.stats.last_fault),
     }
 }
 
@@ -68,7 +59,7 @@
 }
 
 /// The answer of one target, without the headers of its connection.
-fn pass_reply(mut replies: Vec<(u32, RelayReply)>, attempt: Option<u32>) -> RelayResponse {
+fn pass_reply(replies: &mut Vec<(u32, RelayReply)>, attempt: Option<u32>) -> RelayResponse {
     let place = replies
         .iter()
         .position(|(number, _)| Some(*number) == attempt);
--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -33,19 +33,26 @@
         return RelayAnswer::NotTaken("unreadable".into());
     }
     let _open = node.open_request();
-    let mut ask = relay_ask(&node, &routed.rule, routed.times);
-    ask.services = places
+    let services = places
         .iter()
-        .map(|place| Arc::clone(&gather.shards[*place]))
-        .collect();
+        .map(|place| Arc::clone(&gather.shards[*place]));
+    let mut ask = relay_ask(&node, &routed.rule, routed.times, services.collect());
     ask.is_part = true;
     // What is missing then, the asker may ask for itself.
     ask.deadline = ask.soft_deadline;
-    let services = ask.services.clone();
     let message = Arc::clone(&routed.message);
     let (carrier, actions) = RelayCarrier::start(Arc::clone(&node), message, ask, Vec::new());
     let result = carrier.finish(actions).await;
-    log_handed(&node, &routed, &search.origin, &services, &result);
+    let first_service = places.first().map(|place| &gather.shards[*place]);
+    let lanes = places.len();
+    log_handed(
+        &node,
+        &routed,
+        &search.origin,
+        lanes,
+        first_service,
+        &result,
+    );
     let answer = write_result(&node, &result, &search.lanes, gather.top);
     RelayAnswer::Search(Box::new(answer))
 }
@@ -84,23 +91,22 @@
     node: &EntryNode,
     routed: &RoutedRequest,
     origin: &str,
-    services: &[Arc<str>],
+    lanes: usize,
+    first_service: Option<&Arc<str>>,
     result: &RelayResult,
 ) {
-    let (outcome, status) = match &result.end {
-        RelayEnd::Answered(_) if result.stats.missing == 0 => ("whole", StatusCode::OK),
-        RelayEnd::Answered(_) => ("partial", StatusCode::OK),
-        RelayEnd::PassOn(_) => ("target-failure", StatusCode::BAD_GATEWAY),
-        RelayEnd::Refused(refusal) => (refusal.reason.as_str(), StatusCode::BAD_GATEWAY),
+    let status = match &result.end {
+        RelayEnd::Answered(_) => StatusCode::OK,
+        RelayEnd::PassOn(_) | RelayEnd::Refused(_) => StatusCode::BAD_GATEWAY,
     };
     let context = LineContext {
         table: &routed.table,
         rule: &routed.rule,
         request_id: &routed.message.request_id,
         times: routed.times,
-        lanes: services.len(),
-        services,
+        lanes,
+        first_service,
         other_vm: OtherVm::From(origin),
     };
-    log_request(node, &context, outcome, status, &result.stats);
+    log_request(node, &context, result.outcome(true), status, &result.stats);
 }
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -5,15 +5,16 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use fulmarweir_base::{MonoTime, lock};
 use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 
 use super::{
     answer::strip_hop_headers,
+    body::{BodyFault, read_body},
     carrier::RelayMessage,
     entry::EntryNode,
     request_account::{EarlyRequest, RequestTimes, refuse_early},
@@ -73,7 +74,7 @@
         let pause = Duration::from_millis(NO_CONFIG_PAUSE_MS);
         return Err(early("no-config", come_back("no configuration yet", pause)));
     };
-    let body = read_body(body, &head.headers, table.limits.body_max_bytes)
+    let body = read_request_body(body, &head.headers, table.limits.body_max_bytes)
         .await
         .map_err(|response| early("bad-body", response))?;
     let Some(rule) = find_rule(&table, &head.uri, &head.headers) else {
@@ -118,9 +119,9 @@
     Ok(answer_routed(node, &routed).await)
 }
 
-/// Reads a body up to the limit.
-async fn read_body(
-    mut body: Incoming,
+/// Reads the body of a caller up to the limit, or not at all if its stated length is beyond it.
+async fn read_request_body(
+    body: Incoming,
     headers: &HeaderMap,
     limit: usize,
 ) -> Result<Bytes, RelayResponse> {
@@ -133,19 +134,10 @@
     if stated.is_some_and(|length| length > limit) {
         return Err(too_large());
     }
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(text(StatusCode::BAD_REQUEST, "request body broke off"));
-        };
-        if let Ok(data) = frame.into_data() {
-            if bytes.len() + data.len() > limit {
-                return Err(too_large());
-            }
-            bytes.extend_from_slice(&data);
-        }
-    }
-    Ok(bytes.freeze())
+    read_body(body, limit).await.map_err(|fault| match fault {
+        BodyFault::TooLarge => too_large(),
+        BodyFault::Broken => text(StatusCode::BAD_REQUEST, "request body broke off"),
+    })
 }
 
 fn find_rule(table: &RouteTable, uri: &Uri, headers: &HeaderMap) -> Option<Arc<RouteRule>> {
--- a/crates/daemon/src/relay/carrier.rs
+++ b/crates/daemon/src/relay/carrier.rs
@@ -70,8 +70,20 @@
     pub(crate) stats: RelayStats,
 }
 
+impl RelayResult {
+    /// The name of the outcome, for logs and metrics.
+    pub(crate) fn outcome(&self, is_search: bool) -> &'static str {
+        match &self.end {
+            RelayEnd::Answered(_) if !is_search => "answered",
+            RelayEnd::Answered(_) if self.stats.missing == 0 => "whole",
+            RelayEnd::Answered(_) => "partial",
+            RelayEnd::PassOn(_) => "target-failure",
+            RelayEnd::Refused(refusal) => refusal.reason.as_str(),
+        }
+    }
+}
+
 /// Figures of one request, for its log line.
-#[derive(Clone)]
 pub(crate) struct RelayStats {
     pub(crate) attempts: u32,
     pub(crate) hedges: u32,
@@ -96,8 +108,6 @@
     /// Where groups were handed to.
     brokers: Vec<SocketAddr>,
     last_fault: Option<&'static str>,
-    /// When each attempt was sent, while it is open.
-    sent: Vec<(u32, MonoTime)>,
 }
 
 impl RelayCarrier {
@@ -119,7 +129,6 @@
             brokers: Vec::new(),
             replies: Vec::new(),
             last_fault: None,
-            sent: Vec::new(),
         };
         let is_over = |action: &RelayAction| matches!(action, RelayAction::Finish(_));
         if !actions.iter().any(is_over) {
@@ -223,7 +232,6 @@
                 return self.run.on_group_end(place, &end, &mut book, now);
             }
         };
-        self.sent.retain(|(attempt, _)| *attempt != ended.attempt);
         if let AttemptEnd::Answered { .. } = ended.end {
             let latency = now.since(ended.sent_at);
             lock(&self.node.pace).record(&self.message.route, latency);
@@ -258,7 +266,6 @@
             .attempt_distances
             .get_or_create(&DistanceLabel { distance })
             .inc();
-        self.sent.push((send.attempt, self.node.timer.now()));
         let attempt = run_attempt(Arc::clone(&self.node), Arc::clone(&self.message), send);
         self.open.push(attempt.map(EndedWork::Attempt).boxed());
     }
@@ -266,16 +273,11 @@
 
 impl Drop for RelayCarrier {
     fn drop(&mut self) {
-        if self.sent.is_empty() {
-            return;
-        }
         let now = self.node.timer.now();
-        let mut pace = lock(&self.node.pace);
-        for (_, sent_at) in &self.sent {
-            pace.record(&self.message.route, now.since(*sent_at));
+        let given_up = self.run.abandon(&mut lock(&self.node.book), now);
+        for sent_at in given_up {
+            lock(&self.node.pace).record(&self.message.route, now.since(sent_at));
         }
-        drop(pace);
-        self.run.abandon(&mut lock(&self.node.book), now);
     }
 }
 
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -2,14 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use fulmarweir_fleet::NoticeOutcome;
 use http::{Request, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::{info, warn};
 
 use super::{
+    body::read_body,
     dialect::ControlCall,
     keeper::KeeperNode,
     response::{RelayResponse, come_back, json, text},
@@ -38,7 +38,7 @@
         Some(ControlCall::WriteConfig) => DOCUMENT_MAX_BYTES,
         _ => NOTICE_MAX_BYTES,
     };
-    let Some(body) = read_body(body, limit).await else {
+    let Ok(body) = read_body(body, limit).await else {
         return text(StatusCode::PAYLOAD_TOO_LARGE, "body too large or cut short");
     };
     match call {
@@ -53,19 +53,6 @@
     }
 }
 
-async fn read_body(mut body: Incoming, limit: usize) -> Option<Bytes> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.ok()?.into_data() {
-            if bytes.len() + data.len() > limit {
-                return None;
-            }
-            bytes.extend_from_slice(&data);
-        }
-    }
-    Some(bytes.freeze())
-}
-
 fn announce(node: &KeeperNode, id: &Arc<str>, body: &[u8]) -> RelayResponse {
     match (node.dialect.decode_notice)(id, body) {
         Ok(notice) => {
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -23,7 +23,7 @@
     admit::LoopLag,
     broker_views::BrokerViews,
     dialect::RelayDialect,
-    metrics::RelayMetrics,
+    metrics::{RelayMetrics, set_count},
     peer::PollReply,
     request_log::RequestLog,
     sync::{ConfigFetch, KeeperBoard, RelayPeers},
@@ -319,25 +319,20 @@
         }
         self.note_keepers(now);
         self.note_targets();
-        self.links.tidy(|_| true);
-        let idle = u64::try_from(self.links.idle_count()).unwrap_or(u64::MAX);
-        self.metrics.connections_idle.set(idle);
+        self.links.tidy();
+        set_count(&self.metrics.connections_idle, self.links.idle_count());
         self.metrics
             .connections_opened
             .set(self.links.opened_count());
         self.metrics.requests_open.set(self.open.load(Relaxed));
         let brokers = lock(&self.brokers).fit_count(now);
-        self.metrics
-            .brokers
-            .set(u64::try_from(brokers).unwrap_or(u64::MAX));
+        set_count(&self.metrics.brokers, brokers);
     }
 
     fn note_keepers(&self, now: MonoTime) {
         let silence = Duration::from_millis(KEEPERS_LOST_MS);
         let heard = lock(&self.roster).heard_within(silence, now);
-        self.metrics
-            .keepers
-            .set(u64::try_from(heard).unwrap_or(u64::MAX));
+        set_count(&self.metrics.keepers, heard);
         let lost = heard == 0;
         if self.keepers_lost.swap(lost, Relaxed) == lost {
             return;
@@ -362,8 +357,7 @@
         let limit = |service: &str| table.as_ref()?.connections_max(service);
         lock(&self.book).sync(targets, vms, limit, self.timer.now());
         lock(&self.shard_groups).clear();
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        self.metrics.targets.set(count);
+        set_count(&self.metrics.targets, count);
         self.learned.notify_waiters();
     }
 
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -9,14 +9,14 @@
 
 use fulmarweir_base::{MonoTime, TimerService, lock};
 use fulmarweir_conf::RelaySettings;
-use fulmarweir_fleet::{NoticeOutcome, TargetNotice, TargetRegistry};
+use fulmarweir_fleet::{NoticeOutcome, TargetNotice, TargetRegistry, rendezvous_weight};
 use fulmarweir_quorum::{QuorumClient, VoterService};
 use slog::{Logger, error, info};
 use tokio::sync::watch;
 
 use super::{
     dialect::RelayDialect,
-    metrics::RelayMetrics,
+    metrics::{RelayMetrics, set_count},
     peer::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, RelayAnswer, RelayCall,
     },
@@ -39,6 +39,13 @@
     pub(crate) text: Arc<str>,
 }
 
+/// Lists of VMs that an asker is to be told of; `None` for those that it knows.
+struct ChangedLists {
+    brokers: Option<Vec<EntryContact>>,
+    contacts: Option<Vec<KeeperContact>>,
+    contacts_digest: u64,
+}
+
 /// The shared state of a keeper.
 pub(crate) struct KeeperNode {
     pub(crate) settings: RelaySettings,
@@ -212,13 +219,9 @@
             self.tell_changes();
         }
         let targets = lock(&self.registry).targets().count();
-        let targets = u64::try_from(targets).unwrap_or(u64::MAX);
-        self.metrics.targets.set(targets);
+        set_count(&self.metrics.targets, targets);
         self.metrics.entries.set(self.entry_count(now).into());
-        let keepers = self.board.alive(now).len();
-        self.metrics
-            .keepers
-            .set(u64::try_from(keepers).unwrap_or(u64::MAX));
+        set_count(&self.metrics.keepers, self.board.alive(now).len());
         self.metrics.voter_epoch.set(self.quorum.voters().epoch);
         let is_open = lock(&self.voter).is_some();
         self.metrics.voter_open.set(is_open.into());
@@ -243,7 +246,7 @@
         let mut brokers: Vec<EntryContact> = fit.map(|(entry, _)| entry.clone()).collect();
         if brokers.len() > BROKERS_MAX {
             // Each asker is told of others, so that all get their share of the work.
-            brokers.sort_by_cached_key(|broker| contacts_digest(&[asker, broker]));
+            brokers.sort_by_cached_key(|broker| rendezvous_weight(broker, asker));
             brokers.truncate(BROKERS_MAX);
             brokers.sort_unstable();
         }
@@ -295,13 +298,14 @@
         let mut news = self.changes.subscribe();
         loop {
             let now = self.timer.now();
-            if now >= until || self.has_news(&question, now) {
-                return self.poll_reply(&question, now);
+            let lists = self.changed_lists(&question, now);
+            if now >= until || self.has_news(&question, &lists) {
+                return self.poll_reply(&question, lists, now);
             }
             tokio::select! {
                 changed = news.changed() => {
                     if changed.is_err() {
-                        return self.poll_reply(&question, now);
+                        return self.poll_reply(&question, lists, now);
                     }
                 }
                 () = self.timer.sleep_until(until) => {}
@@ -309,24 +313,8 @@
         }
     }
 
-    fn has_news(&self, question: &PollRequest, now: MonoTime) -> bool {
-        // Entry VMs have no use for the voters, so a change of voters is no news to them.
-        let news = match &question.source {
-            PollSource::Entry(asker) => {
-                let brokers = || contacts_digest(&self.brokers_for(asker, now));
-                lock(&self.registry).has_news(question.mark)
-                    || question
-                        .brokers_digest
-                        .is_some_and(|known| known != brokers())
-            }
-            PollSource::Keeper(_) => self.quorum.voters().epoch > question.voter_epoch,
-        };
-        news || self.config_version() > question.config_version
-            || contacts_digest(&self.contacts(now)) != question.contacts_digest
-    }
-
-    fn poll_reply(&self, question: &PollRequest, now: MonoTime) -> PollReply {
-        let is_entry = matches!(question.source, PollSource::Entry(_));
+    /// The lists of VMs that the asker does not know as they are now.
+    fn changed_lists(&self, question: &PollRequest, now: MonoTime) -> ChangedLists {
         let brokers = match (&question.source, question.brokers_digest) {
             (PollSource::Entry(asker), Some(known)) => {
                 let brokers = self.brokers_for(asker, now);
@@ -336,15 +324,35 @@
         };
         let contacts = self.contacts(now);
         let contacts_digest = contacts_digest(&contacts);
+        ChangedLists {
+            brokers,
+            contacts: (contacts_digest != question.contacts_digest).then_some(contacts),
+            contacts_digest,
+        }
+    }
+
+    fn has_news(&self, question: &PollRequest, lists: &ChangedLists) -> bool {
+        // Entry VMs have no use for the voters, so a change of voters is no news to them.
+        let news = match &question.source {
+            PollSource::Entry(_) => lock(&self.registry).has_news(question.mark),
+            PollSource::Keeper(_) => self.quorum.voters().epoch > question.voter_epoch,
+        };
+        news || lists.brokers.is_some()
+            || lists.contacts.is_some()
+            || self.config_version() > question.config_version
+    }
+
+    fn poll_reply(&self, question: &PollRequest, lists: ChangedLists, now: MonoTime) -> PollReply {
+        let is_entry = matches!(question.source, PollSource::Entry(_));
         let voters = self.quorum.voters();
         PollReply {
             news: is_entry.then(|| lock(&self.registry).news_since(question.mark)),
             config_version: self.config_version(),
             voters: (!is_entry && voters.epoch > question.voter_epoch).then_some(voters),
-            contacts: (contacts_digest != question.contacts_digest).then_some(contacts),
-            contacts_digest,
+            contacts: lists.contacts,
+            contacts_digest: lists.contacts_digest,
             entries: self.entry_count(now),
-            brokers,
+            brokers: lists.brokers,
         }
     }
 
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -7,7 +7,6 @@
 
 use fulmarweir_wire::{TrafficClass, TrafficMeter};
 use prometheus_client::{
-    encoding::text::encode,
     metrics::{
         counter::Counter,
         family::Family,
@@ -17,7 +16,9 @@
     registry::Registry,
 };
 
-use crate::metrics::{DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel};
+use crate::metrics::{
+    DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel, render_registry,
+};
 
 type LevelGauge = Gauge<u64, AtomicU64>;
 
@@ -227,9 +228,11 @@
     /// The text of the metrics page.
     pub(crate) fn render(&self) -> String {
         self.uptime.set(self.started.elapsed().as_secs());
-        let mut text = String::new();
-        // Writing to a string does not fail.
-        let _ = encode(&mut text, &self.registry);
-        text
+        render_registry(&self.registry)
     }
 }
+
+/// Sets a level to a number of things.
+pub(crate) fn set_count(level: &LevelGauge, count: usize) {
+    level.set(u64::try_from(count).unwrap_or(u64::MAX));
+}
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -34,7 +34,8 @@
     pub(super) request_id: &'a HeaderValue,
     pub(super) times: RequestTimes,
     pub(super) lanes: usize,
-    pub(super) services: &'a [Arc<str>],
+    /// Its first service, whose budget is told.
+    pub(super) first_service: Option<&'a Arc<str>>,
     /// The VMs that share the request with this one.
     pub(super) other_vm: OtherVm<'a>,
 }
@@ -102,7 +103,7 @@
         hedges: stats.hedges,
         other_vm: context.other_vm,
         extra_left: &|| {
-            let first = context.services.first();
+            let first = context.first_service;
             first.map_or(0.0, |service| lock(&node.book).extra_left(service, now))
         },
         detail: &detail,
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -25,33 +25,48 @@
 
 /// Carries a request of a caller to its end and writes the answer.
 pub(super) async fn answer_routed(node: &Arc<EntryNode>, routed: &RoutedRequest) -> RelayResponse {
-    let mut ask = relay_ask(node, &routed.rule, routed.times);
+    let services = needed_services(&routed.rule);
+    let (lanes, first_service) = (services.len(), services.first().cloned());
+    let mut ask = relay_ask(node, &routed.rule, routed.times, services);
     let handovers = plan_handovers(node, routed, &ask.services);
     ask.handed_over = handovers.iter().map(|h| h.group.clone()).collect();
-    let services = ask.services.clone();
     let message = Arc::clone(&routed.message);
     let (carrier, actions) = RelayCarrier::start(Arc::clone(node), message, ask, handovers);
-    let result = carrier.finish(actions).await;
-    let stats = result.stats.clone();
-    let (outcome, response) = write_answer(node, &routed.rule, result);
+    let mut result = carrier.finish(actions).await;
+    let response = write_answer(node, &routed.rule, &mut result);
+    let is_search = matches!(routed.rule.destination, RouteDestination::Gather(_));
     let context = LineContext {
         table: &routed.table,
         rule: &routed.rule,
         request_id: &routed.message.request_id,
         times: routed.times,
-        lanes: services.len(),
-        services: &services,
-        other_vm: OtherVm::To(&stats.brokers),
+        lanes,
+        first_service: first_service.as_ref(),
+        other_vm: OtherVm::To(&result.stats.brokers),
     };
-    log_request(node, &context, outcome, response.status(), &stats);
+    let outcome = result.outcome(is_search);
+    log_request(node, &context, outcome, response.status(), &result.stats);
     response
 }
 
-/// What a request asks of its services.
-pub(super) fn relay_ask(node: &EntryNode, rule: &RouteRule, times: RequestTimes) -> RelayAsk {
-    let (services, coverage_min) = match &rule.destination {
-        RouteDestination::Gather(gather) => (gather.shards.clone(), gather.coverage_min),
-        RouteDestination::Split(parts) => (choose_service(parts).into_iter().collect(), 1.0),
+/// The services that must answer a request.
+fn needed_services(rule: &RouteRule) -> Vec<Arc<str>> {
+    match &rule.destination {
+        RouteDestination::Gather(gather) => gather.shards.clone(),
+        RouteDestination::Split(parts) => choose_service(parts).into_iter().collect(),
+    }
+}
+
+/// What a request asks of `services`.
+pub(super) fn relay_ask(
+    node: &EntryNode,
+    rule: &RouteRule,
+    times: RequestTimes,
+    services: Vec<Arc<str>>,
+) -> RelayAsk {
+    let coverage_min = match &rule.destination {
+        RouteDestination::Gather(gather) => gather.coverage_min,
+        RouteDestination::Split(_) => 1.0,
     };
     let soft = times.soft_deadline.since(times.arrived_at);
     RelayAsk {
--- a/crates/daemon/src/relay/serve.rs
+++ b/crates/daemon/src/relay/serve.rs
@@ -13,10 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use crate::listener::accept_until;
+
 /// Least room for a request head that the HTTP library works with, in bytes.
 const HEAD_ROOM_MIN_BYTES: usize = 8 * 1024;
-/// Pause after a failed accept, which the lack of file descriptors causes, in milliseconds.
-const ACCEPT_PAUSE_MS: u64 = 20;
 
 /// What a connection may take.
 #[derive(Clone, Copy, Debug)]
@@ -41,23 +41,10 @@
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let graceful = GracefulShutdown::new();
-    let tasks = TaskTracker::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-            continue;
-        };
-        serve_connection(stream, Arc::clone(&handler), bounds(), &graceful, &tasks);
-    }
-    drop(listener);
-    graceful.shutdown().await;
-    tasks.close();
-    tasks.wait().await;
+    let serve = |stream, graceful: &GracefulShutdown, tasks: &TaskTracker| {
+        serve_connection(stream, Arc::clone(&handler), bounds(), graceful, tasks);
+    };
+    accept_until(listener, serve, stop).await;
 }
 
 fn serve_connection<H, F>(
@@ -70,8 +57,6 @@
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    // Without this option small answers only wait longer.
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
--- a/crates/daemon/src/relay/sync.rs
+++ b/crates/daemon/src/relay/sync.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::{BTreeMap, HashSet},
-    hash::{DefaultHasher, Hash, Hasher},
+    hash::Hash,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use fulmarweir_base::{MonoTime, TimerService, lock};
+use fulmarweir_fleet::entry_digest;
 use fulmarweir_wire::{PeerClient, TrafficClass};
 use slog::{Logger, info, warn};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -118,10 +119,10 @@
 }
 
 /// Digest by which a caller and a keeper find out whether their lists of VMs differ.
+///
+/// Both ends work it out, so it must not differ between builds.
 pub(crate) fn contacts_digest<T: Hash>(contacts: &[T]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    contacts.hash(&mut hasher);
-    hasher.finish()
+    entry_digest(contacts)
 }
 
 /// Whether a keeper's configuration is to be fetched.
--- a/crates/fleet/src/hash.rs
+++ b/crates/fleet/src/hash.rs
@@ -14,12 +14,14 @@
 }
 
 /// Weight of `node` for `key`; the nodes of the highest weights are chosen.
-pub(crate) fn rendezvous_weight(node: impl Hash, key: impl Hash) -> u64 {
+#[must_use]
+pub fn rendezvous_weight(node: impl Hash, key: impl Hash) -> u64 {
     hash_of(RENDEZVOUS_SEED, (node, key))
 }
 
 /// Hash of one entry of a table; the digest of the table is the XOR of these.
-pub(crate) fn entry_digest(entry: impl Hash) -> u64 {
+#[must_use]
+pub fn entry_digest(entry: impl Hash) -> u64 {
     hash_of(DIGEST_SEED, entry)
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -69,6 +69,7 @@
 pub use announce::{AnnounceReply, AnnounceResult, TargetRefusal};
 pub use broker::{BrokerShare, TargetLimits};
 pub use centre::{CentreDigest, CentreNews, CentreRecord, HoldingRecord, ShardSpan};
+pub use hash::{entry_digest, rendezvous_weight};
 pub use message::{
     CentreProbe, ConfigStamp, FleetMessage, IndirectProbe, JoinRefusal, LeaseHolder, MemberStatus,
     MemberUpdate, ProbeMessage, RepairEntries, RepairRequest, SpreadNews, StateDigest,
--- a/crates/pool/src/relay_link.rs
+++ b/crates/pool/src/relay_link.rs
@@ -221,15 +221,15 @@
         lock(&self.links).remove(&address);
     }
 
-    /// Closes idle connections that are no longer usable, and those to addresses that `keep` does not name.
-    pub fn tidy(&self, keep: impl Fn(&SocketAddr) -> bool) {
+    /// Closes idle connections that are no longer usable.
+    pub fn tidy(&self) {
         let now = self.timer.now();
         let mut links = lock(&self.links);
-        links.retain(|address, link| {
+        links.retain(|_, link| {
             let usable =
                 |idle: &IdleConnection| idle.usable_until > now && !idle.sender.is_closed();
             link.idle.retain(usable);
-            keep(address) && !link.idle.is_empty()
+            !link.idle.is_empty()
         });
     }
 
--- a/crates/pool/tests/relay_link.rs
+++ b/crates/pool/tests/relay_link.rs
@@ -284,6 +284,6 @@
         sleep(Duration::from_millis(60)).await;
     }
     assert_eq!(target.connections.load(SeqCst), 2);
-    links.tidy(|_| true);
+    links.tidy();
     assert_eq!(links.idle_count(), 0);
 }
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -173,10 +173,9 @@
     answered: usize,
     finished: bool,
     wake_at: Option<MonoTime>,
-    /// Second attempts sent, and how many of them answered first.
-    hedges: u32,
-    hedge_wins: u32,
+    /// Second attempts by number, and how many of them answered first.
     hedge_numbers: Vec<u32>,
+    hedge_wins: u32,
 }
 
 impl RelayRun {
@@ -192,9 +191,8 @@
             answered: 0,
             finished: false,
             wake_at: None,
-            hedges: 0,
-            hedge_wins: 0,
             hedge_numbers: Vec::new(),
+            hedge_wins: 0,
             ask,
         };
         let mut actions = Vec::with_capacity(run.lanes.len() + 1);
@@ -309,19 +307,23 @@
     }
 
     /// Gives up what is open because its caller has left or the answer is out.
-    pub fn abandon(&mut self, book: &mut RelayBook, now: MonoTime) {
+    ///
+    /// Returns when each attempt was sent that has not ended.
+    pub fn abandon(&mut self, book: &mut RelayBook, now: MonoTime) -> Vec<MonoTime> {
         self.finished = true;
-        for lane in &mut self.lanes {
-            for open in lane.open.drain(..) {
-                book.attempt_ended(&open.target, open.sent_at, AttemptSignal::Abandoned, now);
-            }
-        }
+        let open = self.lanes.iter_mut().flat_map(|lane| lane.open.drain(..));
+        let given_up = open.map(|open| {
+            book.attempt_ended(&open.target, open.sent_at, AttemptSignal::Abandoned, now);
+            open.sent_at
+        });
+        given_up.collect()
     }
 
     /// Second attempts sent, and how many of them answered first.
     #[must_use]
-    pub const fn hedges(&self) -> (u32, u32) {
-        (self.hedges, self.hedge_wins)
+    pub fn hedges(&self) -> (u32, u32) {
+        let sent = u32::try_from(self.hedge_numbers.len()).unwrap_or(u32::MAX);
+        (sent, self.hedge_wins)
     }
 
     /// Attempts that were sent.
@@ -541,7 +543,6 @@
         self.next_attempt += 1;
         book.attempt_sent(&send.target, now);
         if send.kind == AttemptKind::Hedge {
-            self.hedges += 1;
             self.hedge_numbers.push(send.attempt);
         }
         let progress = &mut self.lanes[send.lane];
