--- a/crates/daemon/src/relay/parts.rs
+++ b/crates/daemon/src/relay/parts.rs
@@ -4,6 +4,7 @@
 
 use fulmarweir_base::{TimerService, lock};
 use fulmarweir_conf::RelaySettings;
+use fulmarweir_wire::{PeerClient, TrafficMeter};
 use slog::Logger;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -13,6 +14,7 @@
     reload::run_reload,
     sync::{AsBoard, KeeperSync, PollHooks, RelayPeers, run_sync},
 };
+use crate::logging::build_relay_logger;
 
 /// Time between two looks at leases, keepers and connections, in milliseconds.
 const TICK_MS: u64 = 250;
@@ -59,15 +61,35 @@
 
 /// What the loops of entry VMs and keepers have in common.
 pub(super) struct CommonLoops {
-    pub(super) peers: RelayPeers,
-    pub(super) timer: TimerService,
+    peers: RelayPeers,
+    meter: Arc<TrafficMeter>,
+    timer: TimerService,
     pub(super) log: Logger,
-    pub(super) own: SocketAddr,
+    own: SocketAddr,
     /// The settings file.
-    pub(super) path: PathBuf,
+    path: PathBuf,
 }
 
 impl CommonLoops {
+    /// The logger, timers and connections of a process; no loop runs yet.
+    pub(super) fn new(settings: &RelaySettings, path: PathBuf) -> Self {
+        let meter = Arc::new(TrafficMeter::default());
+        Self {
+            peers: PeerClient::new(Arc::clone(&meter)),
+            meter,
+            timer: TimerService::new(),
+            log: build_relay_logger(settings.log_level, &settings.name),
+            own: settings.peer_address(),
+            path,
+        }
+    }
+
+    /// The timers, the connections to other daemons, and what these carry.
+    pub(super) fn handles(&self) -> (TimerService, RelayPeers, Arc<TrafficMeter>) {
+        let (timer, meter) = (self.timer.clone(), Arc::clone(&self.meter));
+        (timer, self.peers.clone(), meter)
+    }
+
     /// Starts asking keepers, ticking, and reading the settings again.
     pub(super) fn spawn(
         self,
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use error_stack::ResultExt;
-use fulmarweir_base::{TimerService, lock};
+use fulmarweir_base::lock;
 use fulmarweir_conf::{RelayRole, RelaySettings};
 use fulmarweir_quorum::{ClientSettings, QuorumClient, VoterService, VoterTransport};
-use fulmarweir_wire::{PeerClient, TrafficClass, TrafficMeter};
+use fulmarweir_wire::TrafficClass;
 use futures::FutureExt;
 use slog::{Logger, error, info};
 use tokio::{
@@ -26,10 +26,7 @@
     target_file::run_target_file,
     voters::{first_voters, open_voter, run_voters},
 };
-use crate::{
-    error::{DaemonError, Result},
-    logging::build_relay_logger,
-};
+use crate::error::{DaemonError, Result};
 
 /// Part of the stop grace in which callers still find their connections open.
 const SETTLE_SHARE: f64 = 0.5;
@@ -63,21 +60,12 @@
 }
 
 async fn run_entry(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
-    let log = build_relay_logger(settings.log_level, &settings.name);
-    log_start(&log, &settings);
-    let timer = TimerService::new();
-    let meter = Arc::new(TrafficMeter::default());
-    let peers: RelayPeers = PeerClient::new(Arc::clone(&meter));
-    let node = EntryNode::new(settings, dialect, log, timer, peers.clone());
+    let common = CommonLoops::new(&settings, path);
+    log_start(&common.log, &settings);
+    let (timer, peers, meter) = common.handles();
+    let node = EntryNode::new(settings, dialect, common.log.clone(), timer, peers.clone());
     let mut parts = RelayParts::new();
     start_entry_calls(&node, Arc::clone(&meter), &mut parts).await?;
-    let common = CommonLoops {
-        peers: peers.clone(),
-        timer: node.timer.clone(),
-        log: node.log.clone(),
-        own: node.settings.peer_address(),
-        path,
-    };
     let ticking = Arc::clone(&node);
     let tick = move || {
         ticking.tick();
@@ -143,27 +131,19 @@
 }
 
 async fn run_keeper(settings: RelaySettings, path: PathBuf, dialect: RelayDialect) -> Result<()> {
-    let log = build_relay_logger(settings.log_level, &settings.name);
-    log_start(&log, &settings);
-    let timer = TimerService::new();
-    let meter = Arc::new(TrafficMeter::default());
-    let peers: RelayPeers = PeerClient::new(Arc::clone(&meter));
+    let common = CommonLoops::new(&settings, path);
+    log_start(&common.log, &settings);
+    let (timer, peers, meter) = common.handles();
+    let log = common.log.clone();
     let first_set = first_voters(&settings);
     let voter = open_voter(&settings, &first_set, &timer, &log).await;
     let voter = Arc::new(std::sync::Mutex::new(voter));
-    let transport = voter_transport(peers.clone(), Arc::clone(&voter), settings.peer_address());
+    let transport = voter_transport(peers, Arc::clone(&voter), settings.peer_address());
     let client = ClientSettings::new(first_set);
     let quorum = Arc::new(QuorumClient::new(client, transport, timer.clone()));
     let node = KeeperNode::new(settings, dialect, log, timer, quorum, voter);
     let mut parts = RelayParts::new();
     start_keeper_calls(&node, Arc::clone(&meter), &mut parts).await?;
-    let common = CommonLoops {
-        peers: peers.clone(),
-        timer: node.timer.clone(),
-        log: node.log.clone(),
-        own: node.settings.peer_address(),
-        path,
-    };
     let ticking = Arc::clone(&node);
     let holder = Arc::clone(&node) as Arc<dyn AsBoard>;
     common.spawn(
