Log and count how attempts are charged to the budget of extra attempts

Neither logs nor metrics told which attempts of a service were first attempts, charged or free, so the hypotheses on the exceeded budget could not be told apart. Each attempt now carries its charge: a counter by charge, and a line at most once a second for each service whose budget is empty, with the counts of the window by reason and the number of VMs that share the burst.

No decision changes.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,12 @@
     pub(crate) kind: &'static str,
 }
 
+/// How an attempt is charged to the budget of extra attempts.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ChargeLabel {
+    pub(crate) charge: &'static str,
+}
+
 /// Outcome of a hedge.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct OutcomeLabel {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -11,6 +11,7 @@
 mod body;
 mod broker;
 mod broker_directory;
+mod budget_log;
 mod caller;
 mod control;
 mod driver;
--- /dev/null
+++ b/crates/daemon/src/relay/budget_log.rs
@@ -0,0 +1,45 @@
+//! Logs which services have no extra attempts left.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use fulmarweir_base::MonoTime;
+use fulmarweir_route::TargetSelector;
+use slog::{Logger, info};
+
+/// Shortest time between two lines about one service, in milliseconds.
+const LINE_PERIOD_MS: u64 = 1_000;
+/// Most lines per tick; the other services follow at the next ticks.
+const LINES_PER_TICK_MAX: usize = 8;
+/// Time after which the last line about a service is forgotten, in milliseconds.
+const FORGET_AFTER_MS: u64 = 60_000;
+
+/// Writes a line about each service whose budget of extra attempts is empty, at most one per
+/// service and period.
+///
+/// Summed over all VMs, the counts show how many attempts a service received beyond the first ones.
+#[derive(Debug, Default)]
+pub(super) struct BudgetLog {
+    logged_at: HashMap<Arc<str>, MonoTime>,
+}
+
+impl BudgetLog {
+    /// Writes the lines that are due.
+    pub(super) fn write(&mut self, log: &Logger, selector: &TargetSelector, now: MonoTime) {
+        let forget_after = Duration::from_millis(FORGET_AFTER_MS);
+        self.logged_at.retain(|_, at| now.since(*at) < forget_after);
+        let period = Duration::from_millis(LINE_PERIOD_MS);
+        let last_logged = |service: &Arc<str>| self.logged_at.get(service).copied();
+        let mut due = selector.empty_budgets(now);
+        due.retain(|budget| last_logged(&budget.service).is_none_or(|at| now.since(at) >= period));
+        due.sort_by_key(|budget| last_logged(&budget.service));
+        for budget in due.into_iter().take(LINES_PER_TICK_MAX) {
+            info!(log, "extra-budget-empty"; "service" => &*budget.service,
+                "first" => budget.first_attempts, "extra" => budget.extra_attempts,
+                "after_rejection" => budget.after_rejection,
+                "after_unreachable" => budget.after_unreachable,
+                "after_handover" => budget.after_handover,
+                "left" => format_args!("{:.1}", budget.remaining), "vms" => budget.vms);
+            self.logged_at.insert(budget.service, now);
+        }
+    }
+}
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -20,7 +20,7 @@
     handover::{Handover, hand_over},
     handover_message::GroupReply,
 };
-use crate::metrics::{DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel};
+use crate::metrics::{ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel};
 
 /// How long unfinished attempts may continue after their request was answered, in milliseconds.
 ///
@@ -271,6 +271,12 @@
             .attempts
             .get_or_create(&KindLabel { kind })
             .inc();
+        let charge = attempt.charge.as_str();
+        self.node
+            .metrics
+            .attempt_charges
+            .get_or_create(&ChargeLabel { charge })
+            .inc();
         let distance = attempt.target.locality.as_str();
         self.node
             .metrics
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -24,6 +24,7 @@
 use super::{
     adapter::ProtocolAdapter,
     broker_directory::BrokerDirectory,
+    budget_log::BudgetLog,
     keeper_poll::{ConfigFetch, KeeperDirectory, RelayPeers},
     metrics::{RelayMetrics, set_count},
     overload::LoopLag,
@@ -92,6 +93,7 @@
     entry_vm_count: AtomicU32,
     stopping: AtomicBool,
     keepers_lost: AtomicBool,
+    budget_log: Mutex<BudgetLog>,
     logged_target_count: AtomicU64,
     started_at: MonoTime,
     /// Wakes requests that wait during startup when targets or the configuration change.
@@ -128,6 +130,7 @@
             entry_vm_count: AtomicU32::new(1),
             stopping: AtomicBool::new(false),
             keepers_lost: AtomicBool::new(false),
+            budget_log: Mutex::default(),
             logged_target_count: AtomicU64::new(0),
             started_at: timer.now(),
             state_changed: Notify::new(),
@@ -328,6 +331,7 @@
         }
         self.update_keeper_count(now);
         self.log_target_count();
+        self.log_empty_budgets(now);
         self.pool.close_expired();
         set_count(&self.metrics.connections_idle, self.pool.idle_count());
         self.metrics
@@ -381,6 +385,11 @@
         }
     }
 
+    fn log_empty_budgets(&self, now: MonoTime) {
+        let selector = lock(&self.selector);
+        lock(&self.budget_log).write(&self.log, &selector, now);
+    }
+
     fn relay_target(&self, announcement: TargetAnnouncement) -> RelayTarget {
         let own = &self.settings.centre;
         let locality = if announcement.centre == *own {
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::metrics::{
-    DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel, render_registry,
+    ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel, render_registry,
 };
 
 type CountGauge = Gauge<u64, AtomicU64>;
@@ -29,6 +29,7 @@
     pub(crate) requests: Family<OutcomeLabel, Counter>,
     pub(crate) refusals: Family<ReasonLabel, Counter>,
     pub(crate) attempts: Family<KindLabel, Counter>,
+    pub(crate) attempt_charges: Family<ChargeLabel, Counter>,
     pub(crate) attempt_distances: Family<DistanceLabel, Counter>,
     pub(crate) attempt_failures: Family<ReasonLabel, Counter>,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
@@ -64,6 +65,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             attempts: Family::default(),
+            attempt_charges: Family::default(),
             attempt_distances: Family::default(),
             attempt_failures: Family::default(),
             hedges: Family::default(),
@@ -104,6 +106,11 @@
             "Attempts at targets, by kind",
             self.attempts.clone(),
         );
+        registry.register(
+            "attempt_charges",
+            "Attempts at targets, by how they are charged to the budget of extra attempts",
+            self.attempt_charges.clone(),
+        );
         registry.register(
             "attempt_distances",
             "Attempts at targets, by how far these are",
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -15,6 +15,7 @@
 mod target_tracker;
 
 pub use self::{
+    attempt_budget::{AttemptCharge, BudgetSnapshot},
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
     latency_table::LatencyTable,
     merge::{RECORD_BYTES, merge_records},
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -4,7 +4,7 @@
 //! send a second attempt and multiply the load. The budget limits extra attempts over a sliding
 //! window.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
@@ -15,12 +15,65 @@
 /// exceed the grant.
 const USABLE_SHARE: f64 = 0.85;
 
+/// How an attempt is charged to the budget of extra attempts of its service.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AttemptCharge {
+    /// Not charged: the first attempt of the sub-request.
+    First,
+    /// Charged as an extra attempt.
+    Extra,
+    /// Not charged: the target presumably rejected the attempt before.
+    AfterRejection,
+    /// Not charged: the attempt before was not sent.
+    AfterUnreachable,
+    /// Not charged: a broker left the sub-request unanswered.
+    AfterHandover,
+}
+
+impl AttemptCharge {
+    /// Returns the label of this charge in metrics; it never changes.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Extra => "extra",
+            Self::AfterRejection => "after-rejection",
+            Self::AfterUnreachable => "after-unreachable",
+            Self::AfterHandover => "after-handover",
+        }
+    }
+}
+
+/// The budget of extra attempts of a service on this VM, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BudgetSnapshot {
+    /// The service.
+    pub service: Arc<str>,
+    /// Sub-requests that count towards the grant, within the window.
+    pub first_attempts: u32,
+    /// Charged attempts within the window.
+    pub extra_attempts: u32,
+    /// Attempts within the window charged as [`AttemptCharge::AfterRejection`].
+    pub after_rejection: u32,
+    /// Attempts within the window charged as [`AttemptCharge::AfterUnreachable`].
+    pub after_unreachable: u32,
+    /// Attempts within the window charged as [`AttemptCharge::AfterHandover`].
+    pub after_handover: u32,
+    /// Extra attempts that the budget still allows; negative if overdrawn.
+    pub remaining: f64,
+    /// Number of VMs that the burst is divided by.
+    pub vms: u32,
+}
+
 /// Attempts in one part of the sliding window.
 #[derive(Clone, Copy, Debug, Default)]
 struct CountBucket {
     number: u64,
     first_attempts: u32,
     extra_attempts: u32,
+    after_rejection: u32,
+    after_unreachable: u32,
+    after_handover: u32,
 }
 
 /// Counts of first and extra attempts within the sliding window.
@@ -49,16 +102,65 @@
         true
     }
 
+    /// Counts an attempt that is not charged; first attempts are counted by
+    /// [`Self::count_first_attempt`].
+    pub(crate) fn count_uncharged(
+        &mut self,
+        charge: AttemptCharge,
+        limits: &ExtraAttemptLimits,
+        now: MonoTime,
+    ) {
+        let bucket = self.bucket(limits.window, now);
+        match charge {
+            AttemptCharge::First | AttemptCharge::Extra => {}
+            AttemptCharge::AfterRejection => bucket.after_rejection += 1,
+            AttemptCharge::AfterUnreachable => bucket.after_unreachable += 1,
+            AttemptCharge::AfterHandover => bucket.after_handover += 1,
+        }
+    }
+
     /// Returns the number of extra attempts that the budget still allows; negative if overdrawn.
     pub(crate) fn remaining(&self, limits: &ExtraAttemptLimits, vms: u32, now: MonoTime) -> f64 {
-        let current = bucket_number(limits.window, now);
+        let totals = self.totals(limits.window, now);
+        let first = f64::from(totals.first_attempts);
+        let granted = limits.share * first + limits.burst / f64::from(vms.max(1));
+        granted * USABLE_SHARE - f64::from(totals.extra_attempts)
+    }
+
+    pub(crate) fn snapshot(
+        &self,
+        service: &Arc<str>,
+        limits: &ExtraAttemptLimits,
+        vms: u32,
+        now: MonoTime,
+    ) -> BudgetSnapshot {
+        let totals = self.totals(limits.window, now);
+        BudgetSnapshot {
+            service: Arc::clone(service),
+            first_attempts: totals.first_attempts,
+            extra_attempts: totals.extra_attempts,
+            after_rejection: totals.after_rejection,
+            after_unreachable: totals.after_unreachable,
+            after_handover: totals.after_handover,
+            remaining: self.remaining(limits, vms, now),
+            vms,
+        }
+    }
+
+    /// Returns the counts of the whole window.
+    fn totals(&self, window: Duration, now: MonoTime) -> CountBucket {
+        let current = bucket_number(window, now);
         let span = BUCKETS as u64;
         let in_window = self.buckets.iter().filter(|b| b.number + span > current);
-        let (first, extra) = in_window.fold((0, 0), |(first, extra), bucket| {
-            (first + bucket.first_attempts, extra + bucket.extra_attempts)
-        });
-        let granted = limits.share * f64::from(first) + limits.burst / f64::from(vms.max(1));
-        granted * USABLE_SHARE - f64::from(extra)
+        let mut totals = CountBucket::default();
+        for bucket in in_window {
+            totals.first_attempts += bucket.first_attempts;
+            totals.extra_attempts += bucket.extra_attempts;
+            totals.after_rejection += bucket.after_rejection;
+            totals.after_unreachable += bucket.after_unreachable;
+            totals.after_handover += bucket.after_handover;
+        }
+        totals
     }
 
     /// Returns the bucket for `now`, cleared if its counts are from an earlier window.
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -10,6 +10,7 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 
 use super::{
+    attempt_budget::AttemptCharge,
     selector::{PickCriteria, RelayTarget, ShardGroup, TargetPick, TargetSelector},
     sub_request::{SubRequest, SubRequestState},
     target_tracker::AttemptSignal,
@@ -101,6 +102,8 @@
     pub idle_timeout: Duration,
     /// Whether this is the first attempt, a hedge or a retry of the sub-request.
     pub kind: AttemptKind,
+    /// How the attempt is charged to the budget of extra attempts.
+    pub charge: AttemptCharge,
 }
 
 /// How an attempt of a relayed request ended.
@@ -282,6 +285,7 @@
                 continue;
             }
             sub_request.state = SubRequestState::Open;
+            sub_request.returned_by_broker = true;
             if let Some(unclear) = outcome.unclear.iter().find(|u| u.sub_request == index) {
                 sub_request
                     .reopen_unclear(&unclear.ran, &self.params.handover_groups[group].centre);
@@ -517,10 +521,15 @@
                 idle_timeout,
             } => {
                 let progress = &self.sub_requests[sub_request];
-                let is_extra = progress.reached_attempts > progress.rejected;
-                if is_extra
-                    && !selector.try_acquire_extra(&self.sub_requests[sub_request].service, now)
-                {
+                let charge = progress.next_charge();
+                let is_allowed = match charge {
+                    AttemptCharge::Extra => selector.try_acquire_extra(&progress.service, now),
+                    uncharged => {
+                        selector.count_uncharged(&progress.service, uncharged, now);
+                        true
+                    }
+                };
+                if !is_allowed {
                     if self.fails_without_budget(sub_request, now) {
                         self.sub_requests[sub_request].state = SubRequestState::Failed;
                     } else {
@@ -535,6 +544,7 @@
                     new_connection: is_repeat,
                     idle_timeout,
                     kind,
+                    charge,
                 };
                 self.send(send, selector, now, actions);
             }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -14,7 +14,7 @@
 use fulmarweir_conf::ExtraAttemptLimits;
 
 use super::{
-    attempt_budget::ExtraAttemptBudget,
+    attempt_budget::{AttemptCharge, BudgetSnapshot, ExtraAttemptBudget},
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
 
@@ -242,6 +242,31 @@
         state.is_some_and(|state| state.budget.try_acquire_extra(&limits, vms, now))
     }
 
+    /// Counts an attempt that is not charged to the budget of `service`.
+    pub(crate) fn count_uncharged(
+        &mut self,
+        service: &Arc<str>,
+        charge: AttemptCharge,
+        now: MonoTime,
+    ) {
+        let limits = self.limits;
+        if let Some(state) = self.services.get_mut(service) {
+            state.budget.count_uncharged(charge, &limits, now);
+        }
+    }
+
+    /// Returns the budgets of extra attempts that allow no attempt now.
+    #[must_use]
+    pub fn empty_budgets(&self, now: MonoTime) -> Vec<BudgetSnapshot> {
+        let snapshots = self
+            .services
+            .iter()
+            .map(|(service, state)| state.budget.snapshot(service, &self.limits, self.vms, now));
+        snapshots
+            .filter(|snapshot| snapshot.remaining < 1.0)
+            .collect()
+    }
+
     /// Returns the number of extra attempts that the budget of `service` still allows.
     #[must_use]
     pub fn extra_left(&self, service: &str, now: MonoTime) -> f64 {
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::selector::RelayTarget;
+use super::{attempt_budget::AttemptCharge, selector::RelayTarget};
 
 /// The state of a sub-request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +41,8 @@
     pub(crate) ran: Vec<Arc<str>>,
     /// Targets in `ran` with an ended attempt that may have run.
     unclear: Vec<Arc<str>>,
+    /// Whether a broker had this sub-request and left it unanswered.
+    pub(crate) returned_by_broker: bool,
     /// Attempts that reached, or may have reached, a target.
     pub(crate) reached_attempts: u32,
     /// Attempts among `reached_attempts` that were rejected for too many connections.
@@ -67,6 +69,7 @@
             tried: Vec::new(),
             ran: Vec::new(),
             unclear: Vec::new(),
+            returned_by_broker: false,
             reached_attempts: 0,
             rejected: 0,
             exhausted_rounds: 0,
@@ -121,6 +124,21 @@
             )
     }
 
+    /// Returns how the next attempt is charged to the budget of extra attempts.
+    pub(crate) fn next_charge(&self) -> AttemptCharge {
+        if self.reached_attempts > self.rejected {
+            AttemptCharge::Extra
+        } else if self.rejected > 0 {
+            AttemptCharge::AfterRejection
+        } else if !self.tried.is_empty() || self.exhausted_rounds > 0 {
+            AttemptCharge::AfterUnreachable
+        } else if self.returned_by_broker {
+            AttemptCharge::AfterHandover
+        } else {
+            AttemptCharge::First
+        }
+    }
+
     /// Records an attempt that was sent to `target`.
     pub(crate) fn record_sent(&mut self, number: u32, target: &Arc<RelayTarget>, now: MonoTime) {
         self.open_attempts.push(OpenAttempt {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -5,9 +5,9 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    AnswerSource, AttemptKind, GroupOutcome, LatencyTable, Locality, RefusalReason, RelayAction,
-    RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRun, RelayTarget,
-    ReportedLoad, ShardGroup, TargetSelector, UnclearSubRequest,
+    AnswerSource, AttemptCharge, AttemptKind, GroupOutcome, LatencyTable, Locality, RefusalReason,
+    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRun,
+    RelayTarget, ReportedLoad, ShardGroup, TargetSelector, UnclearSubRequest,
 };
 
 fn at(millis: u64) -> MonoTime {
@@ -668,6 +668,27 @@
     }
 }
 
+#[test]
+fn an_empty_budget_shows_how_attempts_were_charged() {
+    let mut no_burst = limits();
+    no_burst.burst = 0.0;
+    let mut selector = TargetSelector::new(no_burst);
+    let targets = ["near", "far"].map(|name| target("s0", name, Locality::Centre));
+    selector.sync(targets.into(), 1, |_| Some(30), at(0));
+    let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
+    let first = &sends(&actions)[0];
+    assert_eq!(first.charge, AttemptCharge::First);
+    let unreachable = RelayAttemptOutcome::Unreachable;
+    let actions = run.on_attempt_end(0, first.attempt, unreachable, &mut selector, at(1));
+    assert_eq!(sends(&actions)[0].charge, AttemptCharge::AfterUnreachable);
+    let budgets = selector.empty_budgets(at(2));
+    assert_eq!(budgets.len(), 1);
+    assert_eq!(budgets[0].first_attempts, 1);
+    assert_eq!(budgets[0].extra_attempts, 0);
+    assert_eq!(budgets[0].after_unreachable, 1);
+    assert_eq!(budgets[0].vms, 1);
+}
+
 /// Load pattern: the nearest targets of many shards are in another data centre.
 #[test]
 fn shards_of_another_data_centre_are_grouped_unless_they_are_few() {
