Let a run state its outcome for the VM that handed it over

The daemon put this outcome together from the result of the run. The state machine now does, so that tests of several VMs without I/O use the same code. No change of behaviour.

--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -8,7 +8,7 @@
 use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayReply};
 use fulmarweir_route::{
     GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
-    RelayRun, UnclearSubRequest,
+    RelayRun,
 };
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
@@ -67,8 +67,8 @@
     pub(crate) replies: Vec<(u32, RelayReply)>,
     /// Replies of brokers by the index of the handover group.
     pub(crate) group_replies: Vec<(usize, GroupReply)>,
-    /// The unanswered services on which the request may have run.
-    pub(crate) unclear: Vec<UnclearSubRequest>,
+    /// The outcome for the VM that handed over the request, if one did.
+    pub(crate) group_outcome: GroupOutcome,
     pub(crate) stats: RelayStats,
 }
 
@@ -190,7 +190,7 @@
             last_fault: self.last_fault,
             brokers: std::mem::take(&mut self.brokers),
         };
-        let unclear = self.run.unclear_sub_requests();
+        let group_outcome = self.run.group_outcome();
         let group_replies = std::mem::take(&mut self.group_replies);
         let replies = std::mem::take(&mut self.replies);
         if !self.in_flight.is_empty() {
@@ -201,7 +201,7 @@
             outcome,
             replies,
             group_replies,
-            unclear,
+            group_outcome,
             stats,
         }
     }
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -91,15 +91,13 @@
         RelayOutcome::Answered(parts) => parts,
         RelayOutcome::TargetFailure(_) | RelayOutcome::Refused(_) => &[],
     };
-    let answered = sub_requests
-        .iter()
-        .zip(parts)
-        .filter(|(_, part)| part.is_some());
-    let unclear = result.unclear.iter();
+    let outcome = &result.group_outcome;
+    let answered = outcome.answered.iter().map(|index| sub_requests[*index]);
+    let unclear = outcome.unclear.iter();
     let unclear = unclear.map(|unclear| (sub_requests[unclear.sub_request], unclear.ran.clone()));
     let merged = merge_parts(node, parts, result, top_k);
     HandoverReply {
-        answered: answered.map(|(sub_request, _)| *sub_request).collect(),
+        answered: answered.collect(),
         unclear: unclear.collect(),
         signatures: merged.signatures,
         records: merged.records,
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -366,17 +366,21 @@
         self.sub_requests.len() - self.answered
     }
 
-    /// Returns the sub-requests without an answer that may have run.
+    /// Returns what the VM that handed over this request must know of its services.
     #[must_use]
-    pub fn unclear_sub_requests(&self) -> Vec<UnclearSubRequest> {
-        let sub_requests = self.sub_requests.iter().enumerate();
-        let unclear = sub_requests
-            .filter(|(_, sub_request)| !sub_request.is_answered() && sub_request.may_have_run());
-        let unclear = unclear.map(|(index, sub_request)| UnclearSubRequest {
-            sub_request: index,
-            ran: sub_request.ran.clone(),
-        });
-        unclear.collect()
+    pub fn group_outcome(&self) -> GroupOutcome {
+        let mut outcome = GroupOutcome::default();
+        for (index, sub_request) in self.sub_requests.iter().enumerate() {
+            if sub_request.is_answered() {
+                outcome.answered.push(index);
+            } else if sub_request.may_have_run() {
+                outcome.unclear.push(UnclearSubRequest {
+                    sub_request: index,
+                    ran: sub_request.ran.clone(),
+                });
+            }
+        }
+        outcome
     }
 
     /// Returns the names of the services without an answer, for logs.
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -833,7 +833,7 @@
     let unanswered: Vec<UnclearSubRequest> = (1..4)
         .map(|sub_request| unclear(sub_request, &[&format!("s{sub_request}-near")]))
         .collect();
-    assert_eq!(run.unclear_sub_requests(), unanswered);
+    assert_eq!(run.group_outcome().unclear, unanswered);
     // Without any answer, the request is refused at the soft deadline too.
     let later = RelayParams {
         soft_deadline: at(500),
