Charge a shard that a broker's targets refused when its origin sends it again

Cause: a broker reported a shard whose targets had refused all attempts like one that was never sent: not run. The VM of the caller then sent a 'first' attempt, which no budget paid, and counted it as another first attempt, which grants further extra attempts. But 'not run' is not 'not arrived': a target counts what it refuses.

Fix: a broker's outcome tells refused shards from unsent ones, and whether the broker accepted the group. Refused shards are retries that the origin's budget pays; unsent ones are first attempts which the broker has counted already.

--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -131,8 +131,8 @@
         RunVerdict::MayHaveRun | RunVerdict::Ran => all_unclear(group.sub_requests),
     };
     let outcome = GroupOutcome {
-        answered: Vec::new(),
         unclear,
+        ..GroupOutcome::default()
     };
     (outcome, None)
 }
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -92,13 +92,14 @@
         RelayOutcome::TargetFailure(_) | RelayOutcome::Refused(_) => &[],
     };
     let outcome = &result.group_outcome;
-    let answered = outcome.answered.iter().map(|index| sub_requests[*index]);
+    let outer_indexes = |inner: &[usize]| inner.iter().map(|index| sub_requests[*index]).collect();
     let unclear = outcome.unclear.iter();
     let unclear = unclear.map(|unclear| (sub_requests[unclear.sub_request], unclear.ran.clone()));
     let merged = merge_parts(node, parts, result, top_k);
     HandoverReply {
-        answered: answered.collect(),
+        answered: outer_indexes(&outcome.answered),
         unclear: unclear.collect(),
+        refused: outer_indexes(&outcome.refused),
         signatures: merged.signatures,
         records: merged.records,
     }
@@ -112,8 +113,10 @@
         ran,
     });
     let outcome = GroupOutcome {
+        accepted: true,
         answered: decode_indexes(&reply.answered),
         unclear: unclear.collect(),
+        refused: decode_indexes(&reply.refused),
     };
     let group_reply = GroupReply {
         signatures: reply.signatures,
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -95,6 +95,8 @@
     /// Indexes of unanswered shards whose query may have run, each with the targets that may have
     /// run it.
     pub(crate) unclear: Vec<(u16, Vec<Arc<str>>)>,
+    /// Indexes of unanswered shards whose targets refused all attempts.
+    pub(crate) refused: Vec<u16>,
     /// The signatures of the targets over their replies.
     pub(crate) signatures: Vec<Vec<u8>>,
     /// The greatest records of the shards that answered.
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -26,7 +26,7 @@
     AfterRejection,
     /// Not charged: the attempt before was not sent.
     AfterUnreachable,
-    /// Not charged: a broker left the sub-request unanswered.
+    /// Not charged: a broker counted the first attempt, but sent none.
     AfterHandover,
 }
 
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -63,10 +63,14 @@
 /// The outcome of a handover of a group of services, by their index in [`RelayParams::services`].
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct GroupOutcome {
+    /// Whether the broker accepted the group, so that it counted the first attempts.
+    pub accepted: bool,
     /// Services with an answer.
     pub answered: Vec<usize>,
     /// Services without an answer that may have run.
     pub unclear: Vec<UnclearSubRequest>,
+    /// Services without an answer that did not run, since the targets refused all attempts.
+    pub refused: Vec<usize>,
 }
 
 /// A sub-request without an answer that may have run.
@@ -285,21 +289,18 @@
                 continue;
             }
             sub_request.state = SubRequestState::Open;
-            sub_request.returned_by_broker = true;
+            sub_request.counted_by_broker = outcome.accepted;
             if let Some(unclear) = outcome.unclear.iter().find(|u| u.sub_request == index) {
                 sub_request
                     .reopen_unclear(&unclear.ran, &self.params.handover_groups[group].centre);
+            } else if outcome.refused.contains(&index) {
+                sub_request.reopen_refused();
             }
             unanswered.push(index);
         }
         if !self.can_answer(now) {
             for sub_request in unanswered {
-                if self.sub_requests[sub_request].may_have_run() {
-                    let kind = AttemptKind::Retry(RetryReason::Failed);
-                    self.try_send(sub_request, kind, selector, now, &mut actions);
-                } else {
-                    self.send_first(sub_request, selector, now, &mut actions);
-                }
+                self.send_returned(sub_request, selector, now, &mut actions);
             }
         }
         self.finish_or_wake(selector, now, &mut actions);
@@ -369,7 +370,10 @@
     /// Returns what the VM that handed over this request must know of its services.
     #[must_use]
     pub fn group_outcome(&self) -> GroupOutcome {
-        let mut outcome = GroupOutcome::default();
+        let mut outcome = GroupOutcome {
+            accepted: true,
+            ..GroupOutcome::default()
+        };
         for (index, sub_request) in self.sub_requests.iter().enumerate() {
             if sub_request.is_answered() {
                 outcome.answered.push(index);
@@ -378,6 +382,8 @@
                     sub_request: index,
                     ran: sub_request.ran.clone(),
                 });
+            } else if sub_request.reached_attempts > 0 {
+                outcome.refused.push(index);
             }
         }
         outcome
@@ -496,6 +502,26 @@
         self.try_send(sub_request, AttemptKind::First, selector, now, actions);
     }
 
+    /// Sends a sub-request that a broker left unanswered.
+    fn send_returned(
+        &mut self,
+        sub_request: usize,
+        selector: &mut TargetSelector,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let progress = &self.sub_requests[sub_request];
+        let kind = match (progress.reached_attempts, progress.may_have_run()) {
+            (0, _) if !progress.counted_by_broker => {
+                return self.send_first(sub_request, selector, now, actions);
+            }
+            (0, _) => AttemptKind::First,
+            (_, false) => AttemptKind::Retry(RetryReason::Refused),
+            (_, true) => AttemptKind::Retry(RetryReason::Failed),
+        };
+        self.try_send(sub_request, kind, selector, now, actions);
+    }
+
     fn try_send(
         &mut self,
         sub_request: usize,
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -41,8 +41,8 @@
     pub(crate) ran: Vec<Arc<str>>,
     /// Targets in `ran` with an ended attempt that may have run.
     unclear: Vec<Arc<str>>,
-    /// Whether a broker had this sub-request and left it unanswered.
-    pub(crate) returned_by_broker: bool,
+    /// Whether a broker left the sub-request unanswered, but counted its first attempt.
+    pub(crate) counted_by_broker: bool,
     /// Attempts that reached, or may have reached, a target.
     pub(crate) reached_attempts: u32,
     /// Attempts among `reached_attempts` that were rejected for too many connections.
@@ -69,7 +69,7 @@
             tried: Vec::new(),
             ran: Vec::new(),
             unclear: Vec::new(),
-            returned_by_broker: false,
+            counted_by_broker: false,
             reached_attempts: 0,
             rejected: 0,
             exhausted_rounds: 0,
@@ -113,6 +113,13 @@
         self.pinned_centre = ran.is_empty().then(|| Arc::clone(centre));
     }
 
+    /// Reopens a sub-request that targets refused at a broker. All further attempts count as extra
+    /// attempts.
+    pub(crate) fn reopen_refused(&mut self) {
+        self.state = SubRequestState::Open;
+        self.reached_attempts = 1;
+    }
+
     /// Whether any attempt of the sub-request may have run, or may still run.
     pub(crate) fn may_have_run(&self) -> bool {
         !self.ran.is_empty()
@@ -132,7 +139,7 @@
             AttemptCharge::AfterRejection
         } else if !self.tried.is_empty() || self.exhausted_rounds > 0 {
             AttemptCharge::AfterUnreachable
-        } else if self.returned_by_broker {
+        } else if self.counted_by_broker {
             AttemptCharge::AfterHandover
         } else {
             AttemptCharge::First
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -733,6 +733,7 @@
     let outcome = GroupOutcome {
         answered: vec![2, 3],
         unclear: Vec::new(),
+        ..GroupOutcome::default()
     };
     let actions = run.on_group_end(0, &outcome, &mut selector, at(30));
     let group = Some(AnswerSource::Group(0));
@@ -766,6 +767,23 @@
     assert!(sends(&repeated).is_empty());
 }
 
+/// Load pattern: all connections of a broker to the targets of two shards are in use.
+#[test]
+fn shards_that_a_broker_could_not_send_are_not_counted_twice() {
+    let mut selector = regional_selector();
+    let (mut run, _) = RelayRun::start(regional_params(), &mut selector, at(0));
+    let before = selector.extra_left("s2", at(5));
+    let outcome = GroupOutcome {
+        accepted: true,
+        ..GroupOutcome::default()
+    };
+    let sent = sends(&run.on_group_end(0, &outcome, &mut selector, at(5)));
+    assert_eq!(sent.len(), 2);
+    let after_handover = AttemptCharge::AfterHandover;
+    assert!(sent.iter().all(|send| send.charge == after_handover));
+    assert!((selector.extra_left("s2", at(5)) - before).abs() < 1e-9);
+}
+
 /// Load pattern: a broker stops responding, and its shards may have run.
 #[test]
 fn shards_that_a_failed_broker_may_have_run_are_extra_attempts_to_the_same_targets() {
@@ -775,6 +793,7 @@
     let outcome = GroupOutcome {
         answered: vec![3],
         unclear: vec![unclear(2, &[])],
+        ..GroupOutcome::default()
     };
     let sent = sends(&run.on_group_end(0, &outcome, &mut selector, at(100)));
     assert_eq!(sent.len(), 1);
@@ -806,6 +825,7 @@
         unclear: (0..4)
             .map(|sub_request| unclear(sub_request, &[]))
             .collect(),
+        ..GroupOutcome::default()
     };
     let actions = run.on_group_end(0, &outcome, &mut selector, at(150));
     let Some(RelayOutcome::Refused(refusal)) = finish(&actions) else {
@@ -875,6 +895,7 @@
     let outcome = GroupOutcome {
         answered: vec![2],
         unclear: vec![unclear(3, &["s3-far", "s3-farther"])],
+        ..GroupOutcome::default()
     };
     let mut actions = run.on_group_end(0, &outcome, &mut selector, at(190));
     for millis in (200..1_900).step_by(20) {
