Grant the burst of extra attempts for a window of time, not for a moment

What callers saw: when VMs fail or restart while targets are in trouble, targets can get more repeated requests than allowed.

Cause: each VM divided the burst by the number of entry VMs that it heard of last. The number is 1 before the first reply of a keeper and falls when VMs fail, and a process that starts has forgotten what the one before has spent. So the parts that were granted within one window added up to more than the burst.

Fix: a VM has no part of the burst until a window after its start, and without a reply of any keeper for 30 s; the burst is divided by the highest number of VMs of the last 40 s, the lease and a window. Then all that spend of the burst within a window were alive and known at its start. Two sides of a cut that lasts longer than 40 s and both of which reach keepers still share it out twice.

--- a/crates/daemon/src/relay/budget_log.rs
+++ b/crates/daemon/src/relay/budget_log.rs
@@ -1,4 +1,4 @@
-//! Logs which services have no extra attempts left.
+//! Logs for which services extra attempts are denied.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -13,7 +13,7 @@
 /// Time after which the last line about a service is forgotten, in milliseconds.
 const FORGET_AFTER_MS: u64 = 60_000;
 
-/// Writes a line about each service whose budget of extra attempts is empty, at most one per
+/// Writes a line about each service whose budget of extra attempts denies some, at most one per
 /// service and period.
 ///
 /// Summed over all VMs, the counts show how many attempts a service received beyond the first ones.
@@ -29,7 +29,7 @@
         self.logged_at.retain(|_, at| now.since(*at) < forget_after);
         let period = Duration::from_millis(LINE_PERIOD_MS);
         let last_logged = |service: &Arc<str>| self.logged_at.get(service).copied();
-        let mut due = selector.empty_budgets(now);
+        let mut due = selector.denying_budgets(now);
         due.retain(|budget| last_logged(&budget.service).is_none_or(|at| now.since(at) >= period));
         due.sort_by_key(|budget| last_logged(&budget.service));
         for budget in due.into_iter().take(LINES_PER_TICK_MAX) {
@@ -38,7 +38,8 @@
                 "after_rejection" => budget.after_rejection,
                 "after_unreachable" => budget.after_unreachable,
                 "after_handover" => budget.after_handover,
-                "left" => format_args!("{:.1}", budget.remaining), "vms" => budget.vms);
+                "denied" => budget.denied, "left" => format_args!("{:.1}", budget.remaining),
+                "burst_part" => format_args!("{:.1}", budget.burst_part));
             self.logged_at.insert(budget.service, now);
         }
     }
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -109,12 +109,15 @@
         peers: RelayPeers,
     ) -> Arc<Self> {
         let directory = KeeperDirectory::new(&settings.seeds);
+        let started_at = timer.now();
+        // By then, no extra attempt of an earlier process of this VM is in the window.
+        let burst_from = started_at + settings.extra_attempts.window;
         Arc::new(Self {
             adapter,
             request_log: RequestLog::new(log.clone()),
             metrics: RelayMetrics::new(),
             pool: RelayPool::new(timer.clone()),
-            selector: Mutex::new(TargetSelector::new(settings.extra_attempts)),
+            selector: Mutex::new(TargetSelector::new(settings.extra_attempts, burst_from)),
             latency_table: Mutex::default(),
             lag: Mutex::default(),
             directory,
@@ -132,7 +135,7 @@
             keepers_lost: AtomicBool::new(false),
             budget_log: Mutex::default(),
             logged_target_count: AtomicU64::new(0),
-            started_at: timer.now(),
+            started_at,
             state_changed: Notify::new(),
             settings,
             log,
@@ -276,6 +279,7 @@
         let live = counts.values().filter(|c| now.since(c.heard_at) <= ttl);
         let entry_vm_count = live.map(|c| c.count).max().unwrap_or(1).max(1);
         self.metrics.entries.set(entry_vm_count.into());
+        lock(&self.selector).record_vm_count(entry_vm_count, now);
         self.entry_vm_count.swap(entry_vm_count, Relaxed) != entry_vm_count
     }
 
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -7,6 +7,7 @@
 
 mod attempt_budget;
 mod broker_selector;
+mod burst_share;
 mod latency_table;
 mod merge;
 mod run;
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -59,10 +59,12 @@
     pub after_unreachable: u32,
     /// Attempts within the window charged as [`AttemptCharge::AfterHandover`].
     pub after_handover: u32,
+    /// Extra attempts within the window that the budget did not allow.
+    pub denied: u32,
     /// Extra attempts that the budget still allows; negative if overdrawn.
     pub remaining: f64,
-    /// Number of VMs that the burst is divided by.
-    pub vms: u32,
+    /// This VM's part of the burst.
+    pub burst_part: f64,
 }
 
 /// Attempts in one part of the sliding window.
@@ -74,6 +76,7 @@
     after_rejection: u32,
     after_unreachable: u32,
     after_handover: u32,
+    denied: u32,
 }
 
 /// Counts of first and extra attempts within the sliding window.
@@ -92,10 +95,11 @@
     pub(crate) fn try_acquire_extra(
         &mut self,
         limits: &ExtraAttemptLimits,
-        vms: u32,
+        burst_part: f64,
         now: MonoTime,
     ) -> bool {
-        if self.remaining(limits, vms, now) < 1.0 {
+        if self.remaining(limits, burst_part, now) < 1.0 {
+            self.bucket(limits.window, now).denied += 1;
             return false;
         }
         self.bucket(limits.window, now).extra_attempts += 1;
@@ -120,10 +124,16 @@
     }
 
     /// Returns the number of extra attempts that the budget still allows; negative if overdrawn.
-    pub(crate) fn remaining(&self, limits: &ExtraAttemptLimits, vms: u32, now: MonoTime) -> f64 {
+    ///
+    /// `burst_part` is this VM's part of the burst.
+    pub(crate) fn remaining(
+        &self,
+        limits: &ExtraAttemptLimits,
+        burst_part: f64,
+        now: MonoTime,
+    ) -> f64 {
         let totals = self.totals(limits.window, now);
-        let first = f64::from(totals.first_attempts);
-        let granted = limits.share * first + limits.burst / f64::from(vms.max(1));
+        let granted = limits.share * f64::from(totals.first_attempts) + burst_part;
         granted * USABLE_SHARE - f64::from(totals.extra_attempts)
     }
 
@@ -131,7 +141,7 @@
         &self,
         service: &Arc<str>,
         limits: &ExtraAttemptLimits,
-        vms: u32,
+        burst_part: f64,
         now: MonoTime,
     ) -> BudgetSnapshot {
         let totals = self.totals(limits.window, now);
@@ -142,8 +152,9 @@
             after_rejection: totals.after_rejection,
             after_unreachable: totals.after_unreachable,
             after_handover: totals.after_handover,
-            remaining: self.remaining(limits, vms, now),
-            vms,
+            denied: totals.denied,
+            remaining: self.remaining(limits, burst_part, now),
+            burst_part,
         }
     }
 
@@ -159,6 +170,7 @@
             totals.after_rejection += bucket.after_rejection;
             totals.after_unreachable += bucket.after_unreachable;
             totals.after_handover += bucket.after_handover;
+            totals.denied += bucket.denied;
         }
         totals
     }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -15,6 +15,7 @@
 
 use super::{
     attempt_budget::{AttemptCharge, BudgetSnapshot, ExtraAttemptBudget},
+    burst_share::BurstShare,
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
 
@@ -151,15 +152,19 @@
 pub struct TargetSelector {
     services: HashMap<Arc<str>, RelayServiceState>,
     limits: ExtraAttemptLimits,
+    burst_share: BurstShare,
     vms: u32,
 }
 
 impl TargetSelector {
     /// Returns a selector without targets.
+    ///
+    /// Before `burst_from`, extra attempts are limited to the share of first attempts.
     #[must_use]
-    pub fn new(limits: ExtraAttemptLimits) -> Self {
+    pub fn new(limits: ExtraAttemptLimits, burst_from: MonoTime) -> Self {
         Self {
             services: HashMap::new(),
+            burst_share: BurstShare::new(limits.window, burst_from),
             limits,
             vms: 1,
         }
@@ -176,7 +181,7 @@
         connections_max: impl Fn(&str) -> Option<u32>,
         now: MonoTime,
     ) {
-        self.vms = vms.max(1);
+        self.record_vm_count(vms, now);
         let mut trackers: HashMap<Arc<str>, Vec<TargetTracker>> = HashMap::new();
         for target in targets {
             let limit = connections_max(&target.service);
@@ -198,6 +203,12 @@
         }
     }
 
+    /// Records the number of entry VMs, including this one, as it was just reported.
+    pub fn record_vm_count(&mut self, vms: u32, now: MonoTime) {
+        self.vms = vms.max(1);
+        self.burst_share.record_vm_count(self.vms, now);
+    }
+
     /// Removes and returns the tracker of `target`, if it has the same incarnation, address and
     /// slots.
     fn remove_tracker(&mut self, target: &RelayTarget) -> Option<TargetTracker> {
@@ -237,9 +248,9 @@
 
     /// Takes one extra attempt from the budget of `service`; returns false if the budget is empty.
     pub fn try_acquire_extra(&mut self, service: &Arc<str>, now: MonoTime) -> bool {
-        let (limits, vms) = (self.limits, self.vms);
+        let (limits, burst_part) = (self.limits, self.burst_part(now));
         let state = self.services.get_mut(service);
-        state.is_some_and(|state| state.budget.try_acquire_extra(&limits, vms, now))
+        state.is_some_and(|s| s.budget.try_acquire_extra(&limits, burst_part, now))
     }
 
     /// Counts an attempt that is not charged to the budget of `service`.
@@ -255,15 +266,17 @@
         }
     }
 
-    /// Returns the budgets of extra attempts that allow no attempt now.
+    /// Returns the budgets that allow no extra attempt now and have denied some within the window.
     #[must_use]
-    pub fn empty_budgets(&self, now: MonoTime) -> Vec<BudgetSnapshot> {
-        let snapshots = self
-            .services
-            .iter()
-            .map(|(service, state)| state.budget.snapshot(service, &self.limits, self.vms, now));
+    pub fn denying_budgets(&self, now: MonoTime) -> Vec<BudgetSnapshot> {
+        let burst_part = self.burst_part(now);
+        let snapshots = self.services.iter().map(|(service, state)| {
+            state
+                .budget
+                .snapshot(service, &self.limits, burst_part, now)
+        });
         snapshots
-            .filter(|snapshot| snapshot.remaining < 1.0)
+            .filter(|snapshot| snapshot.denied > 0 && snapshot.remaining < 1.0)
             .collect()
     }
 
@@ -271,7 +284,13 @@
     #[must_use]
     pub fn extra_left(&self, service: &str, now: MonoTime) -> f64 {
         let state = self.services.get(service);
-        state.map_or(0.0, |s| s.budget.remaining(&self.limits, self.vms, now))
+        let burst_part = self.burst_part(now);
+        state.map_or(0.0, |s| s.budget.remaining(&self.limits, burst_part, now))
+    }
+
+    /// Returns this VM's part of the burst of each service.
+    fn burst_part(&self, now: MonoTime) -> f64 {
+        self.burst_share.part_of(self.limits.burst, now)
     }
 
     /// Selects the target with the lowest score, i.e. the one that is expected to answer first.
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -108,7 +108,7 @@
         };
         for centre in centres {
             fleet.vms.push(ModelVm {
-                selector: TargetSelector::new(limits),
+                selector: TargetSelector::new(limits, at(0)),
                 centre,
                 up: true,
                 process: 0,
@@ -132,7 +132,8 @@
     pub(crate) fn restart(&mut self, vm: usize) {
         self.kill(vm);
         self.vms[vm].up = true;
-        self.vms[vm].selector = TargetSelector::new(self.limits);
+        let burst_from = at(self.now_ms) + self.limits.window;
+        self.vms[vm].selector = TargetSelector::new(self.limits, burst_from);
     }
 
     /// Tells every live VM how many there are.
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -41,7 +41,7 @@
 
 /// Returns a selector with the shards `s0`, `s1` etc., each with a near and a far target.
 fn selector(shards: usize) -> TargetSelector {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let targets = (0..shards).flat_map(|shard| {
         let service = format!("s{shard}");
         [
@@ -277,7 +277,7 @@
 
 #[test]
 fn a_request_runs_on_no_more_targets_than_allowed() {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let names = ["a", "b", "c", "d"];
     let targets = names.map(|name| target("s0", name, Locality::Centre));
     selector.sync(targets.to_vec(), 1, |_| Some(30), at(0));
@@ -514,7 +514,7 @@
 /// Load pattern: two of three replicas are over their connection limit, and the third one is not.
 #[test]
 fn a_target_over_its_connection_limit_does_not_count_towards_the_target_limit() {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let names = ["a", "b", "c"];
     let targets = names.map(|name| target("s0", name, Locality::Centre));
     selector.sync(targets.to_vec(), 1, |_| Some(30), at(0));
@@ -634,7 +634,7 @@
 /// Returns a selector with the shards `s0` to `s3`. The nearest target of the last two is in
 /// another data centre of the region.
 fn regional_selector() -> TargetSelector {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let targets = (0..4).flat_map(|shard| {
         let service = format!("s{shard}");
         let near = if shard < 2 {
@@ -669,11 +669,11 @@
 }
 
 #[test]
-fn an_empty_budget_shows_how_attempts_were_charged() {
+fn a_denying_budget_shows_how_attempts_were_charged() {
     let mut no_burst = limits();
     no_burst.burst = 0.0;
-    let mut selector = TargetSelector::new(no_burst);
-    let targets = ["near", "far"].map(|name| target("s0", name, Locality::Centre));
+    let mut selector = TargetSelector::new(no_burst, at(0));
+    let targets = ["t1", "t2", "t3"].map(|name| target("s0", name, Locality::Centre));
     selector.sync(targets.into(), 1, |_| Some(30), at(0));
     let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
     let first = &sends(&actions)[0];
@@ -681,18 +681,21 @@
     let unreachable = RelayAttemptOutcome::Unreachable;
     let actions = run.on_attempt_end(0, first.attempt, unreachable, &mut selector, at(1));
     assert_eq!(sends(&actions)[0].charge, AttemptCharge::AfterUnreachable);
-    let budgets = selector.empty_budgets(at(2));
+    assert!(selector.denying_budgets(at(2)).is_empty());
+    run.on_wake(&mut selector, at(60));
+    let budgets = selector.denying_budgets(at(61));
     assert_eq!(budgets.len(), 1);
     assert_eq!(budgets[0].first_attempts, 1);
     assert_eq!(budgets[0].extra_attempts, 0);
     assert_eq!(budgets[0].after_unreachable, 1);
-    assert_eq!(budgets[0].vms, 1);
+    assert_eq!(budgets[0].denied, 1);
+    assert!(budgets[0].burst_part.abs() < 1e-9);
 }
 
 /// Load pattern: the nearest targets of many shards are in another data centre.
 #[test]
 fn shards_of_another_data_centre_are_grouped_unless_they_are_few() {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let targets = (0..9).flat_map(|shard| {
         let service = format!("s{shard}");
         let near = match shard {
@@ -809,7 +812,7 @@
 fn shards_of_a_failed_broker_without_a_budget_are_refused_at_once() {
     let mut no_burst = limits();
     no_burst.burst = 0.0;
-    let mut selector = TargetSelector::new(no_burst);
+    let mut selector = TargetSelector::new(no_burst, at(0));
     let targets = (0..4).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
     selector.sync(targets.collect(), 1, |_| Some(30), at(0));
     let params = RelayParams {
@@ -868,7 +871,7 @@
 /// Guards against a shard running on a third target after the broker has used two others.
 #[test]
 fn shards_left_unanswered_by_a_broker_do_not_exceed_the_target_limit() {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let targets = (0..4).flat_map(|shard| {
         let service = format!("s{shard}");
         [
@@ -913,7 +916,7 @@
     let mut empty_limits = limits();
     empty_limits.share = 0.0;
     empty_limits.burst = 0.0;
-    let mut selector = TargetSelector::new(empty_limits);
+    let mut selector = TargetSelector::new(empty_limits, at(0));
     let targets = (0..4).flat_map(|shard| {
         let service = format!("s{shard}");
         [
@@ -973,7 +976,7 @@
 /// planned, but not sent.
 #[test]
 fn a_search_without_enough_targets_is_refused_before_any_handover() {
-    let mut selector = TargetSelector::new(limits());
+    let mut selector = TargetSelector::new(limits(), at(0));
     let targets = (0..2).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
     selector.sync(targets.collect(), 1, |_| Some(30), at(0));
     let (_, actions) = RelayRun::start(regional_params(), &mut selector, at(0));
