Count an attempt that was reset early as one that reached its target

What callers saw: when targets crash or break off requests, they can get many more repeated requests than allowed, and a request can run on more targets than its route allows.

Cause: a new connection that is reset within a round trip and 4 ms was taken for one over the target's connection limit. The next attempt was free, and the target did not count towards the limit of targets. Timing does not prove that: a target that crashes at once, or resets a request that it has read, looks the same.

Fix: an early reset is charged and counts like any lost answer. What is really over the limit is told apart by proof: for 2 s after a reset, and for 5 s after the start until the target has answered, a request is sent on a new connection only once the target would have reset it. Such an attempt was not sent, so it is not charged, or refunded, and does not end the sub-request. Three tests fed 'rejected' for a connection limit: they now feed 'over the limit', with the same bounds and the verdict 'not run', and what they said of an early reset stands in an_attempt_that_was_reset_early_counts_as_run, charged and bounded.

--- a/crates/daemon/src/relay/budget_log.rs
+++ b/crates/daemon/src/relay/budget_log.rs
@@ -35,7 +35,6 @@
         for budget in due.into_iter().take(LINES_PER_TICK_MAX) {
             info!(log, "extra-budget-empty"; "service" => &*budget.service,
                 "first" => budget.first_attempts, "extra" => budget.extra_attempts,
-                "after_rejection" => budget.after_rejection,
                 "after_unreachable" => budget.after_unreachable,
                 "after_handover" => budget.after_handover,
                 "denied" => budget.denied, "left" => format_args!("{:.1}", budget.remaining),
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -334,6 +334,7 @@
             let outcome = match fault {
                 RelayFault::Connect => RelayAttemptOutcome::Unreachable,
                 RelayFault::NotSent => RelayAttemptOutcome::NoConnection,
+                RelayFault::OverLimit => RelayAttemptOutcome::OverLimit,
                 RelayFault::Rejected => RelayAttemptOutcome::Rejected,
                 RelayFault::Broken | RelayFault::TooLarge => RelayAttemptOutcome::Broken,
             };
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -56,6 +56,9 @@
     Connect,
     /// The connection closed before the request was sent on it.
     NotSent,
+    /// The target closed a new connection before the request was sent on it, as a target over its
+    /// connection limit does.
+    OverLimit,
     /// The target reset a new connection sooner than it could have run the request, as a target
     /// over its connection limit does.
     ///
@@ -74,6 +77,7 @@
         match self {
             Self::Connect => "connect",
             Self::NotSent => "not-sent",
+            Self::OverLimit => "over-limit",
             Self::Rejected => "rejected",
             Self::Broken => "broken",
             Self::TooLarge => "too-large",
@@ -81,6 +85,13 @@
     }
 }
 
+/// Time after a target reset a new connection in which it is expected to reset others, in
+/// milliseconds.
+const RESET_TTL_MS: u64 = 2_000;
+/// Time after the start of the process in which connections of an earlier one may still use up the
+/// limit of a target, in milliseconds.
+const STARTUP_MS: u64 = 5_000;
+
 /// Shortest time in which a target could run a request, in addition to the round trip, in
 /// milliseconds.
 const PROCESSING_MIN_MS: u64 = 4;
@@ -115,10 +126,14 @@
     usable_until: MonoTime,
 }
 
-/// Idle connections of one address.
+/// Idle connections of one address, and what is known of its connection limit.
 #[derive(Default)]
 struct AddressState {
     idle: Vec<IdleConnection>,
+    /// When the target last reset a new connection.
+    reset_at: Option<MonoTime>,
+    /// Whether the target has answered since the start of the process.
+    has_answered: bool,
 }
 
 /// The connections to all targets.
@@ -131,6 +146,7 @@
     tasks: TaskTracker,
     stop: CancellationToken,
     opened: AtomicU64,
+    started_at: MonoTime,
 }
 
 impl RelayPool {
@@ -139,6 +155,7 @@
     pub fn new(timer: TimerService) -> Self {
         Self {
             addresses: Mutex::default(),
+            started_at: timer.now(),
             timer,
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
@@ -151,8 +168,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`RelayFault`]. Only [`RelayFault::Connect`] and [`RelayFault::NotSent`] prove
-    /// that the target has not seen the request.
+    /// Returns a [`RelayFault`]. Only [`RelayFault::Connect`], [`RelayFault::NotSent`] and
+    /// [`RelayFault::OverLimit`] prove that the target has not seen the request.
     pub async fn exchange(
         &self,
         address: SocketAddr,
@@ -172,6 +189,7 @@
                 body.extend_from_slice(&data);
             }
         }
+        self.record_answer(address);
         self.return_connection(address, sender, &head.headers, idle_timeout);
         Ok(RelayReply {
             status: head.status,
@@ -204,18 +222,20 @@
             mut sender,
             round_trip,
         } = self.connect(address).await?;
-        if reuse != ConnectionReuse::Any {
+        if reuse != ConnectionReuse::Any || self.may_be_over_limit(address) {
             // A target over its connection limit resets a new connection within this time, so the
             // request is sent only after it.
             tokio::time::sleep(round_trip + Duration::from_millis(REJECT_DELAY_MAX_MS)).await;
             if sender.is_closed() {
-                return Err(RelayFault::Connect);
+                self.record_reset(address);
+                return Err(RelayFault::OverLimit);
             }
         }
         let sent_at = self.timer.now();
         match sender.try_send_request(request).await {
             Ok(response) => Ok((sender, response)),
             Err(mut error) => {
+                self.record_reset(address);
                 let earliest_reply =
                     sent_at + round_trip + Duration::from_millis(PROCESSING_MIN_MS);
                 let is_early = self.timer.now() < earliest_reply && !error.error().is_parse();
@@ -230,18 +250,47 @@
 
     /// Closes all idle connections to `address`, e.g. after one of them turned out to be dead.
     pub fn close_idle(&self, address: SocketAddr) {
-        lock(&self.addresses).remove(&address);
+        if let Some(state) = lock(&self.addresses).get_mut(&address) {
+            state.idle.clear();
+        }
+    }
+
+    /// Whether the target at `address` may reset a new connection because of its connection limit.
+    fn may_be_over_limit(&self, address: SocketAddr) -> bool {
+        let now = self.timer.now();
+        let is_starting = self.is_starting(now);
+        let addresses = lock(&self.addresses);
+        let Some(state) = addresses.get(&address) else {
+            return is_starting;
+        };
+        has_reset_recently(state, now) || (is_starting && !state.has_answered)
+    }
+
+    fn is_starting(&self, now: MonoTime) -> bool {
+        now.since(self.started_at) < Duration::from_millis(STARTUP_MS)
+    }
+
+    fn record_answer(&self, address: SocketAddr) {
+        let mut addresses = lock(&self.addresses);
+        addresses.entry(address).or_default().has_answered = true;
+    }
+
+    fn record_reset(&self, address: SocketAddr) {
+        let reset_at = Some(self.timer.now());
+        let mut addresses = lock(&self.addresses);
+        addresses.entry(address).or_default().reset_at = reset_at;
     }
 
     /// Closes idle connections that have expired or that the target has closed.
     pub fn close_expired(&self) {
         let now = self.timer.now();
+        let is_starting = self.is_starting(now);
         let mut addresses = lock(&self.addresses);
         addresses.retain(|_, state| {
             let is_usable =
                 |idle: &IdleConnection| idle.usable_until > now && !idle.sender.is_closed();
             state.idle.retain(is_usable);
-            !state.idle.is_empty()
+            is_starting || has_reset_recently(state, now) || !state.idle.is_empty()
         });
     }
 
@@ -341,6 +390,11 @@
     }
 }
 
+fn has_reset_recently(state: &AddressState, now: MonoTime) -> bool {
+    let ttl = Duration::from_millis(RESET_TTL_MS);
+    state.reset_at.is_some_and(|at| now.since(at) < ttl)
+}
+
 fn has_connection_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     values.filter_map(|value| value.to_str().ok()).any(|value| {
--- a/crates/pool/tests/relay_pool.rs
+++ b/crates/pool/tests/relay_pool.rs
@@ -262,15 +262,15 @@
         .await
         .unwrap_err();
     assert!(
-        matches!(fault, RelayFault::Rejected | RelayFault::NotSent),
+        matches!(fault, RelayFault::OverLimit | RelayFault::NotSent),
         "{fault:?}"
     );
-    // A request that must not run twice has not been sent yet.
+    // A request that must not run twice has not been sent yet either.
     let fault = query(&pool, &rejecting, ConnectionReuse::Recent)
         .await
         .unwrap_err();
     assert!(
-        matches!(fault, RelayFault::Connect | RelayFault::NotSent),
+        matches!(fault, RelayFault::OverLimit | RelayFault::NotSent),
         "{fault:?}"
     );
 
@@ -286,6 +286,36 @@
     assert_eq!(fault, RelayFault::Broken);
 }
 
+/// Load pattern: a target that has answered before reaches its connection limit. Only the first
+/// request may be lost; the next ones wait until the target had time to reset the connection.
+#[tokio::test]
+async fn after_a_reset_requests_are_not_sent_before_the_connection_is_known_to_be_accepted() {
+    let target = start_target(|number, mut stream| async move {
+        if number == 0 {
+            read_head(&mut stream).await;
+            answer(&mut stream, "connection: close\r\n", "part").await;
+        } else {
+            stream.set_zero_linger().unwrap();
+        }
+    })
+    .await;
+    let pool = new_pool();
+    query(&pool, &target, ConnectionReuse::Any).await.unwrap();
+    let fault = query(&pool, &target, ConnectionReuse::Any)
+        .await
+        .unwrap_err();
+    assert_ne!(fault, RelayFault::Connect);
+    for _ in 0..3 {
+        let fault = query(&pool, &target, ConnectionReuse::Any)
+            .await
+            .unwrap_err();
+        assert!(
+            matches!(fault, RelayFault::OverLimit | RelayFault::NotSent),
+            "{fault:?}"
+        );
+    }
+}
+
 /// A caller passes a short idle timeout where connections to the target are scarce.
 #[tokio::test]
 async fn idle_connections_expire_after_the_idle_timeout() {
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -22,8 +22,6 @@
     First,
     /// Charged as an extra attempt.
     Extra,
-    /// Not charged: the target presumably rejected the attempt before.
-    AfterRejection,
     /// Not charged: the attempt before was not sent.
     AfterUnreachable,
     /// Not charged: a broker counted the first attempt, but sent none.
@@ -37,7 +35,6 @@
         match self {
             Self::First => "first",
             Self::Extra => "extra",
-            Self::AfterRejection => "after-rejection",
             Self::AfterUnreachable => "after-unreachable",
             Self::AfterHandover => "after-handover",
         }
@@ -53,8 +50,6 @@
     pub first_attempts: u32,
     /// Charged attempts within the window.
     pub extra_attempts: u32,
-    /// Attempts within the window charged as [`AttemptCharge::AfterRejection`].
-    pub after_rejection: u32,
     /// Attempts within the window charged as [`AttemptCharge::AfterUnreachable`].
     pub after_unreachable: u32,
     /// Attempts within the window charged as [`AttemptCharge::AfterHandover`].
@@ -73,7 +68,6 @@
     number: u64,
     first_attempts: u32,
     extra_attempts: u32,
-    after_rejection: u32,
     after_unreachable: u32,
     after_handover: u32,
     denied: u32,
@@ -106,6 +100,14 @@
         true
     }
 
+    /// Takes back an extra attempt that was acquired at `acquired_at` and not sent.
+    pub(crate) fn refund_extra(&mut self, limits: &ExtraAttemptLimits, acquired_at: MonoTime) {
+        let number = bucket_number(limits.window, acquired_at);
+        if let Some(bucket) = self.buckets.iter_mut().find(|b| b.number == number) {
+            bucket.extra_attempts = bucket.extra_attempts.saturating_sub(1);
+        }
+    }
+
     /// Counts an attempt that is not charged; first attempts are counted by
     /// [`Self::count_first_attempt`].
     pub(crate) fn count_uncharged(
@@ -117,7 +119,6 @@
         let bucket = self.bucket(limits.window, now);
         match charge {
             AttemptCharge::First | AttemptCharge::Extra => {}
-            AttemptCharge::AfterRejection => bucket.after_rejection += 1,
             AttemptCharge::AfterUnreachable => bucket.after_unreachable += 1,
             AttemptCharge::AfterHandover => bucket.after_handover += 1,
         }
@@ -149,7 +150,6 @@
             service: Arc::clone(service),
             first_attempts: totals.first_attempts,
             extra_attempts: totals.extra_attempts,
-            after_rejection: totals.after_rejection,
             after_unreachable: totals.after_unreachable,
             after_handover: totals.after_handover,
             denied: totals.denied,
@@ -167,7 +167,6 @@
         for bucket in in_window {
             totals.first_attempts += bucket.first_attempts;
             totals.extra_attempts += bucket.extra_attempts;
-            totals.after_rejection += bucket.after_rejection;
             totals.after_unreachable += bucket.after_unreachable;
             totals.after_handover += bucket.after_handover;
             totals.denied += bucket.denied;
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -129,7 +129,10 @@
     Unreachable,
     /// The request was not sent, since no connection was free.
     NoConnection,
-    /// The target presumably had too many connections; the request may have run.
+    /// The request was not sent, since the target closed the new connection, as one over its
+    /// connection limit does.
+    OverLimit,
+    /// The target reset a new connection soon after the request was sent; it may have run.
     Rejected,
     /// The target replied with a failure.
     FailureReply,
@@ -247,6 +250,9 @@
         let latency = now.since(open.sent_at);
         let signal = attempt_signal(outcome, latency);
         selector.attempt_ended(&open.target, open.sent_at, signal, now);
+        if open.charge == AttemptCharge::Extra && is_not_sent(outcome) {
+            selector.refund_extra(&open.target.service, open.sent_at);
+        }
         if self.finished || !self.sub_requests[sub_request].is_open() {
             return actions;
         }
@@ -434,21 +440,18 @@
                 progress.record_not_run(target);
             }
             RelayAttemptOutcome::Unreachable | RelayAttemptOutcome::NoConnection => {
-                progress.record_not_run(target);
-                progress.reached_attempts = progress.reached_attempts.saturating_sub(1);
+                progress.record_not_sent(target);
+            }
+            RelayAttemptOutcome::OverLimit => {
+                progress.record_not_sent(target);
+                progress.over_limit = true;
             }
             RelayAttemptOutcome::FailureReply => {
                 progress.record_may_have_run(target);
                 progress.failures += 1;
                 progress.failure_reply = Some(attempt);
             }
-            RelayAttemptOutcome::Rejected => {
-                // The target does not count towards the maximum number of targets, but the
-                // request may have run there.
-                progress.record_not_run(target);
-                progress.rejected += 1;
-            }
-            RelayAttemptOutcome::Broken => {
+            RelayAttemptOutcome::Rejected | RelayAttemptOutcome::Broken => {
                 progress.record_may_have_run(target);
                 progress.failures += 1;
             }
@@ -470,10 +473,7 @@
         let progress = &mut self.sub_requests[sub_request];
         let is_hedge = !progress.open_attempts.is_empty();
         let may_run_again = self.params.idempotent || !progress.may_have_run();
-        // Attempts rejected by targets over their connection limit are not counted. Their only
-        // cost is the retry delay once all targets have been tried.
-        let counted = progress.reached_attempts - progress.rejected.min(progress.reached_attempts);
-        if !may_run_again || counted >= REACHED_ATTEMPTS_MAX {
+        if !may_run_again || progress.reached_attempts >= REACHED_ATTEMPTS_MAX {
             if progress.open_attempts.is_empty() {
                 progress.state = SubRequestState::Failed;
             }
@@ -622,7 +622,7 @@
             self.hedge_attempts.push(send.attempt);
         }
         let progress = &mut self.sub_requests[send.sub_request];
-        progress.record_sent(send.attempt, &send.target, now);
+        progress.record_sent(&send, now);
         if self.params.idempotent {
             let open_count = u32::try_from(progress.open_attempts.len()).unwrap_or(1);
             progress.next_attempt_at = Some(now + self.params.hedge_delay * open_count);
@@ -715,8 +715,17 @@
     }
 
     /// Whether no target has accepted the request by its accept deadline.
+    ///
+    /// Load pattern: all VMs restart, and targets are over their connection limits until they
+    /// notice that the connections of the processes before are gone. Callers that are refused have
+    /// few retries, and this passes soon, so such a request waits.
     fn accept_timed_out(&self, now: MonoTime) -> bool {
-        now >= self.accept_deadline() && self.verdict() == RunVerdict::NotRun
+        now >= self.accept_deadline()
+            && self.verdict() == RunVerdict::NotRun
+            && !self
+                .sub_requests
+                .iter()
+                .any(|sub_request| sub_request.over_limit)
     }
 
     /// Returns the time by which a target must have accepted the request.
@@ -802,6 +811,16 @@
     }
 }
 
+/// Whether an outcome proves that the attempt did not reach its target.
+fn is_not_sent(outcome: RelayAttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        RelayAttemptOutcome::Unreachable
+            | RelayAttemptOutcome::NoConnection
+            | RelayAttemptOutcome::OverLimit
+    )
+}
+
 fn attempt_signal(outcome: RelayAttemptOutcome, latency: Duration) -> AttemptSignal {
     match outcome {
         RelayAttemptOutcome::Answered { load } => AttemptSignal::Answered { latency, load },
@@ -809,7 +828,9 @@
         RelayAttemptOutcome::Moved => AttemptSignal::Moved,
         RelayAttemptOutcome::Unreachable => AttemptSignal::Unreachable,
         RelayAttemptOutcome::NoConnection => AttemptSignal::Neutral,
-        RelayAttemptOutcome::Rejected => AttemptSignal::Refused { retry_after: None },
+        RelayAttemptOutcome::OverLimit | RelayAttemptOutcome::Rejected => {
+            AttemptSignal::Refused { retry_after: None }
+        }
         RelayAttemptOutcome::FailureReply | RelayAttemptOutcome::Broken => AttemptSignal::Failed,
     }
 }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -253,6 +253,13 @@
         state.is_some_and(|s| s.budget.try_acquire_extra(&limits, burst_part, now))
     }
 
+    /// Takes back an extra attempt that was acquired at `acquired_at` and not sent.
+    pub(crate) fn refund_extra(&mut self, service: &Arc<str>, acquired_at: MonoTime) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.budget.refund_extra(&self.limits, acquired_at);
+        }
+    }
+
     /// Counts an attempt that is not charged to the budget of `service`.
     pub(crate) fn count_uncharged(
         &mut self,
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{attempt_budget::AttemptCharge, selector::RelayTarget};
+use super::{attempt_budget::AttemptCharge, run::RelayAttempt, selector::RelayTarget};
 
 /// The state of a sub-request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,6 +27,7 @@
     pub(crate) number: u32,
     pub(crate) target: Arc<RelayTarget>,
     pub(crate) sent_at: MonoTime,
+    pub(crate) charge: AttemptCharge,
 }
 
 /// The progress of one service towards its answer.
@@ -45,8 +46,8 @@
     pub(crate) counted_by_broker: bool,
     /// Attempts that reached, or may have reached, a target.
     pub(crate) reached_attempts: u32,
-    /// Attempts among `reached_attempts` that were rejected for too many connections.
-    pub(crate) rejected: u32,
+    /// Whether a target was over its connection limit.
+    pub(crate) over_limit: bool,
     /// Rounds through all targets in which none accepted the request.
     pub(crate) exhausted_rounds: u32,
     /// Failed attempts that may have run.
@@ -71,7 +72,7 @@
             unclear: Vec::new(),
             counted_by_broker: false,
             reached_attempts: 0,
-            rejected: 0,
+            over_limit: false,
             exhausted_rounds: 0,
             failures: 0,
             next_attempt_at: None,
@@ -123,7 +124,6 @@
     /// Whether any attempt of the sub-request may have run, or may still run.
     pub(crate) fn may_have_run(&self) -> bool {
         !self.ran.is_empty()
-            || self.rejected > 0
             || self.pinned_centre.is_some()
             || matches!(
                 self.state,
@@ -133,10 +133,8 @@
 
     /// Returns how the next attempt is charged to the budget of extra attempts.
     pub(crate) fn next_charge(&self) -> AttemptCharge {
-        if self.reached_attempts > self.rejected {
+        if self.reached_attempts > 0 {
             AttemptCharge::Extra
-        } else if self.rejected > 0 {
-            AttemptCharge::AfterRejection
         } else if !self.tried.is_empty() || self.exhausted_rounds > 0 {
             AttemptCharge::AfterUnreachable
         } else if self.counted_by_broker {
@@ -146,12 +144,14 @@
         }
     }
 
-    /// Records an attempt that was sent to `target`.
-    pub(crate) fn record_sent(&mut self, number: u32, target: &Arc<RelayTarget>, now: MonoTime) {
+    /// Records an attempt that was sent.
+    pub(crate) fn record_sent(&mut self, sent: &RelayAttempt, now: MonoTime) {
+        let target = &sent.target;
         self.open_attempts.push(OpenAttempt {
-            number,
+            number: sent.attempt,
             target: Arc::clone(target),
             sent_at: now,
+            charge: sent.charge,
         });
         self.reached_attempts += 1;
         if !self.tried.contains(&target.id) {
@@ -176,6 +176,12 @@
         self.unclear.push(Arc::clone(&target.id));
     }
 
+    /// Records that an attempt did not reach `target`.
+    pub(crate) fn record_not_sent(&mut self, target: &RelayTarget) {
+        self.record_not_run(target);
+        self.reached_attempts = self.reached_attempts.saturating_sub(1);
+    }
+
     /// Records that an attempt did not run at `target`, where other attempts may have run.
     pub(crate) fn record_not_run(&mut self, target: &RelayTarget) {
         let is_open = self
--- a/crates/route/tests/fleet_budget.rs
+++ b/crates/route/tests/fleet_budget.rs
@@ -13,6 +13,7 @@
 const REFUSAL: Reaction = (RelayAttemptOutcome::Refused { retry_after: None }, 2);
 /// A reset that came too soon for a run, though the target had read the request.
 const EARLY_RESET: Reaction = (RelayAttemptOutcome::Rejected, 2);
+const OVER_LIMIT: Reaction = (RelayAttemptOutcome::OverLimit, 5);
 const HANG: Reaction = (RelayAttemptOutcome::Broken, 3_000);
 /// The data centres of eight VMs; those in `a` hand searches over.
 const CENTRES: [&str; 8] = ["a", "b", "a", "b", "a", "b", "a", "b"];
@@ -103,7 +104,7 @@
 
 /// A shard that is in trouble and VMs that fail, restart and learn late how many there are.
 fn stays_within_budget(u: &mut Unstructured<'_>) -> Result<()> {
-    let reaction = *u.choose(&[REFUSAL, EARLY_RESET, HANG])?;
+    let reaction = *u.choose(&[REFUSAL, EARLY_RESET, OVER_LIMIT, HANG])?;
     let trouble_from_ms = u.int_in_range(0..=15_000)?;
     let targets = u.int_in_range(1..=3)?;
     let vms = u.int_in_range(4..=CENTRES.len())?;
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -251,7 +251,9 @@
         let (outcome, took_ms) = (self.reactions)(&attempt.target, self.now_ms);
         let is_sent = !matches!(
             outcome,
-            RelayAttemptOutcome::Unreachable | RelayAttemptOutcome::NoConnection
+            RelayAttemptOutcome::Unreachable
+                | RelayAttemptOutcome::NoConnection
+                | RelayAttemptOutcome::OverLimit
         );
         if is_sent {
             let arrival = Arrival {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -500,17 +500,62 @@
         let mut actions = run.on_wake(&mut selector, at(now));
         for send in open.drain(..) {
             attempts += 1;
-            let outcome = RelayAttemptOutcome::Rejected;
+            let outcome = RelayAttemptOutcome::OverLimit;
             actions.extend(run.on_attempt_end(0, send.attempt, outcome, &mut selector, at(now)));
         }
         open = sends(&actions);
         assert!(now < 2_000);
     }
     assert!(selector.extra_left("s0", at(now)) >= before);
-    // A rejected attempt may still have run.
+    // None of the attempts was sent.
+    assert_eq!(run.verdict(), RunVerdict::NotRun);
+}
+
+/// Load pattern: crashing targets reset new connections at once, as targets over their connection
+/// limit do, though the request has run.
+#[test]
+fn an_attempt_that_was_reset_early_counts_as_run() {
+    let mut selector = TargetSelector::new(limits(), at(0));
+    let names = ["a", "b", "c"];
+    let targets = names.map(|name| target("s0", name, Locality::Centre));
+    selector.sync(targets.to_vec(), 1, |_| Some(30), at(0));
+    let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
+    let mut target_ids = Vec::new();
+    let mut open = sends(&actions);
+    let mut now = 0;
+    while now < 200 {
+        now += 5;
+        let mut actions = run.on_wake(&mut selector, at(now));
+        for send in open.drain(..) {
+            target_ids.push(Arc::clone(&send.target.id));
+            let is_first = target_ids.len() == 1;
+            assert_eq!(send.charge == AttemptCharge::First, is_first);
+            assert_eq!(send.charge == AttemptCharge::Extra, !is_first);
+            let outcome = RelayAttemptOutcome::Rejected;
+            actions.extend(run.on_attempt_end(0, send.attempt, outcome, &mut selector, at(now)));
+        }
+        open = sends(&actions);
+    }
+    assert!(target_ids.len() > 2);
+    target_ids.sort();
+    target_ids.dedup();
+    assert_eq!(target_ids.len(), 2, "the limit of targets holds");
     assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
 }
 
+#[test]
+fn an_extra_attempt_that_was_not_sent_is_refunded() {
+    let mut selector = selector(1);
+    let (mut run, _) = RelayRun::start(params(1, true), &mut selector, at(0));
+    let before = selector.extra_left("s0", at(41));
+    let hedge = sends(&run.on_wake(&mut selector, at(41)));
+    assert_eq!(hedge[0].charge, AttemptCharge::Extra);
+    assert!(selector.extra_left("s0", at(41)) < before);
+    let outcome = RelayAttemptOutcome::Unreachable;
+    run.on_attempt_end(0, hedge[0].attempt, outcome, &mut selector, at(42));
+    assert!((selector.extra_left("s0", at(42)) - before).abs() < 1e-9);
+}
+
 /// Load pattern: two of three replicas are over their connection limit, and the third one is not.
 #[test]
 fn a_target_over_its_connection_limit_does_not_count_towards_the_target_limit() {
@@ -527,7 +572,7 @@
         open = sends(&run.on_attempt_end(
             0,
             send.attempt,
-            RelayAttemptOutcome::Rejected,
+            RelayAttemptOutcome::OverLimit,
             &mut selector,
             at(now),
         ));
@@ -538,7 +583,7 @@
     assert_eq!(target_ids.len(), 3);
     let outcome = RelayAttemptOutcome::Refused { retry_after: None };
     run.on_attempt_end(0, open[0].attempt, outcome, &mut selector, at(4));
-    assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
+    assert_eq!(run.verdict(), RunVerdict::NotRun);
 }
 
 /// Load pattern: every target is over its connection limit for a second after all VMs restarted.
@@ -554,7 +599,7 @@
         for send in open.drain(..) {
             let full = now < 1_000;
             let outcome = if full {
-                RelayAttemptOutcome::Rejected
+                RelayAttemptOutcome::OverLimit
             } else {
                 ANSWER
             };
