Learn the voter set from the last voter of the old one that answers

What operators saw: after two voters had been lost one after the other, a VM that had missed the first replacement accepted no change and replaced nobody, until something else told it the new set.

Cause: the VM still knew the first set, two of whose three voters were dead. A dead voter refuses the connection at once, so each round had failed before the third voter's reply came, and that reply is the only one that names the new set. The health check, which waits for all replies, did not look at the sets in them. The VM judged by the set that it knew, though a voter had told it of a later one.

Fix: a round that can no longer succeed ends only when a reply says why (a higher ballot or another epoch) or none is missing, which the timeout of an attempt bounds. The health check adopts later sets that voters name and then queries the new voters.

--- a/crates/quorum/src/client/change.rs
+++ b/crates/quorum/src/client/change.rs
@@ -132,10 +132,16 @@
         reply.is_some()
     }
 
-    /// Queries the state of every voter of the latest set.
+    /// Queries the state of every voter of the latest set, and adopts later sets that they know.
     pub async fn voter_health(&self) -> Vec<VoterHealth> {
-        let set = self.voters();
-        let replies = self.identify(&set).await;
+        let (set, replies) = loop {
+            let set = self.voters();
+            let replies = self.identify(&set).await;
+            self.observe_identities(&replies);
+            if self.voters().epoch <= set.epoch {
+                break (set, replies);
+            }
+        };
         let health = |(member, reply): (&VoterMember, &Option<VoterReply>)| {
             let (reachable, caught_up) = match reply {
                 Some(VoterReply::Identity { identity, epoch }) => {
@@ -162,7 +168,8 @@
                 return Ok(initial_set);
             }
             let replies = self.identify(&initial_set).await;
-            let members = self.identified_members(&initial_set, &replies);
+            self.observe_identities(&replies);
+            let members = Self::identified_members(&initial_set, &replies);
             if self.voters().epoch > 0 {
                 self.finish_abandoned_change(call).await?;
                 return Ok(self.voters());
@@ -342,18 +349,25 @@
         replies
     }
 
+    /// Adopts the voter sets that voters know if they are later than the known ones.
+    fn observe_identities(&self, replies: &[Option<VoterReply>]) {
+        for reply in replies.iter().flatten() {
+            if let VoterReply::Identity { epoch, .. } = reply
+                && epoch.latest().epoch > 0
+            {
+                self.observe_epoch(epoch);
+            }
+        }
+    }
+
     /// Returns the members with the identities that they reported, if all members replied.
     fn identified_members(
-        &self,
         set: &VoterSet,
         replies: &[Option<VoterReply>],
     ) -> Option<Vec<VoterMember>> {
         let mut members = Vec::new();
         for (member, reply) in set.members.iter().zip(replies) {
-            if let Some(VoterReply::Identity { identity, epoch }) = reply {
-                if epoch.latest().epoch > 0 {
-                    self.observe_epoch(epoch);
-                }
+            if let Some(VoterReply::Identity { identity, .. }) = reply {
                 let identity = *identity;
                 members.push(VoterMember {
                     identity,
--- a/crates/quorum/src/round.rs
+++ b/crates/quorum/src/round.rs
@@ -170,7 +170,7 @@
             self.phase = RoundPhase::Ended;
             return RoundStep::Chosen;
         }
-        if self.tally.failed + quorum > self.set.members.len() {
+        if self.tally.failed + quorum > self.set.members.len() && self.tally.explains_failure() {
             self.phase = RoundPhase::Ended;
             return RoundStep::Failed(RoundFailure {
                 conflicting_ballot: self.tally.conflicting_ballot,
@@ -198,6 +198,16 @@
         }
     }
 
+    /// Whether a reply says why the round fails, or no reply is missing.
+    ///
+    /// Voters that are gone for good refuse at once, before the reply that names the set in which
+    /// they were replaced.
+    fn explains_failure(&self) -> bool {
+        self.conflicting_ballot.is_some()
+            || self.epoch.is_some()
+            || self.answered.iter().all(|answered| *answered)
+    }
+
     fn add_agreement(&mut self, accepted: Option<AcceptedValue>) {
         let ballot = accepted.as_ref().map(|accepted| accepted.ballot);
         let highest = self.highest.as_ref().map(|accepted| accepted.ballot);
--- a/crates/quorum/tests/voters.rs
+++ b/crates/quorum/tests/voters.rs
@@ -168,3 +168,46 @@
         assert_eq!(late, ClaimOutcome::HeldBy(claim(7)));
     });
 }
+
+/// Replaces the first voter, crashes the second one, and returns a client that only knows the first
+/// voter set. Both of its dead voters refuse connections at once.
+async fn client_of_the_first_set(net: &SimNet) -> Arc<QuorumClient> {
+    let (client, late_client) = (net.client(1), net.client(2));
+    submit(&client, 0).await;
+    late_client.read_config(CALL_TIMEOUT).await.unwrap();
+    net.crash(0);
+    let failed = net.member(0).identity;
+    let replaced = client.replace_voter(failed, net.member(3), CALL_TIMEOUT);
+    assert_eq!(replaced.await.unwrap().set.epoch, 2);
+    net.crash(1);
+    let links = [0, 1].map(|number| (2, net.member(number).address));
+    net.lock().blocked_links.extend(links);
+    assert_eq!(late_client.voters().epoch, 1);
+    late_client
+}
+
+#[test]
+fn a_call_learns_the_new_set_from_the_only_voter_of_the_old_one_that_answers() {
+    for_seeds(3, |seed| async move {
+        let net = SimNet::new(seed, 4, 3, RETENTION);
+        let late_client = client_of_the_first_set(&net).await;
+        let accepted = SubmitOutcome::Accepted { version: 2 };
+        assert_eq!(submit(&late_client, 1).await, accepted);
+        assert_eq!(late_client.voters().epoch, 2);
+    });
+}
+
+#[test]
+fn the_health_check_learns_the_new_set_and_queries_it() {
+    for_seeds(3, |seed| async move {
+        let net = SimNet::new(seed, 4, 3, RETENTION);
+        let late_client = client_of_the_first_set(&net).await;
+        let health = late_client.voter_health().await;
+        let mut reachable: Vec<_> = health
+            .iter()
+            .map(|state| (state.member.name.clone(), state.reachable))
+            .collect();
+        reachable.sort();
+        assert_eq!(reachable, [(vm(1), false), (vm(2), true), (vm(3), true)]);
+    });
+}
