Close the proxies of a soak when its run ends

Cause: the tasks that accept connections ended with the runtime of their test, not with the run. The next case takes the lock on the addresses as soon as the run is over, while the runtime of the case before may still be shutting down.

Fix: the tier owns these tasks and joins them after its last daemon has stopped.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,7 +14,7 @@
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
     time::sleep,
 };
-use tokio_util::task::TaskTracker;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 const CHUNK_BYTES: usize = 16 * 1024;
 const DELAY_MS: u64 = 120;
@@ -59,6 +59,24 @@
     }
 }
 
+/// The tasks that accept connections for all proxies of a run.
+///
+/// Daemons use the proxies until the last daemon has stopped, so these tasks end after all others.
+#[derive(Debug, Default)]
+pub(crate) struct ProxyListeners {
+    tasks: TaskTracker,
+    stop: CancellationToken,
+}
+
+impl ProxyListeners {
+    /// Closes all listeners, so that another run can use their addresses.
+    pub(crate) async fn close(&self) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
 /// Handle of a running proxy, which sets its mode.
 #[derive(Clone, Debug)]
 pub(crate) struct LinkProxy {
@@ -66,10 +84,11 @@
 }
 
 impl LinkProxy {
-    /// Listens at `address` and forwards to `upstream`.
+    /// Listens at `address` and forwards to `upstream`. `tasks` runs the open connections.
     pub(crate) async fn start(
         address: SocketAddr,
         upstream: SocketAddr,
+        listeners: &ProxyListeners,
         tasks: &TaskTracker,
     ) -> Self {
         let listener = TcpListener::bind(address)
@@ -77,10 +96,16 @@
             .expect("the loopback address is free");
         let mode = Arc::new(AtomicU8::new(LinkMode::Open as u8));
         let (shared, spawner) = (Arc::clone(&mode), tasks.clone());
-        // Ends with the runtime and is not part of `tasks`: daemons use the listener until the last
-        // of them has stopped.
-        tokio::spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
+        let stop = listeners.stop.clone();
+        listeners.tasks.spawn(async move {
+            loop {
+                let accepted = tokio::select! {
+                    () = stop.cancelled() => return,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((caller, _)) = accepted else {
+                    return;
+                };
                 let mode = Arc::clone(&shared);
                 spawner.spawn(forward_connection(caller, upstream, mode));
             }
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     SoakSettings,
-    proxy::{LinkMode, LinkProxy},
+    proxy::{LinkMode, LinkProxy, ProxyListeners},
     targets::host_count,
 };
 
@@ -78,6 +78,7 @@
     pub(crate) nodes: Vec<TierNode>,
     /// The address of each target, the address of the proxy in front of it, and the proxy.
     target_links: Vec<(SocketAddr, SocketAddr, LinkProxy)>,
+    listeners: ProxyListeners,
     folder: PathBuf,
     second_octet: u8,
 }
@@ -90,9 +91,12 @@
         let name = format!("fulmarweir-soak-{}-{}", std::process::id(), settings.seed);
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("the folder of the run can be created");
+        let listeners = ProxyListeners::default();
         let mut nodes = Vec::new();
         for number in 0..KEEPERS + settings.entries {
-            let node = TierNode::prepare(settings, &folder, second_octet, number, tasks).await;
+            let node =
+                TierNode::prepare(settings, &folder, second_octet, number, &listeners, tasks);
+            let node = node.await;
             nodes.push(node);
         }
         let mut target_links = Vec::new();
@@ -100,7 +104,7 @@
             let last_octet = FIRST_TARGET_OCTET + u8::try_from(index).unwrap_or_default();
             let listen = address(second_octet, PROCESS_OCTET, last_octet, TARGET_PORT);
             let advertised = address(second_octet, PROXY_OCTET, last_octet, TARGET_PORT);
-            let proxy = LinkProxy::start(advertised, listen, tasks).await;
+            let proxy = LinkProxy::start(advertised, listen, &listeners, tasks).await;
             target_links.push((listen, advertised, proxy));
         }
         for node in &mut nodes {
@@ -117,6 +121,7 @@
         Self {
             nodes,
             target_links,
+            listeners,
             folder,
             second_octet,
         }
@@ -155,6 +160,7 @@
         for node in &mut self.nodes {
             node.kill().await;
         }
+        self.listeners.close().await;
         self.folder
     }
 }
@@ -172,6 +178,7 @@
         folder: &Path,
         second_octet: u8,
         number: u8,
+        listeners: &ProxyListeners,
         tasks: &TaskTracker,
     ) -> Self {
         let is_keeper = number < KEEPERS;
@@ -180,7 +187,7 @@
         let name = format!("{kind}-{number}");
         let peers = address(second_octet, PROCESS_OCTET, last_octet, PEERS_PORT);
         let advertised = address(second_octet, PROXY_OCTET, last_octet, PEERS_PORT);
-        let proxy = LinkProxy::start(advertised, peers, tasks).await;
+        let proxy = LinkProxy::start(advertised, peers, listeners, tasks).await;
         let caller_address = address(second_octet, PROCESS_OCTET, last_octet, CALLERS_PORT);
         let data_folder = is_keeper.then(|| folder.join(format!("{name}-data")));
         let settings_file = folder.join(format!("{name}.ini"));
