Lend brokers extra attempts for the shards that are handed over to them

Cause: the burst is divided among all entry VMs, but half of them hand the shards over and send no attempts of their own. Their parts were spent, if at all, on shards that the broker returned unanswered a few milliseconds before the answer was due.

Fix: with a handover, the origin charges an extra attempt for each shard whose budget allows one, and the broker may send it; it uses loans first. Loans that were not used or did not reach a target are refunded with the reply; if the reply is lost, they stay charged. So the sum over all VMs stays as it is.

--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fulmarweir_base::{RunVerdict, lock};
+use fulmarweir_base::{MonoTime, RunVerdict, lock};
 use fulmarweir_route::{GroupOutcome, HandoverOutcome, ShardGroup, UnclearSubRequest};
 use fulmarweir_wire::TrafficClass;
 use http::HeaderValue;
@@ -24,9 +24,63 @@
 /// Time limit of a probe, in milliseconds: a round trip within a region, and some lag.
 const PROBE_TIMEOUT_MS: u64 = 100;
 
+/// Extra attempts that were charged here for a broker to send. Dropping them refunds them unless
+/// the broker may have got them.
+struct ExtraLoan {
+    node: Arc<EntryNode>,
+    lent_at: MonoTime,
+    /// The shards by their index in the route, with their services.
+    shards: Vec<(usize, Arc<str>)>,
+    is_sent: bool,
+}
+
+impl ExtraLoan {
+    /// Charges an extra attempt for each shard whose budget allows one.
+    fn lend(node: &Arc<EntryNode>, services: &[Arc<str>], sub_requests: &[usize]) -> Self {
+        let lent_at = node.timer.now();
+        let group = sub_requests
+            .iter()
+            .map(|index| Arc::clone(&services[*index]));
+        let group: Vec<_> = group.collect();
+        let lent = lock(&node.selector).lend_extra(&group, lent_at);
+        let shard = |index: usize| (sub_requests[index], Arc::clone(&group[index]));
+        Self {
+            node: Arc::clone(node),
+            lent_at,
+            shards: lent.into_iter().map(shard).collect(),
+            is_sent: false,
+        }
+    }
+
+    fn sub_requests(&self) -> Vec<usize> {
+        self.shards.iter().map(|(index, _)| *index).collect()
+    }
+
+    /// Refunds the loans of the shards with the indexes `unused`.
+    fn refund(&mut self, unused: &[usize]) {
+        let mut selector = lock(&self.node.selector);
+        for (index, service) in &self.shards {
+            if unused.contains(index) {
+                selector.refund_extra(service, self.lent_at);
+            }
+        }
+        drop(selector);
+        self.shards.retain(|(index, _)| !unused.contains(index));
+    }
+}
+
+impl Drop for ExtraLoan {
+    fn drop(&mut self) {
+        if !self.is_sent {
+            self.refund(&self.sub_requests());
+        }
+    }
+}
+
 /// A group of shards of a search and the broker chosen for it.
 pub(super) struct Handover {
     permit: BrokerPermit,
+    loan: ExtraLoan,
     pub(super) group: ShardGroup,
     /// The caller's id of the request, for logs.
     request_id: HeaderValue,
@@ -81,11 +135,14 @@
             broker,
             outcome: HandoverOutcome::Abandoned,
         };
+        let loan = ExtraLoan::lend(node, services, &group.sub_requests);
+        let request = encode_request(node, routed, &group.sub_requests, &loan.sub_requests());
         Some(Handover {
             permit,
+            loan,
             group: group.clone(),
             request_id: routed.message.request_id.clone(),
-            request: encode_request(node, routed, &group.sub_requests),
+            request,
         })
     };
     groups.iter().filter_map(plan).collect()
@@ -98,12 +155,14 @@
 ) -> (GroupOutcome, Option<GroupReply>) {
     let Handover {
         mut permit,
+        mut loan,
         group,
         request_id,
         request,
     } = handover;
     let broker = permit.broker;
     let config_version = request.config_version;
+    loan.is_sent = true;
     let reply = call_broker(&node, broker, request).await;
     let (outcome, label) = match &reply {
         BrokerReply::Answer(_) => (HandoverOutcome::Answered, "answered"),
@@ -114,10 +173,17 @@
     drop(permit);
     node.metrics.count_handover(label);
     let (reason, verdict) = match reply {
-        BrokerReply::Answer(answer) => return decode_reply(*answer),
+        BrokerReply::Answer(answer) => {
+            let (outcome, group_reply) = decode_reply(*answer);
+            loan.refund(&outcome.unused_loans);
+            return (outcome, group_reply);
+        }
         BrokerReply::NotTaken(reason) => (reason, RunVerdict::NotRun),
         BrokerReply::Lost(verdict) => ("lost".into(), verdict),
     };
+    if verdict == RunVerdict::NotRun {
+        loan.refund(&loan.sub_requests());
+    }
     if node.request_log.acquire_degraded_line(node.timer.now()) {
         info!(node.log, "shards-not-handed-over";
             "request" => request_id.to_str().unwrap_or("unreadable"),
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -25,11 +25,13 @@
     pub(super) records: Vec<u8>,
 }
 
-/// Encodes a search as a handover of the shards with the indexes `sub_requests`.
+/// Encodes a search as a handover of the shards with the indexes `sub_requests`, some of them with
+/// an extra attempt that this VM has charged.
 pub(super) fn encode_request(
     node: &EntryNode,
     routed: &RoutedRequest,
     sub_requests: &[usize],
+    lent_extra: &[usize],
 ) -> HandoverRequest {
     let now = node.timer.now();
     let message = &routed.message;
@@ -41,6 +43,7 @@
         config_version: routed.table.version,
         route: Arc::clone(&routed.rule.name),
         sub_requests: encode_indexes(sub_requests),
+        lent_extra: encode_indexes(lent_extra),
         method: message.method.as_str().to_owned(),
         uri: message.uri.to_string(),
         headers: encode_headers(&message.headers),
@@ -100,6 +103,7 @@
         answered: outer_indexes(&outcome.answered),
         unclear: unclear.collect(),
         refused: outer_indexes(&outcome.refused),
+        unused_loans: outer_indexes(&outcome.unused_loans),
         signatures: merged.signatures,
         records: merged.records,
     }
@@ -117,6 +121,7 @@
         answered: decode_indexes(&reply.answered),
         unclear: unclear.collect(),
         refused: decode_indexes(&reply.refused),
+        unused_loans: decode_indexes(&reply.unused_loans),
     };
     let group_reply = GroupReply {
         signatures: reply.signatures,
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -79,6 +79,7 @@
         deadline: times.deadline,
         hedge_delay: lock(&node.latency_table).hedge_delay(&rule.name, soft),
         handover_groups: Vec::new(),
+        lent_extra: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -77,6 +77,9 @@
     pub(crate) route: Arc<str>,
     /// Indexes of the shards in the route's list of shards.
     pub(crate) sub_requests: Vec<u16>,
+    /// Indexes of the shards for each of which the origin has charged an extra attempt, which the
+    /// broker may send.
+    pub(crate) lent_extra: Vec<u16>,
     pub(crate) method: String,
     pub(crate) uri: String,
     pub(crate) headers: Vec<(String, Vec<u8>)>,
@@ -97,6 +100,8 @@
     pub(crate) unclear: Vec<(u16, Vec<Arc<str>>)>,
     /// Indexes of unanswered shards whose targets refused all attempts.
     pub(crate) refused: Vec<u16>,
+    /// Indexes of shards whose lent extra attempt was not used.
+    pub(crate) unused_loans: Vec<u16>,
     /// The signatures of the targets over their replies.
     pub(crate) signatures: Vec<Vec<u8>>,
     /// The greatest records of the shards that answered.
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -22,6 +22,8 @@
     First,
     /// Charged as an extra attempt.
     Extra,
+    /// Charged as an extra attempt to the VM that handed over the sub-request.
+    Lent,
     /// Not charged: the attempt before was not sent.
     AfterUnreachable,
     /// Not charged: a broker counted the first attempt, but sent none.
@@ -35,6 +37,7 @@
         match self {
             Self::First => "first",
             Self::Extra => "extra",
+            Self::Lent => "lent",
             Self::AfterUnreachable => "after-unreachable",
             Self::AfterHandover => "after-handover",
         }
@@ -92,12 +95,23 @@
         burst_part: f64,
         now: MonoTime,
     ) -> bool {
-        if self.remaining(limits, burst_part, now) < 1.0 {
-            self.bucket(limits.window, now).denied += 1;
-            return false;
+        if self.try_lend_extra(limits, burst_part, now) {
+            return true;
         }
-        self.bucket(limits.window, now).extra_attempts += 1;
-        true
+        self.bucket(limits.window, now).denied += 1;
+        false
+    }
+
+    /// Counts an extra attempt that another VM may send, and returns true if the budget allows it.
+    pub(crate) fn try_lend_extra(
+        &mut self,
+        limits: &ExtraAttemptLimits,
+        burst_part: f64,
+        now: MonoTime,
+    ) -> bool {
+        let is_allowed = self.remaining(limits, burst_part, now) >= 1.0;
+        self.bucket(limits.window, now).extra_attempts += u32::from(is_allowed);
+        is_allowed
     }
 
     /// Takes back an extra attempt that was acquired at `acquired_at` and not sent.
@@ -118,7 +132,7 @@
     ) {
         let bucket = self.bucket(limits.window, now);
         match charge {
-            AttemptCharge::First | AttemptCharge::Extra => {}
+            AttemptCharge::First | AttemptCharge::Extra | AttemptCharge::Lent => {}
             AttemptCharge::AfterUnreachable => bucket.after_unreachable += 1,
             AttemptCharge::AfterHandover => bucket.after_handover += 1,
         }
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -58,6 +58,9 @@
     /// Groups of services that are handed over to brokers. Their outcomes must be reported to
     /// [`RelayRun::on_group_end`].
     pub handover_groups: Vec<ShardGroup>,
+    /// Services for each of which the VM that handed over the request pays for one extra attempt,
+    /// by their index in `services`.
+    pub lent_extra: Vec<usize>,
 }
 
 /// The outcome of a handover of a group of services, by their index in [`RelayParams::services`].
@@ -71,6 +74,8 @@
     pub unclear: Vec<UnclearSubRequest>,
     /// Services without an answer that did not run, since the targets refused all attempts.
     pub refused: Vec<usize>,
+    /// Services for which the broker did not use the lent extra attempt.
+    pub unused_loans: Vec<usize>,
 }
 
 /// A sub-request without an answer that may have run.
@@ -214,6 +219,9 @@
             hedge_wins: 0,
             params,
         };
+        for sub_request in &run.params.lent_extra {
+            run.sub_requests[*sub_request].has_lent_extra = true;
+        }
         let mut actions = Vec::with_capacity(run.sub_requests.len() + 1);
         if run.too_few_targets(selector) {
             // No group has been handed over yet, so nothing may have run.
@@ -250,8 +258,14 @@
         let latency = now.since(open.sent_at);
         let signal = attempt_signal(outcome, latency);
         selector.attempt_ended(&open.target, open.sent_at, signal, now);
-        if open.charge == AttemptCharge::Extra && is_not_sent(outcome) {
-            selector.refund_extra(&open.target.service, open.sent_at);
+        match open.charge {
+            AttemptCharge::Extra if is_not_sent(outcome) => {
+                selector.refund_extra(&open.target.service, open.sent_at);
+            }
+            AttemptCharge::Lent if is_not_sent(outcome) => {
+                self.sub_requests[sub_request].has_lent_extra = true;
+            }
+            _ => {}
         }
         if self.finished || !self.sub_requests[sub_request].is_open() {
             return actions;
@@ -381,6 +395,9 @@
             ..GroupOutcome::default()
         };
         for (index, sub_request) in self.sub_requests.iter().enumerate() {
+            if sub_request.has_lent_extra {
+                outcome.unused_loans.push(index);
+            }
             if sub_request.is_answered() {
                 outcome.answered.push(index);
             } else if sub_request.may_have_run() {
@@ -550,23 +567,15 @@
                 is_repeat,
                 idle_timeout,
             } => {
-                let progress = &self.sub_requests[sub_request];
-                let charge = progress.next_charge();
-                let is_allowed = match charge {
-                    AttemptCharge::Extra => selector.try_acquire_extra(&progress.service, now),
-                    uncharged => {
-                        selector.count_uncharged(&progress.service, uncharged, now);
-                        true
-                    }
-                };
-                if !is_allowed {
+                let progress = &mut self.sub_requests[sub_request];
+                let Some(charge) = acquire_charge(progress, selector, now) else {
                     if self.fails_without_budget(sub_request, now) {
                         self.sub_requests[sub_request].state = SubRequestState::Failed;
                     } else {
                         self.pause(sub_request, BUDGET_PAUSE_MS, now);
                     }
                     return;
-                }
+                };
                 let send = RelayAttempt {
                     attempt: self.next_attempt,
                     sub_request,
@@ -811,6 +820,25 @@
     }
 }
 
+/// Charges the next attempt of a sub-request, or returns `None` if no budget allows it.
+fn acquire_charge(
+    sub_request: &mut SubRequest,
+    selector: &mut TargetSelector,
+    now: MonoTime,
+) -> Option<AttemptCharge> {
+    let charge = sub_request.next_charge();
+    if charge != AttemptCharge::Extra {
+        selector.count_uncharged(&sub_request.service, charge, now);
+        return Some(charge);
+    }
+    // The loan goes first, as its owner can hardly use it in time.
+    if std::mem::take(&mut sub_request.has_lent_extra) {
+        return Some(AttemptCharge::Lent);
+    }
+    let is_acquired = selector.try_acquire_extra(&sub_request.service, now);
+    is_acquired.then_some(AttemptCharge::Extra)
+}
+
 /// Whether an outcome proves that the attempt did not reach its target.
 fn is_not_sent(outcome: RelayAttemptOutcome) -> bool {
     matches!(
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -253,8 +253,25 @@
         state.is_some_and(|s| s.budget.try_acquire_extra(&limits, burst_part, now))
     }
 
+    /// Takes one extra attempt from the budget of each service that allows one, for a broker to
+    /// send. Returns the indexes of these services.
+    ///
+    /// Load pattern: a broker runs the shards of many VMs and uses up its part of the burst, while
+    /// those that hand over to it have no attempts of their own to use theirs for.
+    pub fn lend_extra(&mut self, services: &[Arc<str>], now: MonoTime) -> Vec<usize> {
+        let (limits, burst_part) = (self.limits, self.burst_part(now));
+        let mut lent = Vec::new();
+        for (index, service) in services.iter().enumerate() {
+            let state = self.services.get_mut(service);
+            if state.is_some_and(|s| s.budget.try_lend_extra(&limits, burst_part, now)) {
+                lent.push(index);
+            }
+        }
+        lent
+    }
+
     /// Takes back an extra attempt that was acquired at `acquired_at` and not sent.
-    pub(crate) fn refund_extra(&mut self, service: &Arc<str>, acquired_at: MonoTime) {
+    pub fn refund_extra(&mut self, service: &Arc<str>, acquired_at: MonoTime) {
         if let Some(state) = self.services.get_mut(service) {
             state.budget.refund_extra(&self.limits, acquired_at);
         }
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -44,6 +44,8 @@
     unclear: Vec<Arc<str>>,
     /// Whether a broker left the sub-request unanswered, but counted its first attempt.
     pub(crate) counted_by_broker: bool,
+    /// Whether the VM that handed over the sub-request pays for one extra attempt.
+    pub(crate) has_lent_extra: bool,
     /// Attempts that reached, or may have reached, a target.
     pub(crate) reached_attempts: u32,
     /// Whether a target was over its connection limit.
@@ -71,6 +73,7 @@
             ran: Vec::new(),
             unclear: Vec::new(),
             counted_by_broker: false,
+            has_lent_extra: false,
             reached_attempts: 0,
             over_limit: false,
             exhausted_rounds: 0,
--- a/crates/route/tests/fleet_budget.rs
+++ b/crates/route/tests/fleet_budget.rs
@@ -78,6 +78,27 @@
     assert!(fleet.extra_count(0) > 70, "the budget is used");
 }
 
+/// Load pattern: targets hang, and all searches reach VMs that hand them over. The brokers may send
+/// what the burst allows all VMs.
+#[test]
+fn brokers_use_the_burst_of_the_vms_that_hand_over() {
+    let limits = ExtraAttemptLimits {
+        share: 0.0,
+        ..limits()
+    };
+    let mut fleet = Fleet::new(&CENTRES, 3, limits, first_shard(HANG, 0));
+    for number in 0..60 {
+        fleet.run_until(number * 100);
+        let vm = usize::try_from(number).unwrap() * 2 % CENTRES.len();
+        fleet.search(vm, Some(vm + 1));
+    }
+    fleet.run_until(10_000);
+    fleet.assert_within_budget();
+    // Without loans, brokers send at most 85% of their own parts, which are half of the burst.
+    let sent = fleet.extra_by_brokers(0);
+    assert!(sent > 26, "{sent} extra arrivals from brokers");
+}
+
 /// Load pattern: half of the VMs fail while targets hang.
 #[test]
 fn the_burst_of_failed_vms_is_not_spent_again_within_the_window() {
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -39,6 +39,7 @@
 struct Arrival {
     at_ms: u64,
     request: u64,
+    from_broker: bool,
 }
 
 struct ModelVm {
@@ -52,6 +53,7 @@
 struct ModelRun {
     vm: usize,
     process: u64,
+    started_at: MonoTime,
     request: u64,
     run: RelayRun,
     /// Run of the VM that handed over the search, if it did.
@@ -198,10 +200,17 @@
             handover_groups: groups.into_iter().collect(),
             ..search_params()
         };
+        let lent_at = at(self.now_ms);
+        let services = search_params().services;
+        let lent_extra = match handover {
+            Some(_) => self.vms[vm].selector.lend_extra(&services, lent_at),
+            None => Vec::new(),
+        };
         let origin = self.start_run(vm, request, params, None);
         if let Some(broker) = handover {
             let params = RelayParams {
                 is_handover: true,
+                lent_extra,
                 soft_deadline: at(soft_ms - HANDOVER_MARGIN_MS),
                 deadline: at(soft_ms - HANDOVER_MARGIN_MS),
                 ..search_params()
@@ -223,6 +232,7 @@
         let run = ModelRun {
             vm,
             process: self.vms[vm].process,
+            started_at: now,
             request,
             run,
             origin,
@@ -256,9 +266,12 @@
                 | RelayAttemptOutcome::OverLimit
         );
         if is_sent {
+            let run = self.run_mut(id);
+            let (request, from_broker) = (run.request, run.origin.is_some());
             let arrival = Arrival {
                 at_ms: self.now_ms,
-                request: self.run_mut(id).request,
+                request,
+                from_broker,
             };
             let service = Arc::clone(&attempt.target.service);
             self.arrivals.entry(service).or_default().push(arrival);
@@ -307,7 +320,12 @@
             }
             Event::Wake(_) if model.wake_ms == self.now_ms => run.on_wake(selector, now),
             Event::Wake(_) => Vec::new(),
-            Event::GroupEnd(_, outcome) => run.on_group_end(0, &outcome, selector, now),
+            Event::GroupEnd(_, outcome) => {
+                for index in &outcome.unused_loans {
+                    selector.refund_extra(&shard_name(*index), model.started_at);
+                }
+                run.on_group_end(0, &outcome, selector, now)
+            }
         };
         self.perform(id, actions);
     }
@@ -334,7 +352,7 @@
     pub(crate) fn assert_within_budget(&self) {
         let window_ms = window_ms(&self.limits);
         for (service, arrivals) in &self.arrivals {
-            let extra = extra_arrivals(arrivals);
+            let extra: Vec<u64> = extra_arrivals(arrivals).map(|a| a.at_ms).collect();
             for start in &extra {
                 let count = count_within(&extra, *start, window_ms);
                 let starts = [0, window_ms / 2, window_ms].map(|back| start.saturating_sub(back));
@@ -354,7 +372,14 @@
     /// Returns the number of extra arrivals of a shard.
     pub(crate) fn extra_count(&self, shard: usize) -> usize {
         let arrivals = self.arrivals.get(&shard_name(shard));
-        arrivals.map_or(0, |arrivals| extra_arrivals(arrivals).len())
+        arrivals.map_or(0, |arrivals| extra_arrivals(arrivals).count())
+    }
+
+    /// Returns the number of extra arrivals of a shard that brokers sent.
+    pub(crate) fn extra_by_brokers(&self, shard: usize) -> usize {
+        let arrivals = &self.arrivals[&shard_name(shard)];
+        let by_brokers = extra_arrivals(arrivals).filter(|a| a.from_broker);
+        by_brokers.count()
     }
 }
 
@@ -373,6 +398,7 @@
         deadline: at(0),
         hedge_delay: Duration::from_millis(HEDGE_DELAY_MS),
         handover_groups: Vec::new(),
+        lent_extra: Vec::new(),
     }
 }
 
@@ -380,11 +406,10 @@
     u64::try_from(limits.window.as_millis()).expect("a short window")
 }
 
-/// Returns the times of the arrivals that are not the first of their request, in order.
-fn extra_arrivals(arrivals: &[Arrival]) -> Vec<u64> {
+/// Returns the arrivals that are not the first of their request, in order.
+fn extra_arrivals(arrivals: &[Arrival]) -> impl Iterator<Item = &Arrival> {
     let mut seen = HashSet::new();
-    let extra = arrivals.iter().filter(|a| !seen.insert(a.request));
-    extra.map(|arrival| arrival.at_ms).collect()
+    arrivals.iter().filter(move |a| !seen.insert(a.request))
 }
 
 /// Counts the times in a window; they are in order.
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -66,6 +66,7 @@
         deadline: at(2_000),
         hedge_delay: Duration::from_millis(40),
         handover_groups: Vec::new(),
+        lent_extra: Vec::new(),
     }
 }
 
