--- a/crates/daemon/src/relay/budget_log.rs
+++ b/crates/daemon/src/relay/budget_log.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use fulmarweir_base::MonoTime;
-use fulmarweir_route::TargetSelector;
+use fulmarweir_route::BudgetSnapshot;
 use slog::{Logger, info};
 
 /// Shortest time between two lines about one service, in milliseconds.
@@ -23,13 +23,13 @@
 }
 
 impl BudgetLog {
-    /// Writes the lines that are due.
-    pub(super) fn write(&mut self, log: &Logger, selector: &TargetSelector, now: MonoTime) {
+    /// Writes the lines that are due about `budgets`, all of which deny extra attempts.
+    pub(super) fn write(&mut self, log: &Logger, budgets: Vec<BudgetSnapshot>, now: MonoTime) {
         let forget_after = Duration::from_millis(FORGET_AFTER_MS);
         self.logged_at.retain(|_, at| now.since(*at) < forget_after);
         let period = Duration::from_millis(LINE_PERIOD_MS);
         let last_logged = |service: &Arc<str>| self.logged_at.get(service).copied();
-        let mut due = selector.denying_budgets(now);
+        let mut due = budgets;
         due.retain(|budget| last_logged(&budget.service).is_none_or(|at| now.since(at) >= period));
         due.sort_by_key(|budget| last_logged(&budget.service));
         for budget in due.into_iter().take(LINES_PER_TICK_MAX) {
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -390,8 +390,8 @@
     }
 
     fn log_empty_budgets(&self, now: MonoTime) {
-        let selector = lock(&self.selector);
-        lock(&self.budget_log).write(&self.log, &selector, now);
+        let budgets = lock(&self.selector).denying_budgets(now);
+        lock(&self.budget_log).write(&self.log, budgets, now);
     }
 
     fn relay_target(&self, announcement: TargetAnnouncement) -> RelayTarget {
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -58,14 +58,11 @@
 
     /// Refunds the loans of the shards with the indexes `unused`.
     fn refund(&mut self, unused: &[usize]) {
+        let is_unused = |(index, _): &mut (usize, Arc<str>)| unused.contains(index);
         let mut selector = lock(&self.node.selector);
-        for (index, service) in &self.shards {
-            if unused.contains(index) {
-                selector.refund_extra(service, self.lent_at);
-            }
+        for (_, service) in self.shards.extract_if(.., is_unused) {
+            selector.refund_extra(&service, self.lent_at);
         }
-        drop(selector);
-        self.shards.retain(|(index, _)| !unused.contains(index));
     }
 }
 
