--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -53,6 +53,14 @@
     selector
 }
 
+/// Returns a selector with one shard `s0` and three near targets.
+fn replica_selector(limits: ExtraAttemptLimits) -> TargetSelector {
+    let mut selector = TargetSelector::new(limits, at(0));
+    let targets = ["a", "b", "c"].map(|name| target("s0", name, Locality::Centre));
+    selector.sync(targets.into(), 1, |_| Some(30), at(0));
+    selector
+}
+
 fn params(shards: usize, idempotent: bool) -> RelayParams {
     RelayParams {
         services: (0..shards)
@@ -516,10 +524,7 @@
 /// limit do, though the request has run.
 #[test]
 fn an_attempt_that_was_reset_early_counts_as_run() {
-    let mut selector = TargetSelector::new(limits(), at(0));
-    let names = ["a", "b", "c"];
-    let targets = names.map(|name| target("s0", name, Locality::Centre));
-    selector.sync(targets.to_vec(), 1, |_| Some(30), at(0));
+    let mut selector = replica_selector(limits());
     let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
     let mut target_ids = Vec::new();
     let mut open = sends(&actions);
@@ -560,10 +565,7 @@
 /// Load pattern: two of three replicas are over their connection limit, and the third one is not.
 #[test]
 fn a_target_over_its_connection_limit_does_not_count_towards_the_target_limit() {
-    let mut selector = TargetSelector::new(limits(), at(0));
-    let names = ["a", "b", "c"];
-    let targets = names.map(|name| target("s0", name, Locality::Centre));
-    selector.sync(targets.to_vec(), 1, |_| Some(30), at(0));
+    let mut selector = replica_selector(limits());
     let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
     let mut target_ids = Vec::new();
     let mut open = sends(&actions);
@@ -718,9 +720,7 @@
 fn a_denying_budget_shows_how_attempts_were_charged() {
     let mut no_burst = limits();
     no_burst.burst = 0.0;
-    let mut selector = TargetSelector::new(no_burst, at(0));
-    let targets = ["t1", "t2", "t3"].map(|name| target("s0", name, Locality::Centre));
-    selector.sync(targets.into(), 1, |_| Some(30), at(0));
+    let mut selector = replica_selector(no_burst);
     let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
     let first = &sends(&actions)[0];
     assert_eq!(first.charge, AttemptCharge::First);
