Renew the lease of the burst by reports of keepers only

What could happen: a VM that has lost its keepers goes on using its part of the burst longer than the lease, while the others share it out.

Cause: TargetSelector::sync took the number of VMs and recorded it as just reported. The list of targets is also replaced when a silent keeper is dropped or a configuration comes into force, so a VM renewed its lease from what it already knew.

Evidence: a_new_list_of_targets_does_not_renew_the_lease fails before (8 extra attempts, 0 due) and passes.

Fix: only a report records the number; the list of targets carries none, and the selector's own copy of it is gone. Tests state the number as a report before the list; their assertions are unchanged.

--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -364,7 +364,6 @@
 
     fn sync_targets(&self) {
         let serving = lock(&self.merged_registry).serving();
-        let entry_vm_count = self.entry_vm_count.load(Relaxed);
         let table = self.table();
         let count = serving.len();
         let targets = serving
@@ -372,7 +371,7 @@
             .map(|announcement| self.relay_target(announcement))
             .collect();
         let limit = |service: &str| table.as_ref()?.connections_max(service);
-        lock(&self.selector).sync(targets, entry_vm_count, limit, self.timer.now());
+        lock(&self.selector).sync(targets, limit, self.timer.now());
         lock(&self.shard_groups).clear();
         set_count(&self.metrics.targets, count);
         self.state_changed.notify_waiters();
--- a/crates/route/src/relay/burst_share.rs
+++ b/crates/route/src/relay/burst_share.rs
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Records the number of VMs that use the burst, including this one.
+    /// Records a report of the number of VMs that use the burst, at least 1.
     pub(crate) fn record_vm_count(&mut self, vms: u32, now: MonoTime) {
         while self
             .vm_counts
@@ -63,6 +63,11 @@
         if now < self.usable_from || now.since(*reported_at) > lease {
             return 0.0;
         }
-        burst / f64::from((*highest).max(1))
+        burst / f64::from(*highest)
+    }
+
+    /// Returns the number of VMs that was reported last, 1 before the first report.
+    pub(crate) fn latest_vm_count(&self) -> u32 {
+        self.vm_counts.back().map_or(1, |(count, _)| *count)
     }
 }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -153,7 +153,6 @@
     services: HashMap<Arc<str>, RelayServiceState>,
     limits: ExtraAttemptLimits,
     burst_share: BurstShare,
-    vms: u32,
 }
 
 impl TargetSelector {
@@ -166,22 +165,19 @@
             services: HashMap::new(),
             burst_share: BurstShare::new(limits.window, burst_from),
             limits,
-            vms: 1,
         }
     }
 
     /// Replaces the list of targets, and keeps the state of those whose entry is unchanged.
     ///
-    /// `connections_max` returns how many connections a target of a service accepts from all
-    /// `vms` entry VMs together.
+    /// `connections_max` returns how many connections a target of a service accepts from all entry
+    /// VMs together.
     pub fn sync(
         &mut self,
         targets: Vec<RelayTarget>,
-        vms: u32,
         connections_max: impl Fn(&str) -> Option<u32>,
         now: MonoTime,
     ) {
-        self.record_vm_count(vms, now);
         let mut trackers: HashMap<Arc<str>, Vec<TargetTracker>> = HashMap::new();
         for target in targets {
             let limit = connections_max(&target.service);
@@ -203,10 +199,11 @@
         }
     }
 
-    /// Records the number of entry VMs, including this one, as it was just reported.
+    /// Records the number of entry VMs, including this one, that a keeper has just reported.
+    ///
+    /// The shares of connections follow with the next [`Self::sync`].
     pub fn record_vm_count(&mut self, vms: u32, now: MonoTime) {
-        self.vms = vms.max(1);
-        self.burst_share.record_vm_count(self.vms, now);
+        self.burst_share.record_vm_count(vms.max(1), now);
     }
 
     /// Removes and returns the tracker of `target`, if it has the same incarnation, address and
@@ -235,7 +232,7 @@
             return target.slots.max(1);
         };
         let reserved = limit / CONNECTIONS_RESERVED_DIVISOR;
-        ((limit - reserved) / self.vms).max(1)
+        ((limit - reserved) / self.burst_share.latest_vm_count()).max(1)
     }
 
     /// Counts the first attempt of a request that needs an answer of `service`.
--- a/crates/route/tests/burst_share.rs
+++ b/crates/route/tests/burst_share.rs
@@ -10,15 +10,8 @@
     MonoTime::from_millis(seconds * 1_000)
 }
 
-/// Returns a selector with one target of the service `s0`, whose budget is the burst alone.
-fn selector(burst_from: MonoTime) -> TargetSelector {
-    let limits = ExtraAttemptLimits {
-        share: 0.0,
-        burst: 100.0,
-        window: Duration::from_secs(10),
-    };
-    let mut selector = TargetSelector::new(limits, burst_from);
-    let target = RelayTarget {
+fn target() -> RelayTarget {
+    RelayTarget {
         id: "s0-0".into(),
         service: "s0".into(),
         address: ([10, 0, 0, 1], 80).into(),
@@ -27,8 +20,19 @@
         slots: 3,
         born_ms: 1,
         warm_up_ms: 0,
+    }
+}
+
+/// Returns a selector with one target of the service `s0`, whose budget is the burst alone.
+fn selector(burst_from: MonoTime) -> TargetSelector {
+    let limits = ExtraAttemptLimits {
+        share: 0.0,
+        burst: 100.0,
+        window: Duration::from_secs(10),
     };
-    selector.sync(vec![target], 10, |_| Some(30), at(0));
+    let mut selector = TargetSelector::new(limits, burst_from);
+    selector.record_vm_count(10, at(0));
+    selector.sync(vec![target()], |_| Some(30), at(0));
     selector
 }
 
@@ -71,3 +75,11 @@
     selector.record_vm_count(10, at(46));
     assert!(extra_attempts(&mut selector, at(46)) > 0);
 }
+
+/// Load pattern: keepers fall silent one by one, and the list of targets is replaced for each.
+#[test]
+fn a_new_list_of_targets_does_not_renew_the_lease() {
+    let mut selector = selector(at(0));
+    selector.sync(vec![target()], |_| Some(30), at(25));
+    assert_eq!(extra_attempts(&mut selector, at(45)), 0);
+}
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -154,7 +154,8 @@
         let targets = self.targets_of(self.vms[vm].centre);
         let now = at(self.now_ms);
         let selector = &mut self.vms[vm].selector;
-        selector.sync(targets, count, |_| Some(1_000), now);
+        selector.record_vm_count(count, now);
+        selector.sync(targets, |_| Some(1_000), now);
     }
 
     fn targets_of(&self, vm_centre: &str) -> Vec<RelayTarget> {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -49,7 +49,8 @@
             target(&service, "far", Locality::Far),
         ]
     });
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     selector
 }
 
@@ -57,7 +58,8 @@
 fn replica_selector(limits: ExtraAttemptLimits) -> TargetSelector {
     let mut selector = TargetSelector::new(limits, at(0));
     let targets = ["a", "b", "c"].map(|name| target("s0", name, Locality::Centre));
-    selector.sync(targets.into(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.into(), |_| Some(30), at(0));
     selector
 }
 
@@ -289,7 +291,8 @@
     let mut selector = TargetSelector::new(limits(), at(0));
     let names = ["a", "b", "c", "d"];
     let targets = names.map(|name| target("s0", name, Locality::Centre));
-    selector.sync(targets.to_vec(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.to_vec(), |_| Some(30), at(0));
     let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
     let mut target_ids: Vec<Arc<str>> = Vec::new();
     let mut open = sends(&actions);
@@ -695,7 +698,8 @@
             target(&service, "far", Locality::Far),
         ]
     });
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     selector
 }
 
@@ -754,7 +758,8 @@
             target(&service, "far", Locality::Far),
         ]
     });
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     let services: Vec<Arc<str>> = (0..9).map(|shard| format!("s{shard}").into()).collect();
     let groups = selector.shard_groups(&services);
     assert_eq!(groups.len(), 1);
@@ -860,7 +865,8 @@
     no_burst.burst = 0.0;
     let mut selector = TargetSelector::new(no_burst, at(0));
     let targets = (0..4).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     let params = RelayParams {
         handover_groups: vec![ShardGroup {
             centre: "next".into(),
@@ -926,7 +932,8 @@
             target(&service, "farther", Locality::Far),
         ]
     });
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     let params = RelayParams {
         coverage_min: 1.0,
         ..regional_params()
@@ -970,7 +977,8 @@
             target(&service, "far", Locality::Far),
         ]
     });
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     let (mut run, actions) = RelayRun::start(params(4, true), &mut selector, at(0));
     let sent = sends(&actions);
     for send in &sent[2..] {
@@ -1024,7 +1032,8 @@
 fn a_search_without_enough_targets_is_refused_before_any_handover() {
     let mut selector = TargetSelector::new(limits(), at(0));
     let targets = (0..2).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
-    selector.sync(targets.collect(), 1, |_| Some(30), at(0));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(30), at(0));
     let (_, actions) = RelayRun::start(regional_params(), &mut selector, at(0));
     let Some(RelayOutcome::Refused(refusal)) = finish(&actions) else {
         panic!("expected a refusal, since half of the shards have no target");
