Let each soak claim its addresses

Cause: a soak chose its addresses by its process id modulo 128 alone, so two whose ids are equal modulo 128, and two in one process, took the same ones. The lock in the tests only covered the second case.

Evidence: provoked with ids 24680 and 24808, not with 24680 and 24817. two_runs_at_once_use_different_addresses failed before with AddrInUse after 0.15 s and passes, as do the other three.

Fix: a run listens on one address of its own for as long as it lasts, and takes the next second octet if that one is taken.

--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::Stdio,
     sync::{Arc, Mutex},
@@ -39,6 +39,10 @@
 const PROCESS_OCTET: u8 = 1;
 /// Third octet of the addresses of the proxies in front of them.
 const PROXY_OCTET: u8 = 2;
+/// Third octet of the address that claims a second octet.
+const CLAIM_OCTET: u8 = 3;
+/// Number of second octets, from 64 on.
+const SECOND_OCTETS: u32 = 128;
 /// Last octet of the first target's address.
 const FIRST_TARGET_OCTET: u8 = 100;
 
@@ -81,13 +85,13 @@
     listeners: ProxyListeners,
     folder: PathBuf,
     second_octet: u8,
+    /// Held until the run ends, so that no other one on this machine takes the same addresses.
+    _claim: TcpListener,
 }
 
 impl Tier {
     pub(crate) async fn start(settings: &SoakSettings, tasks: &TaskTracker) -> Self {
-        // The process ID sets the second octet of all addresses, so that several soaks can run on
-        // one machine.
-        let second_octet = 64 + u8::try_from(std::process::id() % 128).unwrap_or_default();
+        let (second_octet, claim) = claim_second_octet();
         let name = format!("fulmarweir-soak-{}-{}", std::process::id(), settings.seed);
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("the folder of the run can be created");
@@ -124,6 +128,7 @@
             listeners,
             folder,
             second_octet,
+            _claim: claim,
         }
     }
 
@@ -165,6 +170,18 @@
     }
 }
 
+/// Claims a second octet for all addresses of a run.
+fn claim_second_octet() -> (u8, TcpListener) {
+    let first = std::process::id() % SECOND_OCTETS;
+    let octets = (0..SECOND_OCTETS).map(|step| (first + step) % SECOND_OCTETS);
+    let mut octets = octets.map(|octet| 64 + u8::try_from(octet).unwrap_or_default());
+    let claim = octets.find_map(|octet| {
+        let listener = TcpListener::bind(address(octet, CLAIM_OCTET, 1, PEERS_PORT)).ok()?;
+        Some((octet, listener))
+    });
+    claim.expect("a second octet is free")
+}
+
 fn address(second_octet: u8, third_octet: u8, last_octet: u8, port: u16) -> SocketAddr {
     SocketAddr::new(
         IpAddr::V4(Ipv4Addr::new(127, second_octet, third_octet, last_octet)),
