--- a/crates/daemon/src/relay/budget_log.rs
+++ b/crates/daemon/src/relay/budget_log.rs
@@ -33,11 +33,12 @@
         due.retain(|budget| last_logged(&budget.service).is_none_or(|at| now.since(at) >= period));
         due.sort_by_key(|budget| last_logged(&budget.service));
         for budget in due.into_iter().take(LINES_PER_TICK_MAX) {
+            let counts = budget.counts;
             info!(log, "extra-budget-empty"; "service" => &*budget.service,
-                "first" => budget.first_attempts, "extra" => budget.extra_attempts,
-                "after_unreachable" => budget.after_unreachable,
-                "after_handover" => budget.after_handover,
-                "denied" => budget.denied, "left" => format_args!("{:.1}", budget.remaining),
+                "first" => counts.first, "extra" => counts.extra,
+                "after_unreachable" => counts.after_unreachable,
+                "after_handover" => counts.after_handover,
+                "denied" => counts.denied, "left" => format_args!("{:.1}", budget.remaining),
                 "burst_part" => format_args!("{:.1}", budget.burst_part));
             self.logged_at.insert(budget.service, now);
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -53,11 +53,11 @@
 pub use hits::{HitScore, HitsError, SearchHit, merge_hits, parse_hits, write_hits};
 pub use refusal::{RefusalReason, RouteRefusal};
 pub use relay::{
-    AnswerSource, AttemptCharge, AttemptSignal, BrokerEndpoint, BrokerSelector, BudgetSnapshot,
-    GroupOutcome, HandoverOutcome, LatencyTable, Locality, PickCriteria, RECORD_BYTES, RelayAction,
-    RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun,
-    RelayTarget, ShardGroup, TargetPick, TargetSelector, TargetSnapshot, UnclearSubRequest,
-    merge_records,
+    AnswerSource, AttemptCharge, AttemptCounts, AttemptSignal, BrokerEndpoint, BrokerSelector,
+    BudgetSnapshot, GroupOutcome, HandoverOutcome, LatencyTable, Locality, PickCriteria,
+    RECORD_BYTES, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRefusal, RelayRun, RelayTarget, ShardGroup, TargetPick, TargetSelector, TargetSnapshot,
+    UnclearSubRequest, merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchOutcome, SearchParams, SearchRun};
 pub use service::{
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -16,7 +16,7 @@
 mod target_tracker;
 
 pub use self::{
-    attempt_budget::{AttemptCharge, BudgetSnapshot},
+    attempt_budget::{AttemptCharge, AttemptCounts, BudgetSnapshot},
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
     latency_table::LatencyTable,
     merge::{RECORD_BYTES, merge_records},
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -44,21 +44,38 @@
     }
 }
 
+/// How many attempts of a service there were, by their charge.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AttemptCounts {
+    /// Sub-requests that count towards the grant.
+    pub first: u32,
+    /// Attempts charged to the budget.
+    pub extra: u32,
+    /// Attempts charged as [`AttemptCharge::AfterUnreachable`].
+    pub after_unreachable: u32,
+    /// Attempts charged as [`AttemptCharge::AfterHandover`].
+    pub after_handover: u32,
+    /// Extra attempts that the budget did not allow.
+    pub denied: u32,
+}
+
+impl AttemptCounts {
+    fn add(&mut self, other: &Self) {
+        self.first += other.first;
+        self.extra += other.extra;
+        self.after_unreachable += other.after_unreachable;
+        self.after_handover += other.after_handover;
+        self.denied += other.denied;
+    }
+}
+
 /// The budget of extra attempts of a service on this VM, for logs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BudgetSnapshot {
     /// The service.
     pub service: Arc<str>,
-    /// Sub-requests that count towards the grant, within the window.
-    pub first_attempts: u32,
-    /// Charged attempts within the window.
-    pub extra_attempts: u32,
-    /// Attempts within the window charged as [`AttemptCharge::AfterUnreachable`].
-    pub after_unreachable: u32,
-    /// Attempts within the window charged as [`AttemptCharge::AfterHandover`].
-    pub after_handover: u32,
-    /// Extra attempts within the window that the budget did not allow.
-    pub denied: u32,
+    /// Attempts within the window.
+    pub counts: AttemptCounts,
     /// Extra attempts that the budget still allows; negative if overdrawn.
     pub remaining: f64,
     /// This VM's part of the burst.
@@ -69,11 +86,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct CountBucket {
     number: u64,
-    first_attempts: u32,
-    extra_attempts: u32,
-    after_unreachable: u32,
-    after_handover: u32,
-    denied: u32,
+    counts: AttemptCounts,
 }
 
 /// Counts of first and extra attempts within the sliding window.
@@ -85,32 +98,31 @@
 impl ExtraAttemptBudget {
     /// Counts the first attempt of a request.
     pub(crate) fn count_first_attempt(&mut self, limits: &ExtraAttemptLimits, now: MonoTime) {
-        self.bucket(limits.window, now).first_attempts += 1;
+        self.bucket(limits.window, now).first += 1;
     }
 
-    /// Counts an extra attempt and returns true if the budget allows it.
+    /// Charges an extra attempt if the budget allows it, and returns whether it does.
     pub(crate) fn try_acquire_extra(
         &mut self,
         limits: &ExtraAttemptLimits,
         burst_part: f64,
         now: MonoTime,
     ) -> bool {
-        if self.try_lend_extra(limits, burst_part, now) {
-            return true;
-        }
-        self.bucket(limits.window, now).denied += 1;
-        false
+        let is_charged = self.try_charge_extra(limits, burst_part, now);
+        self.bucket(limits.window, now).denied += u32::from(!is_charged);
+        is_charged
     }
 
-    /// Counts an extra attempt that another VM may send, and returns true if the budget allows it.
-    pub(crate) fn try_lend_extra(
+    /// Charges an extra attempt if the budget allows it, and returns whether it does. Unlike
+    /// [`Self::try_acquire_extra`], a refusal is not counted.
+    pub(crate) fn try_charge_extra(
         &mut self,
         limits: &ExtraAttemptLimits,
         burst_part: f64,
         now: MonoTime,
     ) -> bool {
         let is_allowed = self.remaining(limits, burst_part, now) >= 1.0;
-        self.bucket(limits.window, now).extra_attempts += u32::from(is_allowed);
+        self.bucket(limits.window, now).extra += u32::from(is_allowed);
         is_allowed
     }
 
@@ -118,7 +130,7 @@
     pub(crate) fn refund_extra(&mut self, limits: &ExtraAttemptLimits, acquired_at: MonoTime) {
         let number = bucket_number(limits.window, acquired_at);
         if let Some(bucket) = self.buckets.iter_mut().find(|b| b.number == number) {
-            bucket.extra_attempts = bucket.extra_attempts.saturating_sub(1);
+            bucket.counts.extra = bucket.counts.extra.saturating_sub(1);
         }
     }
 
@@ -130,11 +142,11 @@
         limits: &ExtraAttemptLimits,
         now: MonoTime,
     ) {
-        let bucket = self.bucket(limits.window, now);
+        let counts = self.bucket(limits.window, now);
         match charge {
             AttemptCharge::First | AttemptCharge::Extra | AttemptCharge::Lent => {}
-            AttemptCharge::AfterUnreachable => bucket.after_unreachable += 1,
-            AttemptCharge::AfterHandover => bucket.after_handover += 1,
+            AttemptCharge::AfterUnreachable => counts.after_unreachable += 1,
+            AttemptCharge::AfterHandover => counts.after_handover += 1,
         }
     }
 
@@ -147,9 +159,9 @@
         burst_part: f64,
         now: MonoTime,
     ) -> f64 {
-        let totals = self.totals(limits.window, now);
-        let granted = limits.share * f64::from(totals.first_attempts) + burst_part;
-        granted * USABLE_SHARE - f64::from(totals.extra_attempts)
+        let counts = self.counts(limits.window, now);
+        let granted = limits.share * f64::from(counts.first) + burst_part;
+        granted * USABLE_SHARE - f64::from(counts.extra)
     }
 
     pub(crate) fn snapshot(
@@ -159,37 +171,28 @@
         burst_part: f64,
         now: MonoTime,
     ) -> BudgetSnapshot {
-        let totals = self.totals(limits.window, now);
         BudgetSnapshot {
             service: Arc::clone(service),
-            first_attempts: totals.first_attempts,
-            extra_attempts: totals.extra_attempts,
-            after_unreachable: totals.after_unreachable,
-            after_handover: totals.after_handover,
-            denied: totals.denied,
+            counts: self.counts(limits.window, now),
             remaining: self.remaining(limits, burst_part, now),
             burst_part,
         }
     }
 
     /// Returns the counts of the whole window.
-    fn totals(&self, window: Duration, now: MonoTime) -> CountBucket {
+    fn counts(&self, window: Duration, now: MonoTime) -> AttemptCounts {
         let current = bucket_number(window, now);
         let span = BUCKETS as u64;
         let in_window = self.buckets.iter().filter(|b| b.number + span > current);
-        let mut totals = CountBucket::default();
+        let mut counts = AttemptCounts::default();
         for bucket in in_window {
-            totals.first_attempts += bucket.first_attempts;
-            totals.extra_attempts += bucket.extra_attempts;
-            totals.after_unreachable += bucket.after_unreachable;
-            totals.after_handover += bucket.after_handover;
-            totals.denied += bucket.denied;
+            counts.add(&bucket.counts);
         }
-        totals
+        counts
     }
 
-    /// Returns the bucket for `now`, cleared if its counts are from an earlier window.
-    fn bucket(&mut self, window: Duration, now: MonoTime) -> &mut CountBucket {
+    /// Returns the counts of the bucket for `now`, cleared if they are from an earlier window.
+    fn bucket(&mut self, window: Duration, now: MonoTime) -> &mut AttemptCounts {
         let number = bucket_number(window, now);
         let index = usize::try_from(number % BUCKETS as u64).unwrap_or_default();
         let bucket = &mut self.buckets[index];
@@ -199,7 +202,7 @@
                 ..CountBucket::default()
             };
         }
-        bucket
+        &mut bucket.counts
     }
 }
 
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -260,7 +260,7 @@
         let mut lent = Vec::new();
         for (index, service) in services.iter().enumerate() {
             let state = self.services.get_mut(service);
-            if state.is_some_and(|s| s.budget.try_lend_extra(&limits, burst_part, now)) {
+            if state.is_some_and(|s| s.budget.try_charge_extra(&limits, burst_part, now)) {
                 lent.push(index);
             }
         }
@@ -297,7 +297,7 @@
                 .snapshot(service, &self.limits, burst_part, now)
         });
         snapshots
-            .filter(|snapshot| snapshot.denied > 0 && snapshot.remaining < 1.0)
+            .filter(|snapshot| snapshot.counts.denied > 0 && snapshot.remaining < 1.0)
             .collect()
     }
 
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -735,10 +735,10 @@
     run.on_wake(&mut selector, at(60));
     let budgets = selector.denying_budgets(at(61));
     assert_eq!(budgets.len(), 1);
-    assert_eq!(budgets[0].first_attempts, 1);
-    assert_eq!(budgets[0].extra_attempts, 0);
-    assert_eq!(budgets[0].after_unreachable, 1);
-    assert_eq!(budgets[0].denied, 1);
+    assert_eq!(budgets[0].counts.first, 1);
+    assert_eq!(budgets[0].counts.extra, 0);
+    assert_eq!(budgets[0].counts.after_unreachable, 1);
+    assert_eq!(budgets[0].counts.denied, 1);
     assert!(budgets[0].burst_part.abs() < 1e-9);
 }
 
