--- a/crates/conf/src/relay_settings.rs
+++ b/crates/conf/src/relay_settings.rs
@@ -51,6 +51,8 @@
     pub announce_period: Duration,
     /// Time between a stop signal and the forced end of the process.
     pub stop_grace: Duration,
+    /// Time after which a target that leaves must get no new requests.
+    pub drain_max: Duration,
     /// Time within which a lost voter must be replaced.
     pub replacement_max: Duration,
 }
@@ -197,6 +199,7 @@
     let bounds = read_section(sections, "bounds", faults, |bounds| {
         let announce_ms =
             bounds.or_default("announce-ms", 1000, |value| number(value, &MILLIS_RANGE));
+        let drain_ms = bounds.or_default("drain-ms", 3000, |value| number(value, &MILLIS_RANGE));
         let mut seconds = |key, default: f64| {
             let value = bounds.or_default(key, default, |value| number(value, &SECONDS_RANGE));
             Duration::from_secs_f64(value)
@@ -204,6 +207,7 @@
         RelayBounds {
             announce_period: Duration::from_millis(announce_ms),
             stop_grace: seconds("stop-grace-s", 6.0),
+            drain_max: Duration::from_millis(drain_ms),
             replacement_max: seconds("catch-up-s", 4.0),
         }
     });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,5 +33,5 @@
 
 pub use error::{DaemonError, Result};
 pub use program::run_program;
-pub use relay::{ControlCall, HeaderNames, ProtocolAdapter, ReplyClass, run_relay};
+pub use relay::{ControlCall, HeaderNames, ProtocolAdapter, ReplyClass, ReplyNotice, run_relay};
 pub use run::run;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -31,11 +31,12 @@
 mod serve;
 mod start;
 mod target_file;
+mod target_notices;
 mod tasks;
 mod vm_message;
 mod voters;
 
 pub use self::{
-    adapter::{ControlCall, HeaderNames, ProtocolAdapter, ReplyClass},
+    adapter::{ControlCall, HeaderNames, ProtocolAdapter, ReplyClass, ReplyNotice},
     start::run_relay,
 };
--- a/crates/daemon/src/relay/adapter.rs
+++ b/crates/daemon/src/relay/adapter.rs
@@ -35,10 +35,7 @@
         load: Option<ReportedLoad>,
     },
     /// The target did not run the request.
-    Refused {
-        /// How long to wait before the target is tried again.
-        retry_after: Option<Duration>,
-    },
+    Refused,
     /// Another target listens at this address. The request did not run.
     Moved,
     /// A failure of the target itself, which may be forwarded to the caller.
@@ -47,6 +44,15 @@
     Invalid,
 }
 
+/// What a reply says about its target, whatever became of the request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReplyNotice {
+    /// Whether the target leaves.
+    pub leaving: bool,
+    /// Time for which the target wants no requests of this VM.
+    pub retry_after: Option<Duration>,
+}
+
 /// A control request of a target or an operator.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ControlCall {
@@ -68,6 +74,8 @@
     pub ready_path: &'static str,
     /// Classifies the reply to the request with this id.
     pub classify: fn(&RelayReply, request_id: &[u8]) -> ReplyClass,
+    /// Reads what a reply says about its target.
+    pub read_notice: fn(&RelayReply) -> ReplyNotice,
     /// Decodes a configuration document. The error text is sent to the operator.
     pub decode_config: fn(&[u8]) -> Result<RouteTable, String>,
     /// Recognises a control request by its method and path.
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -183,14 +183,16 @@
 
 /// Whether every shard of a search, or any service of a weighted split, has a target.
 fn has_targets(node: &EntryNode, rule: &RouteRule) -> bool {
+    let now = node.timer.now();
     let selector = lock(&node.selector);
     match &rule.destination {
-        RouteDestination::Gather(gather) => {
-            gather.shards.iter().all(|shard| selector.has_target(shard))
-        }
-        RouteDestination::Split(parts) => {
-            parts.iter().any(|part| selector.has_target(&part.service))
-        }
+        RouteDestination::Gather(gather) => gather
+            .shards
+            .iter()
+            .all(|shard| selector.has_target(shard, now)),
+        RouteDestination::Split(parts) => parts
+            .iter()
+            .any(|part| selector.has_target(&part.service, now)),
     }
 }
 
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -8,7 +8,7 @@
 use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayReply};
 use fulmarweir_route::{
     GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
-    RelayRun,
+    RelayRun, RelayTarget, TargetNotice,
 };
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
@@ -19,6 +19,7 @@
     entry::EntryNode,
     handover::{Handover, hand_over},
     handover_message::GroupReply,
+    target_notices::{NoticeSource, apply_notice, notice_of},
 };
 use crate::metrics::{ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel};
 
@@ -49,6 +50,8 @@
     outcome: RelayAttemptOutcome,
     reply: Option<RelayReply>,
     fault: Option<&'static str>,
+    target: Arc<RelayTarget>,
+    notice: TargetNotice,
 }
 
 /// A finished part of a request in flight.
@@ -69,6 +72,8 @@
     pub(crate) group_replies: Vec<(usize, GroupReply)>,
     /// The outcome for the VM that handed over the request, if one did.
     pub(crate) group_outcome: GroupOutcome,
+    /// What targets have said about themselves.
+    pub(crate) notices: Vec<(Arc<RelayTarget>, TargetNotice)>,
     pub(crate) stats: RelayStats,
 }
 
@@ -109,6 +114,7 @@
     group_replies: Vec<(usize, GroupReply)>,
     /// Brokers to which groups of shards were handed over.
     brokers: Vec<SocketAddr>,
+    notices: Vec<(Arc<RelayTarget>, TargetNotice)>,
     last_fault: Option<&'static str>,
 }
 
@@ -129,6 +135,7 @@
             in_flight: FuturesUnordered::new(),
             group_replies: Vec::new(),
             brokers: Vec::new(),
+            notices: Vec::new(),
             replies: Vec::new(),
             last_fault: None,
         };
@@ -193,6 +200,7 @@
         let group_outcome = self.run.group_outcome();
         let group_replies = std::mem::take(&mut self.group_replies);
         let replies = std::mem::take(&mut self.replies);
+        let notices = std::mem::take(&mut self.notices);
         if !self.in_flight.is_empty() {
             let tasks = self.node.detached_tasks.clone();
             tasks.spawn(self.linger());
@@ -202,6 +210,7 @@
             replies,
             group_replies,
             group_outcome,
+            notices,
             stats,
         }
     }
@@ -251,6 +260,9 @@
                 .get_or_create(&label)
                 .inc();
         }
+        if !finished.notice.is_empty() {
+            self.notices.push((finished.target, finished.notice));
+        }
         if let Some(reply) = finished.reply {
             self.replies.push((finished.attempt, reply));
         }
@@ -310,21 +322,26 @@
         (false, true) => ConnectionReuse::Any,
         (false, false) => ConnectionReuse::Recent,
     };
-    let finished = |outcome, reply, fault| FinishedAttempt {
+    let mut notice = TargetNotice::default();
+    let finished = |outcome, reply, fault, notice| FinishedAttempt {
         sub_request: attempt.sub_request,
         attempt: attempt.attempt,
         sent_at,
         outcome,
         reply,
         fault,
+        target: Arc::clone(&attempt.target),
+        notice,
     };
     let Some(request) = build_request(&node, &message, &attempt, sent_at) else {
-        return finished(RelayAttemptOutcome::Unreachable, None, Some("bad-request"));
+        let outcome = RelayAttemptOutcome::Unreachable;
+        return finished(outcome, None, Some("bad-request"), notice);
     };
     let address = attempt.target.address;
+    let may_send = || lock(&node.selector).may_send(&attempt.target, node.timer.now());
     let exchange = node
         .pool
-        .exchange(address, request, reuse, attempt.idle_timeout);
+        .exchange(address, request, reuse, attempt.idle_timeout, &may_send);
     let reply = match exchange.await {
         Ok(reply) => reply,
         Err(fault) => {
@@ -336,32 +353,43 @@
                 RelayFault::NotSent => RelayAttemptOutcome::NoConnection,
                 RelayFault::OverLimit => RelayAttemptOutcome::OverLimit,
                 RelayFault::Rejected => RelayAttemptOutcome::Rejected,
+                RelayFault::Withheld => RelayAttemptOutcome::Withheld,
                 RelayFault::Broken | RelayFault::TooLarge => RelayAttemptOutcome::Broken,
             };
-            return finished(outcome, None, Some(fault.as_str()));
+            return finished(outcome, None, Some(fault.as_str()), notice);
         }
     };
     let class = (node.adapter.classify)(&reply, message.request_id.as_bytes());
+    // Any other reply may come from another target than this one.
+    if !matches!(class, ReplyClass::Moved | ReplyClass::Invalid) {
+        notice = notice_of(&node, (node.adapter.read_notice)(&reply));
+        let request_id = &message.request_id;
+        apply_notice(
+            &node,
+            request_id,
+            &attempt.target,
+            notice,
+            NoticeSource::Reply,
+        );
+    }
     match class {
         ReplyClass::Answer { load } => {
-            finished(RelayAttemptOutcome::Answered { load }, Some(reply), None)
+            let outcome = RelayAttemptOutcome::Answered { load };
+            finished(outcome, Some(reply), None, notice)
+        }
+        ReplyClass::Refused => {
+            finished(RelayAttemptOutcome::Refused, None, Some("refused"), notice)
+        }
+        ReplyClass::Moved => finished(RelayAttemptOutcome::Moved, None, Some("moved"), notice),
+        ReplyClass::Failure => {
+            let outcome = RelayAttemptOutcome::FailureReply;
+            finished(outcome, Some(reply), Some("failure"), notice)
         }
-        ReplyClass::Refused { retry_after } => finished(
-            RelayAttemptOutcome::Refused { retry_after },
-            None,
-            Some("refused"),
-        ),
-        ReplyClass::Moved => finished(RelayAttemptOutcome::Moved, None, Some("moved")),
-        ReplyClass::Failure => finished(
-            RelayAttemptOutcome::FailureReply,
-            Some(reply),
-            Some("failure"),
-        ),
         ReplyClass::Invalid => {
             // Later replies on this connection would belong to other requests as well, so the
             // connection must not be reused.
             node.pool.close_idle(address);
-            finished(RelayAttemptOutcome::Broken, None, Some("garbage"))
+            finished(RelayAttemptOutcome::Broken, None, Some("garbage"), notice)
         }
     }
 }
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -243,9 +243,10 @@
     /// Returns the shards of a route whose nearest targets are in another data centre of this
     /// region, grouped by that data centre.
     pub(crate) fn shard_groups(&self, route: &Arc<str>, shards: &[Arc<str>]) -> Arc<[ShardGroup]> {
+        let now = self.timer.now();
         let mut groups = lock(&self.shard_groups);
         let known = groups.entry(Arc::clone(route));
-        let known = known.or_insert_with(|| lock(&self.selector).shard_groups(shards).into());
+        let known = known.or_insert_with(|| lock(&self.selector).shard_groups(shards, now).into());
         Arc::clone(known)
     }
 
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -12,6 +12,7 @@
     entry::EntryNode,
     handover_message::{GroupReply, decode_reply, encode_request},
     routed::RoutedRequest,
+    target_notices::apply_broker_notices,
     vm_message::{HandoverReply, HandoverRequest, VmReply, VmRequest},
 };
 
@@ -171,6 +172,7 @@
     node.metrics.count_handover(label);
     let (reason, verdict) = match reply {
         BrokerReply::Answer(answer) => {
+            apply_broker_notices(&node, &request_id, broker, &answer.notices);
             let (outcome, group_reply) = decode_reply(*answer);
             loan.refund(&outcome.unused_loans);
             return (outcome, group_reply);
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -13,6 +13,7 @@
     entry::EntryNode,
     request_account::RequestTimes,
     routed::RoutedRequest,
+    target_notices::encode_notice,
     vm_message::{HandoverReply, HandoverRequest},
 };
 
@@ -106,6 +107,11 @@
         unused_loans: outer_indexes(&outcome.unused_loans),
         signatures: merged.signatures,
         records: merged.records,
+        notices: result
+            .notices
+            .iter()
+            .map(|(target, notice)| encode_notice(target, *notice))
+            .collect(),
     }
 }
 
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) attempt_failures: Family<ReasonLabel, Counter>,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
     pub(crate) handovers: Family<OutcomeLabel, Counter>,
+    pub(crate) target_notices: Family<KindLabel, Counter>,
     pub(crate) latency: Family<ServiceLabel, Histogram>,
     pub(crate) announcements: Family<OutcomeLabel, Counter>,
     pub(crate) config_changes: Family<OutcomeLabel, Counter>,
@@ -70,6 +71,7 @@
             attempt_failures: Family::default(),
             hedges: Family::default(),
             handovers: Family::default(),
+            target_notices: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             announcements: Family::default(),
             config_changes: Family::default(),
@@ -111,6 +113,11 @@
             "Attempts at targets, by how they are charged to the budget of extra attempts",
             self.attempt_charges.clone(),
         );
+        registry.register(
+            "target_notices",
+            "Targets that said that they leave, or that asked for time",
+            self.target_notices.clone(),
+        );
         registry.register(
             "attempt_distances",
             "Attempts at targets, by how far these are",
@@ -215,6 +222,10 @@
     }
 
     /// Counts a handover by its outcome.
+    pub(crate) fn count_target_notice(&self, kind: &'static str) {
+        self.target_notices.get_or_create(&KindLabel { kind }).inc();
+    }
+
     pub(crate) fn count_handover(&self, outcome: &'static str) {
         let label = OutcomeLabel { outcome };
         self.handovers.get_or_create(&label).inc();
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -80,6 +80,7 @@
         hedge_delay: lock(&node.latency_table).hedge_delay(&rule.name, soft),
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
+        retry_spread: rand::random(),
     }
 }
 
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -106,6 +106,22 @@
     pub(crate) signatures: Vec<Vec<u8>>,
     /// The greatest records of the shards that answered.
     pub(crate) records: Vec<u8>,
+    /// What targets told the broker about themselves.
+    pub(crate) notices: Vec<NoticeMessage>,
+}
+
+/// What a target has told a broker about itself. The times count from the target's reply.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct NoticeMessage {
+    pub(crate) service: Arc<str>,
+    /// Id of the target.
+    pub(crate) target: Arc<str>,
+    /// Distinguishes incarnations of the target.
+    pub(crate) born_ms: u64,
+    /// Time after which the target, which leaves, gets no new requests, in milliseconds.
+    pub(crate) leaves_within_ms: Option<u64>,
+    /// Time for which the target wants no requests, in milliseconds.
+    pub(crate) closed_for_ms: Option<u64>,
 }
 
 /// A request of another VM.
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -64,6 +64,8 @@
     ///
     /// The timing is no proof: the request may have run.
     Rejected,
+    /// The request was withheld by its owner before it was sent.
+    Withheld,
     /// The connection broke, or the reply was not valid HTTP, after the request was sent.
     Broken,
     /// The reply body was larger than the limit.
@@ -79,6 +81,7 @@
             Self::NotSent => "not-sent",
             Self::OverLimit => "over-limit",
             Self::Rejected => "rejected",
+            Self::Withheld => "withheld",
             Self::Broken => "broken",
             Self::TooLarge => "too-large",
         }
@@ -166,18 +169,22 @@
     /// Sends one request and reads the whole reply. The connection is then kept idle for at most
     /// `idle_timeout`.
     ///
+    /// `may_send` is asked when a connection is ready. If it returns false, nothing is sent.
+    ///
     /// # Errors
     ///
-    /// Returns a [`RelayFault`]. Only [`RelayFault::Connect`], [`RelayFault::NotSent`] and
-    /// [`RelayFault::OverLimit`] prove that the target has not seen the request.
+    /// Returns a [`RelayFault`]. Only [`RelayFault::Connect`], [`RelayFault::NotSent`],
+    /// [`RelayFault::OverLimit`] and [`RelayFault::Withheld`] prove that the target has not seen the
+    /// request.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         reuse: ConnectionReuse,
         idle_timeout: Duration,
+        may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<RelayReply, RelayFault> {
-        let (sender, response) = self.send(address, request, reuse).await?;
+        let (sender, response) = self.send(address, request, reuse, may_send).await?;
         let (head, mut incoming) = response.into_parts();
         let mut body = BytesMut::new();
         while let Some(frame) = incoming.frame().await {
@@ -205,10 +212,14 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: ConnectionReuse,
+        may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<(RelaySender, Response<Incoming>), RelayFault> {
         if let Some(mut sender) = self.pop_idle(address, reuse)
             && sender.ready().await.is_ok()
         {
+            if !may_send() {
+                return Err(RelayFault::Withheld);
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((sender, response)),
                 // Hyper hands the request back only if nothing of it was written.
@@ -231,6 +242,9 @@
                 return Err(RelayFault::OverLimit);
             }
         }
+        if !may_send() {
+            return Err(RelayFault::Withheld);
+        }
         let sent_at = self.timer.now();
         match sender.try_send_request(request).await {
             Ok(response) => Ok((sender, response)),
--- a/crates/pool/tests/relay_pool.rs
+++ b/crates/pool/tests/relay_pool.rs
@@ -81,7 +81,13 @@
     target: &RawTarget,
     reuse: ConnectionReuse,
 ) -> Result<RelayReply, RelayFault> {
-    let exchange = pool.exchange(target.address, request("/q?a=1"), reuse, IDLE_TIMEOUT);
+    let exchange = pool.exchange(
+        target.address,
+        request("/q?a=1"),
+        reuse,
+        IDLE_TIMEOUT,
+        &|| true,
+    );
     timeout(Duration::from_secs(5), exchange).await.unwrap()
 }
 
@@ -216,7 +222,13 @@
     let address = listener.local_addr().unwrap();
     drop(listener);
     let pool = new_pool();
-    let exchange = pool.exchange(address, request("/"), ConnectionReuse::Any, IDLE_TIMEOUT);
+    let exchange = pool.exchange(
+        address,
+        request("/"),
+        ConnectionReuse::Any,
+        IDLE_TIMEOUT,
+        &|| true,
+    );
     assert_eq!(exchange.await.unwrap_err(), RelayFault::Connect);
 }
 
@@ -243,6 +255,7 @@
         request("/"),
         ConnectionReuse::Any,
         IDLE_TIMEOUT,
+        &|| true,
     );
     assert!(timeout(Duration::from_millis(50), exchange).await.is_err());
     let ended = timeout(Duration::from_millis(400), ended_receiver.recv()).await;
@@ -328,7 +341,13 @@
     let pool = new_pool();
     let short = Duration::from_millis(30);
     for _ in 0..2 {
-        let exchange = pool.exchange(target.address, request("/"), ConnectionReuse::Any, short);
+        let exchange = pool.exchange(
+            target.address,
+            request("/"),
+            ConnectionReuse::Any,
+            short,
+            &|| true,
+        );
         exchange.await.unwrap();
         sleep(Duration::from_millis(60)).await;
     }
@@ -336,3 +355,34 @@
     pool.close_expired();
     assert_eq!(pool.idle_count(), 0);
 }
+
+/// Guards against requests that were assigned to a target before it asked for time, and would be
+/// sent once their connection is open, new or kept.
+#[tokio::test]
+async fn a_request_that_is_withheld_while_it_waits_for_a_connection_is_not_sent() {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&requests);
+    let target = start_target(move |_, mut stream| {
+        let counter = Arc::clone(&counter);
+        async move {
+            while read_head(&mut stream).await.is_some() {
+                counter.fetch_add(1, SeqCst);
+                answer(&mut stream, "", "part").await;
+            }
+        }
+    })
+    .await;
+    let pool = new_pool();
+    let withhold = async |reuse| {
+        let exchange = pool.exchange(target.address, request("/"), reuse, IDLE_TIMEOUT, &|| false);
+        exchange.await.unwrap_err()
+    };
+    for reuse in [ConnectionReuse::Any, ConnectionReuse::Never] {
+        assert_eq!(withhold(reuse).await, RelayFault::Withheld);
+    }
+    query(&pool, &target, ConnectionReuse::Any).await.unwrap();
+    assert_eq!(pool.idle_count(), 1);
+    assert_eq!(withhold(ConnectionReuse::Any).await, RelayFault::Withheld);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(requests.load(SeqCst), 1);
+}
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -22,6 +22,8 @@
     LowCoverage,
     /// Targets refused the request without running it.
     TargetsRefused,
+    /// Targets have asked for time and get no requests until it has passed.
+    TargetsClosed,
     /// The deadline passed before an answer was complete.
     Deadline,
     /// An attempt may have run, so the request is not retried.
@@ -30,13 +32,14 @@
 
 impl RefusalReason {
     /// Every reason, for metrics that export all labels from the start.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::QueueFull,
         Self::TooLate,
         Self::MinVersion,
         Self::NoTargets,
         Self::LowCoverage,
         Self::TargetsRefused,
+        Self::TargetsClosed,
         Self::Deadline,
         Self::Undecided,
     ];
@@ -51,6 +54,7 @@
             Self::NoTargets => "no-targets",
             Self::LowCoverage => "low-coverage",
             Self::TargetsRefused => "targets-refused",
+            Self::TargetsClosed => "targets-closed",
             Self::Deadline => "deadline",
             Self::Undecided => "undecided",
         }
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -10,6 +10,7 @@
 mod burst_share;
 mod latency_table;
 mod merge;
+mod notice_table;
 mod run;
 mod selector;
 mod sub_request;
@@ -20,6 +21,7 @@
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
     latency_table::LatencyTable,
     merge::{RECORD_BYTES, merge_records},
+    notice_table::{NoticeChange, TargetNotice},
     run::{
         AnswerSource, GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
         RelayParams, RelayRefusal, RelayRun, UnclearSubRequest,
--- a/crates/route/src/relay/attempt_budget.rs
+++ b/crates/route/src/relay/attempt_budget.rs
@@ -14,6 +14,27 @@
 /// Share of the granted budget that is used, so that clock differences and late arrivals do not
 /// exceed the grant.
 const USABLE_SHARE: f64 = 0.85;
+/// The same in the first window of a process: what an earlier process of the VM has left unused.
+const USABLE_SHARE_AT_START: f64 = 1.0 - USABLE_SHARE;
+
+/// What the budgets of all services of this VM are granted at a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct BudgetGrant {
+    /// Whether an earlier process of this VM may have spent its grant within the window.
+    pub(crate) is_starting: bool,
+    /// This VM's part of the burst.
+    pub(crate) burst_part: f64,
+}
+
+impl BudgetGrant {
+    const fn usable_share(self) -> f64 {
+        if self.is_starting {
+            USABLE_SHARE_AT_START
+        } else {
+            USABLE_SHARE
+        }
+    }
+}
 
 /// How an attempt is charged to the budget of extra attempts of its service.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -105,10 +126,10 @@
     pub(crate) fn try_acquire_extra(
         &mut self,
         limits: &ExtraAttemptLimits,
-        burst_part: f64,
+        grant: BudgetGrant,
         now: MonoTime,
     ) -> bool {
-        let is_charged = self.try_charge_extra(limits, burst_part, now);
+        let is_charged = self.try_charge_extra(limits, grant, now);
         self.bucket(limits.window, now).denied += u32::from(!is_charged);
         is_charged
     }
@@ -118,10 +139,10 @@
     pub(crate) fn try_charge_extra(
         &mut self,
         limits: &ExtraAttemptLimits,
-        burst_part: f64,
+        grant: BudgetGrant,
         now: MonoTime,
     ) -> bool {
-        let is_allowed = self.remaining(limits, burst_part, now) >= 1.0;
+        let is_allowed = self.remaining(limits, grant, now) >= 1.0;
         self.bucket(limits.window, now).extra += u32::from(is_allowed);
         is_allowed
     }
@@ -151,31 +172,29 @@
     }
 
     /// Returns the number of extra attempts that the budget still allows; negative if overdrawn.
-    ///
-    /// `burst_part` is this VM's part of the burst.
     pub(crate) fn remaining(
         &self,
         limits: &ExtraAttemptLimits,
-        burst_part: f64,
+        grant: BudgetGrant,
         now: MonoTime,
     ) -> f64 {
         let counts = self.counts(limits.window, now);
-        let granted = limits.share * f64::from(counts.first) + burst_part;
-        granted * USABLE_SHARE - f64::from(counts.extra)
+        let granted = limits.share * f64::from(counts.first) + grant.burst_part;
+        granted * grant.usable_share() - f64::from(counts.extra)
     }
 
     pub(crate) fn snapshot(
         &self,
         service: &Arc<str>,
         limits: &ExtraAttemptLimits,
-        burst_part: f64,
+        grant: BudgetGrant,
         now: MonoTime,
     ) -> BudgetSnapshot {
         BudgetSnapshot {
             service: Arc::clone(service),
             counts: self.counts(limits.window, now),
-            remaining: self.remaining(limits, burst_part, now),
-            burst_part,
+            remaining: self.remaining(limits, grant, now),
+            burst_part: grant.burst_part,
         }
     }
 
--- a/crates/route/src/relay/burst_share.rs
+++ b/crates/route/src/relay/burst_share.rs
@@ -8,6 +8,8 @@
 
 use fulmarweir_base::MonoTime;
 
+use super::attempt_budget::BudgetGrant;
+
 /// Time for which a VM that no longer learns the number of VMs uses its part, in milliseconds.
 const LEASE_MS: u64 = 30_000;
 
@@ -52,8 +54,16 @@
         }
     }
 
+    /// Returns what the budgets of this VM are granted, given the burst of all VMs.
+    pub(crate) fn grant(&self, burst: f64, now: MonoTime) -> BudgetGrant {
+        BudgetGrant {
+            is_starting: now < self.usable_from,
+            burst_part: self.part_of(burst, now),
+        }
+    }
+
     /// Returns this VM's part of `burst`.
-    pub(crate) fn part_of(&self, burst: f64, now: MonoTime) -> f64 {
+    fn part_of(&self, burst: f64, now: MonoTime) -> f64 {
         let lease = Duration::from_millis(LEASE_MS);
         let (Some((highest, _)), Some((_, reported_at))) =
             (self.vm_counts.front(), self.vm_counts.back())
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -34,6 +34,8 @@
 const ACCEPT_TOTAL_DIVISOR: u32 = 8;
 /// Minimum time after which a refused caller is told to retry.
 const RETRY_AFTER_MIN_MS: u64 = 50;
+/// Refused callers are told to retry up to this part later than necessary, each by a random share.
+const RETRY_SPREAD_DIVISOR: u32 = 4;
 
 /// Parameters of one relayed request.
 #[derive(Clone, Debug)]
@@ -61,6 +63,8 @@
     /// Services for each of which the VM that handed over the request pays for one extra attempt,
     /// by their index in `services`.
     pub lent_extra: Vec<usize>,
+    /// A random number from 0 to 1, by which refused callers return at different times.
+    pub retry_spread: f64,
 }
 
 /// The outcome of a handover of a group of services, by their index in [`RelayParams::services`].
@@ -124,10 +128,7 @@
         load: Option<ReportedLoad>,
     },
     /// The target reported that the request did not run.
-    Refused {
-        /// Time after which the target may be tried again, if the target sent one.
-        retry_after: Option<Duration>,
-    },
+    Refused,
     /// Another target now listens at the address; the request did not run.
     Moved,
     /// The request was not sent, since no connection could be established.
@@ -137,6 +138,9 @@
     /// The request was not sent, since the target closed the new connection, as one over its
     /// connection limit does.
     OverLimit,
+    /// The request was not sent, since the target asked for time or left while the attempt waited
+    /// for a connection.
+    Withheld,
     /// The target reset a new connection soon after the request was sent; it may have run.
     Rejected,
     /// The target replied with a failure.
@@ -223,11 +227,15 @@
             run.sub_requests[*sub_request].has_lent_extra = true;
         }
         let mut actions = Vec::with_capacity(run.sub_requests.len() + 1);
-        if run.too_few_targets(selector) {
-            // No group has been handed over yet, so nothing may have run.
+        // No group has been handed over yet, so nothing may have run.
+        if run.too_few_targets(selector, now) {
             run.refuse(RefusalReason::NoTargets, selector, now, &mut actions);
             return (run, actions);
         }
+        if run.too_few_open(selector, now) {
+            run.refuse(RefusalReason::TargetsClosed, selector, now, &mut actions);
+            return (run, actions);
+        }
         for (index, group) in run.params.handover_groups.iter().enumerate() {
             for sub_request in &group.sub_requests {
                 run.sub_requests[*sub_request].state = SubRequestState::HandedOver(index);
@@ -453,10 +461,12 @@
                 }
                 return;
             }
-            RelayAttemptOutcome::Refused { .. } | RelayAttemptOutcome::Moved => {
+            RelayAttemptOutcome::Refused | RelayAttemptOutcome::Moved => {
                 progress.record_not_run(target);
             }
-            RelayAttemptOutcome::Unreachable | RelayAttemptOutcome::NoConnection => {
+            RelayAttemptOutcome::Unreachable
+            | RelayAttemptOutcome::NoConnection
+            | RelayAttemptOutcome::Withheld => {
                 progress.record_not_sent(target);
             }
             RelayAttemptOutcome::OverLimit => {
@@ -589,6 +599,16 @@
             }
             TargetPick::TooSlow => self.sub_requests[sub_request].state = SubRequestState::Failed,
             TargetPick::AllBusy => self.pause(sub_request, BUSY_PAUSE_MS, now),
+            TargetPick::AllClosed(reopens_at) => {
+                let is_waiting =
+                    is_hedge || reopens_at <= self.reopening_awaited_until(sub_request);
+                let progress = &mut self.sub_requests[sub_request];
+                if is_waiting {
+                    progress.next_attempt_at = Some(reopens_at);
+                } else {
+                    progress.state = SubRequestState::Failed;
+                }
+            }
             TargetPick::AllTried => {
                 let progress = &mut self.sub_requests[sub_request];
                 progress.tried.clear();
@@ -651,14 +671,45 @@
     }
 
     /// Whether too few services have a target for the request to be answered.
-    fn too_few_targets(&self, selector: &TargetSelector) -> bool {
+    fn too_few_targets(&self, selector: &TargetSelector, now: MonoTime) -> bool {
         let with_target = self
             .sub_requests
             .iter()
-            .filter(|sub_request| selector.has_target(&sub_request.service));
+            .filter(|sub_request| selector.has_target(&sub_request.service, now));
         !self.has_coverage(with_target.count())
     }
 
+    /// Whether too few services have a target that accepts requests soon enough.
+    ///
+    /// Load pattern: the targets of some shards are so full that they have asked for seconds of
+    /// rest. A search that cannot do without these shards is refused before it costs the other
+    /// targets anything, and its caller learns when to come back.
+    fn too_few_open(&self, selector: &TargetSelector, now: MonoTime) -> bool {
+        let is_open = |(index, sub_request): &(usize, &SubRequest)| {
+            let closed_until = selector.closed_until(&sub_request.service, now);
+            closed_until.is_none_or(|until| until <= self.reopening_awaited_until(*index))
+                // Targets tell each VM separately, so a broker may still use them.
+                || self.is_handed_over(*index)
+        };
+        let open = self.sub_requests.iter().enumerate().filter(is_open);
+        !self.has_coverage(open.count())
+    }
+
+    /// Whether a sub-request belongs to a group that is handed over.
+    fn is_handed_over(&self, sub_request: usize) -> bool {
+        let mut groups = self.params.handover_groups.iter();
+        groups.any(|group| group.sub_requests.contains(&sub_request))
+    }
+
+    /// Returns until when a sub-request waits for a target that has asked for time.
+    fn reopening_awaited_until(&self, sub_request: usize) -> MonoTime {
+        if self.sub_requests[sub_request].reached_attempts > 0 {
+            self.params.soft_deadline
+        } else {
+            self.accept_deadline()
+        }
+    }
+
     /// Whether one more sub-request may fail without failing the request.
     ///
     /// Load pattern: all replicas of one shard are overloaded. Searches that leave it out are
@@ -787,7 +838,8 @@
             return;
         }
         let reason = match self.verdict() {
-            RunVerdict::NotRun if self.too_few_targets(selector) => RefusalReason::NoTargets,
+            RunVerdict::NotRun if self.too_few_targets(selector, now) => RefusalReason::NoTargets,
+            RunVerdict::NotRun if self.too_few_open(selector, now) => RefusalReason::TargetsClosed,
             RunVerdict::NotRun => RefusalReason::TargetsRefused,
             _ if self.sub_requests.len() > 1 => RefusalReason::LowCoverage,
             _ => RefusalReason::Undecided,
@@ -803,21 +855,41 @@
         actions: &mut Vec<RelayAction>,
     ) {
         self.finished = true;
-        let open = self
-            .sub_requests
-            .iter()
-            .filter(|sub_request| sub_request.is_open());
-        let wait = open
-            .map(|sub_request| selector.estimated_wait(&sub_request.service, now))
-            .max();
-        let wait_min = Duration::from_millis(RETRY_AFTER_MIN_MS);
         let refusal = RelayRefusal {
             reason,
             verdict: self.verdict(),
-            retry_after: Some(wait.unwrap_or_default().max(wait_min)),
+            retry_after: Some(self.retry_after(selector, now)),
         };
         actions.push(RelayAction::Finish(RelayOutcome::Refused(refusal)));
     }
+
+    /// Returns the time after which enough services are expected to accept the request, plus a
+    /// random part.
+    ///
+    /// Load pattern: the callers that were refused while a target was closed return all at once
+    /// when it opens, and close it again.
+    fn retry_after(&self, selector: &TargetSelector, now: MonoTime) -> Duration {
+        let wait = |sub_request: &SubRequest| {
+            let service = &sub_request.service;
+            // What failed for another reason says nothing about when it will not.
+            let has_estimate =
+                sub_request.is_open() || selector.closed_until(service, now).is_some();
+            let wait = has_estimate.then(|| selector.estimated_wait(service, now));
+            wait.unwrap_or_default()
+        };
+        let unanswered = self.sub_requests.iter().filter(|s| !s.is_answered());
+        let mut waits: Vec<Duration> = unanswered.map(wait).collect();
+        waits.sort_unstable();
+        let dispensable = (0..self.sub_requests.len()).take_while(|missing| {
+            let answered = self.sub_requests.len() - missing - 1;
+            self.has_coverage(answered)
+        });
+        let last_needed = waits.len().saturating_sub(dispensable.count() + 1);
+        let wait = waits.get(last_needed).copied().unwrap_or_default();
+        let wait = wait.max(Duration::from_millis(RETRY_AFTER_MIN_MS));
+        let spread = self.params.retry_spread.clamp(0.0, 1.0);
+        wait + (wait / RETRY_SPREAD_DIVISOR).mul_f64(spread)
+    }
 }
 
 /// Charges the next attempt of a sub-request, or returns `None` if no budget allows it.
@@ -846,19 +918,19 @@
         RelayAttemptOutcome::Unreachable
             | RelayAttemptOutcome::NoConnection
             | RelayAttemptOutcome::OverLimit
+            | RelayAttemptOutcome::Withheld
     )
 }
 
 fn attempt_signal(outcome: RelayAttemptOutcome, latency: Duration) -> AttemptSignal {
     match outcome {
         RelayAttemptOutcome::Answered { load } => AttemptSignal::Answered { latency, load },
-        RelayAttemptOutcome::Refused { retry_after } => AttemptSignal::Refused { retry_after },
+        RelayAttemptOutcome::Refused
+        | RelayAttemptOutcome::OverLimit
+        | RelayAttemptOutcome::Rejected => AttemptSignal::Refused,
         RelayAttemptOutcome::Moved => AttemptSignal::Moved,
         RelayAttemptOutcome::Unreachable => AttemptSignal::Unreachable,
-        RelayAttemptOutcome::NoConnection => AttemptSignal::Neutral,
-        RelayAttemptOutcome::OverLimit | RelayAttemptOutcome::Rejected => {
-            AttemptSignal::Refused { retry_after: None }
-        }
+        RelayAttemptOutcome::NoConnection | RelayAttemptOutcome::Withheld => AttemptSignal::Neutral,
         RelayAttemptOutcome::FailureReply | RelayAttemptOutcome::Broken => AttemptSignal::Failed,
     }
 }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -14,8 +14,9 @@
 use fulmarweir_conf::ExtraAttemptLimits;
 
 use super::{
-    attempt_budget::{AttemptCharge, BudgetSnapshot, ExtraAttemptBudget},
+    attempt_budget::{AttemptCharge, BudgetGrant, BudgetSnapshot, ExtraAttemptBudget},
     burst_share::BurstShare,
+    notice_table::{NoticeChange, NoticeTable, TargetNotice},
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
 
@@ -98,6 +99,8 @@
     TooSlow,
     /// All connections of this VM to each remaining target are in use.
     AllBusy,
+    /// All targets have asked for time; the first of them accepts requests again at this time.
+    AllClosed(MonoTime),
     /// All targets were tried.
     AllTried,
     /// The service has no target.
@@ -153,18 +156,21 @@
     services: HashMap<Arc<str>, RelayServiceState>,
     limits: ExtraAttemptLimits,
     burst_share: BurstShare,
+    notices: NoticeTable,
 }
 
 impl TargetSelector {
     /// Returns a selector without targets.
     ///
-    /// Before `burst_from`, extra attempts are limited to the share of first attempts.
+    /// Before `burst_from`, extra attempts are limited to a small share of first attempts, since an
+    /// earlier process of this VM may have spent the rest of the grant.
     #[must_use]
     pub fn new(limits: ExtraAttemptLimits, burst_from: MonoTime) -> Self {
         Self {
             services: HashMap::new(),
             burst_share: BurstShare::new(limits.window, burst_from),
             limits,
+            notices: NoticeTable::default(),
         }
     }
 
@@ -178,6 +184,7 @@
         connections_max: impl Fn(&str) -> Option<u32>,
         now: MonoTime,
     ) {
+        self.notices.remove_expired(now);
         let mut trackers: HashMap<Arc<str>, Vec<TargetTracker>> = HashMap::new();
         for target in targets {
             let limit = connections_max(&target.service);
@@ -188,6 +195,7 @@
                 None => TargetTracker::new(Arc::new(target), share, now),
             };
             tracker.connection_share = share;
+            tracker.notice = self.notices.state_of(&tracker.target);
             let service = Arc::clone(&tracker.target.service);
             trackers.entry(service).or_default().push(tracker);
         }
@@ -245,9 +253,9 @@
 
     /// Takes one extra attempt from the budget of `service`; returns false if the budget is empty.
     pub fn try_acquire_extra(&mut self, service: &Arc<str>, now: MonoTime) -> bool {
-        let (limits, burst_part) = (self.limits, self.burst_part(now));
+        let (limits, grant) = (self.limits, self.grant(now));
         let state = self.services.get_mut(service);
-        state.is_some_and(|s| s.budget.try_acquire_extra(&limits, burst_part, now))
+        state.is_some_and(|s| s.budget.try_acquire_extra(&limits, grant, now))
     }
 
     /// Takes one extra attempt from the budget of each service that allows one, for a broker to
@@ -256,11 +264,11 @@
     /// Load pattern: a broker runs the shards of many VMs and uses up its part of the burst, while
     /// those that hand over to it have no attempts of their own to use theirs for.
     pub fn lend_extra(&mut self, services: &[Arc<str>], now: MonoTime) -> Vec<usize> {
-        let (limits, burst_part) = (self.limits, self.burst_part(now));
+        let (limits, grant) = (self.limits, self.grant(now));
         let mut lent = Vec::new();
         for (index, service) in services.iter().enumerate() {
             let state = self.services.get_mut(service);
-            if state.is_some_and(|s| s.budget.try_charge_extra(&limits, burst_part, now)) {
+            if state.is_some_and(|s| s.budget.try_charge_extra(&limits, grant, now)) {
                 lent.push(index);
             }
         }
@@ -290,12 +298,11 @@
     /// Returns the budgets that allow no extra attempt now and have denied some within the window.
     #[must_use]
     pub fn denying_budgets(&self, now: MonoTime) -> Vec<BudgetSnapshot> {
-        let burst_part = self.burst_part(now);
-        let snapshots = self.services.iter().map(|(service, state)| {
-            state
-                .budget
-                .snapshot(service, &self.limits, burst_part, now)
-        });
+        let grant = self.grant(now);
+        let snapshots = self
+            .services
+            .iter()
+            .map(|(service, state)| state.budget.snapshot(service, &self.limits, grant, now));
         snapshots
             .filter(|snapshot| snapshot.counts.denied > 0 && snapshot.remaining < 1.0)
             .collect()
@@ -305,13 +312,13 @@
     #[must_use]
     pub fn extra_left(&self, service: &str, now: MonoTime) -> f64 {
         let state = self.services.get(service);
-        let burst_part = self.burst_part(now);
-        state.map_or(0.0, |s| s.budget.remaining(&self.limits, burst_part, now))
+        let grant = self.grant(now);
+        state.map_or(0.0, |s| s.budget.remaining(&self.limits, grant, now))
     }
 
-    /// Returns this VM's part of the burst of each service.
-    fn burst_part(&self, now: MonoTime) -> f64 {
-        self.burst_share.part_of(self.limits.burst, now)
+    /// Returns what the budget of each service is granted now.
+    fn grant(&self, now: MonoTime) -> BudgetGrant {
+        self.burst_share.grant(self.limits.burst, now)
     }
 
     /// Selects the target with the lowest score, i.e. the one that is expected to answer first.
@@ -321,29 +328,44 @@
             return TargetPick::NoTarget;
         };
         let at_target_limit = criteria.ran.len() >= criteria.targets_max;
-        let mut best: Option<(f64, &TargetTracker, bool)> = None;
+        let mut best: Option<PickCandidate<'_>> = None;
         let mut has_allowed = false;
+        let mut has_open = false;
         let mut has_untried = false;
+        let mut reopens_at: Option<MonoTime> = None;
         let is_allowed = |tracker: &&TargetTracker| {
             let only = criteria.only_centre;
-            !tracker.moved && only.is_none_or(|centre| *centre == tracker.target.centre)
+            is_usable(tracker, now) && only.is_none_or(|centre| *centre == tracker.target.centre)
         };
         for tracker in state.trackers.iter().filter(is_allowed) {
             has_allowed = true;
             let is_repeat = criteria.ran.contains(&tracker.target.id);
-            if criteria.tried.contains(&tracker.target.id) || (at_target_limit && !is_repeat) {
+            if at_target_limit && !is_repeat {
+                continue;
+            }
+            if let Some(until) = tracker.notice.closed_until(now) {
+                reopens_at = Some(reopens_at.map_or(until, |earliest| earliest.min(until)));
+                continue;
+            }
+            has_open = true;
+            if criteria.tried.contains(&tracker.target.id) {
                 continue;
             }
             has_untried = true;
             if !tracker.has_free_connection()
+                || !tracker.accepts_requests(now)
                 || (criteria.skip_overloaded
                     && (tracker.is_down(now) || tracker.is_overloaded(now)))
             {
                 continue;
             }
-            let score = tracker.score(state.latency_ms, now);
-            if best.as_ref().is_none_or(|(lowest, _, _)| score < *lowest) {
-                best = Some((score, tracker, is_repeat));
+            let candidate = PickCandidate {
+                tracker,
+                score: tracker.score(state.latency_ms, now),
+                is_repeat,
+            };
+            if best.as_ref().is_none_or(|best| candidate.is_better(best)) {
+                best = Some(candidate);
             }
         }
         let is_too_slow = |lowest: f64| {
@@ -352,19 +374,56 @@
                 .map(|limit| limit.as_secs_f64() * 1000.0);
             limit_ms.is_some_and(|limit_ms| lowest > limit_ms * TOO_SLOW_FACTOR)
         };
-        match best {
-            Some((lowest, _, _)) if is_too_slow(lowest) => TargetPick::TooSlow,
-            Some((_, tracker, is_repeat)) => TargetPick::Target {
-                target: Arc::clone(&tracker.target),
-                is_repeat,
-                idle_timeout: idle_timeout(tracker),
+        match (best, reopens_at) {
+            (Some(best), _) if is_too_slow(best.score) => TargetPick::TooSlow,
+            (Some(best), _) => TargetPick::Target {
+                target: Arc::clone(&best.tracker.target),
+                is_repeat: best.is_repeat,
+                idle_timeout: idle_timeout(best.tracker),
             },
-            None if has_untried => TargetPick::AllBusy,
-            None if has_allowed => TargetPick::AllTried,
-            None => TargetPick::NoTarget,
+            (None, _) if has_untried => TargetPick::AllBusy,
+            (None, Some(reopens_at)) if !has_open => TargetPick::AllClosed(reopens_at),
+            (None, _) if has_allowed => TargetPick::AllTried,
+            (None, _) => TargetPick::NoTarget,
         }
     }
 
+    /// Records what a target has told this VM, itself or through a broker, and returns what is new.
+    ///
+    /// `spread` is a random number from 0 to 1, by which VMs return to the target at different
+    /// times.
+    pub fn record_notice(
+        &mut self,
+        target: &RelayTarget,
+        notice: TargetNotice,
+        spread: f64,
+        now: MonoTime,
+    ) -> NoticeChange {
+        let (state, change) = self.notices.record(target, notice, spread, now);
+        if let Some((tracker, _)) = self.tracker_mut(target) {
+            tracker.notice = state;
+        }
+        change
+    }
+
+    /// Returns the known target of `service` with this id and incarnation.
+    #[must_use]
+    pub fn find_target(&self, service: &str, id: &str, born_ms: u64) -> Option<Arc<RelayTarget>> {
+        let mut trackers = self.services.get(service)?.trackers.iter();
+        let tracker = trackers.find(|t| &*t.target.id == id && t.target.born_ms == born_ms)?;
+        Some(Arc::clone(&tracker.target))
+    }
+
+    /// Whether a request that was assigned to `target` may still be sent, now that a connection is
+    /// open.
+    ///
+    /// Load pattern: a target asks for time while attempts wait for a connection to it.
+    #[must_use]
+    pub fn may_send(&self, target: &RelayTarget, now: MonoTime) -> bool {
+        let notice = self.notices.state_of(target);
+        !notice.has_left(now) && notice.closed_until(now).is_none()
+    }
+
     /// Records that an attempt was sent.
     pub fn attempt_sent(&mut self, target: &RelayTarget, now: MonoTime) {
         if let Some((tracker, _)) = self.tracker_mut(target) {
@@ -389,6 +448,9 @@
             *latency_ms += SERVICE_LATENCY_WEIGHT * (latency.as_secs_f64() * 1000.0 - *latency_ms);
         }
         tracker.attempt_ended(sent_at, signal, now);
+        if matches!(signal, AttemptSignal::Answered { .. }) {
+            self.notices.record_answer(target, now);
+        }
     }
 
     /// Returns the tracker of a target and the average latency of its service.
@@ -401,11 +463,25 @@
         Some((tracker, &mut state.latency_ms))
     }
 
-    /// Whether any target of `service` is known.
+    /// Whether any target of `service` is known that has not left.
     #[must_use]
-    pub fn has_target(&self, service: &str) -> bool {
+    pub fn has_target(&self, service: &str, now: MonoTime) -> bool {
         let state = self.services.get(service);
-        state.is_some_and(|state| state.trackers.iter().any(|tracker| !tracker.moved))
+        state.is_some_and(|state| state.trackers.iter().any(|t| is_usable(t, now)))
+    }
+
+    /// Returns when the first target of `service` accepts requests again, if all of them have asked
+    /// for time.
+    #[must_use]
+    pub fn closed_until(&self, service: &str, now: MonoTime) -> Option<MonoTime> {
+        let trackers = &self.services.get(service)?.trackers;
+        let usable = trackers.iter().filter(|tracker| is_usable(tracker, now));
+        let mut first: Option<MonoTime> = None;
+        for tracker in usable {
+            let until = tracker.notice.closed_until(now)?;
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first
     }
 
     /// Returns the shards of a search that should be handed over to another data centre.
@@ -413,12 +489,12 @@
     /// Groups the shards without a target in this data centre by the data centre of the region
     /// that has one. Groups with too few shards are left out.
     #[must_use]
-    pub fn shard_groups(&self, services: &[Arc<str>]) -> Vec<ShardGroup> {
+    pub fn shard_groups(&self, services: &[Arc<str>], now: MonoTime) -> Vec<ShardGroup> {
         let mut groups: BTreeMap<Arc<str>, Vec<usize>> = BTreeMap::new();
         for (sub_request, service) in services.iter().enumerate() {
             let state = self.services.get(service);
             let trackers = state.map_or(&[][..], |state| &state.trackers);
-            let live = trackers.iter().filter(|tracker| !tracker.moved);
+            let live = trackers.iter().filter(|tracker| is_usable(tracker, now));
             let nearest =
                 live.min_by_key(|tracker| (tracker.target.locality, &tracker.target.centre));
             let Some(nearest) =
@@ -455,9 +531,13 @@
         state.trackers.iter().map(snapshot).collect()
     }
 
-    /// Estimates the time after which some target of a service has a free slot again.
+    /// Estimates the time after which some target of a service has a free slot again, or accepts
+    /// requests again.
     #[must_use]
     pub fn estimated_wait(&self, service: &str, now: MonoTime) -> Duration {
+        if let Some(reopens_at) = self.closed_until(service, now) {
+            return reopens_at.since(now);
+        }
         let Some(state) = self.services.get(service) else {
             return Duration::ZERO;
         };
@@ -468,6 +548,31 @@
     }
 }
 
+/// A target that an attempt may be sent to.
+struct PickCandidate<'a> {
+    tracker: &'a TargetTracker,
+    score: f64,
+    is_repeat: bool,
+}
+
+impl PickCandidate<'_> {
+    /// Whether this target is better than `other`. One that leaves is used only if there is no
+    /// other.
+    fn is_better(&self, other: &Self) -> bool {
+        let is_leaving = |candidate: &Self| candidate.tracker.notice.is_leaving();
+        match (is_leaving(self), is_leaving(other)) {
+            (false, true) => true,
+            (true, false) => false,
+            _ => self.score < other.score,
+        }
+    }
+}
+
+/// Whether a target still listens at its address and has not left.
+fn is_usable(tracker: &TargetTracker, now: MonoTime) -> bool {
+    !tracker.moved && !tracker.notice.has_left(now)
+}
+
 /// Returns how long a connection to a target may stay idle.
 fn idle_timeout(tracker: &TargetTracker) -> Duration {
     let scarce = tracker.connection_share < CONNECTIONS_SCARCE_BELOW;
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::selector::RelayTarget;
+use super::{notice_table::NoticeState, selector::RelayTarget};
 use crate::ReportedLoad;
 
 /// Minimum weight of the latest attempt in the moving average of the latency.
@@ -37,9 +37,9 @@
 const OVERDUE_FACTOR: f64 = 2.5;
 const OVERDUE_MIN_MS: f64 = 25.0;
 const OVERDUE_COST_MS: f64 = 100.0;
-/// Pause after a refusal without a retry-after hint, and the upper bound of such a hint.
+/// Time after a refusal in which the target is used only if others are worse. A target that asks
+/// for a certain time gets no requests at all instead.
 const REFUSED_PAUSE_MS: u64 = 60;
-const REFUSED_PAUSE_MAX_MS: u64 = 1_000;
 const REFUSED_COST_MS: f64 = 80.0;
 /// First and longest time for which a target counts as down after a failed connection attempt;
 /// doubles with each further failure.
@@ -104,10 +104,7 @@
     /// The connection could not be established.
     Unreachable,
     /// The target refused the request without running it.
-    Refused {
-        /// Time after which the target may be tried again, if the target sent one.
-        retry_after: Option<Duration>,
-    },
+    Refused,
     /// Another target now listens at the address.
     Moved,
     /// The attempt was abandoned before an answer arrived.
@@ -135,6 +132,8 @@
     down_until: MonoTime,
     connect_failures: u32,
     warm_up_until: MonoTime,
+    /// What the target has told this VM about itself.
+    pub(crate) notice: NoticeState,
     /// Whether another target now listens at the address.
     pub(crate) moved: bool,
 }
@@ -161,6 +160,7 @@
             down_until: MonoTime::ZERO,
             connect_failures: 0,
             warm_up_until,
+            notice: NoticeState::default(),
             moved: false,
         }
     }
@@ -174,6 +174,11 @@
         self.in_flight() < self.connection_share
     }
 
+    /// Whether the target's notices allow a request now.
+    pub(crate) fn accepts_requests(&self, now: MonoTime) -> bool {
+        self.notice.allows(self.in_flight(), now)
+    }
+
     /// Whether connecting to the target failed recently.
     pub(crate) fn is_down(&self, now: MonoTime) -> bool {
         now < self.down_until
@@ -255,10 +260,8 @@
             AttemptSignal::Answered { latency, load } => self.record_answer(latency, load, now),
             AttemptSignal::Failed => self.record_failure(now),
             AttemptSignal::Unreachable => self.record_unreachable(now),
-            AttemptSignal::Refused { retry_after } => {
-                let pause = retry_after.unwrap_or(Duration::from_millis(REFUSED_PAUSE_MS));
-                let pause_max = Duration::from_millis(REFUSED_PAUSE_MAX_MS);
-                self.refused_until = now + pause.min(pause_max);
+            AttemptSignal::Refused => {
+                self.refused_until = now + Duration::from_millis(REFUSED_PAUSE_MS);
             }
             AttemptSignal::Moved => self.moved = true,
             AttemptSignal::Abandoned => self.record_latency(millis(now.since(sent_at)), now),
@@ -267,6 +270,7 @@
     }
 
     fn record_answer(&mut self, latency: Duration, load: Option<ReportedLoad>, now: MonoTime) {
+        self.notice.record_answer(now);
         self.record_latency(millis(latency), now);
         self.failure_rate = self.failure_rate(now) * (1.0 - FAILURE_WEIGHT);
         self.failure_rate_updated_at = now;
--- a/crates/route/tests/fleet_budget.rs
+++ b/crates/route/tests/fleet_budget.rs
@@ -10,7 +10,7 @@
 use relay_fleet::{Fleet, Reaction};
 
 const ANSWER: Reaction = (RelayAttemptOutcome::Answered { load: None }, 10);
-const REFUSAL: Reaction = (RelayAttemptOutcome::Refused { retry_after: None }, 2);
+const REFUSAL: Reaction = (RelayAttemptOutcome::Refused, 2);
 /// A reset that came too soon for a run, though the target had read the request.
 const EARLY_RESET: Reaction = (RelayAttemptOutcome::Rejected, 2);
 const OVER_LIMIT: Reaction = (RelayAttemptOutcome::OverLimit, 5);
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -400,6 +400,7 @@
         hedge_delay: Duration::from_millis(HEDGE_DELAY_MS),
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
+        retry_spread: 0.0,
     }
 }
 
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -77,6 +77,7 @@
         hedge_delay: Duration::from_millis(40),
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
+        retry_spread: 0.0,
     }
 }
 
@@ -220,7 +221,7 @@
     let refusal = loop {
         for send in sends(&actions) {
             now += 1;
-            let outcome = RelayAttemptOutcome::Refused { retry_after: None };
+            let outcome = RelayAttemptOutcome::Refused;
             actions = run.on_attempt_end(
                 send.sub_request,
                 send.attempt,
@@ -254,7 +255,7 @@
         wake(&actions).map(|at| at > MonoTime::from_millis(40)),
         Some(true)
     );
-    let outcome = RelayAttemptOutcome::Refused { retry_after: None };
+    let outcome = RelayAttemptOutcome::Refused;
     let actions = run.on_attempt_end(0, first.attempt, outcome, &mut selector, at(5));
     let second = sends(&actions).remove(0);
     assert_ne!(second.target.id, first.target.id);
@@ -279,7 +280,7 @@
     let (mut run, actions) = RelayRun::start(params(1, true), &mut selector, at(0));
     let first = sends(&actions).remove(0);
     let hedge = sends(&run.on_wake(&mut selector, at(40))).remove(0);
-    let outcome = RelayAttemptOutcome::Refused { retry_after: None };
+    let outcome = RelayAttemptOutcome::Refused;
     run.on_attempt_end(0, first.attempt, outcome, &mut selector, at(50));
     assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
     run.on_attempt_end(0, hedge.attempt, outcome, &mut selector, at(60));
@@ -587,7 +588,7 @@
     target_ids.sort();
     target_ids.dedup();
     assert_eq!(target_ids.len(), 3);
-    let outcome = RelayAttemptOutcome::Refused { retry_after: None };
+    let outcome = RelayAttemptOutcome::Refused;
     run.on_attempt_end(0, open[0].attempt, outcome, &mut selector, at(4));
     assert_eq!(run.verdict(), RunVerdict::NotRun);
 }
@@ -761,11 +762,11 @@
     selector.record_vm_count(1, at(0));
     selector.sync(targets.collect(), |_| Some(30), at(0));
     let services: Vec<Arc<str>> = (0..9).map(|shard| format!("s{shard}").into()).collect();
-    let groups = selector.shard_groups(&services);
+    let groups = selector.shard_groups(&services, at(0));
     assert_eq!(groups.len(), 1);
     assert_eq!(&*groups[0].centre, "next");
     assert_eq!(groups[0].sub_requests, [3, 4, 5, 6, 7]);
-    assert!(selector.shard_groups(&services[..5]).is_empty());
+    assert!(selector.shard_groups(&services[..5], at(0)).is_empty());
 }
 
 #[test]
