Divide the shards of a search among brokers of their data centre, a few brokers for each group

Cause: one VM of 0.12 core queries up to 135 shards for a search, which keeps its processor busy for longer than the objective of 100 ms, while the VMs around it are idle; and a VM meets a given target every few seconds, so that 44% of the requests need a new connection.

Now a search over many shards goes in groups of ten, also within a data centre. All VMs rank the brokers of a group alike and use the first four, which keep their connections open.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod lock;
 mod name;
+mod rendezvous;
 mod shard;
 mod target;
 mod time;
@@ -22,6 +23,7 @@
 pub use name::{
     CentreName, NAME_MAX_BYTES, NameError, RegionName, ServiceName, TargetName, VmName,
 };
+pub use rendezvous::rendezvous_weight;
 pub use shard::shard_for_key;
 pub use target::{SHARD_COUNT_MAX, ShardHolding, TargetRecord, TargetState};
 pub use time::MonoTime;
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -240,8 +240,7 @@
         Some(lock(&self.broker_directory).digest(keeper))
     }
 
-    /// Returns the shards of a route whose nearest targets are in another data centre of this
-    /// region, grouped by that data centre.
+    /// Returns the groups of shards of a route that are handed over to brokers.
     pub(crate) fn shard_groups(&self, route: &Arc<str>, shards: &[Arc<str>]) -> Arc<[ShardGroup]> {
         let now = self.timer.now();
         let mut groups = lock(&self.shard_groups);
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -113,8 +113,7 @@
     }
 }
 
-/// Chooses brokers for the shards of a search whose nearest targets are in other data centres of
-/// the region.
+/// Chooses brokers for the groups of shards of a search that are handed over.
 pub(super) fn plan_handovers(
     node: &Arc<EntryNode>,
     routed: &RoutedRequest,
@@ -127,7 +126,7 @@
     let groups = node.shard_groups(&routed.rule.name, services);
     let now = node.timer.now();
     let plan = |group: &ShardGroup| {
-        let broker = lock(&node.brokers).choose(&group.centre, now)?;
+        let broker = lock(&node.brokers).choose(&group.centre, &group.key, now)?;
         let permit = BrokerPermit {
             node: Arc::clone(node),
             broker,
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -8,9 +8,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use fulmarweir_base::{MonoTime, TimerService, lock};
+use fulmarweir_base::{MonoTime, TimerService, lock, rendezvous_weight};
 use fulmarweir_conf::RelaySettings;
-use fulmarweir_fleet::{AnnounceOutcome, TargetAnnouncement, TargetRegistry, rendezvous_weight};
+use fulmarweir_fleet::{AnnounceOutcome, TargetAnnouncement, TargetRegistry};
 use fulmarweir_quorum::{QuorumClient, VoterService};
 use slog::{Logger, error, info};
 use tokio::sync::watch;
@@ -28,11 +28,8 @@
 /// How long an entry VM counts as alive after its last poll, in milliseconds.
 const ENTRY_TTL_MS: u64 = 4_500;
 
-/// Most brokers that a poll reply lists.
-///
-/// This limits the size of replies. It is more than the number of VMs in one data centre that share
-/// the searches of another data centre.
-const BROKERS_MAX: usize = 32;
+/// Most brokers of one data centre that a poll reply lists. This limits the size of replies.
+const BROKERS_PER_CENTRE_MAX: usize = 32;
 
 /// The newest configuration that this keeper knows to be decided, as it was submitted.
 #[derive(Clone, Debug, Default)]
@@ -240,24 +237,30 @@
         u32::try_from(entries.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the entry VMs that may run searches for `poller`: live ones in other data centres of
-    /// its region.
+    /// Returns the entry VMs that may run searches for `poller`: other live ones in its region.
     fn brokers_for(&self, poller: &EntryContact, now: MonoTime) -> Vec<EntryContact> {
         let ttl = Duration::from_millis(ENTRY_TTL_MS);
         let region = self.settings.region_of(&poller.centre);
         let entries = lock(&self.entries);
         let usable = entries.iter().filter(|(entry, heard_at)| {
             let is_near = self.settings.region_of(&entry.centre) == region;
-            is_near && entry.centre != poller.centre && now.since(**heard_at) < ttl
+            is_near && *entry != poller && now.since(**heard_at) < ttl
         });
-        let mut brokers: Vec<EntryContact> = usable.map(|(entry, _)| entry.clone()).collect();
-        if brokers.len() > BROKERS_MAX {
-            // Rendezvous hashing selects different brokers for different pollers, so that all
-            // brokers get a share of the work.
-            brokers.sort_by_cached_key(|broker| rendezvous_weight(broker, poller));
-            brokers.truncate(BROKERS_MAX);
-            brokers.sort_unstable();
+        let mut by_centre: BTreeMap<&str, Vec<EntryContact>> = BTreeMap::new();
+        for (entry, _) in usable {
+            let brokers = by_centre.entry(&entry.centre).or_default();
+            brokers.push(entry.clone());
         }
+        for brokers in by_centre.values_mut() {
+            if brokers.len() > BROKERS_PER_CENTRE_MAX {
+                // Rendezvous hashing selects different brokers for different pollers, so that all
+                // brokers get a share of the work.
+                brokers.sort_by_cached_key(|broker| rendezvous_weight(broker, poller));
+                brokers.truncate(BROKERS_PER_CENTRE_MAX);
+            }
+        }
+        let mut brokers: Vec<EntryContact> = by_centre.into_values().flatten().collect();
+        brokers.sort_unstable();
         brokers
     }
 
--- a/crates/fleet/src/announce.rs
+++ b/crates/fleet/src/announce.rs
@@ -2,12 +2,13 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, SHARD_COUNT_MAX, TargetRecord, TargetState, VmName};
+use fulmarweir_base::{
+    MonoTime, SHARD_COUNT_MAX, TargetRecord, TargetState, VmName, rendezvous_weight,
+};
 
 use crate::{
     CentreUpdates, FleetAction, FleetMessage, FleetState, SpreadUpdates, TargetChange, TargetEntry,
     TargetKey, TargetTable, VmIdentity,
-    hash::rendezvous_weight,
     lease::{LeaseTimes, own_holder},
     state::Participation,
 };
--- a/crates/fleet/src/broker.rs
+++ b/crates/fleet/src/broker.rs
@@ -14,12 +14,10 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use fulmarweir_base::{MonoTime, TargetRecord, VmName};
+use fulmarweir_base::{MonoTime, TargetRecord, VmName, rendezvous_weight};
 
 use crate::{
-    FleetSettings, MemberStatus, VmIdentity,
-    hash::{entry_digest, rendezvous_weight},
-    lease::TargetKey,
+    FleetSettings, MemberStatus, VmIdentity, hash::entry_digest, lease::TargetKey,
     member::MemberTable,
 };
 
--- a/crates/fleet/src/centre.rs
+++ b/crates/fleet/src/centre.rs
@@ -2,14 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use fulmarweir_base::{CentreName, MonoTime, ServiceName, TargetState};
+use fulmarweir_base::{CentreName, MonoTime, ServiceName, TargetState, rendezvous_weight};
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    VmIdentity,
-    hash::{entry_digest, rendezvous_weight},
-    lease::LeaseTable,
-};
+use crate::{VmIdentity, hash::entry_digest, lease::LeaseTable};
 
 const SHARDS_PER_WORD: u32 = 64;
 
--- a/crates/fleet/src/hash.rs
+++ b/crates/fleet/src/hash.rs
@@ -1,10 +1,9 @@
-//! Rendezvous weights and digests of replicated tables.
+//! Digests of replicated tables.
 
 use std::hash::{Hash, Hasher};
 
 use twox_hash::XxHash64;
 
-const RENDEZVOUS_SEED: u64 = 1;
 const DIGEST_SEED: u64 = 2;
 
 fn hash_of(seed: u64, value: impl Hash) -> u64 {
@@ -13,12 +12,6 @@
     hasher.finish()
 }
 
-/// Returns the weight of `node` for `key`; the nodes with the highest weights are chosen.
-#[must_use]
-pub fn rendezvous_weight(node: impl Hash, key: impl Hash) -> u64 {
-    hash_of(RENDEZVOUS_SEED, (node, key))
-}
-
 /// Returns the hash of one table entry; the digest of a table is the XOR of its entry hashes.
 #[must_use]
 pub fn entry_digest(entry: impl Hash) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -70,7 +70,7 @@
 pub use announcement::{AnnouncedState, TargetAnnouncement};
 pub use broker::{BrokerShare, TargetLimits};
 pub use centre::{CentreDigest, CentreRecord, CentreUpdates, ServiceShards, ShardBitmap};
-pub use hash::{entry_digest, rendezvous_weight};
+pub use hash::entry_digest;
 pub use lease::TargetKey;
 pub use merged_registry::MergedRegistry;
 pub use message::{
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -13,6 +13,7 @@
 mod notice_table;
 mod run;
 mod selector;
+mod shard_group;
 mod sub_request;
 mod target_tracker;
 
@@ -26,6 +27,7 @@
         AnswerSource, GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
         RelayParams, RelayRefusal, RelayRun, UnclearSubRequest,
     },
-    selector::{PickCriteria, RelayTarget, ShardGroup, TargetPick, TargetSelector, TargetSnapshot},
+    selector::{PickCriteria, RelayTarget, TargetPick, TargetSelector, TargetSnapshot},
+    shard_group::ShardGroup,
     target_tracker::{AttemptSignal, Locality},
 };
--- a/crates/route/src/relay/broker_selector.rs
+++ b/crates/route/src/relay/broker_selector.rs
@@ -2,13 +2,14 @@
 //!
 //! Load pattern: searches need many shards whose nearest targets are in another data centre.
 //! Querying each shard directly costs one cross-centre message per shard, and each of many VMs
-//! sends a target too few requests to estimate its load. A broker is an entry VM, i.e. one to which
-//! callers send requests, in the data centre of the targets: a handover is a single message, and
-//! the few brokers near a target observe all of its requests.
+//! sends a target too few requests to keep a connection open or to estimate its load. A broker is an
+//! entry VM, i.e. one to which callers send requests, in the data centre of the targets: a handover
+//! is a single message. All VMs rank the brokers of a group of shards alike, so the few first ones
+//! observe all requests of these targets and keep their connections in use.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use fulmarweir_base::MonoTime;
+use fulmarweir_base::{MonoTime, rendezvous_weight};
 
 /// Time for which no further search is sent to a broker that declined one.
 const DECLINED_PAUSE_MS: u64 = 200;
@@ -17,6 +18,8 @@
 const PROBE_PAUSE_MAX_MS: u64 = 2_000;
 /// Delay before a broker that answered a probe but accepts no searches is probed again.
 const DECLINED_PROBE_PAUSE_MS: u64 = 1_000;
+/// Number of brokers among which the searches of one group of shards are spread.
+const BROKERS_PER_GROUP: usize = 4;
 
 /// Address and data centre of an entry VM that can act as a broker.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -83,6 +86,9 @@
 #[derive(Debug, Default)]
 pub struct BrokerSelector {
     brokers: Vec<BrokerState>,
+    /// Indexes of the brokers by the data centre and the key of a group, the first one ranked
+    /// highest. Cleared when the list of brokers changes.
+    rankings: HashMap<(Arc<str>, Arc<str>), Arc<[usize]>>,
     /// Advances with each choice, so that equally loaded brokers take turns.
     rotation: usize,
 }
@@ -90,6 +96,7 @@
 impl BrokerSelector {
     /// Replaces the list of brokers, and keeps the state of those that are still listed.
     pub fn sync(&mut self, endpoints: &[BrokerEndpoint], now: MonoTime) {
+        self.rankings.clear();
         self.brokers
             .retain(|known| endpoints.contains(&known.endpoint));
         for endpoint in endpoints {
@@ -99,24 +106,48 @@
         }
     }
 
-    /// Returns the usable broker in `centre` with the fewest searches of this VM in flight.
+    /// Returns the broker for the group of shards with this key in the data centre `centre`: of the
+    /// first usable ones in its ranking, the one with the fewest searches of this VM in flight.
     ///
     /// Counts the search as in flight at that broker. No search is sent to a broker before it has
     /// answered a probe.
-    pub fn choose(&mut self, centre: &str, now: MonoTime) -> Option<SocketAddr> {
-        let count = self.brokers.len();
-        self.rotation = self.rotation.wrapping_add(1);
-        let order = (0..count).map(|step| (self.rotation + step) % count);
-        let usable = order.filter(|index| {
+    pub fn choose(
+        &mut self,
+        centre: &Arc<str>,
+        key: &Arc<str>,
+        now: MonoTime,
+    ) -> Option<SocketAddr> {
+        let ranking = self.ranking(centre, key);
+        let is_usable = |index: &usize| {
             let broker = &self.brokers[*index];
-            broker.probe_passed && &*broker.endpoint.centre == centre && now >= broker.retry_at
-        });
-        let chosen = usable.min_by_key(|index| self.brokers[*index].in_flight)?;
+            broker.probe_passed && now >= broker.retry_at
+        };
+        let candidates = ranking.iter().copied().filter(is_usable);
+        let candidates: Vec<usize> = candidates.take(BROKERS_PER_GROUP).collect();
+        self.rotation = self.rotation.wrapping_add(1);
+        let count = candidates.len();
+        let order = (0..count).map(|step| candidates[(self.rotation + step) % count]);
+        let chosen = order.min_by_key(|index| self.brokers[*index].in_flight)?;
         let broker = &mut self.brokers[chosen];
         broker.in_flight += 1;
         Some(broker.endpoint.address)
     }
 
+    /// Returns the indexes of the brokers in `centre`, ordered by their weight for `key`.
+    fn ranking(&mut self, centre: &Arc<str>, key: &Arc<str>) -> Arc<[usize]> {
+        let group = (Arc::clone(centre), Arc::clone(key));
+        let ranking = self.rankings.entry(group).or_insert_with(|| {
+            let brokers = self.brokers.iter().enumerate();
+            let in_centre = brokers.filter(|(_, broker)| broker.endpoint.centre == *centre);
+            let mut ranked: Vec<(u64, usize)> = in_centre
+                .map(|(index, broker)| (rendezvous_weight(broker.endpoint.address, key), index))
+                .collect();
+            ranked.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
+            ranked.into_iter().map(|(_, index)| index).collect()
+        });
+        Arc::clone(ranking)
+    }
+
     /// Records the outcome of a search that was handed over to the broker at `address`.
     pub fn record_handover_end(
         &mut self,
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -11,7 +11,8 @@
 
 use super::{
     attempt_budget::AttemptCharge,
-    selector::{PickCriteria, RelayTarget, ShardGroup, TargetPick, TargetSelector},
+    selector::{PickCriteria, RelayTarget, TargetPick, TargetSelector},
+    shard_group::ShardGroup,
     sub_request::{SubRequest, SubRequestState},
     target_tracker::AttemptSignal,
 };
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -3,12 +3,7 @@
 //! Load patterns: a replica pauses, is slow, is near its limit or has just gone, while other
 //! replicas have capacity. Requests are moved away from it.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
@@ -17,6 +12,7 @@
     attempt_budget::{AttemptCharge, BudgetGrant, BudgetSnapshot, ExtraAttemptBudget},
     burst_share::BurstShare,
     notice_table::{NoticeChange, NoticeTable, TargetNotice},
+    shard_group::{NearestTarget, ShardGroup, group_shards},
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
 
@@ -31,9 +27,6 @@
 /// number of VMs.
 const CONNECTIONS_RESERVED_DIVISOR: u32 = 10;
 
-/// Minimum number of shards for which one message to a broker is cheaper than one to each target.
-const SHARD_GROUP_MIN: usize = 4;
-
 /// Connections per VM to a target below which they are scarce, so that idle ones are closed early.
 ///
 /// The connections of VMs that lost power stay open at the target and use up its limit, so no idle
@@ -107,15 +100,6 @@
     NoTarget,
 }
 
-/// Shards of a search whose nearest targets are in the same other data centre of the region.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ShardGroup {
-    /// Data centre of the nearest targets.
-    pub centre: Arc<str>,
-    /// Indexes of the shards in the list of services.
-    pub sub_requests: Vec<usize>,
-}
-
 /// The state of one target as observed by this VM, for status pages and logs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetSnapshot {
@@ -484,35 +468,21 @@
         first
     }
 
-    /// Returns the shards of a search that should be handed over to another data centre.
-    ///
-    /// Groups the shards without a target in this data centre by the data centre of the region
-    /// that has one. Groups with too few shards are left out.
+    /// Returns the groups of shards of a search that should be handed over to brokers.
     #[must_use]
     pub fn shard_groups(&self, services: &[Arc<str>], now: MonoTime) -> Vec<ShardGroup> {
-        let mut groups: BTreeMap<Arc<str>, Vec<usize>> = BTreeMap::new();
-        for (sub_request, service) in services.iter().enumerate() {
-            let state = self.services.get(service);
-            let trackers = state.map_or(&[][..], |state| &state.trackers);
-            let live = trackers.iter().filter(|tracker| is_usable(tracker, now));
-            let nearest =
-                live.min_by_key(|tracker| (tracker.target.locality, &tracker.target.centre));
-            let Some(nearest) =
-                nearest.filter(|tracker| tracker.target.locality == Locality::Region)
-            else {
-                continue;
-            };
-            let centre = Arc::clone(&nearest.target.centre);
-            groups.entry(centre).or_default().push(sub_request);
-        }
-        let groups = groups.into_iter();
-        let groups = groups.map(|(centre, sub_requests)| ShardGroup {
-            centre,
-            sub_requests,
-        });
-        groups
-            .filter(|g| g.sub_requests.len() >= SHARD_GROUP_MIN)
-            .collect()
+        let nearest = services.iter().map(|service| self.nearest(service, now));
+        group_shards(services, &nearest.collect::<Vec<_>>())
+    }
+
+    fn nearest(&self, service: &str, now: MonoTime) -> Option<NearestTarget> {
+        let trackers = &self.services.get(service)?.trackers;
+        let usable = trackers.iter().filter(|tracker| is_usable(tracker, now));
+        let nearest = usable.min_by_key(|t| (t.target.locality, &t.target.centre))?;
+        Some(NearestTarget {
+            centre: Arc::clone(&nearest.target.centre),
+            locality: nearest.target.locality,
+        })
     }
 
     /// Returns the state of the targets of a service as observed by this VM.
--- a/crates/route/tests/relay_broker_selector.rs
+++ b/crates/route/tests/relay_broker_selector.rs
@@ -1,6 +1,6 @@
 //! Selection of brokers that are added, removed or stop responding.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_route::{BrokerEndpoint, BrokerSelector, HandoverOutcome};
@@ -42,8 +42,16 @@
 fn only_probed_brokers_of_the_data_centre_are_chosen() {
     let mut selector = selector();
     assert_eq!(selector.usable_count(at(2)), 3);
-    assert!(selector.choose("other", at(2)).is_none());
-    assert!(selector.choose("next", at(2)).is_some());
+    assert!(
+        selector
+            .choose(&"other".into(), &"s0".into(), at(2))
+            .is_none()
+    );
+    assert!(
+        selector
+            .choose(&"next".into(), &"s0".into(), at(2))
+            .is_some()
+    );
 }
 
 /// Load pattern: many searches at once. They are spread over the brokers, and a stalled broker gets
@@ -52,21 +60,26 @@
 fn the_broker_with_the_fewest_searches_in_flight_is_chosen() {
     let mut selector = selector();
     let mut chosen: Vec<SocketAddr> = (0..3)
-        .filter_map(|_| selector.choose("next", at(2)))
+        .filter_map(|_| selector.choose(&"next".into(), &"s0".into(), at(2)))
         .collect();
     chosen.sort_unstable();
     assert_eq!(chosen, [address(1), address(2), address(3)]);
     selector.record_handover_end(address(2), HandoverOutcome::Answered, at(10));
     selector.record_handover_end(address(3), HandoverOutcome::Abandoned, at(10));
     for _ in 0..2 {
-        assert_ne!(selector.choose("next", at(11)), Some(address(1)));
+        assert_ne!(
+            selector.choose(&"next".into(), &"s0".into(), at(11)),
+            Some(address(1))
+        );
     }
 }
 
 #[test]
 fn a_broker_that_declines_a_search_is_not_chosen_for_a_while() {
     let mut selector = selector();
-    let broker = selector.choose("next", at(2)).expect("a usable broker");
+    let broker = selector
+        .choose(&"next".into(), &"s0".into(), at(2))
+        .expect("a usable broker");
     selector.record_handover_end(broker, HandoverOutcome::NotTaken, at(5));
     assert_eq!(selector.usable_count(at(6)), 2);
     assert_eq!(selector.usable_count(at(300)), 3);
@@ -78,7 +91,9 @@
 fn a_failed_broker_is_chosen_again_only_after_a_probe() {
     let mut selector = selector();
     let centres: [Arc<str>; 1] = ["next".into()];
-    let broker = selector.choose("next", at(2)).expect("a usable broker");
+    let broker = selector
+        .choose(&"next".into(), &"s0".into(), at(2))
+        .expect("a usable broker");
     selector.record_handover_end(broker, HandoverOutcome::Failed, at(100));
     assert_eq!(selector.usable_count(at(101)), 2);
     assert!(selector.due_probes(&centres, at(101)).is_empty());
@@ -112,5 +127,68 @@
     let mut selector = selector();
     selector.sync(&[endpoint(2, "next"), endpoint(4, "next")], at(20));
     assert_eq!(selector.usable_count(at(21)), 1);
-    assert_eq!(selector.choose("next", at(21)), Some(address(2)));
+    assert_eq!(
+        selector.choose(&"next".into(), &"s0".into(), at(21)),
+        Some(address(2))
+    );
+}
+
+/// Returns a selector of `hosts` in `next`, all of which have answered a probe.
+fn large_selector(hosts: impl Iterator<Item = u8>) -> BrokerSelector {
+    let mut selector = BrokerSelector::default();
+    let endpoints: Vec<_> = hosts.map(|host| endpoint(host, "next")).collect();
+    selector.sync(&endpoints, at(0));
+    for broker in selector.due_probes(&["next".into()], at(0)) {
+        selector.record_probe(broker, Some(true), at(1));
+    }
+    selector
+}
+
+/// Returns the brokers that get 200 searches over the group `key`, one after the other.
+fn brokers_of(selector: &mut BrokerSelector, key: &str) -> BTreeSet<SocketAddr> {
+    let (centre, key) = ("next".into(), key.into());
+    let search = |_| {
+        let broker = selector.choose(&centre, &key, at(2)).unwrap();
+        selector.record_handover_end(broker, HandoverOutcome::Answered, at(2));
+        broker
+    };
+    (0..200).map(search).collect()
+}
+
+/// Load pattern: more VMs than a target has connections. All of them use the same few brokers for a
+/// shard, so that these keep their connections open and know the target.
+#[test]
+fn vms_agree_on_the_few_brokers_of_a_group() {
+    let mut one = large_selector(1..=50);
+    let mut other = large_selector((1..=50).rev());
+    let brokers = brokers_of(&mut one, "s30");
+    assert_eq!(brokers.len(), 4);
+    assert_eq!(brokers_of(&mut other, "s30"), brokers);
+    let all: BTreeSet<SocketAddr> = (0..9)
+        .flat_map(|group| brokers_of(&mut one, &format!("s{group}0")))
+        .collect();
+    assert!(all.len() >= 20, "{} brokers of nine groups", all.len());
+}
+
+/// Load pattern: a broker fails. The groups of the others keep their brokers.
+#[test]
+fn only_the_groups_of_a_failed_broker_move() {
+    let mut selector = large_selector(1..=50);
+    let before = brokers_of(&mut selector, "s30");
+    let failed = *before.first().unwrap();
+    let unaffected: Vec<String> = (0..40)
+        .map(|group| format!("g{group}"))
+        .filter(|key| !brokers_of(&mut selector, key).contains(&failed))
+        .collect();
+    let expected: Vec<_> = unaffected
+        .iter()
+        .map(|key| brokers_of(&mut selector, key))
+        .collect();
+    selector.record_handover_end(failed, HandoverOutcome::Failed, at(2));
+    let after = brokers_of(&mut selector, "s30");
+    assert!(!after.contains(&failed));
+    assert_eq!(after.intersection(&before).count(), 3);
+    for (key, expected) in unaffected.iter().zip(expected) {
+        assert_eq!(brokers_of(&mut selector, key), expected);
+    }
 }
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -191,6 +191,7 @@
             self.vms[vm].centre != TARGET_CENTRE && *broker != vm && self.vms[*broker].up
         });
         let groups = handover.map(|_| ShardGroup {
+            key: shard_name(0),
             centre: TARGET_CENTRE.into(),
             sub_requests: (0..SHARDS).collect(),
         });
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -714,6 +714,7 @@
 fn regional_params() -> RelayParams {
     RelayParams {
         handover_groups: vec![ShardGroup {
+            key: "s0".into(),
             centre: "next".into(),
             sub_requests: vec![2, 3],
         }],
@@ -870,6 +871,7 @@
     selector.sync(targets.collect(), |_| Some(30), at(0));
     let params = RelayParams {
         handover_groups: vec![ShardGroup {
+            key: "s0".into(),
             centre: "next".into(),
             sub_requests: vec![0, 1, 2, 3],
         }],
