Keep what keepers know of targets that left over a restart, a lapsed lease and a failed write

A restored tombstone lived for two announcement periods instead of 60 s, a draining target whose lease lapsed was forgotten, and a failed write of the list was not tried again before the next change: after each, a late announcement or a restart brought a target back that had left.

--- a/crates/daemon/src/relay/target_file.rs
+++ b/crates/daemon/src/relay/target_file.rs
@@ -41,13 +41,15 @@
         let Some((revision, announcements)) = node.changed_targets(written) else {
             continue;
         };
-        written = revision;
         let task_folder = folder.clone();
         // A stalled disk blocks only this task, not the event loop.
         let result =
             tokio::task::spawn_blocking(move || write_targets(&task_folder, &announcements)).await;
         let fault = match result {
-            Ok(Ok(())) => None,
+            Ok(Ok(())) => {
+                written = revision;
+                None
+            }
             Ok(Err(error)) => Some(error.to_string()),
             Err(error) => Some(error.to_string()),
         };
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -100,7 +100,8 @@
     /// Restores the targets of an earlier run of this keeper.
     ///
     /// Targets that do not announce themselves again within two announcement periods are
-    /// removed, because they may have left in the meantime.
+    /// removed, because they may have left in the meantime. Tombstones are kept as long as ever,
+    /// since announcements may still be delayed.
     pub fn restore(
         &mut self,
         announcements: Vec<TargetAnnouncement>,
@@ -114,7 +115,9 @@
             }
             let id = Arc::clone(&announcement.id);
             self.store(announcement, now);
-            if let Some(held) = self.held.get_mut(&id) {
+            if let Some(held) = self.held.get_mut(&id)
+                && held.announcement.state != AnnouncedState::Gone
+            {
                 held.lapses_at = now + restored_lease;
             }
         }
@@ -172,6 +175,9 @@
     }
 
     /// Removes targets whose lease has lapsed, and returns them.
+    ///
+    /// One that was draining leaves a tombstone, so that an announcement from before its drain that
+    /// arrives late does not bring it back.
     pub fn expire(&mut self, now: MonoTime) -> Vec<TargetAnnouncement> {
         if !self.settled && now.since(self.started_at) >= self.lease {
             self.settled = true;
@@ -187,9 +193,20 @@
             .collect();
         let mut lapsed = Vec::new();
         for id in due {
-            self.revision += 1;
-            self.lapses.push_back((self.revision, Arc::clone(&id)));
-            lapsed.extend(self.held.remove(&id).map(|held| held.announcement));
+            let Some(HeldAnnouncement { announcement, .. }) = self.held.remove(&id) else {
+                continue;
+            };
+            if announcement.state == AnnouncedState::Draining {
+                let tombstone = TargetAnnouncement {
+                    state: AnnouncedState::Gone,
+                    ..announcement.clone()
+                };
+                self.store(tombstone, now);
+            } else {
+                self.revision += 1;
+                self.lapses.push_back((self.revision, id));
+            }
+            lapsed.push(announcement);
         }
         while self.lapses.len() > LAPSES_MAX {
             if let Some((revision, _)) = self.lapses.pop_front() {
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -185,6 +185,42 @@
     assert_eq!(serving(&merged), ["i-2"]);
 }
 
+/// Guards against a delayed announcement that arrives after the keeper was restarted: it brought a
+/// target back that had withdrawn.
+#[test]
+fn a_target_that_has_left_does_not_come_back_after_a_restart_of_its_keeper() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(announcement("i-1", 1, 5, 1), at(0));
+    registry.withdraw(&"i-1".into(), 100, at(10));
+    let mut restarted = TargetRegistry::new(2, PERIOD, at(0));
+    restarted.restore(registry.snapshot(), PERIOD, at(0));
+    for now_ms in [2_001, 10_000, 59_000] {
+        restarted.expire(at(now_ms));
+        let late = restarted.announce(announcement("i-1", 1, 5, 1), at(now_ms));
+        assert_eq!(late, AnnounceOutcome::Stale, "after {now_ms} ms");
+    }
+}
+
+/// The same without a restart, for a target that drains and ends without a last word.
+#[test]
+fn a_draining_target_whose_lease_has_lapsed_does_not_come_back() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    let mut merged = MergedRegistry::default();
+    mark_settled(&mut registry, at(6_000));
+    registry.announce(announcement("i-1", 1, 5, 1), at(6_000));
+    registry.announce(draining(announcement("i-1", 1, 5, 3)), at(6_100));
+    let lapsed = registry.expire(at(60_000));
+    assert_eq!(lapsed.len(), 1);
+    let late = registry.announce(announcement("i-1", 1, 5, 2), at(60_001));
+    assert_eq!(late, AnnounceOutcome::Stale);
+    read(&registry, &mut merged, keeper(1), at(60_002));
+    assert!(serving(&merged).is_empty());
+    // The next incarnation is another one.
+    registry.announce(announcement("i-1", 1, 6, 1), at(60_003));
+    read(&registry, &mut merged, keeper(1), at(60_004));
+    assert_eq!(serving(&merged), ["i-1"]);
+}
+
 #[test]
 fn silent_keepers_are_kept_while_no_other_answers() {
     let mut first = TargetRegistry::new(1, PERIOD, at(0));
