Wait for silent brokers, and give handovers to VMs that have processor time

A silent broker gets no further searches, but its answer still counts; the VM of the caller sends what the budget allows. A VM with more than 20 ms of lag takes no searches of others, and the next broker of the ranking is asked.

--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -78,10 +78,7 @@
         .cloned()
         .ok_or("no-route")?;
     let in_flight = node.in_flight.load(Relaxed);
-    if lock(&node.lag)
-        .overload_pause(rule.priority, in_flight)
-        .is_some()
-    {
+    if !lock(&node.lag).accepts_handovers(in_flight) {
         return Err("vm-overloaded");
     }
     let (message, times) = decode_request(node, request, &rule).ok_or("unreadable")?;
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -13,6 +13,7 @@
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use super::{
     adapter::ReplyClass,
@@ -114,6 +115,8 @@
     group_replies: Vec<(usize, GroupReply)>,
     /// Brokers to which groups of shards were handed over.
     brokers: Vec<SocketAddr>,
+    /// Handover groups whose brokers are silent.
+    silent_groups: UnboundedReceiver<usize>,
     notices: Vec<(Arc<RelayTarget>, TargetNotice)>,
     last_fault: Option<&'static str>,
 }
@@ -128,6 +131,7 @@
     ) -> (Self, Vec<RelayAction>) {
         let now = node.timer.now();
         let (run, actions) = RelayRun::start(params, &mut lock(&node.selector), now);
+        let (silence_sender, silent_groups) = unbounded_channel();
         let mut driver = Self {
             node,
             message,
@@ -135,21 +139,23 @@
             in_flight: FuturesUnordered::new(),
             group_replies: Vec::new(),
             brokers: Vec::new(),
+            silent_groups,
             notices: Vec::new(),
             replies: Vec::new(),
             last_fault: None,
         };
         let is_over = |action: &RelayAction| matches!(action, RelayAction::Finish(_));
         if !actions.iter().any(is_over) {
-            driver.start_handovers(handovers);
+            driver.start_handovers(handovers, &silence_sender);
         }
         (driver, actions)
     }
 
-    fn start_handovers(&mut self, handovers: Vec<Handover>) {
+    fn start_handovers(&mut self, handovers: Vec<Handover>, silence: &UnboundedSender<usize>) {
         for (group_index, handover) in handovers.into_iter().enumerate() {
             self.brokers.push(handover.broker());
-            let work = hand_over(Arc::clone(&self.node), handover);
+            let on_silence = (group_index, silence.clone());
+            let work = hand_over(Arc::clone(&self.node), handover, on_silence);
             let work =
                 work.map(move |(outcome, reply)| FinishedWork::Group(group_index, outcome, reply));
             self.in_flight.push(work.boxed());
@@ -171,6 +177,10 @@
             actions = tokio::select! {
                 biased;
                 Some(finished) = self.in_flight.next() => self.on_work_end(finished),
+                Some(group) = self.silent_groups.recv() => {
+                    let now = self.node.timer.now();
+                    self.run.on_group_silent(group, &mut lock(&self.node.selector), now)
+                }
                 () = timer.sleep_until(wake_at) => {
                     let now = self.node.timer.now();
                     self.run.on_wake(&mut lock(&self.node.selector), now)
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -188,6 +188,12 @@
         !self.is_stopping() && self.table().is_some() && self.metrics.targets.get() > 0
     }
 
+    /// Whether this VM runs searches for others.
+    pub(crate) fn accepts_handovers(&self) -> bool {
+        let in_flight = self.in_flight.load(Relaxed);
+        self.is_ready() && lock(&self.lag).accepts_handovers(in_flight)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Relaxed)
     }
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -7,6 +7,7 @@
 use fulmarweir_wire::TrafficClass;
 use http::HeaderValue;
 use slog::{info, warn};
+use tokio::sync::mpsc::UnboundedSender;
 
 use super::{
     entry::EntryNode,
@@ -24,6 +25,8 @@
 const PROBE_PERIOD_MS: u64 = 150;
 /// Time limit of a probe, in milliseconds: a round trip within a region, and some lag.
 const PROBE_TIMEOUT_MS: u64 = 100;
+/// Probes in a row without a reply after which a broker is given up.
+const LOST_AFTER_PROBES: u32 = 4;
 
 /// Extra attempts that were charged here for a broker to send. Dropping them refunds them unless
 /// the broker may have got them.
@@ -106,6 +109,19 @@
     outcome: HandoverOutcome,
 }
 
+impl BrokerPermit {
+    /// Chooses a broker for a group.
+    fn acquire(node: &Arc<EntryNode>, group: &ShardGroup) -> Option<Self> {
+        let now = node.timer.now();
+        let broker = lock(&node.brokers).choose(&group.centre, &group.key, now)?;
+        Some(Self {
+            node: Arc::clone(node),
+            broker,
+            outcome: HandoverOutcome::Abandoned,
+        })
+    }
+}
+
 impl Drop for BrokerPermit {
     fn drop(&mut self) {
         let now = self.node.timer.now();
@@ -124,14 +140,8 @@
         return Vec::new();
     }
     let groups = node.shard_groups(&routed.rule.name, services);
-    let now = node.timer.now();
     let plan = |group: &ShardGroup| {
-        let broker = lock(&node.brokers).choose(&group.centre, &group.key, now)?;
-        let permit = BrokerPermit {
-            node: Arc::clone(node),
-            broker,
-            outcome: HandoverOutcome::Abandoned,
-        };
+        let permit = BrokerPermit::acquire(node, group)?;
         let loan = ExtraLoan::lend(node, services, &group.sub_requests);
         let request = encode_request(node, routed, &group.sub_requests, &loan.sub_requests());
         Some(Handover {
@@ -145,30 +155,33 @@
     groups.iter().filter_map(plan).collect()
 }
 
-/// Hands a group over to its broker; returns once the broker has replied or is lost.
+/// Hands a group over to its broker; returns once the broker has replied or is lost. Sends the index
+/// of the group to `silent` when the broker has not replied to a probe.
 pub(super) async fn hand_over(
     node: Arc<EntryNode>,
     handover: Handover,
+    (group_index, silent): (usize, UnboundedSender<usize>),
 ) -> (GroupOutcome, Option<GroupReply>) {
     let Handover {
-        mut permit,
+        permit,
         mut loan,
         group,
         request_id,
         request,
     } = handover;
-    let broker = permit.broker;
     let config_version = request.config_version;
+    let started_at = node.timer.now();
     loan.is_sent = true;
-    let reply = call_broker(&node, broker, request).await;
-    let (outcome, label) = match &reply {
-        BrokerReply::Answer(_) => (HandoverOutcome::Answered, "answered"),
-        BrokerReply::NotTaken(_) => (HandoverOutcome::NotTaken, "not-taken"),
-        BrokerReply::Lost(_) => (HandoverOutcome::Failed, "lost"),
-    };
-    permit.outcome = outcome;
-    drop(permit);
-    node.metrics.count_handover(label);
+    let mut call = VmRequest::Search(Box::new(request));
+    let mut broker = permit.broker;
+    let mut reply = send_group(permit, &call, group_index, &silent).await;
+    if matches!(reply, BrokerReply::NotTaken(_))
+        && let Some(next) = BrokerPermit::acquire(&node, &group)
+    {
+        broker = next.broker;
+        shorten(&mut call, node.timer.now().since(started_at));
+        reply = send_group(next, &call, group_index, &silent).await;
+    }
     let (reason, verdict) = match reply {
         BrokerReply::Answer(answer) => {
             apply_broker_notices(&node, &request_id, broker, &answer.notices);
@@ -201,6 +214,40 @@
     (outcome, None)
 }
 
+/// Sends a group to the broker of `permit` and waits for the reply.
+async fn send_group(
+    mut permit: BrokerPermit,
+    call: &VmRequest,
+    group_index: usize,
+    silent: &UnboundedSender<usize>,
+) -> BrokerReply {
+    let node = Arc::clone(&permit.node);
+    let broker = permit.broker;
+    let on_silence = || {
+        lock(&node.brokers).record_silence(broker, node.timer.now());
+        // The search has its outcome if nobody listens.
+        let _ = silent.send(group_index);
+    };
+    let reply = call_broker(&node, broker, call, on_silence).await;
+    let (outcome, label) = match &reply {
+        BrokerReply::Answer(_) => (HandoverOutcome::Answered, "answered"),
+        BrokerReply::NotTaken(_) => (HandoverOutcome::NotTaken, "not-taken"),
+        BrokerReply::Lost(_) => (HandoverOutcome::Failed, "lost"),
+    };
+    permit.outcome = outcome;
+    node.metrics.count_handover(label);
+    reply
+}
+
+/// Takes the time that has passed off the times of a handover.
+fn shorten(call: &mut VmRequest, passed: Duration) {
+    if let VmRequest::Search(request) = call {
+        let passed_ms = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
+        request.answer_in_ms = request.answer_in_ms.saturating_sub(passed_ms);
+        request.time_left_ms = request.time_left_ms.saturating_sub(passed_ms);
+    }
+}
+
 fn all_unclear(sub_requests: Vec<usize>) -> Vec<UnclearSubRequest> {
     let sub_requests = sub_requests.into_iter();
     let unclear = sub_requests.map(|sub_request| UnclearSubRequest {
@@ -213,15 +260,19 @@
 async fn call_broker(
     node: &EntryNode,
     broker: SocketAddr,
-    request: HandoverRequest,
+    call: &VmRequest,
+    on_silence: impl Fn(),
 ) -> BrokerReply {
-    let timeout = Duration::from_millis(request.time_left_ms);
-    let call = VmRequest::Search(Box::new(request));
-    let search = node.peers.call(broker, TrafficClass::Query, &call, timeout);
+    let left_ms = match call {
+        VmRequest::Search(request) => request.time_left_ms,
+        _ => 0,
+    };
+    let timeout = Duration::from_millis(left_ms);
+    let search = node.peers.call(broker, TrafficClass::Query, call, timeout);
     let reply = tokio::select! {
         biased;
         reply = search => reply,
-        () = watch_broker(node, broker) => return BrokerReply::Lost(RunVerdict::MayHaveRun),
+        () = watch_broker(node, broker, on_silence) => return BrokerReply::Lost(RunVerdict::MayHaveRun),
     };
     match reply {
         Ok(VmReply::Search(answer)) => BrokerReply::Answer(answer),
@@ -231,16 +282,27 @@
     }
 }
 
-/// Probes a broker repeatedly; returns once a probe fails.
-async fn watch_broker(node: &EntryNode, broker: SocketAddr) {
+/// Probes a broker repeatedly. Calls `on_silence` when a probe fails, and returns when too many
+/// have failed in a row.
+async fn watch_broker(node: &EntryNode, broker: SocketAddr, on_silence: impl Fn()) {
     let mut pause = Duration::from_millis(FIRST_PROBE_DELAY_MS);
+    let mut failed = 0;
     loop {
         node.timer.sleep_until(node.timer.now() + pause).await;
-        if probe(node, broker).await.is_none() {
+        pause = Duration::from_millis(PROBE_PERIOD_MS);
+        if probe(node, broker).await.is_some() {
+            failed = 0;
+            continue;
+        }
+        failed += 1;
+        if failed == 1 {
+            info!(node.log, "broker-silent"; "broker" => %broker);
+            on_silence();
+        }
+        if failed >= LOST_AFTER_PROBES {
             warn!(node.log, "broker-lost"; "broker" => %broker);
             return;
         }
-        pause = Duration::from_millis(PROBE_PERIOD_MS);
     }
 }
 
--- a/crates/daemon/src/relay/listen.rs
+++ b/crates/daemon/src/relay/listen.rs
@@ -125,7 +125,7 @@
 async fn handle_peer(node: Arc<EntryNode>, request: VmRequest) -> VmReply {
     match request {
         VmRequest::Search(search) => serve_handover(node, *search).await,
-        VmRequest::Probe => VmReply::Alive(node.is_ready()),
+        VmRequest::Probe => VmReply::Alive(node.accepts_handovers()),
         VmRequest::Poll(_) | VmRequest::FetchConfig | VmRequest::Voter(_) => VmReply::NotKept,
     }
 }
--- a/crates/daemon/src/relay/overload.rs
+++ b/crates/daemon/src/relay/overload.rs
@@ -10,6 +10,9 @@
 const SHED_LAG_MIN_MS: f64 = 60.0;
 /// Increase of this limit for each priority that is more urgent.
 const SHED_LAG_STEP_MS: f64 = 60.0;
+/// Lag above which this VM runs no searches for others, which can choose another broker, in
+/// milliseconds.
+const HANDOVER_LAG_MAX_MS: f64 = 20.0;
 /// Weight of the latest sample in the moving average of the lag.
 const LAG_SMOOTHING: f64 = 0.3;
 /// Most requests in flight, to limit the memory use of this VM.
@@ -35,6 +38,14 @@
         Duration::from_secs_f64(self.lag_ms.max(0.0) / 1000.0)
     }
 
+    /// Whether this VM has processor time for searches of other VMs.
+    ///
+    /// Load pattern: one of many VMs is slow for some seconds. Every search that has a part there
+    /// waits for it.
+    pub(crate) fn accepts_handovers(self, in_flight: u64) -> bool {
+        self.lag_ms <= HANDOVER_LAG_MAX_MS && in_flight < IN_FLIGHT_MAX
+    }
+
     /// Returns the time after which to retry a request of `priority` if it must be refused, or else
     /// `None`.
     pub(crate) fn overload_pause(self, priority: u32, in_flight: u64) -> Option<Duration> {
--- a/crates/route/src/relay/broker_selector.rs
+++ b/crates/route/src/relay/broker_selector.rs
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Records that a broker with a search in flight has not replied to a probe. It gets no further
+    /// searches before it does.
+    pub fn record_silence(&mut self, address: SocketAddr, now: MonoTime) {
+        if let Some(broker) = self.broker_mut(address)
+            && broker.probe_passed
+        {
+            broker.record_failure(now);
+        }
+    }
+
     /// Returns the brokers in `centres` that must be probed now, and marks them as being probed.
     pub fn due_probes(&mut self, centres: &[Arc<str>], now: MonoTime) -> Vec<SocketAddr> {
         let mut due = Vec::new();
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -309,17 +309,27 @@
         }
         let mut unanswered = Vec::new();
         for (index, sub_request) in self.sub_requests.iter_mut().enumerate() {
-            if sub_request.state != SubRequestState::HandedOver(group) {
+            if !sub_request.awaits(group) {
                 continue;
             }
+            sub_request.awaited_group = None;
             if outcome.answered.contains(&index) {
+                // The records of a group cannot be separated, so its answer replaces one that an
+                // attempt of this VM has got meanwhile.
+                self.answered += usize::from(!sub_request.is_answered());
                 sub_request.state = SubRequestState::AnsweredByBroker(group);
-                self.answered += 1;
+                sub_request.next_attempt_at = None;
+                continue;
+            }
+            let unclear = outcome.unclear.iter().find(|u| u.sub_request == index);
+            if sub_request.state != SubRequestState::HandedOver(group) {
+                let ran = unclear.map_or(&[][..], |unclear| &unclear.ran);
+                sub_request.record_broker_attempts(ran);
                 continue;
             }
             sub_request.state = SubRequestState::Open;
             sub_request.counted_by_broker = outcome.accepted;
-            if let Some(unclear) = outcome.unclear.iter().find(|u| u.sub_request == index) {
+            if let Some(unclear) = unclear {
                 sub_request
                     .reopen_unclear(&unclear.ran, &self.params.handover_groups[group].centre);
             } else if outcome.refused.contains(&index) {
@@ -336,6 +346,33 @@
         actions
     }
 
+    /// Handles the silence of the broker of a group. Its answer is still accepted.
+    ///
+    /// Load pattern: a broker is slow or was frozen for a moment. Its work is not lost, and sending
+    /// all of it again would take the budget from requests that need it, so this VM sends what the
+    /// budget allows and waits for the broker with the rest.
+    pub fn on_group_silent(
+        &mut self,
+        group: usize,
+        selector: &mut TargetSelector,
+        now: MonoTime,
+    ) -> Vec<RelayAction> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        let centre = Arc::clone(&self.params.handover_groups[group].centre);
+        for sub_request in 0..self.sub_requests.len() {
+            if self.sub_requests[sub_request].state != SubRequestState::HandedOver(group) {
+                continue;
+            }
+            self.sub_requests[sub_request].reopen_awaited(group, &centre);
+            self.send_returned(sub_request, selector, now, &mut actions);
+        }
+        self.finish_or_wake(selector, now, &mut actions);
+        actions
+    }
+
     /// Handles a wake-up that was requested by [`RelayAction::Wake`].
     pub fn on_wake(&mut self, selector: &mut TargetSelector, now: MonoTime) -> Vec<RelayAction> {
         let mut actions = Vec::new();
@@ -580,7 +617,11 @@
             } => {
                 let progress = &mut self.sub_requests[sub_request];
                 let Some(charge) = acquire_charge(progress, selector, now) else {
-                    if self.fails_without_budget(sub_request, now) {
+                    if let Some(group) = progress.awaited_group
+                        && progress.open_attempts.is_empty()
+                    {
+                        progress.state = SubRequestState::HandedOver(group);
+                    } else if self.fails_without_budget(sub_request, now) {
                         self.sub_requests[sub_request].state = SubRequestState::Failed;
                     } else {
                         self.pause(sub_request, BUDGET_PAUSE_MS, now);
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -42,6 +42,8 @@
     pub(crate) ran: Vec<Arc<str>>,
     /// Targets in `ran` with an ended attempt that may have run.
     unclear: Vec<Arc<str>>,
+    /// Group whose broker is silent, but may still answer. This VM may send attempts meanwhile.
+    pub(crate) awaited_group: Option<usize>,
     /// Whether a broker left the sub-request unanswered, but counted its first attempt.
     pub(crate) counted_by_broker: bool,
     /// Whether the VM that handed over the sub-request pays for one extra attempt.
@@ -72,6 +74,7 @@
             tried: Vec::new(),
             ran: Vec::new(),
             unclear: Vec::new(),
+            awaited_group: None,
             counted_by_broker: false,
             has_lent_extra: false,
             reached_attempts: 0,
@@ -91,10 +94,16 @@
 
     /// Whether an answer may still arrive.
     pub(crate) fn is_pending(&self) -> bool {
-        matches!(
+        let is_waiting = matches!(
             self.state,
             SubRequestState::Open | SubRequestState::HandedOver(_)
-        )
+        );
+        is_waiting || (self.awaited_group.is_some() && !self.is_answered())
+    }
+
+    /// Whether the outcome of this group is still expected.
+    pub(crate) fn awaits(&self, group: usize) -> bool {
+        self.state == SubRequestState::HandedOver(group) || self.awaited_group == Some(group)
     }
 
     pub(crate) fn is_answered(&self) -> bool {
@@ -117,6 +126,26 @@
         self.pinned_centre = ran.is_empty().then(|| Arc::clone(centre));
     }
 
+    /// Lets this VM send attempts of a sub-request whose broker is silent. They count as extra
+    /// attempts and go to targets in `centre`, which the broker most probably uses.
+    pub(crate) fn reopen_awaited(&mut self, group: usize, centre: &Arc<str>) {
+        self.reopen_unclear(&[], centre);
+        self.awaited_group = Some(group);
+        self.counted_by_broker = true;
+    }
+
+    /// Records on which targets the broker of the awaited group may have run the sub-request, which
+    /// this VM has sent as well.
+    pub(crate) fn record_broker_attempts(&mut self, ran: &[Arc<str>]) {
+        for id in ran {
+            for known in [&mut self.ran, &mut self.unclear] {
+                if !known.contains(id) {
+                    known.push(Arc::clone(id));
+                }
+            }
+        }
+    }
+
     /// Reopens a sub-request that targets refused at a broker. All further attempts count as extra
     /// attempts.
     pub(crate) fn reopen_refused(&mut self) {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -861,11 +861,111 @@
     assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
 }
 
+/// Load pattern: a broker is slow for a moment. What it answers is used, whatever this VM has sent
+/// meanwhile, and no shard is in the answer twice.
 #[test]
-fn shards_of_a_failed_broker_without_a_budget_are_refused_at_once() {
+fn the_late_answer_of_a_silent_broker_is_used() {
+    let mut selector = regional_selector();
+    let (mut run, actions) = RelayRun::start(regional_params(), &mut selector, at(0));
+    for send in sends(&actions) {
+        run.on_attempt_end(
+            send.sub_request,
+            send.attempt,
+            ANSWER,
+            &mut selector,
+            at(20),
+        );
+    }
+    let sent = sends(&run.on_group_silent(0, &mut selector, at(140)));
+    assert_eq!(sent.len(), 2);
+    assert!(sent.iter().all(|send| send.charge == AttemptCharge::Extra));
+    assert!(
+        sent.iter()
+            .all(|send| send.target.locality == Locality::Region)
+    );
+    let first = &sent[0];
+    assert!(run.on_group_silent(0, &mut selector, at(141)).is_empty());
+    let actions = run.on_attempt_end(
+        first.sub_request,
+        first.attempt,
+        ANSWER,
+        &mut selector,
+        at(150),
+    );
+    assert!(finish(&actions).is_none());
+    assert_eq!(run.missing(), 1);
+    let outcome = GroupOutcome {
+        accepted: true,
+        answered: vec![2, 3],
+        ..GroupOutcome::default()
+    };
+    let actions = run.on_group_end(0, &outcome, &mut selector, at(160));
+    let group = Some(AnswerSource::Group(0));
+    let sources = vec![
+        Some(AnswerSource::Attempt(0)),
+        Some(AnswerSource::Attempt(1)),
+        group,
+        group,
+    ];
+    assert_eq!(finish(&actions), Some(RelayOutcome::Answered(sources)));
+}
+
+/// The broker answers a part; own attempts answer the rest, on no more targets than allowed.
+#[test]
+fn own_attempts_answer_what_a_silent_broker_leaves_open() {
+    let mut selector = regional_selector();
+    let (mut run, _) = RelayRun::start(regional_params(), &mut selector, at(0));
+    let sent = sends(&run.on_group_silent(0, &mut selector, at(100)));
+    let outcome = GroupOutcome {
+        accepted: true,
+        answered: vec![3],
+        unclear: vec![unclear(2, &["s2-near", "s2-far"])],
+        ..GroupOutcome::default()
+    };
+    run.on_group_end(0, &outcome, &mut selector, at(120));
+    let open = sent.iter().find(|send| send.sub_request == 2).unwrap();
+    let broken = RelayAttemptOutcome::Broken;
+    let retries = run.on_attempt_end(2, open.attempt, broken, &mut selector, at(130));
+    let ran = ["s2-near", "s2-far"];
+    assert!(sends(&retries).iter().all(|s| ran.contains(&&*s.target.id)));
+    assert_eq!(run.verdict(), RunVerdict::MayHaveRun);
+}
+
+/// Load pattern: a broker is slow and the budgets of its shards are empty. The request waits for
+/// the broker in place of failing, and fails once the broker is given up.
+#[test]
+fn a_search_without_a_budget_waits_for_a_silent_broker() {
     let mut no_burst = limits();
     no_burst.burst = 0.0;
-    let mut selector = TargetSelector::new(no_burst, at(0));
+    let (mut run, mut selector) = handed_over_run(no_burst);
+    let actions = run.on_group_silent(0, &mut selector, at(140));
+    assert!(sends(&actions).is_empty() && finish(&actions).is_none());
+    assert!(finish(&run.on_wake(&mut selector, at(200))).is_none());
+    let mut late = run;
+    let outcome = GroupOutcome {
+        accepted: true,
+        answered: vec![0, 1, 2, 3],
+        ..GroupOutcome::default()
+    };
+    let actions = late.on_group_end(0, &outcome, &mut selector, at(400));
+    assert!(matches!(finish(&actions), Some(RelayOutcome::Answered(_))));
+
+    let (mut lost, mut selector) = handed_over_run(no_burst);
+    lost.on_group_silent(0, &mut selector, at(140));
+    let outcome = GroupOutcome {
+        unclear: (0..4).map(|index| unclear(index, &[])).collect(),
+        ..GroupOutcome::default()
+    };
+    let actions = lost.on_group_end(0, &outcome, &mut selector, at(900));
+    let Some(RelayOutcome::Refused(refusal)) = finish(&actions) else {
+        panic!("given up: {actions:?}");
+    };
+    assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
+}
+
+/// Returns a search whose four shards are all handed over, with its selector.
+fn handed_over_run(limits: ExtraAttemptLimits) -> (RelayRun, TargetSelector) {
+    let mut selector = TargetSelector::new(limits, at(0));
     let targets = (0..4).map(|shard| target(&format!("s{shard}"), "near", Locality::Region));
     selector.record_vm_count(1, at(0));
     selector.sync(targets.collect(), |_| Some(30), at(0));
@@ -877,7 +977,15 @@
         }],
         ..params(4, true)
     };
-    let (mut run, _) = RelayRun::start(params, &mut selector, at(0));
+    let (run, _) = RelayRun::start(params, &mut selector, at(0));
+    (run, selector)
+}
+
+#[test]
+fn shards_of_a_failed_broker_without_a_budget_are_refused_at_once() {
+    let mut no_burst = limits();
+    no_burst.burst = 0.0;
+    let (mut run, mut selector) = handed_over_run(no_burst);
     let outcome = GroupOutcome {
         answered: Vec::new(),
         unclear: (0..4)
