--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -47,6 +47,9 @@
     pub headers: HeaderMap,
     /// Body of the target's reply.
     pub body: Bytes,
+    /// Whether the connection had carried another request before. A late copy of an earlier reply can
+    /// arrive in place of the reply then.
+    pub on_reused_connection: bool,
 }
 
 /// Why an exchange failed.
@@ -110,6 +113,13 @@
     round_trip: Duration,
 }
 
+/// A request whose reply has begun to arrive.
+struct SentRequest {
+    sender: RelaySender,
+    response: Response<Incoming>,
+    on_reused_connection: bool,
+}
+
 /// Which open connections a request may reuse.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectionReuse {
@@ -184,7 +194,11 @@
         idle_timeout: Duration,
         may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<RelayReply, RelayFault> {
-        let (sender, response) = self.send(address, request, reuse, may_send).await?;
+        let SentRequest {
+            sender,
+            response,
+            on_reused_connection,
+        } = self.send(address, request, reuse, may_send).await?;
         let (head, mut incoming) = response.into_parts();
         let mut body = BytesMut::new();
         while let Some(frame) = incoming.frame().await {
@@ -202,6 +216,7 @@
             status: head.status,
             headers: head.headers,
             body: body.freeze(),
+            on_reused_connection,
         })
     }
 
@@ -213,7 +228,7 @@
         mut request: Request<Full<Bytes>>,
         reuse: ConnectionReuse,
         may_send: &(dyn Fn() -> bool + Sync),
-    ) -> Result<(RelaySender, Response<Incoming>), RelayFault> {
+    ) -> Result<SentRequest, RelayFault> {
         if let Some(mut sender) = self.pop_idle(address, reuse)
             && sender.ready().await.is_ok()
         {
@@ -221,7 +236,13 @@
                 return Err(RelayFault::Withheld);
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((sender, response)),
+                Ok(response) => {
+                    return Ok(SentRequest {
+                        sender,
+                        response,
+                        on_reused_connection: true,
+                    });
+                }
                 // Hyper hands the request back only if nothing of it was written.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -247,7 +268,11 @@
         }
         let sent_at = self.timer.now();
         match sender.try_send_request(request).await {
-            Ok(response) => Ok((sender, response)),
+            Ok(response) => Ok(SentRequest {
+                sender,
+                response,
+                on_reused_connection: false,
+            }),
             Err(mut error) => {
                 self.record_reset(address);
                 let earliest_reply =
