Let brokers go on with what is in flight after the soft deadline

Cause: a broker returned at the soft deadline and gave up what it had in flight.

The broker now names the shards in flight and goes on with them; the search asks for the rest if it needs it.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -27,6 +27,7 @@
 mod request_account;
 mod request_log;
 mod response;
+mod rest_table;
 mod routed;
 mod serve;
 mod start;
--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -1,11 +1,15 @@
 //! Runs searches over shards that other VMs hand over.
 
-use std::sync::{Arc, atomic::Ordering::Relaxed};
+use std::{
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
-use fulmarweir_base::lock;
+use fulmarweir_base::{MonoTime, lock};
 use fulmarweir_conf::RouteDestination;
 use fulmarweir_route::RelayOutcome;
 use http::StatusCode;
+use tokio::sync::oneshot;
 
 use super::{
     driver::{RelayDriver, RelayResult},
@@ -13,9 +17,12 @@
     handover_message::{decode_indexes, decode_request, encode_reply},
     request_account::{LogContext, OtherVm, log_request},
     routed::{RoutedRequest, relay_params},
-    vm_message::{HandoverRequest, VmReply},
+    vm_message::{HandoverReply, HandoverRequest, VmReply},
 };
 
+/// Longest time until the next part of a rest is returned, in milliseconds.
+const REST_PERIOD_MS: u64 = 100;
+
 /// Runs a handover and returns its result, or the reason why it was rejected.
 pub(super) async fn serve_handover(node: Arc<EntryNode>, request: HandoverRequest) -> VmReply {
     let routed = match admit_handover(&node, &request) {
@@ -43,8 +50,9 @@
     // After the soft deadline, the origin can still query the missing shards itself.
     params.deadline = params.soft_deadline;
     let message = Arc::clone(&routed.message);
-    let (driver, actions) = RelayDriver::start(Arc::clone(&node), message, params, Vec::new());
-    let result = driver.run_to_end(actions).await;
+    let (mut driver, actions) = RelayDriver::start(Arc::clone(&node), message, params, Vec::new());
+    let outcome = driver.run_to_outcome(actions).await;
+    let result = driver.take_result(outcome);
     let first_service = indexes.first().map(|index| &gather.shards[*index]);
     let sub_requests = indexes.len();
     log_handover(
@@ -55,10 +63,69 @@
         first_service,
         &result,
     );
-    let reply = encode_reply(&node, &result, &request.sub_requests, gather.top_k);
+    let mut reply = encode_reply(&node, &result, &request.sub_requests, gather.top_k);
+    if reply.pending.is_empty() {
+        driver.release();
+    } else {
+        let (number, sender) = node.rests.add();
+        reply.rest = Some(number);
+        let rest = RunningRest {
+            driver,
+            number,
+            sender,
+            deadline: routed.times.deadline,
+            shards: request.sub_requests,
+            top_k: gather.top_k,
+        };
+        let tasks = node.detached_tasks.clone();
+        tasks.spawn(run_rest(Arc::clone(&node), rest));
+    }
     VmReply::Search(Box::new(reply))
 }
 
+/// A handover that has returned a part of its answers.
+struct RunningRest {
+    driver: RelayDriver,
+    /// Number in the table of rests.
+    number: u64,
+    sender: oneshot::Sender<HandoverReply>,
+    deadline: MonoTime,
+    /// Indexes of all shards of the handover.
+    shards: Vec<u16>,
+    top_k: usize,
+}
+
+/// Runs the rest of a handover, in parts, as long as its origin asks for them.
+async fn run_rest(node: Arc<EntryNode>, mut rest: RunningRest) {
+    loop {
+        let part_end = node.timer.now() + Duration::from_millis(REST_PERIOD_MS);
+        let actions = rest.driver.resume(part_end, rest.deadline);
+        let outcome = tokio::select! {
+            outcome = rest.driver.run_to_outcome(actions) => outcome,
+            // Dropping the driver abandons the attempts of an origin that has left.
+            () = rest.sender.closed() => return,
+        };
+        if node.rests.remove_unclaimed(rest.number) {
+            return rest.driver.release();
+        }
+        let result = rest.driver.take_result(outcome);
+        let mut reply = encode_reply(&node, &result, &rest.shards, rest.top_k);
+        if reply.pending.is_empty() {
+            // The origin may have left by now.
+            let _ = rest.sender.send(reply);
+            return rest.driver.release();
+        }
+        let (number, sender) = node.rests.add();
+        reply.rest = Some(number);
+        rest.number = number;
+        let replied = std::mem::replace(&mut rest.sender, sender).send(reply);
+        if replied.is_err() {
+            node.rests.remove_unclaimed(number);
+            return;
+        }
+    }
+}
+
 fn admit_handover(
     node: &Arc<EntryNode>,
     request: &HandoverRequest,
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -18,7 +18,7 @@
 use super::{
     adapter::ReplyClass,
     entry::EntryNode,
-    handover::{Handover, hand_over},
+    handover::{FinishedHandover, Handover, fetch_rest, hand_over},
     handover_message::GroupReply,
     target_notices::{NoticeSource, apply_notice, notice_of},
 };
@@ -58,8 +58,8 @@
 /// A finished part of a request in flight.
 enum FinishedWork {
     Attempt(FinishedAttempt),
-    /// The outcome and reply of the handover group with this index.
-    Group(usize, GroupOutcome, Option<GroupReply>),
+    /// The handover group with this index.
+    Group(usize, FinishedHandover),
 }
 
 type WorkFuture = BoxFuture<'static, FinishedWork>;
@@ -156,21 +156,38 @@
             self.brokers.push(handover.broker());
             let on_silence = (group_index, silence.clone());
             let work = hand_over(Arc::clone(&self.node), handover, on_silence);
-            let work =
-                work.map(move |(outcome, reply)| FinishedWork::Group(group_index, outcome, reply));
-            self.in_flight.push(work.boxed());
+            self.push_group(group_index, work);
         }
     }
 
+    /// Drives the request until it has an outcome, and leaves unfinished attempts to a task.
+    pub(crate) async fn run_to_end(mut self, actions: Vec<RelayAction>) -> RelayResult {
+        let outcome = self.run_to_outcome(actions).await;
+        let result = self.take_result(outcome);
+        self.release();
+        result
+    }
+
+    /// Continues a handover whose outcome was returned, until `soft_deadline` at least.
+    pub(super) fn resume(
+        &mut self,
+        soft_deadline: MonoTime,
+        deadline: MonoTime,
+    ) -> Vec<RelayAction> {
+        let now = self.node.timer.now();
+        let selector = lock(&self.node.selector);
+        self.run.resume(soft_deadline, deadline, &selector, now)
+    }
+
     /// Drives the request until it has an outcome.
-    pub(crate) async fn run_to_end(mut self, mut actions: Vec<RelayAction>) -> RelayResult {
+    pub(super) async fn run_to_outcome(&mut self, mut actions: Vec<RelayAction>) -> RelayOutcome {
         let mut wake_at = self.message.deadline;
         loop {
             for action in actions {
                 match action {
                     RelayAction::Send(attempt) => self.send(attempt),
                     RelayAction::Wake(at) => wake_at = at,
-                    RelayAction::Finish(outcome) => return self.complete(outcome),
+                    RelayAction::Finish(outcome) => return outcome,
                 }
             }
             let timer = self.node.timer.clone();
@@ -189,15 +206,9 @@
         }
     }
 
-    fn complete(mut self, outcome: RelayOutcome) -> RelayResult {
-        let (hedges, wins) = self.run.hedges();
-        let metrics = &self.node.metrics;
-        for (outcome, count) in [("sent", hedges), ("won", wins)] {
-            metrics
-                .hedges
-                .get_or_create(&OutcomeLabel { outcome })
-                .inc_by(count.into());
-        }
+    /// Returns the result of the request, or of a handover up to now.
+    pub(super) fn take_result(&mut self, outcome: RelayOutcome) -> RelayResult {
+        let (hedges, _) = self.run.hedges();
         let stats = RelayStats {
             attempts: self.run.attempts(),
             hedges,
@@ -211,10 +222,6 @@
         let group_replies = std::mem::take(&mut self.group_replies);
         let replies = std::mem::take(&mut self.replies);
         let notices = std::mem::take(&mut self.notices);
-        if !self.in_flight.is_empty() {
-            let tasks = self.node.detached_tasks.clone();
-            tasks.spawn(self.linger());
-        }
         RelayResult {
             outcome,
             replies,
@@ -225,6 +232,22 @@
         }
     }
 
+    /// Ends the request. Unfinished attempts go on for a while in a task.
+    pub(super) fn release(self) {
+        let (hedges, wins) = self.run.hedges();
+        let metrics = &self.node.metrics;
+        for (outcome, count) in [("sent", hedges), ("won", wins)] {
+            metrics
+                .hedges
+                .get_or_create(&OutcomeLabel { outcome })
+                .inc_by(count.into());
+        }
+        if !self.in_flight.is_empty() {
+            let tasks = self.node.detached_tasks.clone();
+            tasks.spawn(self.linger());
+        }
+    }
+
     /// Waits up to `LINGER_MS` for unfinished attempts, so that their connections can be reused.
     async fn linger(mut self) {
         let until = self.node.timer.now() + Duration::from_millis(LINGER_MS);
@@ -248,13 +271,8 @@
         let now = self.node.timer.now();
         let finished = match finished {
             FinishedWork::Attempt(finished) => finished,
-            FinishedWork::Group(group_index, outcome, reply) => {
-                self.group_replies
-                    .extend(reply.map(|reply| (group_index, reply)));
-                let mut selector = lock(&self.node.selector);
-                return self
-                    .run
-                    .on_group_end(group_index, &outcome, &mut selector, now);
+            FinishedWork::Group(group_index, finished) => {
+                return self.on_group_end(group_index, finished, now);
             }
         };
         if let RelayAttemptOutcome::Answered { .. } = finished.outcome {
@@ -286,6 +304,43 @@
         )
     }
 
+    fn push_group(
+        &mut self,
+        group_index: usize,
+        work: impl Future<Output = FinishedHandover> + Send + 'static,
+    ) {
+        let work = work.map(move |finished| FinishedWork::Group(group_index, finished));
+        self.in_flight.push(work.boxed());
+    }
+
+    fn on_group_end(
+        &mut self,
+        group_index: usize,
+        finished: FinishedHandover,
+        now: MonoTime,
+    ) -> Vec<RelayAction> {
+        let FinishedHandover {
+            outcome,
+            reply,
+            rest,
+        } = finished;
+        self.group_replies
+            .extend(reply.map(|reply| (group_index, reply)));
+        let actions = {
+            let mut selector = lock(&self.node.selector);
+            self.run
+                .on_group_end(group_index, &outcome, &mut selector, now)
+        };
+        if let Some(rest) = rest
+            && !self.run.is_finished()
+        {
+            let time_left = self.message.deadline.since(now);
+            let work = fetch_rest(Arc::clone(&self.node), rest, time_left);
+            self.push_group(group_index, work);
+        }
+        actions
+    }
+
     fn send(&mut self, attempt: RelayAttempt) {
         let kind = attempt.kind.as_str();
         self.node
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -29,6 +29,7 @@
     metrics::{RelayMetrics, set_count},
     overload::LoopLag,
     request_log::RequestLog,
+    rest_table::RestTable,
     vm_message::PollReply,
 };
 
@@ -81,6 +82,7 @@
     pub(crate) directory: KeeperDirectory,
     pub(crate) peers: RelayPeers,
     pub(crate) brokers: Mutex<BrokerSelector>,
+    pub(crate) rests: RestTable,
     /// Attempts that continue after their request was answered, and probes of brokers.
     pub(crate) detached_tasks: TaskTracker,
     pub(crate) in_flight: AtomicU64,
@@ -123,6 +125,7 @@
             directory,
             peers,
             brokers: Mutex::default(),
+            rests: RestTable::default(),
             detached_tasks: TaskTracker::new(),
             in_flight: AtomicU64::new(0),
             table: Mutex::default(),
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -95,6 +95,53 @@
     }
 }
 
+/// Shards that a broker had in flight when it replied.
+pub(super) struct HandoverRest {
+    broker: SocketAddr,
+    number: u64,
+    /// These shards, and where they may have run.
+    pending: Vec<UnclearSubRequest>,
+    request_id: HeaderValue,
+}
+
+/// What came of a handover, or of a part of it.
+pub(super) struct FinishedHandover {
+    pub(super) outcome: GroupOutcome,
+    pub(super) reply: Option<GroupReply>,
+    pub(super) rest: Option<HandoverRest>,
+}
+
+impl FinishedHandover {
+    fn answered(answer: HandoverReply, broker: SocketAddr, request_id: &HeaderValue) -> Self {
+        let number = answer.rest;
+        let (outcome, reply) = decode_reply(answer);
+        let rest = number.map(|number| HandoverRest {
+            broker,
+            number,
+            pending: pending_of(&outcome),
+            request_id: request_id.clone(),
+        });
+        Self {
+            outcome,
+            reply,
+            rest,
+        }
+    }
+
+    /// A handover without a reply, whose shards in `unclear` may have run.
+    fn unanswered(unclear: Vec<UnclearSubRequest>) -> Self {
+        let outcome = GroupOutcome {
+            unclear,
+            ..GroupOutcome::default()
+        };
+        Self {
+            outcome,
+            reply: None,
+            rest: None,
+        }
+    }
+}
+
 /// The result of a call to a broker.
 enum BrokerReply {
     Answer(Box<HandoverReply>),
@@ -161,7 +208,7 @@
     node: Arc<EntryNode>,
     handover: Handover,
     (group_index, silent): (usize, UnboundedSender<usize>),
-) -> (GroupOutcome, Option<GroupReply>) {
+) -> FinishedHandover {
     let Handover {
         permit,
         mut loan,
@@ -185,9 +232,9 @@
     let (reason, verdict) = match reply {
         BrokerReply::Answer(answer) => {
             apply_broker_notices(&node, &request_id, broker, &answer.notices);
-            let (outcome, group_reply) = decode_reply(*answer);
-            loan.refund(&outcome.unused_loans);
-            return (outcome, group_reply);
+            let finished = FinishedHandover::answered(*answer, broker, &request_id);
+            loan.refund(&finished.outcome.unused_loans);
+            return finished;
         }
         BrokerReply::NotTaken(reason) => (reason, RunVerdict::NotRun),
         BrokerReply::Lost(verdict) => ("lost".into(), verdict),
@@ -203,15 +250,31 @@
     } else {
         node.metrics.log_lines_dropped.inc();
     }
-    let unclear = match verdict {
-        RunVerdict::NotRun => Vec::new(),
-        RunVerdict::MayHaveRun | RunVerdict::Ran => all_unclear(group.sub_requests),
-    };
-    let outcome = GroupOutcome {
-        unclear,
-        ..GroupOutcome::default()
-    };
-    (outcome, None)
+    match verdict {
+        RunVerdict::NotRun => FinishedHandover::unanswered(Vec::new()),
+        RunVerdict::MayHaveRun | RunVerdict::Ran => {
+            FinishedHandover::unanswered(all_unclear(group.sub_requests))
+        }
+    }
+}
+
+/// Waits for the shards that a broker still had in flight when it replied.
+pub(super) async fn fetch_rest(
+    node: Arc<EntryNode>,
+    rest: HandoverRest,
+    time_left: Duration,
+) -> FinishedHandover {
+    let call = VmRequest::Rest(rest.number);
+    match call_broker(&node, rest.broker, &call, time_left, || {}).await {
+        BrokerReply::Answer(answer) => {
+            apply_broker_notices(&node, &rest.request_id, rest.broker, &answer.notices);
+            FinishedHandover::answered(*answer, rest.broker, &rest.request_id)
+        }
+        // The broker had sent these shards, whatever became of this call.
+        BrokerReply::NotTaken(_) | BrokerReply::Lost(_) => {
+            FinishedHandover::unanswered(rest.pending)
+        }
+    }
 }
 
 /// Sends a group to the broker of `permit` and waits for the reply.
@@ -228,7 +291,12 @@
         // The search has its outcome if nobody listens.
         let _ = silent.send(group_index);
     };
-    let reply = call_broker(&node, broker, call, on_silence).await;
+    let left_ms = match call {
+        VmRequest::Search(request) => request.time_left_ms,
+        _ => 0,
+    };
+    let timeout = Duration::from_millis(left_ms);
+    let reply = call_broker(&node, broker, call, timeout, on_silence).await;
     let (outcome, label) = match &reply {
         BrokerReply::Answer(_) => (HandoverOutcome::Answered, "answered"),
         BrokerReply::NotTaken(_) => (HandoverOutcome::NotTaken, "not-taken"),
@@ -248,6 +316,13 @@
     }
 }
 
+/// Returns the shards of an outcome that another one follows for.
+fn pending_of(outcome: &GroupOutcome) -> Vec<UnclearSubRequest> {
+    let unclear = outcome.unclear.iter();
+    let pending = unclear.filter(|unclear| outcome.pending.contains(&unclear.sub_request));
+    pending.cloned().collect()
+}
+
 fn all_unclear(sub_requests: Vec<usize>) -> Vec<UnclearSubRequest> {
     let sub_requests = sub_requests.into_iter();
     let unclear = sub_requests.map(|sub_request| UnclearSubRequest {
@@ -261,13 +336,9 @@
     node: &EntryNode,
     broker: SocketAddr,
     call: &VmRequest,
+    timeout: Duration,
     on_silence: impl Fn(),
 ) -> BrokerReply {
-    let left_ms = match call {
-        VmRequest::Search(request) => request.time_left_ms,
-        _ => 0,
-    };
-    let timeout = Duration::from_millis(left_ms);
     let search = node.peers.call(broker, TrafficClass::Query, call, timeout);
     let reply = tokio::select! {
         biased;
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -104,6 +104,8 @@
         answered: outer_indexes(&outcome.answered),
         unclear: unclear.collect(),
         refused: outer_indexes(&outcome.refused),
+        pending: outer_indexes(&outcome.pending),
+        rest: None,
         unused_loans: outer_indexes(&outcome.unused_loans),
         signatures: merged.signatures,
         records: merged.records,
@@ -127,6 +129,7 @@
         answered: decode_indexes(&reply.answered),
         unclear: unclear.collect(),
         refused: decode_indexes(&reply.refused),
+        pending: decode_indexes(&reply.pending),
         unused_loans: decode_indexes(&reply.unused_loans),
     };
     let group_reply = GroupReply {
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -289,7 +289,9 @@
                 };
                 VmReply::Voter(reply)
             }
-            VmRequest::Search(_) => VmReply::NotTaken("not-an-entry-vm".into()),
+            VmRequest::Search(_) | VmRequest::Rest(_) => {
+                VmReply::NotTaken("not-an-entry-vm".into())
+            }
             VmRequest::Probe => VmReply::Alive(false),
         }
     }
--- a/crates/daemon/src/relay/listen.rs
+++ b/crates/daemon/src/relay/listen.rs
@@ -125,6 +125,7 @@
 async fn handle_peer(node: Arc<EntryNode>, request: VmRequest) -> VmReply {
     match request {
         VmRequest::Search(search) => serve_handover(node, *search).await,
+        VmRequest::Rest(number) => node.rests.fetch(number).await,
         VmRequest::Probe => VmReply::Alive(node.accepts_handovers()),
         VmRequest::Poll(_) | VmRequest::FetchConfig | VmRequest::Voter(_) => VmReply::NotKept,
     }
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -100,6 +100,10 @@
     pub(crate) unclear: Vec<(u16, Vec<Arc<str>>)>,
     /// Indexes of unanswered shards whose targets refused all attempts.
     pub(crate) refused: Vec<u16>,
+    /// Indexes of unanswered shards with attempts in flight.
+    pub(crate) pending: Vec<u16>,
+    /// Number under which the answers to the pending shards can be fetched.
+    pub(crate) rest: Option<u64>,
     /// Indexes of shards whose lent extra attempt was not used.
     pub(crate) unused_loans: Vec<u16>,
     /// The signatures of the targets over their replies.
@@ -131,6 +135,8 @@
     FetchConfig,
     Voter(Box<VoterRequest>),
     Search(Box<HandoverRequest>),
+    /// Waits for the rest of a handover, by the number in [`HandoverReply::rest`].
+    Rest(u64),
     /// Checks whether an entry VM is alive and accepts handovers.
     Probe,
 }
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -79,6 +79,9 @@
     pub unclear: Vec<UnclearSubRequest>,
     /// Services without an answer that did not run, since the targets refused all attempts.
     pub refused: Vec<usize>,
+    /// Services without an answer for which the broker still has attempts in flight, which are also
+    /// in `unclear`. Another outcome of the group follows.
+    pub pending: Vec<usize>,
     /// Services for which the broker did not use the lent extra attempt.
     pub unused_loans: Vec<usize>,
 }
@@ -309,7 +312,7 @@
         }
         let mut unanswered = Vec::new();
         for (index, sub_request) in self.sub_requests.iter_mut().enumerate() {
-            if !sub_request.awaits(group) {
+            if !sub_request.awaits(group) || outcome.pending.contains(&index) {
                 continue;
             }
             sub_request.awaited_group = None;
@@ -346,6 +349,35 @@
         actions
     }
 
+    /// Continues a handover that has returned its outcome, for the services that were pending then.
+    ///
+    /// Load pattern: a target pauses for longer than a search waits for an answer. Its answer makes
+    /// a search complete that could not be answered without it, and costs nothing more.
+    pub fn resume(
+        &mut self,
+        soft_deadline: MonoTime,
+        deadline: MonoTime,
+        selector: &TargetSelector,
+        now: MonoTime,
+    ) -> Vec<RelayAction> {
+        self.params.soft_deadline = soft_deadline.min(deadline);
+        self.params.deadline = deadline;
+        self.finished = false;
+        for sub_request in &mut self.sub_requests {
+            sub_request.has_lent_extra = false;
+            // Only what is in flight goes on; the origin sends the others.
+            sub_request.next_attempt_at = None;
+            let is_over = now >= deadline || !sub_request.is_in_flight();
+            if sub_request.is_open() && is_over {
+                sub_request.state = SubRequestState::Failed;
+            }
+        }
+        self.wake_at = None;
+        let mut actions = Vec::new();
+        self.finish_or_wake(selector, now, &mut actions);
+        actions
+    }
+
     /// Handles the silence of the broker of a group. Its answer is still accepted.
     ///
     /// Load pattern: a broker is slow or was frozen for a moment. Its work is not lost, and sending
@@ -421,6 +453,12 @@
         (sent, self.hedge_wins)
     }
 
+    /// Whether the request has its outcome.
+    #[must_use]
+    pub const fn is_finished(&self) -> bool {
+        self.finished
+    }
+
     /// Returns the number of attempts sent.
     #[must_use]
     pub const fn attempts(&self) -> u32 {
@@ -444,6 +482,9 @@
             if sub_request.has_lent_extra {
                 outcome.unused_loans.push(index);
             }
+            if sub_request.is_in_flight() {
+                outcome.pending.push(index);
+            }
             if sub_request.is_answered() {
                 outcome.answered.push(index);
             } else if sub_request.may_have_run() {
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -92,6 +92,11 @@
         self.state == SubRequestState::Open
     }
 
+    /// Whether this VM has attempts in flight that may still answer.
+    pub(crate) fn is_in_flight(&self) -> bool {
+        self.is_open() && !self.open_attempts.is_empty()
+    }
+
     /// Whether an answer may still arrive.
     pub(crate) fn is_pending(&self) -> bool {
         let is_waiting = matches!(
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -26,6 +26,8 @@
 /// Time for a message between two VMs.
 const VM_DELAY_MS: u64 = 1;
 const HEDGE_DELAY_MS: u64 = 40;
+/// Time after which a broker returns the next part of a handover.
+const REST_MS: u64 = 100;
 
 pub(crate) fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
@@ -286,12 +288,27 @@
         let run = self.run_mut(id);
         if let Some(origin) = run.origin {
             let group = run.run.group_outcome();
+            let has_rest = !group.pending.is_empty();
             self.schedule(self.now_ms + VM_DELAY_MS, Event::GroupEnd(origin, group));
+            if has_rest {
+                self.resume(id);
+            }
         } else if matches!(outcome, RelayOutcome::Answered(_)) {
             self.answered += 1;
         }
     }
 
+    /// Lets a broker go on with what it had in flight.
+    fn resume(&mut self, id: u64) {
+        let model = self.runs.get_mut(&id).expect("runs are kept");
+        let started_ms = model.started_at.as_micros() / 1_000;
+        let (part_end, deadline) = (at(self.now_ms + REST_MS), at(started_ms + DEADLINE_MS));
+        let selector = &self.vms[model.vm].selector;
+        let now = at(self.now_ms);
+        let actions = model.run.resume(part_end, deadline, selector, now);
+        self.perform(id, actions);
+    }
+
     /// Runs until the given time.
     pub(crate) fn run_until(&mut self, until_ms: u64) {
         while let Some(Reverse((due_ms, id))) = self.due.peek().copied() {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -963,6 +963,94 @@
     assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
 }
 
+/// Load pattern: a target pauses for longer than a search waits. The broker returns what it has and
+/// goes on with the rest, and the search, which cannot be answered without it, waits for that.
+#[test]
+fn the_rest_of_a_handover_completes_a_search() {
+    let (mut origin, mut selector) = handed_over_run(limits());
+    let mut at_broker = regional_selector();
+    let params = RelayParams {
+        is_handover: true,
+        soft_deadline: at(190),
+        deadline: at(190),
+        ..params(4, true)
+    };
+    let (mut broker, actions) = RelayRun::start(params, &mut at_broker, at(0));
+    let sent = sends(&actions);
+    for send in &sent[..2] {
+        broker.on_attempt_end(
+            send.sub_request,
+            send.attempt,
+            ANSWER,
+            &mut at_broker,
+            at(20),
+        );
+    }
+    let actions = broker.on_wake(&mut at_broker, at(190));
+    assert!(matches!(finish(&actions), Some(RelayOutcome::Answered(_))));
+    let first_part = broker.group_outcome();
+    assert_eq!(first_part.answered, [0, 1]);
+    assert_eq!(first_part.pending, [2, 3]);
+    assert_eq!(first_part.unclear.len(), 2);
+
+    // The origin does not send the pending shards itself, and does not give up.
+    let actions = origin.on_group_end(0, &first_part, &mut selector, at(192));
+    assert!(sends(&actions).is_empty());
+    assert!(finish(&origin.on_wake(&mut selector, at(200))).is_none());
+
+    assert!(sends(&broker.resume(at(290), at(1_900), &at_broker, at(190))).is_empty());
+    let last = &sent[2];
+    let actions = broker.on_attempt_end(
+        last.sub_request,
+        last.attempt,
+        ANSWER,
+        &mut at_broker,
+        at(240),
+    );
+    assert!(finish(&actions).is_none(), "more may come until 290 ms");
+    let actions = broker.on_wake(&mut at_broker, at(290));
+    assert!(finish(&actions).is_some());
+    let second_part = broker.group_outcome();
+    assert_eq!(second_part.pending, [3]);
+
+    // Three of four are enough for the caller.
+    let actions = origin.on_group_end(0, &second_part, &mut selector, at(292));
+    let group = Some(AnswerSource::Group(0));
+    let sources = vec![group, group, group, None];
+    assert_eq!(finish(&actions), Some(RelayOutcome::Answered(sources)));
+}
+
+/// What is not in flight at the broker is left to the origin, so that both do not send it.
+#[test]
+fn a_resumed_handover_sends_nothing_that_was_not_in_flight() {
+    let mut at_broker = regional_selector();
+    let params = RelayParams {
+        is_handover: true,
+        soft_deadline: at(50),
+        deadline: at(50),
+        hedge_delay: Duration::from_millis(500),
+        ..params(4, true)
+    };
+    let (mut broker, actions) = RelayRun::start(params, &mut at_broker, at(0));
+    let sent = sends(&actions);
+    let refused = RelayAttemptOutcome::Refused;
+    let mut open = vec![(sent[0].sub_request, sent[0].attempt)];
+    while let Some((sub_request, attempt)) = open.pop() {
+        let actions = broker.on_attempt_end(sub_request, attempt, refused, &mut at_broker, at(49));
+        open.extend(sends(&actions).iter().map(|s| (s.sub_request, s.attempt)));
+    }
+    broker.on_attempt_end(1, sent[1].attempt, ANSWER, &mut at_broker, at(49));
+    broker.on_wake(&mut at_broker, at(50));
+    let outcome = broker.group_outcome();
+    assert_eq!(outcome.refused, [0]);
+    assert_eq!(outcome.pending, [2, 3]);
+    assert!(sends(&broker.resume(at(150), at(1_900), &at_broker, at(50))).is_empty());
+    for now_ms in [100, 150, 250] {
+        let actions = broker.on_wake(&mut at_broker, at(now_ms));
+        assert!(sends(&actions).is_empty(), "{now_ms}");
+    }
+}
+
 /// Returns a search whose four shards are all handed over, with its selector.
 fn handed_over_run(limits: ExtraAttemptLimits) -> (RelayRun, TargetSelector) {
     let mut selector = TargetSelector::new(limits, at(0));
