--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -32,6 +32,9 @@
 ///
 /// A VM that is powered off does not reply at all, and must be reached soon after it restarts.
 const CONNECT_TIMEOUT_MS: u64 = 300;
+/// Longest time for which a connection that is no longer used for new calls stays open for the calls
+/// in flight, in milliseconds.
+const RETIRED_MAX_MS: u64 = 10_000;
 const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
 
@@ -41,8 +44,8 @@
     request_sender: SendRequest<Bytes>,
     /// Replies received so far, to distinguish a dead connection from one slow call.
     reply_count: Arc<AtomicU64>,
-    /// Cancels the connection's task.
-    stop: CancellationToken,
+    /// Cancelled when the connection must take no further calls.
+    retired: CancellationToken,
 }
 
 type ConnectionSlot = Arc<Mutex<Option<PeerConnection>>>;
@@ -112,8 +115,9 @@
             Err(_) => match sent_on {
                 Some((connection, reply_count)) => {
                     if connection.reply_count.load(Relaxed) == reply_count {
-                        // No call on this connection got a reply meanwhile: it may be dead.
-                        self.shared.close_connection(address, &connection).await;
+                        // No call on this connection got a reply meanwhile: it may be dead. The
+                        // peer may also be slow, so calls in flight keep it.
+                        self.shared.retire_connection(address, &connection).await;
                     }
                     Err(WireError::may_have_run(WireFault::Timeout))
                 }
@@ -139,7 +143,7 @@
         let request_bytes = body.len();
         let connection = self.shared.connection(address).await?;
         let Ok(mut request_sender) = connection.request_sender.clone().ready().await else {
-            self.shared.close_connection(address, &connection).await;
+            self.shared.retire_connection(address, &connection).await;
             return Err(WireError::not_run(WireFault::Broken));
         };
         let (response, mut stream) = request_sender
@@ -177,17 +181,18 @@
         Ok(connection)
     }
 
-    /// Closes a connection. Empties its slot unless the slot already holds a newer one.
-    async fn close_connection(&self, address: SocketAddr, closed: &PeerConnection) {
+    /// Lets a connection end with its last call, and a new one be opened for further calls unless
+    /// that has happened already.
+    async fn retire_connection(&self, address: SocketAddr, retired: &PeerConnection) {
         let slot = self.slot(address);
         let mut slot = slot.lock().await;
         if slot
             .as_ref()
-            .is_some_and(|connection| Arc::ptr_eq(&connection.reply_count, &closed.reply_count))
+            .is_some_and(|connection| Arc::ptr_eq(&connection.reply_count, &retired.reply_count))
         {
             *slot = None;
         }
-        closed.stop.cancel();
+        retired.retired.cancel();
     }
 
     fn slot(&self, address: SocketAddr) -> ConnectionSlot {
@@ -207,17 +212,18 @@
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(stream)
             .await?;
-        let stop = self.stop.child_token();
+        let (stop, retired) = (self.stop.clone(), CancellationToken::new());
         let connection = PeerConnection {
             request_sender,
             reply_count: Arc::default(),
-            stop: stop.clone(),
+            retired: retired.clone(),
         };
         let reply_count = Arc::clone(&connection.reply_count);
         self.tasks.spawn(async move {
             tokio::select! {
                 _ = driver => {}
                 () = stop.cancelled() => {}
+                () = retired_for(&retired, Duration::from_millis(RETIRED_MAX_MS)) => {}
             }
             let mut slot = slot.lock().await;
             let is_own =
@@ -230,6 +236,12 @@
     }
 }
 
+/// Returns once a connection has been retired for `time`.
+async fn retired_for(retired: &CancellationToken, time: Duration) {
+    retired.cancelled().await;
+    tokio::time::sleep(time).await;
+}
+
 fn h2_io_error(_: std::io::Error) -> h2::Error {
     h2::Error::from(h2::Reason::CONNECT_ERROR)
 }
--- a/crates/wire/tests/call.rs
+++ b/crates/wire/tests/call.rs
@@ -87,6 +87,35 @@
     }
 }
 
+/// Load pattern: a peer is slow. A short call that times out there, such as a probe, says nothing
+/// about the work that is in flight on the same connection: it was given up with it.
+#[tokio::test]
+async fn a_call_that_times_out_does_not_end_others_at_a_slow_peer() {
+    let (address, stop, task) = start_server(Arc::default()).await;
+    let client = PeerClient::<u32, u32>::new(Arc::default());
+    let slow = {
+        let client = client.clone();
+        tokio::spawn(async move {
+            client
+                .call(address, TrafficClass::Query, &7, CALL_TIMEOUT)
+                .await
+        })
+    };
+    sleep(Duration::from_millis(10)).await;
+    let short = Duration::from_millis(15);
+    let error = client
+        .call(address, TrafficClass::Control, &0, short)
+        .await
+        .unwrap_err();
+    assert_eq!(error.fault, WireFault::Timeout);
+    assert_eq!(slow.await.unwrap().unwrap(), 14);
+    let next = client.call(address, TrafficClass::Query, &4, CALL_TIMEOUT);
+    assert_eq!(next.await.unwrap(), 8);
+    client.close().await;
+    stop.cancel();
+    task.await.unwrap();
+}
+
 #[tokio::test]
 async fn a_call_to_an_unreachable_peer_has_not_run() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
