Answer requests whose connections were just accepted in a planned stop

When the listener closed, connections that were accepted but had not sent their request yet, and those that waited to be accepted, were closed without an answer. Both are served for 300 ms now. The test failed before (empty answers).

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -4,6 +4,7 @@
 
 use axum::Router;
 use error_stack::ResultExt;
+use futures::FutureExt;
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -19,6 +20,9 @@
 /// Pause after a failed accept, in milliseconds. Accepting fails when the process runs out of file
 /// descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
+/// Time for which connections stay open after the last one was accepted, in milliseconds, so that a
+/// request that was sent before its caller could learn of the stop is read.
+const LAST_REQUESTS_MS: u64 = 300;
 
 /// Binds a listener to `address` and returns it with the bound address.
 pub(crate) async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
@@ -40,6 +44,9 @@
 
 /// Passes accepted connections to `serve` until `stop` is cancelled, then finishes the requests in
 /// flight and closes idle connections.
+///
+/// Load pattern: connections arrive until the last moment. Those that the system has accepted for
+/// this process are served as well, and have time to send their request.
 pub(crate) async fn accept_until(
     listener: TcpListener,
     serve: impl Fn(TcpStream, &GracefulShutdown, &TaskTracker),
@@ -60,7 +67,12 @@
         let _ = stream.set_nodelay(true);
         serve(stream, &graceful, &tasks);
     }
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        let _ = stream.set_nodelay(true);
+        serve(stream, &graceful, &tasks);
+    }
     drop(listener);
+    tokio::time::sleep(Duration::from_millis(LAST_REQUESTS_MS)).await;
     graceful.shutdown().await;
     tasks.close();
     tasks.wait().await;
