--- a/crates/route/src/relay/broker_selector.rs
+++ b/crates/route/src/relay/broker_selector.rs
@@ -82,13 +82,20 @@
     }
 }
 
+/// Identifies a group of shards by its data centre and its key.
+#[derive(Debug, Eq, Hash, PartialEq)]
+struct GroupId {
+    centre: Arc<str>,
+    key: Arc<str>,
+}
+
 /// Chooses the brokers to which this VM hands over shards of searches.
 #[derive(Debug, Default)]
 pub struct BrokerSelector {
     brokers: Vec<BrokerState>,
-    /// Indexes of the brokers by the data centre and the key of a group, the first one ranked
-    /// highest. Cleared when the list of brokers changes.
-    rankings: HashMap<(Arc<str>, Arc<str>), Arc<[usize]>>,
+    /// Indexes of the brokers by group, the first one ranked highest. Cleared when the list of
+    /// brokers changes.
+    rankings: HashMap<GroupId, Arc<[usize]>>,
     /// Advances with each choice, so that equally loaded brokers take turns.
     rotation: usize,
 }
@@ -135,7 +142,10 @@
 
     /// Returns the indexes of the brokers in `centre`, ordered by their weight for `key`.
     fn ranking(&mut self, centre: &Arc<str>, key: &Arc<str>) -> Arc<[usize]> {
-        let group = (Arc::clone(centre), Arc::clone(key));
+        let group = GroupId {
+            centre: Arc::clone(centre),
+            key: Arc::clone(key),
+        };
         let ranking = self.rankings.entry(group).or_insert_with(|| {
             let brokers = self.brokers.iter().enumerate();
             let in_centre = brokers.filter(|(_, broker)| broker.endpoint.centre == *centre);
--- a/crates/route/tests/relay_notices.rs
+++ b/crates/route/tests/relay_notices.rs
@@ -270,7 +270,7 @@
     let refused = RelayRefusal {
         reason: RefusalReason::TargetsClosed,
         verdict: RunVerdict::NotRun,
-        retry_after: Some(Duration::from_millis(2_000)),
+        retry_after: Some(Duration::from_secs(2)),
     };
     assert_eq!(refusal(&actions), Some(refused));
 }
