--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -10,6 +10,7 @@
 mod burst_share;
 mod latency_table;
 mod merge;
+mod message;
 mod notice_table;
 mod run;
 mod selector;
@@ -22,11 +23,12 @@
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
     latency_table::LatencyTable,
     merge::{RECORD_BYTES, merge_records},
-    notice_table::{NoticeChange, TargetNotice},
-    run::{
+    message::{
         AnswerSource, GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
-        RelayParams, RelayRefusal, RelayRun, UnclearSubRequest,
+        RelayParams, RelayRefusal, UnclearSubRequest,
     },
+    notice_table::{NoticeChange, TargetNotice},
+    run::RelayRun,
     selector::{PickCriteria, RelayTarget, TargetPick, TargetSelector, TargetSnapshot},
     shard_group::ShardGroup,
     target_tracker::{AttemptSignal, Locality},
--- /dev/null
+++ b/crates/route/src/relay/message.rs
@@ -0,0 +1,181 @@
+//! What goes into the state machine of a relayed request and what comes out of it.
+
+use std::{sync::Arc, time::Duration};
+
+use fulmarweir_base::{MonoTime, RunVerdict};
+
+use super::{
+    attempt_budget::AttemptCharge, selector::RelayTarget, shard_group::ShardGroup,
+    target_tracker::AttemptSignal,
+};
+use crate::{AttemptKind, RefusalReason, ReportedLoad};
+
+/// Parameters of one relayed request.
+#[derive(Clone, Debug)]
+pub struct RelayParams {
+    /// Services that must answer, one sub-request each.
+    pub services: Vec<Arc<str>>,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Maximum number of targets per service on which the request may run.
+    pub targets_max: u32,
+    /// Minimum share of the services that must answer.
+    pub coverage_min: f64,
+    /// Whether another VM handed over the request and assembles the answer. All available answers
+    /// are then returned at the soft deadline, and no service is left out earlier.
+    pub is_handover: bool,
+    /// When an answer with sufficient coverage is returned, even if it is incomplete.
+    pub soft_deadline: MonoTime,
+    /// When the request is given up.
+    pub deadline: MonoTime,
+    /// How long to wait for an attempt before a hedge is sent.
+    pub hedge_delay: Duration,
+    /// Groups of services that are handed over to brokers. Their outcomes must be reported to
+    /// [`crate::RelayRun::on_group_end`].
+    pub handover_groups: Vec<ShardGroup>,
+    /// Services for each of which the VM that handed over the request pays for one extra attempt,
+    /// by their index in `services`.
+    pub lent_extra: Vec<usize>,
+    /// A random number from 0 to 1, by which refused callers return at different times.
+    pub retry_spread: f64,
+}
+
+/// The outcome of a handover of a group of services, by their index in [`RelayParams::services`].
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GroupOutcome {
+    /// Whether the broker accepted the group, so that it counted the first attempts.
+    pub accepted: bool,
+    /// Services with an answer.
+    pub answered: Vec<usize>,
+    /// Services without an answer that may have run.
+    pub unclear: Vec<UnclearSubRequest>,
+    /// Services without an answer that did not run, since the targets refused all attempts.
+    pub refused: Vec<usize>,
+    /// Services without an answer for which the broker still has attempts in flight, which are also
+    /// in `unclear`. Another outcome of the group follows.
+    pub pending: Vec<usize>,
+    /// Services for which the broker did not use the lent extra attempt.
+    pub unused_loans: Vec<usize>,
+}
+
+/// A sub-request without an answer that may have run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnclearSubRequest {
+    /// Index of the service in [`RelayParams::services`].
+    pub sub_request: usize,
+    /// Targets on which the sub-request may have run; empty if they are unknown.
+    pub ran: Vec<Arc<str>>,
+}
+
+/// The source of the answer of one service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerSource {
+    /// The attempt with this number.
+    Attempt(u32),
+    /// The broker of the group with this index in [`RelayParams::handover_groups`].
+    Group(usize),
+}
+
+/// One attempt to send.
+#[derive(Clone, Debug)]
+pub struct RelayAttempt {
+    /// Number of the attempt within the request.
+    pub attempt: u32,
+    /// Index of the service in [`RelayParams::services`].
+    pub sub_request: usize,
+    /// Target to which the attempt is sent.
+    pub target: Arc<RelayTarget>,
+    /// Whether to use a new connection, since an earlier attempt at the target got no answer.
+    pub new_connection: bool,
+    /// How long the connection may stay idle afterwards.
+    pub idle_timeout: Duration,
+    /// Whether this is the first attempt, a hedge or a retry of the sub-request.
+    pub kind: AttemptKind,
+    /// How the attempt is charged to the budget of extra attempts.
+    pub charge: AttemptCharge,
+}
+
+/// How an attempt of a relayed request ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RelayAttemptOutcome {
+    /// The target returned a usable answer.
+    Answered {
+        /// Load that the target reported with the answer.
+        load: Option<ReportedLoad>,
+    },
+    /// The target reported that the request did not run.
+    Refused,
+    /// Another target now listens at the address; the request did not run.
+    Moved,
+    /// The request was not sent, since no connection could be established.
+    Unreachable,
+    /// The request was not sent, since no connection was free.
+    NoConnection,
+    /// The request was not sent, since the target closed the new connection, as one over its
+    /// connection limit does.
+    OverLimit,
+    /// The request was not sent, since the target asked for time or left while the attempt waited
+    /// for a connection.
+    Withheld,
+    /// The target reset a new connection soon after the request was sent; it may have run.
+    Rejected,
+    /// The target replied with a failure.
+    FailureReply,
+    /// The connection broke or the answer was unusable; the request may have run.
+    Broken,
+}
+
+impl RelayAttemptOutcome {
+    /// Whether the outcome proves that the attempt did not reach its target.
+    pub(crate) const fn is_not_sent(self) -> bool {
+        matches!(
+            self,
+            Self::Unreachable | Self::NoConnection | Self::OverLimit | Self::Withheld
+        )
+    }
+
+    /// Returns what the outcome says about the target, for an attempt that took `latency`.
+    pub(crate) const fn signal(self, latency: Duration) -> AttemptSignal {
+        match self {
+            Self::Answered { load } => AttemptSignal::Answered { latency, load },
+            Self::Refused | Self::OverLimit | Self::Rejected => AttemptSignal::Refused,
+            Self::Moved => AttemptSignal::Moved,
+            Self::Unreachable => AttemptSignal::Unreachable,
+            Self::NoConnection | Self::Withheld => AttemptSignal::Neutral,
+            Self::FailureReply | Self::Broken => AttemptSignal::Failed,
+        }
+    }
+}
+
+/// Why a request was refused or given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RelayRefusal {
+    /// Reason of the refusal.
+    pub reason: RefusalReason,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// Time after which the caller may retry.
+    pub retry_after: Option<Duration>,
+}
+
+/// How a relayed request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RelayOutcome {
+    /// The source of the answer of each sub-request, `None` for those left out.
+    Answered(Vec<Option<AnswerSource>>),
+    /// The failure reply to the attempt with this number is forwarded to the caller.
+    TargetFailure(u32),
+    /// The request is refused without an answer.
+    Refused(RelayRefusal),
+}
+
+/// An action that the owner of a [`crate::RelayRun`] must perform.
+#[derive(Debug)]
+pub enum RelayAction {
+    /// Send an attempt, and report its end to [`crate::RelayRun::on_attempt_end`].
+    Send(RelayAttempt),
+    /// Call [`crate::RelayRun::on_wake`] at this time; replaces the previously requested time.
+    Wake(MonoTime),
+    /// Answer the caller. This is the last action of a request.
+    Finish(RelayOutcome),
+}
--- /dev/null
+++ b/crates/route/src/relay/run/finish.rs
@@ -0,0 +1,256 @@
+//! When a request is answered, refused or given up.
+//!
+//! Load patterns: a shard does not answer, so the answer goes out without it; no target accepts the
+//! request, or all have asked for time, so it is refused at once; callers that were refused come
+//! back.
+
+use std::time::Duration;
+
+use fulmarweir_base::{MonoTime, RunVerdict};
+
+use super::RelayRun;
+use crate::{
+    RefusalReason,
+    relay::{
+        message::{AnswerSource, RelayAction, RelayOutcome, RelayRefusal},
+        selector::TargetSelector,
+        sub_request::{SubRequest, SubRequestState},
+    },
+};
+
+/// A request that no target has accepted is refused after the time to its soft deadline divided by
+/// the first divisor, or its total time divided by the second one, whichever is later.
+const ACCEPT_SOFT_DIVISOR: u32 = 4;
+const ACCEPT_TOTAL_DIVISOR: u32 = 8;
+/// Minimum time after which a refused caller is told to retry.
+const RETRY_AFTER_MIN_MS: u64 = 50;
+/// Refused callers are told to retry up to this part later than necessary, each by a random share.
+const RETRY_SPREAD_DIVISOR: u32 = 4;
+
+impl RelayRun {
+    /// Whether too few services have a target for the request to be answered.
+    pub(super) fn too_few_targets(&self, selector: &TargetSelector, now: MonoTime) -> bool {
+        let with_target = self
+            .sub_requests
+            .iter()
+            .filter(|sub_request| selector.has_target(&sub_request.service, now));
+        !self.has_coverage(with_target.count())
+    }
+
+    /// Whether too few services have a target that accepts requests soon enough.
+    ///
+    /// Load pattern: the targets of some shards are so full that they have asked for seconds of
+    /// rest. A search that cannot do without these shards is refused before it costs the other
+    /// targets anything, and its caller learns when to come back.
+    pub(super) fn too_few_open(&self, selector: &TargetSelector, now: MonoTime) -> bool {
+        let is_open = |(index, sub_request): &(usize, &SubRequest)| {
+            let closed_until = selector.closed_until(&sub_request.service, now);
+            closed_until.is_none_or(|until| until <= self.reopening_awaited_until(*index))
+                // Targets tell each VM separately, so a broker may still use them.
+                || self.is_handed_over(*index)
+        };
+        let open = self.sub_requests.iter().enumerate().filter(is_open);
+        !self.has_coverage(open.count())
+    }
+
+    /// Returns until when a sub-request waits for a target that has asked for time.
+    pub(super) fn reopening_awaited_until(&self, sub_request: usize) -> MonoTime {
+        if self.sub_requests[sub_request].reached_attempts > 0 {
+            self.params.soft_deadline
+        } else {
+            self.accept_deadline()
+        }
+    }
+
+    /// Whether one more sub-request may fail without failing the request.
+    ///
+    /// Load pattern: all replicas of one shard are overloaded. Searches that leave it out are
+    /// answered in time, and its queue drains for later ones.
+    pub(super) fn tolerates_another_failure(&self) -> bool {
+        let not_failed = self
+            .sub_requests
+            .iter()
+            .filter(|sub_request| sub_request.state != SubRequestState::Failed);
+        !self.params.is_handover
+            && self.sub_requests.len() > 1
+            && self.has_coverage(not_failed.count().saturating_sub(1))
+    }
+
+    /// Whether this number of answers is sufficient for an answer to the caller.
+    fn has_coverage(&self, answered: usize) -> bool {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "counts of sub-requests are small"
+        )]
+        let coverage = answered as f64 / self.sub_requests.len().max(1) as f64;
+        answered > 0 && (self.params.is_handover || coverage >= self.params.coverage_min)
+    }
+
+    /// Finishes the request if it is decided or out of time, else requests the next wake-up.
+    pub(super) fn finish_or_wake(
+        &mut self,
+        selector: &TargetSelector,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if self.can_answer(now) {
+            return self.answer(actions);
+        }
+        let pending = self
+            .sub_requests
+            .iter()
+            .filter(|sub_request| sub_request.is_pending());
+        let pending = pending.count();
+        if pending == 0 && self.has_coverage(self.answered) {
+            return self.answer(actions);
+        }
+        if !self.has_coverage(self.answered + pending) {
+            return self.give_up(selector, now, actions);
+        }
+        if now >= self.params.deadline {
+            return self.refuse(RefusalReason::Deadline, selector, now, actions);
+        }
+        if self.accept_timed_out(now) {
+            return self.refuse(RefusalReason::TargetsRefused, selector, now, actions);
+        }
+        let next = self.next_wake(now);
+        if self.wake_at != Some(next) {
+            self.wake_at = Some(next);
+            actions.push(RelayAction::Wake(next));
+        }
+    }
+
+    /// Whether all services have answered, or enough of them by the soft deadline.
+    pub(super) fn can_answer(&self, now: MonoTime) -> bool {
+        let is_complete = self.answered == self.sub_requests.len();
+        is_complete || (now >= self.params.soft_deadline && self.has_coverage(self.answered))
+    }
+
+    /// Whether no target has accepted the request by its accept deadline.
+    ///
+    /// Load pattern: all VMs restart, and targets are over their connection limits until they
+    /// notice that the connections of the processes before are gone. Callers that are refused have
+    /// few retries, and this passes soon, so such a request waits.
+    fn accept_timed_out(&self, now: MonoTime) -> bool {
+        now >= self.accept_deadline()
+            && self.verdict() == RunVerdict::NotRun
+            && !self
+                .sub_requests
+                .iter()
+                .any(|sub_request| sub_request.over_limit)
+    }
+
+    /// Returns the time by which a target must have accepted the request.
+    fn accept_deadline(&self) -> MonoTime {
+        let soft = self.params.soft_deadline.since(self.started_at) / ACCEPT_SOFT_DIVISOR;
+        let total = self.params.deadline.since(self.started_at) / ACCEPT_TOTAL_DIVISOR;
+        self.started_at + soft.max(total)
+    }
+
+    fn next_wake(&self, now: MonoTime) -> MonoTime {
+        let mut wake_at = self.params.deadline;
+        for at in [self.params.soft_deadline, self.accept_deadline()] {
+            if at > now {
+                wake_at = wake_at.min(at);
+            }
+        }
+        let open = self
+            .sub_requests
+            .iter()
+            .filter(|sub_request| sub_request.is_open());
+        open.filter_map(|sub_request| sub_request.next_attempt_at)
+            .fold(wake_at, MonoTime::min)
+    }
+
+    fn answer(&mut self, actions: &mut Vec<RelayAction>) {
+        self.finished = true;
+        let source = |sub_request: &SubRequest| match sub_request.state {
+            SubRequestState::Answered(attempt) => Some(AnswerSource::Attempt(attempt)),
+            SubRequestState::AnsweredByBroker(group) => Some(AnswerSource::Group(group)),
+            SubRequestState::Open | SubRequestState::HandedOver(_) | SubRequestState::Failed => {
+                None
+            }
+        };
+        let sources = self.sub_requests.iter().map(source).collect();
+        actions.push(RelayAction::Finish(RelayOutcome::Answered(sources)));
+    }
+
+    /// Finishes a request that can no longer get enough answers.
+    fn give_up(
+        &mut self,
+        selector: &TargetSelector,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if let [sub_request] = self.sub_requests.as_slice()
+            && let Some(reply) = sub_request.failure_reply
+        {
+            self.finished = true;
+            actions.push(RelayAction::Finish(RelayOutcome::TargetFailure(reply)));
+            return;
+        }
+        let reason = match self.verdict() {
+            RunVerdict::NotRun if self.too_few_targets(selector, now) => RefusalReason::NoTargets,
+            RunVerdict::NotRun if self.too_few_open(selector, now) => RefusalReason::TargetsClosed,
+            RunVerdict::NotRun => RefusalReason::TargetsRefused,
+            _ if self.sub_requests.len() > 1 => RefusalReason::LowCoverage,
+            _ => RefusalReason::Undecided,
+        };
+        self.refuse(reason, selector, now, actions);
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        reason: RefusalReason,
+        selector: &TargetSelector,
+        now: MonoTime,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        self.finished = true;
+        let refusal = RelayRefusal {
+            reason,
+            verdict: self.verdict(),
+            retry_after: Some(self.retry_after(selector, now)),
+        };
+        actions.push(RelayAction::Finish(RelayOutcome::Refused(refusal)));
+    }
+
+    /// Returns the time after which enough services are expected to accept the request, plus a
+    /// random part.
+    ///
+    /// Load pattern: the callers that were refused while a target was closed return all at once
+    /// when it opens, and close it again.
+    fn retry_after(&self, selector: &TargetSelector, now: MonoTime) -> Duration {
+        let wait = |sub_request: &SubRequest| {
+            let service = &sub_request.service;
+            // What failed for another reason says nothing about when it will not.
+            let has_estimate =
+                sub_request.is_open() || selector.closed_until(service, now).is_some();
+            let wait = has_estimate.then(|| selector.estimated_wait(service, now));
+            wait.unwrap_or_default()
+        };
+        let unanswered = self.sub_requests.iter().filter(|s| !s.is_answered());
+        let mut waits: Vec<Duration> = unanswered.map(wait).collect();
+        waits.sort_unstable();
+        let dispensable = (0..self.sub_requests.len()).take_while(|missing| {
+            let answered = self.sub_requests.len() - missing - 1;
+            self.has_coverage(answered)
+        });
+        let last_needed = waits.len().saturating_sub(dispensable.count() + 1);
+        let wait = waits.get(last_needed).copied().unwrap_or_default();
+        let wait = wait.max(Duration::from_millis(RETRY_AFTER_MIN_MS));
+        let spread = self.params.retry_spread.clamp(0.0, 1.0);
+        wait + (wait / RETRY_SPREAD_DIVISOR).mul_f64(spread)
+    }
+
+    /// Whether a sub-request for which the budget allows no attempt fails instead of waiting.
+    ///
+    /// Load pattern: many shards are slow at once and their budgets are empty. They recover only
+    /// over seconds, while a caller that is refused at once can retry, which counts as a new
+    /// request.
+    pub(super) fn fails_without_budget(&self, sub_request: usize, now: MonoTime) -> bool {
+        let progress = &self.sub_requests[sub_request];
+        let is_late = self.params.idempotent && now >= self.params.soft_deadline;
+        progress.open_attempts.is_empty() && (is_late || progress.pinned_centre.is_some())
+    }
+}
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{attempt_budget::AttemptCharge, run::RelayAttempt, selector::RelayTarget};
+use super::{attempt_budget::AttemptCharge, message::RelayAttempt, selector::RelayTarget};
 
 /// The state of a sub-request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
