Log lost attempts with the fingerprint of the request and the state of its target's address

Neither logs nor metrics told whether requests lost at two targets are the same one, nor whether a connection ended with its target. No logic changes: the probe of the address is read by the log line and the counter attempt_losses.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -25,6 +25,12 @@
     pub(crate) distance: &'static str,
 }
 
+/// What the address of a target did when a connection was opened to it.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ProbeLabel {
+    pub(crate) address: &'static str,
+}
+
 /// Kind of an attempt: first, hedge or retry.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct KindLabel {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -8,6 +8,7 @@
 
 mod adapter;
 mod answer;
+mod attempt_loss;
 mod body;
 mod broker;
 mod broker_directory;
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -103,7 +103,9 @@
     }
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
+    let fingerprint = RelayMessage::fingerprint_of(&head.method, &head.uri, &headers, &body);
     let message = RelayMessage {
+        fingerprint,
         method: head.method,
         uri: origin_form(&head.uri),
         headers,
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -8,15 +8,19 @@
 use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayReply};
 use fulmarweir_route::{
     GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
-    RelayRun, RelayTarget, StatedLimit, TargetNotice,
+    RelayRun, RelayTarget, RequestFingerprint, StatedLimit, TargetNotice,
 };
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use http::{HeaderMap, HeaderValue, Method, Request, Uri};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Uri, header,
+    uri::{Authority, PathAndQuery},
+};
 use http_body_util::Full;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use super::{
     adapter::ReplyClass,
+    attempt_loss::examine_loss,
     entry::EntryNode,
     handover::{FinishedHandover, Handover, fetch_rest, hand_over},
     handover_message::GroupReply,
@@ -36,6 +40,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What makes this request the same as others, whatever its id.
+    pub(crate) fingerprint: RequestFingerprint,
     /// The caller's id of this request, which targets return in their replies.
     pub(crate) request_id: HeaderValue,
     pub(crate) route: Arc<str>,
@@ -43,6 +49,22 @@
     pub(crate) deadline: MonoTime,
 }
 
+impl RelayMessage {
+    /// Returns the fingerprint of a request with these parts. The caller's organisation is the host
+    /// that the request names.
+    pub(crate) fn fingerprint_of(
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> RequestFingerprint {
+        let named = headers.get(header::HOST).and_then(|h| h.to_str().ok());
+        let host = named.or_else(|| uri.authority().map(Authority::as_str));
+        let path = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+        RequestFingerprint::of(method.as_str(), host.unwrap_or_default(), path, body)
+    }
+}
+
 /// A finished attempt.
 struct FinishedAttempt {
     sub_request: usize,
@@ -419,6 +441,9 @@
             if fault == RelayFault::Broken {
                 node.pool.close_idle(address);
             }
+            if matches!(fault, RelayFault::Broken | RelayFault::Rejected) {
+                examine_loss(&node, &message, &attempt, fault, sent_at).await;
+            }
             let outcome = match fault {
                 RelayFault::Connect => RelayAttemptOutcome::Unreachable,
                 RelayFault::NotSent => RelayAttemptOutcome::NoConnection,
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -45,6 +45,7 @@
         route: Arc::clone(&routed.rule.name),
         sub_requests: encode_indexes(sub_requests),
         lent_extra: encode_indexes(lent_extra),
+        fingerprint: message.fingerprint,
         method: message.method.as_str().to_owned(),
         uri: message.uri.to_string(),
         headers: encode_headers(&message.headers),
@@ -66,6 +67,7 @@
     let request_id = headers.get(&node.adapter.headers.request_id)?.clone();
     let deadline = now + Duration::from_millis(request.time_left_ms);
     let message = RelayMessage {
+        fingerprint: request.fingerprint,
         method: Method::from_bytes(request.method.as_bytes()).ok()?,
         uri: request.uri.parse().ok()?,
         headers,
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -17,7 +17,8 @@
 };
 
 use crate::metrics::{
-    ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ReasonLabel, ServiceLabel, render_registry,
+    ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ProbeLabel, ReasonLabel, ServiceLabel,
+    render_registry,
 };
 
 type CountGauge = Gauge<u64, AtomicU64>;
@@ -32,6 +33,7 @@
     pub(crate) attempt_charges: Family<ChargeLabel, Counter>,
     pub(crate) attempt_distances: Family<DistanceLabel, Counter>,
     pub(crate) attempt_failures: Family<ReasonLabel, Counter>,
+    pub(crate) attempt_losses: Family<ProbeLabel, Counter>,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
     pub(crate) handovers: Family<OutcomeLabel, Counter>,
     pub(crate) target_notices: Family<KindLabel, Counter>,
@@ -70,6 +72,7 @@
             attempt_charges: Family::default(),
             attempt_distances: Family::default(),
             attempt_failures: Family::default(),
+            attempt_losses: Family::default(),
             hedges: Family::default(),
             handovers: Family::default(),
             target_notices: Family::default(),
@@ -135,6 +138,11 @@
             "Attempts without a usable answer, by reason",
             self.attempt_failures.clone(),
         );
+        registry.register(
+            "attempt_losses",
+            "Attempts whose connection ended without an answer, by what the target's address did next",
+            self.attempt_losses.clone(),
+        );
         registry.register("hedges", "Second attempts, by outcome", self.hedges.clone());
         registry.register(
             "handovers",
@@ -228,7 +236,13 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
-    /// Counts a handover by its outcome.
+    /// Counts an attempt whose connection ended without an answer.
+    pub(crate) fn count_attempt_loss(&self, address: &'static str) {
+        let label = ProbeLabel { address };
+        self.attempt_losses.get_or_create(&label).inc();
+    }
+
+    /// Counts something that a target has said about itself.
     pub(crate) fn count_target_notice(&self, kind: &'static str) {
         self.target_notices.get_or_create(&KindLabel { kind }).inc();
     }
@@ -239,6 +253,7 @@
         self.permits.get_or_create(&label).inc_by(count as u64);
     }
 
+    /// Counts a handover by its outcome.
     pub(crate) fn count_handover(&self, outcome: &'static str) {
         let label = OutcomeLabel { outcome };
         self.handovers.get_or_create(&label).inc();
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_fleet::{RegistryCursor, RegistryDelta};
 use fulmarweir_quorum::{VoterReply, VoterRequest, VoterSet};
-use fulmarweir_route::{LimitReport, PermitAsk, PermitGrant};
+use fulmarweir_route::{LimitReport, PermitAsk, PermitGrant, RequestFingerprint};
 use serde::{Deserialize, Serialize};
 
 /// The addresses and the data centre of a keeper.
@@ -87,6 +87,7 @@
     /// Indexes of the shards for each of which the origin has charged an extra attempt, which the
     /// broker may send.
     pub(crate) lent_extra: Vec<u16>,
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) method: String,
     pub(crate) uri: String,
     pub(crate) headers: Vec<(String, Vec<u8>)>,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,7 +26,7 @@
 mod table;
 
 pub use connection_pool::{ConnectionPool, PoolUsage, TargetShare};
-pub use relay_pool::{ConnectionReuse, RelayFault, RelayPool, RelayReply};
+pub use relay_pool::{AddressProbe, ConnectionReuse, RelayFault, RelayPool, RelayReply};
 pub use request::{
     ReportedLoad, RequestKind, TargetAnswer, TargetError, TargetFault, TargetRequest,
 };
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Mutex,
@@ -24,6 +25,8 @@
 /// Time limit for opening a connection, in milliseconds: twice the longest network latency plus
 /// the time to retry after the target's accept queue was full.
 const CONNECT_TIMEOUT_MS: u64 = 400;
+/// Time limit of a probe of an address, in milliseconds: a round trip between regions, and some lag.
+const PROBE_TIMEOUT_MS: u64 = 100;
 /// Idle timeout of a connection whose target states none, in milliseconds.
 const IDLE_TIMEOUT_DEFAULT_MS: u64 = 4_000;
 /// Time before the target's idle timeout from which a connection is not reused, in milliseconds.
@@ -85,6 +88,29 @@
     }
 }
 
+/// Whether a process listens at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AddressProbe {
+    /// A connection could be opened.
+    Listening,
+    /// Connections are refused.
+    Refusing,
+    /// There was no reply in time.
+    Silent,
+}
+
+impl AddressProbe {
+    /// Returns the label of this result in metrics and logs; it never changes.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Listening => "listening",
+            Self::Refusing => "refusing",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Time after a target reset a new connection in which it is expected to reset others, in
 /// milliseconds.
 const RESET_TTL_MS: u64 = 2_000;
@@ -277,6 +303,18 @@
         }
     }
 
+    /// Opens a connection to find out whether a process still listens at `address`.
+    pub async fn probe(&self, address: SocketAddr) -> AddressProbe {
+        let time_limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+        match timeout(time_limit, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => AddressProbe::Listening,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                AddressProbe::Refusing
+            }
+            Ok(Err(_)) | Err(_) => AddressProbe::Silent,
+        }
+    }
+
     /// Closes all idle connections to `address`, e.g. after one of them turned out to be dead.
     pub fn close_idle(&self, address: SocketAddr) {
         if let Some(state) = lock(&self.addresses).get_mut(&address) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -58,8 +58,8 @@
     LimitReport, LimitedCounts, LimitedLoad, Locality, NoticeChange, PermitAsk, PermitAsker,
     PermitCall, PermitGrant, PermitGrantor, PickCriteria, RECORD_BYTES, RelayAction, RelayAttempt,
     RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget,
-    RequestRank, SendPermit, ShardGroup, StatedLimit, TargetChoice, TargetNotice, TargetPick,
-    TargetSelector, TargetSnapshot, UnclearSubRequest, merge_records,
+    RequestFingerprint, RequestRank, SendPermit, ShardGroup, StatedLimit, TargetChoice,
+    TargetNotice, TargetPick, TargetSelector, TargetSnapshot, UnclearSubRequest, merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchOutcome, SearchParams, SearchRun};
 pub use service::{
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -8,6 +8,7 @@
 mod attempt_budget;
 mod broker_selector;
 mod burst_share;
+mod fingerprint;
 mod latency_table;
 mod limit;
 mod limit_table;
@@ -25,6 +26,7 @@
 pub use self::{
     attempt_budget::{AttemptCharge, AttemptCounts, BudgetSnapshot},
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
+    fingerprint::RequestFingerprint,
     latency_table::LatencyTable,
     limit::{LimitChange, LimitReport, LimitedCounts, LimitedLoad, StatedLimit},
     limit_table::PermitCall,
