--- a/crates/route/src/relay/crash/quarantine.rs
+++ b/crates/route/src/relay/crash/quarantine.rs
@@ -16,6 +16,8 @@
 /// Longest time of an entry, and its longest list of services, that another VM may set.
 const SPAN_MAX: Duration = Duration::from_hours(24 * 365);
 const SPARED_MAX: usize = 1_024;
+/// Highest epoch that is accepted from another VM; no request changes so often.
+const EPOCH_MAX: u64 = 1 << 32;
 
 /// What is known of a request that was lost with targets.
 ///
@@ -131,7 +133,8 @@
         for entry in entries {
             let rank = (entry.epoch, entry.state);
             let held = self.entries.get(&entry.fingerprint);
-            if held.is_some_and(|held| (held.entry.epoch, held.entry.state) >= rank) {
+            let is_known = held.is_some_and(|held| (held.entry.epoch, held.entry.state) >= rank);
+            if is_known || entry.epoch > EPOCH_MAX {
                 continue;
             }
             let mut entry = entry.clone();
--- a/crates/route/src/relay/run/trial.rs
+++ b/crates/route/src/relay/run/trial.rs
@@ -110,7 +110,7 @@
         let is_single = self.sub_requests.len() == 1;
         match self.trial.state {
             TrialState::Untried | TrialState::OnTrial
-                if was_trial && (self.trial.is_on() || is_single) =>
+                if was_trial && (has_lost_several || self.trial.is_on() || is_single) =>
             {
                 self.trial.state = TrialState::EndsTargets;
                 for index in std::mem::take(&mut self.trial.parked) {
