--- a/crates/route/tests/relay_trial.rs
+++ b/crates/route/tests/relay_trial.rs
@@ -94,7 +94,7 @@
         blocks: 1,
         spared: Vec::new(),
         age: Duration::ZERO,
-        ends_after: Duration::from_secs(600),
+        ends_after: Duration::from_mins(10),
     }
 }
 
