Tell pollers only the entries that changed, and bound those of requests that are not blocked

Found on reading: all targets ending at once put hundreds of requests on trial, and every change sent all entries to every VM, up to 30 KB for each of 300.

--- a/crates/daemon/src/relay/keeper_quarantine.rs
+++ b/crates/daemon/src/relay/keeper_quarantine.rs
@@ -53,7 +53,7 @@
             boot: tally.boot(),
             revision: tally.revision(),
             digest: tally.table().digest(),
-            entries: is_other.then(|| tally.table().entries(now)),
+            entries: is_other.then(|| tally.entries_since(revision, now)),
         }
     }
 
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -87,7 +87,7 @@
     pub(crate) revision: u64,
     /// Sums up the entries.
     pub(crate) digest: u64,
-    /// All entries, if their revision differs from the poller's.
+    /// The entries that have changed since the poller's revision.
     pub(crate) entries: Option<Vec<QuarantineEntry>>,
 }
 
--- a/crates/route/src/relay/crash/quarantine.rs
+++ b/crates/route/src/relay/crash/quarantine.rs
@@ -196,6 +196,11 @@
         self.digest
     }
 
+    /// Returns the number of entries.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns the number of requests that are blocked now.
     #[must_use]
     pub fn blocked_count(&self, now: MonoTime) -> usize {
--- a/crates/route/src/relay/crash/tally.rs
+++ b/crates/route/src/relay/crash/tally.rs
@@ -35,6 +35,9 @@
 const SUSPECT_TTL_MS: u64 = 600_000;
 /// Most suspected requests.
 const SUSPECTS_MAX: usize = 4_096;
+/// Entries from which on only requests that are blocked get one, so that the end of many targets at
+/// once does not flood all VMs with what was running there.
+const WATCHED_ENTRIES_MAX: usize = 256;
 /// Most targets that are kept of one request.
 const CRASHES_MAX: usize = 64;
 /// Time for which a request is watched or tried after the last report, in milliseconds.
@@ -113,6 +116,8 @@
     table: QuarantineTable,
     boot: u64,
     revision: u64,
+    /// Revision of the last change of each entry.
+    changed_at: HashMap<RequestFingerprint, u64>,
     /// When reports are added up.
     due_at: Option<MonoTime>,
 }
@@ -126,6 +131,7 @@
             table: QuarantineTable::default(),
             boot,
             revision: boot,
+            changed_at: HashMap::new(),
             due_at: None,
         }
     }
@@ -148,6 +154,22 @@
         &self.table
     }
 
+    /// Returns the entries that have changed since `revision`, or all if that is of another process.
+    #[must_use]
+    pub fn entries_since(&self, revision: u64, now: MonoTime) -> Vec<QuarantineEntry> {
+        let known = revision.wrapping_sub(self.boot);
+        let is_own = revision != 0 && known <= self.revision.wrapping_sub(self.boot);
+        let mut entries = self.table.entries(now);
+        if is_own {
+            let is_new = |entry: &QuarantineEntry| {
+                let changed_at = self.changed_at.get(&entry.fingerprint);
+                changed_at.is_none_or(|at| at.wrapping_sub(self.boot) > known)
+            };
+            entries.retain(is_new);
+        }
+        entries
+    }
+
     /// Records what a VM or another keeper tells, and returns the entries that are new here.
     pub fn record(&mut self, news: &CrashNews, now: MonoTime) -> Vec<QuarantineEntry> {
         for report in &news.crashes {
@@ -157,7 +179,7 @@
             self.record_answer(report, now);
         }
         let changed = self.table.merge(&news.entries, now);
-        self.count_changes(changed.len());
+        self.count_changes(&changed);
         for entry in &changed {
             // What was reported before is settled by the answer or the operator that another keeper
             // has heard.
@@ -179,7 +201,10 @@
         self.suspects
             .retain(|_, suspect| now.since(suspect.reported_at) < ttl);
         if self.table.remove_expired(now) {
-            self.count_changes(1);
+            let table = &self.table;
+            self.changed_at
+                .retain(|fingerprint, _| table.get(*fingerprint, now).is_some());
+            self.revision = self.revision.wrapping_add(1);
         }
         if self.due_at.is_none_or(|due_at| now < due_at) {
             return Vec::new();
@@ -187,7 +212,7 @@
         self.due_at = None;
         let mut changed = self.release_cleared(now);
         changed.extend(self.hold_back(now));
-        self.count_changes(changed.len());
+        self.count_changes(&changed);
         changed
     }
 
@@ -213,12 +238,18 @@
         entry.by_operator = true;
         entry.spared.clear();
         let entry = self.table.set(entry, now);
-        self.count_changes(1);
+        self.count_changes(std::slice::from_ref(&entry));
         entry
     }
 
-    fn count_changes(&mut self, count: usize) {
-        self.revision = self.revision.wrapping_add(u64::from(count > 0));
+    fn count_changes(&mut self, changed: &[QuarantineEntry]) {
+        if changed.is_empty() {
+            return;
+        }
+        self.revision = self.revision.wrapping_add(1);
+        for entry in changed {
+            self.changed_at.insert(entry.fingerprint, self.revision);
+        }
     }
 
     fn record_crash(&mut self, report: &CrashReport, now: MonoTime) {
@@ -304,7 +335,7 @@
                 };
                 if entry.state == QuarantineState::Blocked {
                     blocked.push(entry);
-                } else {
+                } else if self.table.len() < WATCHED_ENTRIES_MAX {
                     changed.push(self.table.set(entry, now));
                 }
             }
--- a/crates/route/src/relay/crash/watch.rs
+++ b/crates/route/src/relay/crash/watch.rs
@@ -22,9 +22,9 @@
 /// Time in which a target runs a request that was given up, in milliseconds. If it answers others
 /// after that, it has survived this one.
 const GIVEN_UP_RUN_MS: u64 = 1_000;
-/// Time after the loss of a request in which its answers are reported, in milliseconds.
+/// Time after the loss of a request in which the next answer is reported, in milliseconds.
 const WATCH_TTL_MS: u64 = 600_000;
-/// Most lost requests whose answers are reported.
+/// Most lost requests whose next answer is reported.
 const WATCHED_MAX: usize = 1_024;
 
 /// How an attempt ended, as far as it tells whether its target ended.
@@ -81,8 +81,8 @@
 pub(crate) struct CrashWatch {
     targets: HashMap<TargetIncarnation, TargetRuns>,
     answers: AnswerMemory,
-    /// Requests that this VM has reported as lost, and when.
-    reported: HashMap<RequestFingerprint, MonoTime>,
+    /// Requests that this VM has reported as lost by targets of a service, and when.
+    reported: HashMap<(RequestFingerprint, Arc<str>), MonoTime>,
     pub(crate) outbox: CrashOutbox,
 }
 
@@ -229,7 +229,8 @@
         now: MonoTime,
     ) {
         self.answers.record(fingerprint, service, now);
-        if is_suspected || self.reported.contains_key(&fingerprint) {
+        let reported = (fingerprint, Arc::clone(service));
+        if self.reported.remove(&reported).is_some() || is_suspected {
             self.outbox.push_answer(AnswerSeen {
                 fingerprint,
                 service: Arc::clone(service),
@@ -245,7 +246,8 @@
         };
         for run in state.runs.extract_if(.., |run| run.left.is_some()) {
             if self.reported.len() < WATCHED_MAX {
-                self.reported.insert(run.fingerprint, now);
+                let reported = (run.fingerprint, Arc::clone(&state.service));
+                self.reported.insert(reported, now);
             }
             self.outbox.push_crash(CrashSeen {
                 fingerprint: run.fingerprint,
--- a/crates/route/tests/crash_tally.rs
+++ b/crates/route/tests/crash_tally.rs
@@ -373,3 +373,39 @@
     }
     assert_eq!(same.to_string().parse(), Ok(same));
 }
+
+/// All targets end at once, under thousands of different requests.
+#[test]
+fn the_end_of_many_targets_at_once_does_not_flood_vms() {
+    let mut tally = CrashTally::new(7);
+    for number in 0..3_000 {
+        let path = format!("/{number}");
+        for target in ["t0", "t1", "t2"] {
+            tell_crash(&mut tally, &path, target, 1_000, 1_050);
+        }
+    }
+    tally.decide(at(1_300));
+    assert_eq!(tally.table().entries(at(1_300)).len(), 256);
+    for (sent_ms, target) in [(2_000, "t3"), (2_500, "t4")] {
+        tell_crash(&mut tally, "/0", target, sent_ms, sent_ms + 50);
+    }
+    tally.decide(at(3_000));
+    assert_eq!(state(&tally, "/0", 3_000), Some(QuarantineState::Blocked));
+}
+
+#[test]
+fn pollers_get_what_has_changed_since_their_last_poll() {
+    let mut tally = CrashTally::new(7);
+    assert_eq!(tally.entries_since(0, at(1)).len(), 0);
+    tally.set_by_operator(fingerprint("/a"), None, at(1));
+    let known = tally.revision();
+    tally.set_by_operator(fingerprint("/b"), None, at(2));
+    assert_eq!(tally.entries_since(0, at(3)).len(), 2);
+    assert_eq!(tally.entries_since(known, at(3)).len(), 1);
+    assert_eq!(tally.entries_since(tally.revision(), at(3)).len(), 0);
+    assert_eq!(
+        tally.entries_since(tally.revision() + 1, at(3)).len(),
+        2,
+        "another process"
+    );
+}
