--- a/crates/daemon/src/relay/attempt_loss.rs
+++ b/crates/daemon/src/relay/attempt_loss.rs
@@ -12,8 +12,8 @@
 
 use super::{driver::RelayMessage, entry::EntryNode};
 
-/// Delay of the second probe of a target that still accepted connections, in milliseconds: it may
-/// have been ending, or its restart is due.
+/// Delay of the second probe of a target whose first one did not tell, in milliseconds: it may have
+/// been ending.
 const SECOND_PROBE_DELAY_MS: u64 = 150;
 
 /// Returns the outcome of an attempt whose connection ended without an answer; logs and counts it.
@@ -44,7 +44,7 @@
     if has_crashed {
         return RelayAttemptOutcome::Crashed;
     }
-    if probe != AddressProbe::Refusing {
+    if matches!(probe, AddressProbe::Closing | AddressProbe::Silent) {
         probe_again(node, target);
     }
     match fault {
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -96,8 +96,11 @@
 /// Whether a process listens at an address.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AddressProbe {
-    /// A connection could be opened.
+    /// A connection could be opened and stays open.
     Listening,
+    /// Connections are accepted and closed at once, as by a process that is ending, or one that is over
+    /// its connection limit.
+    Closing,
     /// Connections are refused.
     Refusing,
     /// There was no reply in time.
@@ -110,6 +113,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Listening => "listening",
+            Self::Closing => "closing",
             Self::Refusing => "refusing",
             Self::Silent => "silent",
         }
@@ -313,7 +317,7 @@
     /// Opens a connection to find out whether a process still listens at `address`.
     pub async fn probe(&self, address: SocketAddr) -> AddressProbe {
         let time_limit = Duration::from_millis(PROBE_TIMEOUT_MS);
-        let probe = timeout(time_limit, probe_until_settled(address)).await;
+        let probe = timeout(time_limit, probe_twice(address)).await;
         probe.unwrap_or(AddressProbe::Silent)
     }
 
@@ -463,22 +467,27 @@
     }
 }
 
-/// Opens connections until one stays open or is refused.
-async fn probe_until_settled(address: SocketAddr) -> AddressProbe {
-    let hold = Duration::from_millis(PROBE_HOLD_MS);
-    loop {
-        match TcpStream::connect(address).await {
-            Ok(stream) => {
-                let is_open = timeout(hold, stream.readable()).await.is_err();
-                if is_open || stream.try_read(&mut [0]).is_ok_and(|length| length > 0) {
-                    return AddressProbe::Listening;
-                }
-            }
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return AddressProbe::Refusing;
+/// Opens a connection, and another one if the first is closed at once.
+async fn probe_twice(address: SocketAddr) -> AddressProbe {
+    match probe_once(address).await {
+        AddressProbe::Closing => probe_once(address).await,
+        probe => probe,
+    }
+}
+
+async fn probe_once(address: SocketAddr) -> AddressProbe {
+    match TcpStream::connect(address).await {
+        Ok(stream) => {
+            let hold = Duration::from_millis(PROBE_HOLD_MS);
+            let is_open = timeout(hold, stream.readable()).await.is_err();
+            if is_open || stream.try_read(&mut [0]).is_ok_and(|length| length > 0) {
+                AddressProbe::Listening
+            } else {
+                AddressProbe::Closing
             }
-            Err(_) => tokio::time::sleep(hold).await,
         }
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => AddressProbe::Refusing,
+        Err(_) => AddressProbe::Closing,
     }
 }
 
--- a/crates/pool/tests/relay_pool.rs
+++ b/crates/pool/tests/relay_pool.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use fulmarweir_base::TimerService;
-use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayPool, RelayReply};
+use fulmarweir_pool::{AddressProbe, ConnectionReuse, RelayFault, RelayPool, RelayReply};
 use http::Request;
 use http_body_util::Full;
 use tokio::{
@@ -386,3 +386,30 @@
     sleep(Duration::from_millis(50)).await;
     assert_eq!(requests.load(SeqCst), 1);
 }
+
+/// A probe tells a target that has ended from one that only lost a connection.
+#[tokio::test]
+async fn a_probe_tells_what_an_address_does() {
+    let pool = new_pool();
+    let listening = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listening.local_addr().unwrap();
+    assert_eq!(pool.probe(address).await, AddressProbe::Listening);
+    drop(listening);
+    assert_eq!(pool.probe(address).await, AddressProbe::Refusing);
+    let closing = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closing.local_addr().unwrap();
+    let accepted = tokio::spawn(async move {
+        let mut accepted = 0;
+        while let Ok(Ok((stream, _))) = timeout(Duration::from_secs(1), closing.accept()).await {
+            accepted += 1;
+            drop(stream);
+        }
+        accepted
+    });
+    assert_eq!(pool.probe(address).await, AddressProbe::Closing);
+    assert_eq!(
+        accepted.await.unwrap(),
+        2,
+        "a target over its limit is not pressed"
+    );
+}
