--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -15,8 +15,8 @@
 use fulmarweir_fleet::{MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
-    BrokerSelector, LatencyTable, Locality, QuarantineEntry, RelayTarget, ShardGroup,
-    TargetSelector,
+    BrokerSelector, LatencyTable, Locality, QuarantineEntry, QuarantineState, RelayTarget,
+    ShardGroup, TargetSelector,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -263,9 +263,21 @@
         let entries = report.entries.as_deref().unwrap_or_default();
         let told = (report.boot, report.digest);
         let changed = self.with_selector(|s| s.apply_quarantine(keeper, told, entries, now));
-        for entry in &changed {
+        self.log_quarantine_changes(&changed, &format!("keeper:{keeper}"));
+    }
+
+    /// Counts and logs changes of what is known of requests. Many change at once when many targets
+    /// end.
+    fn log_quarantine_changes(&self, changed: &[QuarantineEntry], source: &str) {
+        let now = self.timer.now();
+        for entry in changed {
             self.metrics.count_quarantine_change(entry.state);
-            log_quarantine(&self.log, entry, &format!("keeper:{keeper}"));
+            let is_blocked = entry.state == QuarantineState::Blocked;
+            if is_blocked || self.request_log.acquire_degraded_line(now) {
+                log_quarantine(&self.log, entry, source);
+            } else {
+                self.metrics.log_lines_dropped.inc();
+            }
         }
     }
 
@@ -274,10 +286,7 @@
         let now = self.timer.now();
         let entry = std::slice::from_ref(entry);
         let changed = self.with_selector(|selector| selector.merge_quarantine(entry, now));
-        for entry in &changed {
-            self.metrics.count_quarantine_change(entry.state);
-            log_quarantine(&self.log, entry, &format!("broker:{broker}"));
-        }
+        self.log_quarantine_changes(&changed, &format!("broker:{broker}"));
     }
 
     /// Returns the revision of the quarantine that a keeper has told, 0 for none.
--- a/crates/daemon/src/relay/quarantine_log.rs
+++ b/crates/daemon/src/relay/quarantine_log.rs
@@ -3,8 +3,7 @@
 use fulmarweir_route::QuarantineEntry;
 use slog::{Logger, warn};
 
-/// Logs that the state of a request has changed, and who has told so. There are few such lines: each
-/// follows the ends of several targets.
+/// Logs that the state of a request has changed, and who has told so.
 pub(super) fn log_quarantine(log: &Logger, entry: &QuarantineEntry, source: &str) {
     warn!(log, "request-quarantine"; "fingerprint" => %entry.fingerprint,
         "state" => entry.state.as_str(), "crashes" => entry.crashes, "blocks" => entry.blocks,
--- a/crates/route/src/relay/run/trial.rs
+++ b/crates/route/src/relay/run/trial.rs
@@ -63,8 +63,12 @@
 impl RelayRun {
     /// Whether too few services may get the request for it to be answered.
     pub(super) fn too_few_unblocked(&self, selector: &TargetSelector, now: MonoTime) -> bool {
+        let fingerprint = self.params.fingerprint;
+        if !selector.is_held_back(fingerprint, now) {
+            return false;
+        }
         let is_unblocked = |service: &&Arc<str>| {
-            let blocked_until = selector.blocked_until(self.params.fingerprint, service, now);
+            let blocked_until = selector.blocked_until(fingerprint, service, now);
             blocked_until.is_none()
         };
         let services = self.params.services.iter();
