--- a/crates/route/examples/route_cost.rs
+++ b/crates/route/examples/route_cost.rs
@@ -14,8 +14,8 @@
 use fulmarweir_conf::{AnswerPreference, ServiceConfig, ServiceKind};
 use fulmarweir_route::{
     Admission, AdmissionParams, AdmissionPermit, AttemptId, AttemptOutcome, PolicySettings,
-    ReportedLoad, RouteAction, SearchAction, SearchHit, SearchParams, SearchRun, ServiceState,
-    TargetView, merge_hits, parse_hits,
+    ReportedLoad, RequestFingerprint, RouteAction, SearchAction, SearchHit, SearchParams,
+    SearchRun, ServiceState, TargetView, merge_hits, parse_hits,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -25,6 +25,7 @@
 const SEARCHES: u32 = 20_000;
 const REFUSALS: u32 = 1_000_000;
 const MERGES: u32 = 2_000;
+const FINGERPRINTS: u32 = 2_000;
 const HITS_PER_SHARD: u32 = 20;
 const SEARCH_INTERVAL: Duration = Duration::from_millis(6);
 const REPLY_DELAY: Duration = Duration::from_millis(5);
@@ -172,6 +173,18 @@
     duration.as_secs_f64() * 1e6
 }
 
+/// Returns the mean time to digest a request with a body of this size.
+fn time_fingerprints(body_bytes: usize) -> Duration {
+    let body = vec![7; body_bytes];
+    let started = Instant::now();
+    for _ in 0..FINGERPRINTS {
+        let host = black_box("leno12.example");
+        let path = black_box("/nono601/no91/2f");
+        black_box(RequestFingerprint::of("GET", host, path, &body));
+    }
+    started.elapsed() / FINGERPRINTS
+}
+
 fn main() {
     let search = micros(time_searches());
     let per_sub_query = search / f64::from(SHARDS);
@@ -180,6 +193,10 @@
         "refusal                  {:8.3} us",
         micros(time_refusals())
     );
+    for body_bytes in [0, 256 * 1024] {
+        let took = micros(time_fingerprints(body_bytes));
+        println!("fingerprint, {body_bytes:6} B body {took:8.3} us");
+    }
     let (parse, merge) = time_hits(20);
     println!(
         "parse {SHARDS} x {HITS_PER_SHARD} hits        {:8.2} us, merge to 20 {:.2} us",
