Do not take reports that travelled longer for a second round of ended targets

What callers would have seen: a search that ran at several brokers when many targets ended at once, refused for 10 minutes.

Cause: times travel as ages, so a report from another region seems to be later by the way it took. An attempt that was in flight at the common end seemed to have been sent after it, which makes a second round, and two rounds block a request.

Evidence: reports_that_take_longer_do_not_make_a_second_round failed before (Blocked, expected Trial).

--- a/crates/route/src/relay/crash/tally.rs
+++ b/crates/route/src/relay/crash/tally.rs
@@ -26,6 +26,9 @@
 const WATCHED_MIN: usize = 2;
 /// Rounds of targets after which a request is blocked rather than tried at one target.
 const ROUNDS_MIN: usize = 2;
+/// Time after the end of a round from which what was sent belongs to the next one, in milliseconds.
+/// Times travel as ages, so reports from other regions seem to be later by up to this.
+const ROUND_GAP_MS: u64 = 50;
 /// Time after a report in which others about the same target arrive, in milliseconds.
 const SETTLE_MS: u64 = 150;
 /// An answer clears a request of the ends of targets up to this time after it, in milliseconds: what
@@ -94,14 +97,15 @@
 }
 
 /// Returns in how many rounds targets ended: those of a round had the request before any of them
-/// ended.
+/// ended, or soon after.
 fn count_rounds(crashes: &[&SuspectedCrash]) -> usize {
     let mut by_end = crashes.to_vec();
     by_end.sort_unstable_by_key(|crash| crash.ended_at);
+    let gap = Duration::from_millis(ROUND_GAP_MS);
     let mut rounds = 0;
-    let mut round_ended_at = None;
+    let mut round_ended_at: Option<MonoTime> = None;
     for crash in by_end {
-        if round_ended_at.is_none_or(|ended_at| crash.sent_at > ended_at) {
+        if round_ended_at.is_none_or(|ended_at| crash.sent_at > ended_at + gap) {
             rounds += 1;
             round_ended_at = Some(crash.ended_at);
         }
--- a/crates/route/tests/crash_tally.rs
+++ b/crates/route/tests/crash_tally.rs
@@ -136,6 +136,19 @@
     assert_eq!(state(&tally, "/a", 1_700), Some(QuarantineState::Blocked));
 }
 
+/// Targets end at the same moment under a search that brokers ran as well; the reports of VMs in
+/// other regions take longer, so what they tell seems to be later.
+#[test]
+fn reports_that_take_longer_do_not_make_a_second_round() {
+    let mut tally = CrashTally::new(1);
+    for (number, delay_ms) in [1, 1, 20, 20, 45].into_iter().enumerate() {
+        let (sent_ms, ended_ms) = (1_020 + delay_ms, 1_025 + delay_ms);
+        tell_crash(&mut tally, "/a", &format!("t{number}"), sent_ms, ended_ms);
+    }
+    tally.decide(at(1_300));
+    assert_eq!(state(&tally, "/a", 1_300), Some(QuarantineState::Trial));
+}
+
 #[test]
 fn an_answer_releases_a_request() {
     let (mut tally, now_ms) = blocked_tally("/a");
