--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -88,7 +88,6 @@
 
 /// The result of a request.
 pub(crate) struct RelayResult {
-    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) outcome: RelayOutcome,
     /// Replies by attempt number; includes replies that the outcome does not use.
     pub(crate) replies: Vec<(u32, RelayReply)>,
@@ -116,6 +115,7 @@
 
 /// Statistics of one request for its log line.
 pub(crate) struct RelayStats {
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) attempts: u32,
     pub(crate) hedges: u32,
     pub(crate) missing: usize,
@@ -235,6 +235,7 @@
     pub(super) fn take_result(&mut self, outcome: RelayOutcome) -> RelayResult {
         let (hedges, _) = self.run.hedges();
         let stats = RelayStats {
+            fingerprint: self.message.fingerprint,
             attempts: self.run.attempts(),
             hedges,
             missing: self.run.missing(),
@@ -248,7 +249,6 @@
         let replies = std::mem::take(&mut self.replies);
         let notices = std::mem::take(&mut self.notices);
         RelayResult {
-            fingerprint: self.message.fingerprint,
             outcome,
             replies,
             group_replies,
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -122,7 +122,7 @@
         crashes: crashes
             .map(|(index, count)| (sub_requests[*index], *count))
             .collect(),
-        quarantine: lock(&node.selector).quarantine_of(result.fingerprint, now),
+        quarantine: lock(&node.selector).quarantine_of(result.stats.fingerprint, now),
     }
 }
 
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -113,7 +113,7 @@
     }
 }
 
-/// Describes the last fault, and the targets of unanswered services as seen by this VM.
+/// Describes the last fault, the request if it is held back, and the targets of unanswered services as seen by this VM.
 fn target_detail(node: &EntryNode, stats: &RelayStats, now: MonoTime) -> String {
     use std::fmt::Write as _;
     /// Most services that one log line describes.
@@ -124,6 +124,9 @@
         let _ = write!(detail, "fault={fault} ");
     }
     let selector = lock(&node.selector);
+    if selector.is_held_back(stats.fingerprint, now) {
+        let _ = write!(detail, "fingerprint={} ", stats.fingerprint);
+    }
     for service in missing.take(SERVICES_MAX) {
         let _ = write!(detail, "{service}:");
         for snapshot in selector.target_snapshots(service, now) {
