--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -18,6 +18,7 @@
 mod crash_news;
 mod driver;
 mod entry;
+mod entry_quarantine;
 mod handover;
 mod handover_message;
 mod keeper;
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -15,8 +15,7 @@
 use fulmarweir_fleet::{MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
-    BrokerSelector, LatencyTable, Locality, QuarantineEntry, QuarantineState, RelayTarget,
-    ShardGroup, TargetSelector,
+    BrokerSelector, LatencyTable, Locality, RelayTarget, ShardGroup, TargetSelector,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -30,11 +29,10 @@
     limit_log::LimitLog,
     metrics::{RelayMetrics, set_count},
     overload::LoopLag,
-    quarantine_log::log_quarantine,
     request_log::RequestLog,
     rest_table::RestTable,
     target_notices::apply_limit_report,
-    vm_message::{PollReply, QuarantineReport},
+    vm_message::PollReply,
 };
 
 /// How long a keeper's count of entry VMs is used, in milliseconds.
@@ -104,7 +102,7 @@
     /// Revision of the limits that each keeper has told.
     limits_revisions: Mutex<HashMap<SocketAddr, u64>>,
     /// Revision of the quarantine that each keeper has told.
-    quarantine_revisions: Mutex<HashMap<SocketAddr, u64>>,
+    pub(super) quarantine_revisions: Mutex<HashMap<SocketAddr, u64>>,
     /// Addresses of targets that are probed a second time.
     pub(crate) probed_again: Mutex<HashSet<SocketAddr>>,
     /// Wakes the task that asks keepers for permits.
@@ -256,45 +254,6 @@
         }
     }
 
-    /// Applies what a keeper tells of requests that are held back, and logs what is new.
-    fn apply_quarantine(&self, keeper: SocketAddr, report: &QuarantineReport) {
-        let now = self.timer.now();
-        lock(&self.quarantine_revisions).insert(keeper, report.revision);
-        let entries = report.entries.as_deref().unwrap_or_default();
-        let told = (report.boot, report.digest);
-        let changed = self.with_selector(|s| s.apply_quarantine(keeper, told, entries, now));
-        self.log_quarantine_changes(&changed, &format!("keeper:{keeper}"));
-    }
-
-    /// Counts and logs changes of what is known of requests. Many change at once when many targets
-    /// end.
-    fn log_quarantine_changes(&self, changed: &[QuarantineEntry], source: &str) {
-        let now = self.timer.now();
-        for entry in changed {
-            self.metrics.count_quarantine_change(entry.state);
-            let is_blocked = entry.state == QuarantineState::Blocked;
-            if is_blocked || self.request_log.acquire_degraded_line(now) {
-                log_quarantine(&self.log, entry, source);
-            } else {
-                self.metrics.log_lines_dropped.inc();
-            }
-        }
-    }
-
-    /// Applies what a broker knows of a request that it was handed.
-    pub(crate) fn learn_quarantine(&self, broker: SocketAddr, entry: &QuarantineEntry) {
-        let now = self.timer.now();
-        let entry = std::slice::from_ref(entry);
-        let changed = self.with_selector(|selector| selector.merge_quarantine(entry, now));
-        self.log_quarantine_changes(&changed, &format!("broker:{broker}"));
-    }
-
-    /// Returns the revision of the quarantine that a keeper has told, 0 for none.
-    pub(crate) fn quarantine_revision(&self, keeper: SocketAddr) -> u64 {
-        let revisions = lock(&self.quarantine_revisions);
-        revisions.get(&keeper).copied().unwrap_or_default()
-    }
-
     /// Returns the revision of the limits that a keeper has told, 0 for none.
     pub(crate) fn limits_revision(&self, keeper: SocketAddr) -> u64 {
         let revisions = lock(&self.limits_revisions);
