Keep the latest ended targets of a request when there are too many

What callers would have seen: a search over 90 shards that ends its targets goes on to end one with each arrival, for ever, and a request whose block is over is never blocked again.

Cause: 64 ended targets of a request are kept, the first ones. The first wave of such a search fills them, so no later end is recorded, and neither a second round nor an end after the block is seen.

Evidence: a_request_with_many_ended_targets_is_blocked_again failed before (Trial, expected Blocked). The oldest end makes room now. Found on reading.

--- a/crates/route/src/relay/crash/tally.rs
+++ b/crates/route/src/relay/crash/tally.rs
@@ -81,9 +81,14 @@
             // Several VMs sent the request to the target: what was sent last may have ended it.
             known.sent_at = known.sent_at.max(crash.sent_at);
             known.ended_at = known.ended_at.min(crash.ended_at);
-        } else if self.crashes.len() < CRASHES_MAX {
-            self.crashes.push(crash);
+            return;
+        }
+        if self.crashes.len() >= CRASHES_MAX {
+            // The latest ones tell whether the request still ends targets.
+            let oldest = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].ended_at);
+            oldest.map(|index| self.crashes.swap_remove(index));
         }
+        self.crashes.push(crash);
     }
 
     /// Returns the ends of targets that no answer has cleared.
--- a/crates/route/tests/crash_tally.rs
+++ b/crates/route/tests/crash_tally.rs
@@ -422,3 +422,27 @@
         "another process"
     );
 }
+
+/// A search that has ended more targets than are kept, and ends one more after its block.
+#[test]
+fn a_request_with_many_ended_targets_is_blocked_again() {
+    let mut tally = CrashTally::new(1);
+    for number in 0..100 {
+        let sent_ms = 1_000 + number;
+        tell_crash(
+            &mut tally,
+            "/a",
+            &format!("t{number}"),
+            sent_ms,
+            sent_ms + 50,
+        );
+    }
+    tell_crash(&mut tally, "/a", "second round", 2_000, 2_050);
+    tally.decide(at(2_300));
+    assert_eq!(state(&tally, "/a", 2_300), Some(QuarantineState::Blocked));
+    let over_ms = 2_300 + BLOCK_S * 1_000 + 1;
+    tell_crash(&mut tally, "/a", "later", over_ms, over_ms + 50);
+    tally.decide(at(over_ms + 300));
+    let entry = tally.table().get(fingerprint("/a"), at(over_ms + 300));
+    assert_eq!(entry.unwrap().blocks, 2);
+}
