Do not take an attempt that was not sent for a sign that its target survived

What callers would have seen: where the end of a target shows only with its successor (a proxy before it, an address that is silent), a request that ends targets is found late or not at all, since what was lost there was forgotten with the next attempt that did not reach the target.

Cause: all outcomes but answers, losses and given-up attempts counted as a reply of the target, unsent ones included.

Evidence: an_attempt_that_was_not_sent_does_not_clear_one_that_was_lost failed before (0 reports, 1 expected).

--- a/crates/route/src/relay/crash/watch.rs
+++ b/crates/route/src/relay/crash/watch.rs
@@ -32,8 +32,10 @@
 pub(crate) enum RunEnd {
     /// The target answered.
     Answered,
-    /// The target replied, or the request did not reach it.
+    /// The target replied without an answer.
     Survived,
+    /// The request did not reach the target.
+    NotSent,
     /// The connection ended without an answer.
     Lost,
     /// The connection ended without an answer, and the target with it.
@@ -129,20 +131,22 @@
             return;
         };
         let left = match end {
-            RunEnd::Answered | RunEnd::Survived => None,
+            RunEnd::Answered | RunEnd::Survived | RunEnd::NotSent => None,
             RunEnd::Lost | RunEnd::Crashed => Some(LeftRun::Lost(now)),
             RunEnd::GivenUp => Some(LeftRun::GivenUp(now)),
         };
         state.runs[index].left = left;
         if left.is_none() {
             state.runs.swap_remove(index);
+        }
+        if matches!(end, RunEnd::Answered | RunEnd::Survived) {
             state.clear_survived(sent_at, now);
         }
         match end {
             RunEnd::Answered => self.record_answer(fingerprint, &target.service, is_suspected, now),
             RunEnd::Crashed => self.target_ended(target, now),
             RunEnd::Lost if state.ended_at.is_some() => self.report_lost(&incarnation, now),
-            RunEnd::Lost | RunEnd::Survived | RunEnd::GivenUp => {}
+            RunEnd::Lost | RunEnd::Survived | RunEnd::NotSent | RunEnd::GivenUp => {}
         }
     }
 
--- a/crates/route/src/relay/message.rs
+++ b/crates/route/src/relay/message.rs
@@ -157,13 +157,13 @@
             Self::Answered { .. } => RunEnd::Answered,
             Self::Crashed => RunEnd::Crashed,
             Self::Rejected | Self::Broken => RunEnd::Lost,
-            Self::Refused
-            | Self::Moved
+            // Another target replied, so this one is gone.
+            Self::Moved
             | Self::Unreachable
             | Self::NoConnection
             | Self::OverLimit
-            | Self::Withheld
-            | Self::FailureReply => RunEnd::Survived,
+            | Self::Withheld => RunEnd::NotSent,
+            Self::Refused | Self::FailureReply => RunEnd::Survived,
         }
     }
 
--- a/crates/route/tests/relay_trial.rs
+++ b/crates/route/tests/relay_trial.rs
@@ -379,3 +379,25 @@
     let call = news(&mut selector, 900).unwrap();
     assert_eq!(call.news.crashes.len(), 1, "the keeper has started anew");
 }
+
+/// An attempt that was not sent says nothing about whether the target survived the one before.
+#[test]
+fn an_attempt_that_was_not_sent_does_not_clear_one_that_was_lost() {
+    let mut selector = selector();
+    let (mut run, actions) = RelayRun::start(params(1), &mut selector, at(0));
+    let lost = sends(&actions).remove(0);
+    let broken = RelayAttemptOutcome::Broken;
+    end(&mut run, &lost, broken, &mut selector, 50);
+    selector.sync(vec![(*lost.target).clone()], |_| Some(300), at(90));
+    let other = RelayParams {
+        fingerprint: RequestFingerprint::of("GET", "caller", "/other", b""),
+        ..params(1)
+    };
+    let (mut other, actions) = RelayRun::start(other, &mut selector, at(100));
+    let unsent = sends(&actions).remove(0);
+    let unreachable = RelayAttemptOutcome::Unreachable;
+    end(&mut other, &unsent, unreachable, &mut selector, 150);
+    selector.record_target_end(&lost.target, at(400));
+    let told = news(&mut selector, 400).map_or(0, |call| call.news.crashes.len());
+    assert_eq!(told, 1);
+}
