--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -32,6 +32,7 @@
 mod settings;
 mod settings_parse;
 mod settings_value;
+mod tenant_table;
 mod value;
 
 pub use compiled_config::{AnswerPreference, CompiledConfig, ServiceConfig, ServiceKind};
@@ -41,10 +42,11 @@
 pub use relay_settings::{ExtraAttemptLimits, RelayBounds, RelayRole, RelaySettings};
 pub use route_table::{
     CallerLimits, GatherRule, RouteDestination, RouteFault, RouteRule, RouteTable, ServiceRule,
-    WeightedService,
+    WarmUpRule, WeightedService,
 };
 pub use service_parse::SERVICES_MAX;
 pub use settings::{
     ListenSettings, PeerSettings, PolicySwitches, ShutdownSettings, VmSettings, VoterAddress,
     VoterRepairSettings,
 };
+pub use tenant_table::{TenantQuota, TenantRule, TenantTable};
--- a/crates/conf/src/route_table.rs
+++ b/crates/conf/src/route_table.rs
@@ -6,6 +6,8 @@
 
 use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
 
+use crate::tenant_table::{TenantRule, TenantTable};
+
 /// Maximum number of faults that [`RouteTable::compile`] reports.
 const ROUTE_FAULTS_MAX: usize = 100;
 
@@ -60,12 +62,16 @@
     pub priority: u32,
     /// Maximum number of targets of one service that a request may run on.
     pub targets_max: u32,
+    /// Whether requests need no key of a tenant.
+    pub anonymous: bool,
+    /// Regions in which requests may run; empty for all regions.
+    pub home_regions: Vec<Arc<str>>,
     /// Destination of the requests.
     pub destination: RouteDestination,
 }
 
 /// The operators' configuration of a service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
     /// Name of the service.
     pub name: Arc<str>,
@@ -73,6 +79,17 @@
     pub connections_max: u32,
     /// Path at which each target says whether it is healthy.
     pub health_path: Arc<str>,
+    /// The request rate that a cold target tolerates, if it is bounded.
+    pub warm_up: Option<WarmUpRule>,
+}
+
+/// What a target of a service tolerates while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUpRule {
+    /// Time for which a target is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold target tolerates from all VMs together.
+    pub per_second: f64,
 }
 
 /// Limits on the requests and idle connections of callers.
@@ -125,6 +142,18 @@
         /// Name of the route.
         route: Arc<str>,
     },
+    /// Two tenants share a key.
+    SharedKey {
+        /// Name of the first tenant.
+        first: Arc<str>,
+        /// Name of the second tenant.
+        second: Arc<str>,
+    },
+    /// Two tenants have the same name.
+    DuplicateTenant {
+        /// The name.
+        tenant: Arc<str>,
+    },
 }
 
 impl fmt::Display for RouteFault {
@@ -145,6 +174,10 @@
             Self::InvalidPrefix { route } => {
                 write!(f, "route {route}: expected a prefix from slash to slash")
             }
+            Self::SharedKey { first, second } => {
+                write!(f, "tenants {first} and {second} share a key")
+            }
+            Self::DuplicateTenant { tenant } => write!(f, "two tenants are named {tenant}"),
         }
     }
 }
@@ -159,10 +192,14 @@
     // The routes of each host, sorted by descending length of the prefix.
     hosts: HashMap<Arc<str>, Vec<Arc<RouteRule>>>,
     services: HashMap<Arc<str>, ServiceRule>,
+    // `None` if requests need no keys.
+    tenants: Option<TenantTable>,
 }
 
 impl RouteTable {
-    /// Checks the routes and the services that they name, and indexes both.
+    /// Checks the routes, the services that they name and the tenants, and indexes them.
+    ///
+    /// `tenants` is `None` if requests need no keys.
     ///
     /// # Errors
     ///
@@ -171,6 +208,7 @@
         version: u64,
         routes: Vec<RouteRule>,
         services: Vec<ServiceRule>,
+        tenants: Option<Vec<TenantRule>>,
         limits: CallerLimits,
     ) -> Result<Self> {
         let services: HashMap<Arc<str>, ServiceRule> = services
@@ -198,6 +236,7 @@
                 }
             }
         }
+        let tenants = tenants.map(|rules| TenantTable::compile(rules, &mut faults));
         faults.truncate(ROUTE_FAULTS_MAX);
         if !faults.is_empty() {
             return Err(faults);
@@ -207,9 +246,22 @@
             limits,
             hosts,
             services,
+            tenants,
         })
     }
 
+    /// Returns the tenants, or `None` if requests need no keys.
+    #[must_use]
+    pub const fn tenants(&self) -> Option<&TenantTable> {
+        self.tenants.as_ref()
+    }
+
+    /// Returns what a cold target of `service` tolerates, or `None` without a bound.
+    #[must_use]
+    pub fn warm_up(&self, service: &str) -> Option<WarmUpRule> {
+        self.services.get(service)?.warm_up
+    }
+
     /// Returns the route of `host` with the longest prefix that `path` starts with.
     ///
     /// `host` may include a port, which is ignored, and its case does not matter.
--- a/crates/conf/tests/route_table.rs
+++ b/crates/conf/tests/route_table.rs
@@ -26,6 +26,8 @@
         latency_objective: Duration::from_millis(200),
         priority: 1,
         targets_max: 2,
+        anonymous: false,
+        home_regions: Vec::new(),
         destination: RouteDestination::Split(vec![WeightedService {
             service: service.into(),
             weight: 1.0,
@@ -40,12 +42,13 @@
             name: (*name).into(),
             connections_max: 30,
             health_path: "/health".into(),
+            warm_up: None,
         })
         .collect()
 }
 
 fn compile(routes: Vec<RouteRule>) -> Result<RouteTable, Vec<RouteFault>> {
-    RouteTable::compile(7, routes, services(&["a", "b"]), limits())
+    RouteTable::compile(7, routes, services(&["a", "b"]), None, limits())
 }
 
 #[test]
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -7,6 +7,7 @@
 use fulmarweir_fleet::FleetMessage;
 use fulmarweir_pool::{ReportedLoad, RequestKind, TargetError, TargetRequest};
 use fulmarweir_quorum::{VoterReply, VoterRequest};
+use fulmarweir_wire::PeerMessage;
 use serde::{Deserialize, Serialize};
 
 /// A call from one daemon to another.
@@ -39,6 +40,10 @@
     Voter(Option<Box<VoterReply>>),
 }
 
+impl PeerMessage for PeerRequest {}
+
+impl PeerMessage for PeerReply {}
+
 /// A configuration version in its encoded form.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct ConfigCopy {
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -357,6 +357,7 @@
                 VmReply::Noted
             }
             VmRequest::Permits(vm, asks) => VmReply::Permits(self.grant_permits(vm, &asks)),
+            VmRequest::Rates(..) => VmReply::NotKept,
         }
     }
 
@@ -475,6 +476,7 @@
             limits: has_other_limits.then(|| permits.reports(now)),
             limits_revision: permits.revision(),
             quarantine: self.quarantine_report(request.quarantine_revision, now),
+            evacuations: None,
         }
     }
 
--- a/crates/daemon/src/relay/listen.rs
+++ b/crates/daemon/src/relay/listen.rs
@@ -136,7 +136,8 @@
         | VmRequest::Voter(_)
         | VmRequest::Permits(..)
         | VmRequest::EntryVms(..)
-        | VmRequest::Crashes(_) => VmReply::NotKept,
+        | VmRequest::Crashes(_)
+        | VmRequest::Rates(..) => VmReply::NotKept,
     }
 }
 
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -132,6 +132,7 @@
             limits_revision: request_node.limits_revision(keeper),
             quarantine_revision: request_node.quarantine_revision(keeper),
             wait_ms,
+            evacuations_version: 0,
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_poll_reply(keeper, reply);
@@ -206,6 +207,7 @@
             limits_revision: 0,
             quarantine_revision: request_node.quarantine_revision(keeper),
             wait_ms,
+            evacuations_version: 0,
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_quarantine(keeper, &reply.quarantine);
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -3,10 +3,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use fulmarweir_fleet::{RegistryCursor, RegistryDelta};
+use fulmarweir_permits::{RateAsk, RateGrant};
 use fulmarweir_quorum::{VoterReply, VoterRequest, VoterSet};
 use fulmarweir_route::{
     CrashNews, LimitReport, PermitAsk, PermitGrant, QuarantineEntry, RequestFingerprint,
 };
+use fulmarweir_wire::{ExtensionFields, PeerMessage, PeerVersion};
 use serde::{Deserialize, Serialize};
 
 /// The addresses and the data centre of a keeper.
@@ -53,6 +55,9 @@
     pub(crate) quarantine_revision: u64,
     /// Longest time until the reply, in milliseconds.
     pub(crate) wait_ms: u32,
+    /// Version of the evacuations that the poller holds, 0 for none.
+    #[serde(skip)]
+    pub(crate) evacuations_version: u64,
 }
 
 /// What has changed at a keeper since the poller's last poll.
@@ -76,6 +81,9 @@
     pub(crate) limits: Option<Vec<LimitReport>>,
     pub(crate) limits_revision: u64,
     pub(crate) quarantine: QuarantineReport,
+    /// The evacuations, if their version is higher than the poller's.
+    #[serde(skip)]
+    pub(crate) evacuations: Option<EvacuationState>,
 }
 
 /// What a keeper knows of requests that end their targets.
@@ -220,6 +228,9 @@
     EntryVms(EntryContact, bool),
     /// Tells a keeper of requests that were lost with their targets.
     Crashes(Box<CrashNews>),
+    /// The entry VM with this address asks a keeper for permits of rates that hold for all VMs
+    /// together.
+    Rates(SocketAddr, Vec<RateAsk>),
 }
 
 /// The reply to a [`VmRequest`].
@@ -244,4 +255,73 @@
     NotKept,
     /// What was told is known now.
     Noted,
+    /// Permits in the order in which they were asked for.
+    Rates(Vec<RateGrant>),
+}
+
+/// Numbers of the extension fields of requests and replies. A number is never used again for
+/// another field.
+mod field {
+    /// Version of the evacuations that the poller holds.
+    pub(super) const EVACUATIONS_VERSION: u32 = 1;
+    /// The evacuations in force.
+    pub(super) const EVACUATIONS: u32 = 2;
+}
+
+/// The data centres whose targets must get no new requests. The highest version counts.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct EvacuationState {
+    pub(crate) version: u64,
+    pub(crate) centres: Vec<Arc<str>>,
+}
+
+impl PeerMessage for VmRequest {
+    fn version_min(&self) -> PeerVersion {
+        match self {
+            Self::Rates(..) => PeerVersion::V9,
+            _ => PeerVersion::V8,
+        }
+    }
+
+    fn extension(&self) -> ExtensionFields {
+        let mut fields = ExtensionFields::default();
+        if let Self::Poll(request) = self
+            && request.evacuations_version > 0
+        {
+            fields.put(field::EVACUATIONS_VERSION, &request.evacuations_version);
+        }
+        fields
+    }
+
+    fn set_extension(&mut self, fields: &ExtensionFields) {
+        if let Self::Poll(request) = self {
+            let version = fields.get(field::EVACUATIONS_VERSION);
+            request.evacuations_version = version.unwrap_or_default();
+        }
+    }
+}
+
+impl PeerMessage for VmReply {
+    fn version_min(&self) -> PeerVersion {
+        match self {
+            Self::Rates(_) => PeerVersion::V9,
+            _ => PeerVersion::V8,
+        }
+    }
+
+    fn extension(&self) -> ExtensionFields {
+        let mut fields = ExtensionFields::default();
+        if let Self::Poll(reply) = self
+            && let Some(evacuations) = &reply.evacuations
+        {
+            fields.put(field::EVACUATIONS, evacuations);
+        }
+        fields
+    }
+
+    fn set_extension(&mut self, fields: &ExtensionFields) {
+        if let Self::Poll(reply) = self {
+            reply.evacuations = fields.get(field::EVACUATIONS);
+        }
+    }
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     time::Duration,
 };
@@ -15,15 +15,13 @@
 use fulmarweir_base::lock;
 use h2::client::{ResponseFuture, SendRequest};
 use http::{Request, StatusCode};
-use serde::{Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::Mutex, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    PROTOCOL_PATH,
     body::{read_body, write_body},
-    codec::{decode_message, encode_message},
     error::{Result, WireError, WireFault},
+    message::{PeerMessage, PeerVersion, decode_peer_message, encode_peer_message},
     traffic::{TrafficClass, TrafficMeter},
 };
 
@@ -44,10 +42,23 @@
     request_sender: SendRequest<Bytes>,
     /// Replies received so far, to distinguish a dead connection from one slow call.
     reply_count: Arc<AtomicU64>,
+    /// Whether the peer has refused the newest protocol version.
+    is_older: Arc<AtomicBool>,
     /// Cancelled when the connection must take no further calls.
     retired: CancellationToken,
 }
 
+impl PeerConnection {
+    /// Returns the protocol version of the next call.
+    fn version(&self) -> PeerVersion {
+        if self.is_older.load(Relaxed) {
+            PeerVersion::V8
+        } else {
+            PeerVersion::NEWEST
+        }
+    }
+}
+
 type ConnectionSlot = Arc<Mutex<Option<PeerConnection>>>;
 
 /// Sends requests `Q` to other daemons and returns their replies `R`.
@@ -77,7 +88,7 @@
     }
 }
 
-impl<Q: Serialize, R: DeserializeOwned> PeerClient<Q, R> {
+impl<Q: PeerMessage, R: PeerMessage> PeerClient<Q, R> {
     /// Creates a client without connections that counts its traffic in `meter`.
     #[must_use]
     pub fn new(meter: Arc<TrafficMeter>) -> Self {
@@ -107,9 +118,8 @@
         request: &Q,
         time_limit: Duration,
     ) -> Result<R> {
-        let body = Bytes::from(encode_message(request)?);
         let mut sent_on = None;
-        let exchange = self.exchange(address, class, body, &mut sent_on);
+        let exchange = self.exchange(address, class, request, &mut sent_on);
         match timeout(time_limit, exchange).await {
             Ok(result) => result,
             Err(_) => match sent_on {
@@ -137,17 +147,43 @@
         &self,
         address: SocketAddr,
         class: TrafficClass,
-        body: Bytes,
+        request: &Q,
         sent_on: &mut Option<(PeerConnection, u64)>,
     ) -> Result<R> {
-        let request_bytes = body.len();
         let connection = self.shared.connection(address).await?;
+        let version = connection.version();
+        let sent = self.exchange_on(&connection, address, class, (request, version), sent_on);
+        match sent.await {
+            // The peer has read nothing of a call in a version that it does not know.
+            Err(error) if error.fault == WireFault::Protocol && version > PeerVersion::V8 => {
+                if request.version_min() > PeerVersion::V8 {
+                    return Err(error);
+                }
+                connection.is_older.store(true, Relaxed);
+                let call = (request, PeerVersion::V8);
+                self.exchange_on(&connection, address, class, call, sent_on)
+                    .await
+            }
+            result => result,
+        }
+    }
+
+    async fn exchange_on(
+        &self,
+        connection: &PeerConnection,
+        address: SocketAddr,
+        class: TrafficClass,
+        (request, version): (&Q, PeerVersion),
+        sent_on: &mut Option<(PeerConnection, u64)>,
+    ) -> Result<R> {
+        let body = Bytes::from(encode_peer_message(request, version)?);
+        let request_bytes = body.len();
         let Ok(mut request_sender) = connection.request_sender.clone().ready().await else {
-            self.shared.retire_connection(address, &connection).await;
+            self.shared.retire_connection(address, connection).await;
             return Err(WireError::not_run(WireFault::Broken));
         };
         let (response, mut stream) = request_sender
-            .send_request(request_head(), false)
+            .send_request(request_head(version), false)
             .map_err(|_| WireError::not_run(WireFault::Broken))?;
         *sent_on = Some((connection.clone(), connection.reply_count.load(Relaxed)));
         if write_body(&mut stream, body).await.is_none() {
@@ -158,7 +194,7 @@
         self.shared
             .meter
             .record_call(class, request_bytes, reply.len());
-        decode_message(&reply).map_err(|_| WireError::may_have_run(WireFault::Codec))
+        decode_peer_message(&reply, version).map_err(|_| WireError::may_have_run(WireFault::Codec))
     }
 }
 
@@ -216,6 +252,7 @@
         let connection = PeerConnection {
             request_sender,
             reply_count: Arc::default(),
+            is_older: Arc::default(),
             retired: retired.clone(),
         };
         let reply_count = Arc::clone(&connection.reply_count);
@@ -246,8 +283,8 @@
     h2::Error::from(h2::Reason::CONNECT_ERROR)
 }
 
-fn request_head() -> Request<()> {
-    let uri = format!("http://peer{PROTOCOL_PATH}");
+fn request_head(version: PeerVersion) -> Request<()> {
+    let uri = format!("http://peer{}", version.path());
     Request::post(uri).body(()).expect("a constant request")
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,8 @@
 //! Typed messages between daemons, carried as bincode in HTTP/2 streams.
 //!
 //! Each call is one stream: the request body is one encoded message, the
-//! response body the encoded reply. The path contains the protocol version, so
-//! daemons of incompatible versions refuse each other before they decode
-//! anything. Dropping a call resets its stream, which cancels the work at the
+//! response body the encoded reply. The path contains the protocol version. A
+//! daemon serves two versions, and calls peers of the older one in that form. Dropping a call resets its stream, which cancels the work at the
 //! peer.
 //!
 //! ```
@@ -18,14 +17,15 @@
 mod client;
 mod codec;
 mod error;
+mod message;
 mod server;
 mod traffic;
 
 pub use client::PeerClient;
 pub use codec::{MESSAGE_MAX_BYTES, decode_message, encode_message};
 pub use error::{WireError, WireFault};
+pub use message::{
+    ExtensionFields, PeerMessage, PeerVersion, decode_peer_message, encode_peer_message,
+};
 pub use server::PeerServer;
 pub use traffic::{TrafficClass, TrafficMeter, TrafficTotals};
-
-/// Path of all calls, with the protocol version.
-pub(crate) const PROTOCOL_PATH: &str = "/fulmarweir/peer/8";
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -9,14 +9,12 @@
     server::{Connection, SendResponse},
 };
 use http::{Request, Response, StatusCode};
-use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    PROTOCOL_PATH,
     body::{read_body, write_body},
-    codec::{decode_message, encode_message},
+    message::{PeerMessage, PeerVersion, decode_peer_message, encode_peer_message},
     traffic::{TrafficClass, TrafficMeter},
 };
 
@@ -39,8 +37,8 @@
 
 impl<Q, R, H, F> PeerServer<Q, R, H>
 where
-    Q: DeserializeOwned + Send + 'static,
-    R: Serialize + Send + Sync + 'static,
+    Q: PeerMessage + Send + 'static,
+    R: PeerMessage + Send + Sync + 'static,
     H: Fn(SocketAddr, Q) -> (TrafficClass, F) + Send + Sync + 'static,
     F: Future<Output = R> + Send + 'static,
 {
@@ -85,8 +83,8 @@
     stream: TcpStream,
     address: SocketAddr,
 ) where
-    Q: DeserializeOwned + Send + 'static,
-    R: Serialize + Send + Sync + 'static,
+    Q: PeerMessage + Send + 'static,
+    R: PeerMessage + Send + Sync + 'static,
     H: Fn(SocketAddr, Q) -> (TrafficClass, F) + Send + Sync + 'static,
     F: Future<Output = R> + Send + 'static,
 {
@@ -127,18 +125,18 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) where
-    Q: DeserializeOwned,
-    R: Serialize,
+    Q: PeerMessage,
+    R: PeerMessage,
     H: Fn(SocketAddr, Q) -> (TrafficClass, F),
     F: Future<Output = R>,
 {
-    if request.uri().path() != PROTOCOL_PATH {
+    let Some(version) = PeerVersion::of_path(request.uri().path()) else {
         return refuse_call(&mut respond, StatusCode::NOT_FOUND);
-    }
+    };
     let Some(body) = read_body(&mut request.into_body()).await else {
         return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
     };
-    let Ok(message) = decode_message::<Q>(&body) else {
+    let Ok(message) = decode_peer_message::<Q>(&body, version) else {
         return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
     };
     let (class, reply) = (shared.handler)(address, message);
@@ -150,7 +148,7 @@
         _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
         reply = reply => reply,
     };
-    let Ok(reply) = encode_message(&reply) else {
+    let Ok(reply) = encode_peer_message(&reply, version) else {
         return refuse_call(&mut respond, StatusCode::INTERNAL_SERVER_ERROR);
     };
     shared.meter.record_call(class, body.len(), reply.len());
