--- a/crates/permits/src/key.rs
+++ b/crates/permits/src/key.rs
@@ -25,10 +25,20 @@
     pub version: u64,
     /// Requests per second.
     pub per_second: f64,
-    /// Requests beyond the rate that may come at once.
+    /// Requests beyond the rate that may come at once. Not used for cold targets, whose permits are
+    /// saved up for a fixed time.
     pub burst: f64,
 }
 
+impl RateLimit {
+    /// Whether the rate and the burst are numbers that a configuration can hold.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let is_valid = |number: f64| number.is_finite() && number >= 0.0;
+        is_valid(self.per_second) && is_valid(self.burst)
+    }
+}
+
 /// A VM's request for permits of one key.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RateAsk {
--- /dev/null
+++ b/crates/permits/src/policy.rs
@@ -0,0 +1,97 @@
+//! How a rate is granted and how its permits are held.
+
+use std::time::Duration;
+
+use crate::key::{RateKey, RateLimit};
+
+/// Most keepers that grant permits. Each may have saved up a few permits whatever the rate is, which
+/// come on top of the burst.
+pub const GRANTORS_MAX: usize = 5;
+/// Lowest rate in requests per second, so that no time until the next permit is unbounded.
+const RATE_MIN: f64 = 0.05;
+/// Highest rate in requests per second, above which there is no limit in effect.
+const RATE_MAX: f64 = 1e6;
+/// Longest time for which permits are saved up, for tenants whose burst is large against the rate.
+const BURST_SPAN_MAX: Duration = Duration::from_mins(10);
+
+/// Time after which a permit for a tenant expires, in milliseconds. In a window of 5 s as many
+/// requests run as permits were granted in that time and this one, and the bound leaves a tenth.
+const TENANT_PERMIT_TTL_MS: u64 = 500;
+/// Time for which permits for a tenant are asked for in advance, in milliseconds.
+const TENANT_ADVANCE_MS: u64 = 250;
+/// Permits that a keeper saves up for a tenant at least. With one permit each, two requests at once
+/// in one data centre would need calls to other data centres.
+const TENANT_BUCKET_MIN: f64 = 2.0;
+/// Share of a tenant's rate, and requests per second beyond it, that all VMs without a keeper use
+/// together. Both fit into what the bound of a tenant leaves above the rate.
+const TENANT_ALONE_SHARE: f64 = 0.02;
+const TENANT_ALONE_PER_S: f64 = 0.8;
+
+/// Time after which a permit for a cold target expires, and time over which such permits are saved
+/// up, in milliseconds. Their sum keeps any second below 1.4 times the rate.
+const COLD_PERMIT_TTL_MS: u64 = 200;
+const COLD_BURST_SPAN_MS: u64 = 200;
+/// Time for which permits for a cold target are asked for in advance, in milliseconds.
+const COLD_ADVANCE_MS: u64 = 100;
+/// Share of the rate of a cold target that all VMs without a keeper use together.
+const COLD_ALONE_SHARE: f64 = 0.1;
+
+/// How a rate is granted and how its permits are held.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RatePolicy {
+    /// Requests per second, over all VMs.
+    pub per_second: f64,
+    /// Time for which permits that nobody asks for are saved up.
+    pub burst_span: Duration,
+    /// Number of permits that each grantor saves up at least, 1 or more.
+    pub bucket_min: f64,
+    /// Time after which a permit expires, counted from when it was asked for. Permits that a lost VM
+    /// held are of no use for longer.
+    pub permit_ttl: Duration,
+    /// Time for which permits are asked for in advance.
+    pub advance: Duration,
+    /// Requests per second that all VMs without a keeper send together.
+    pub alone_per_second: f64,
+}
+
+impl RatePolicy {
+    /// Returns how the rate of `key` is granted.
+    #[must_use]
+    pub fn of(key: &RateKey, limit: RateLimit) -> Self {
+        let per_second = limit.per_second.clamp(RATE_MIN, RATE_MAX);
+        match key {
+            RateKey::Cold { .. } => Self {
+                per_second,
+                burst_span: Duration::from_millis(COLD_BURST_SPAN_MS),
+                bucket_min: 1.0,
+                permit_ttl: Duration::from_millis(COLD_PERMIT_TTL_MS),
+                advance: Duration::from_millis(COLD_ADVANCE_MS),
+                alone_per_second: per_second * COLD_ALONE_SHARE,
+            },
+            RateKey::Tenant(_) => {
+                let span = Duration::try_from_secs_f64(limit.burst / per_second);
+                Self {
+                    per_second,
+                    burst_span: span.unwrap_or(BURST_SPAN_MAX).min(BURST_SPAN_MAX),
+                    bucket_min: TENANT_BUCKET_MIN,
+                    permit_ttl: Duration::from_millis(TENANT_PERMIT_TTL_MS),
+                    advance: Duration::from_millis(TENANT_ADVANCE_MS),
+                    alone_per_second: per_second * TENANT_ALONE_SHARE + TENANT_ALONE_PER_S,
+                }
+            }
+        }
+    }
+
+    /// Returns the part of this rate that each of `grantors` grants.
+    #[must_use]
+    pub fn part_of(self, grantors: usize) -> Self {
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let per_second = self.per_second / grantors.max(1) as f64;
+        Self { per_second, ..self }
+    }
+
+    /// Returns the most permits that are saved up at a rate of [`Self::per_second`].
+    pub(crate) fn bucket_size(&self) -> f64 {
+        (self.per_second * self.burst_span.as_secs_f64()).max(self.bucket_min)
+    }
+}
--- a/crates/route/src/relay/permit_queue.rs
+++ b/crates/permits/src/queue.rs
@@ -1,21 +1,19 @@
-//! The permits that this VM holds for a target with a limit, and the requests that wait for one.
+//! The permits that a VM holds for one rate, and the requests that wait for one.
 //!
-//! Load pattern: callers want more than the target takes. Permits go to the most urgent requests;
+//! Load pattern: callers want more than the rate allows. Permits go to the most urgent requests;
 //! those that cannot expect one in time are not kept waiting.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use fulmarweir_base::MonoTime;
 
-/// Time after which a permit expires, in milliseconds, counted from when it was asked for. Permits
-/// that a lost VM held are of no use for longer, and a window of requests at the target holds little
-/// more than what was granted within it.
-const PERMIT_TTL_MS: u64 = 750;
-/// Time for which permits are asked for in advance, in milliseconds.
-const ADVANCE_MS: u64 = 250;
+use crate::policy::RatePolicy;
+
 /// Time constants of the moving rates of demand and of grants, in milliseconds.
 const DEMAND_TIME_CONSTANT_MS: f64 = 500.0;
 const GRANTED_TIME_CONSTANT_MS: f64 = 2_000.0;
+/// Demand below which a rate counts as not in use, in requests per second.
+const DEMAND_MIN_PER_S: f64 = 0.001;
 /// Longest expected delay, for limits that are close to zero.
 const EXPECTED_DELAY_MAX: Duration = Duration::from_hours(1);
 /// Expected time from asking for a permit to using it, in milliseconds.
@@ -43,14 +41,18 @@
     };
 }
 
-/// The right to send one attempt to a target with a limit.
+/// The right to send one request, or one attempt to a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SendPermit {
     expires_at: MonoTime,
+    /// The keeper that can credit it if it is given back.
+    grantor: Option<SocketAddr>,
 }
 
 impl SendPermit {
-    pub(crate) fn is_valid(self, now: MonoTime) -> bool {
+    /// Whether the permit may still be used.
+    #[must_use]
+    pub fn is_valid(self, now: MonoTime) -> bool {
         self.expires_at > now
     }
 }
@@ -77,11 +79,11 @@
 
 /// How long a request waits for a permit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct WaitTimes {
+pub struct WaitTimes {
     /// When the request tries again.
-    pub(crate) retry_at: MonoTime,
+    pub retry_at: MonoTime,
     /// Until when a permit is of use to it.
-    pub(crate) usable_until: MonoTime,
+    pub usable_until: MonoTime,
 }
 
 /// A request that waits for a permit.
@@ -94,9 +96,22 @@
     usable_until: MonoTime,
 }
 
-/// The permits for one target and the requests that wait for them.
+/// Permits that were granted together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PermitBatch {
+    /// Number of permits.
+    pub count: u32,
+    /// When they were asked for.
+    pub asked_at: MonoTime,
+    /// Time after which they expire, counted from then.
+    pub ttl: Duration,
+    /// The keeper that can credit them if they are given back.
+    pub grantor: Option<SocketAddr>,
+}
+
+/// The permits for one rate and the requests that wait for them.
 #[derive(Debug, Default)]
-pub(crate) struct PermitQueue {
+pub struct PermitQueue {
     /// Permits, the first to expire first.
     permits: Vec<SendPermit>,
     waiting: Vec<WaitingRequest>,
@@ -106,40 +121,43 @@
 
 impl PermitQueue {
     /// Whether there is a permit that no request with a better rank waits for.
-    pub(crate) fn has_permit(&self, rank: RequestRank, now: MonoTime) -> bool {
+    #[must_use]
+    pub fn has_permit(&self, rank: RequestRank, now: MonoTime) -> bool {
         self.held(now) > self.ahead_of(rank, now)
     }
 
     /// Takes the permit that expires first, for the request with this rank.
-    pub(crate) fn take(&mut self, rank: RequestRank, now: MonoTime) -> Option<SendPermit> {
+    pub fn take(&mut self, rank: RequestRank, now: MonoTime) -> Option<SendPermit> {
         self.permits.retain(|permit| permit.is_valid(now));
         self.stop_waiting(rank.ticket);
         (!self.permits.is_empty()).then(|| self.permits.remove(0))
     }
 
-    pub(crate) fn refund(&mut self, permit: SendPermit) {
+    /// Gives a permit back whose request was not sent.
+    pub fn refund(&mut self, permit: SendPermit) {
         let index = self
             .permits
             .partition_point(|known| known.expires_at <= permit.expires_at);
         self.permits.insert(index, permit);
     }
 
-    /// Adds permits that were asked for at `asked_at`.
-    pub(crate) fn add(&mut self, count: u32, asked_at: MonoTime, now: MonoTime) {
-        if count == 0 {
+    /// Adds permits.
+    pub fn add(&mut self, batch: PermitBatch, now: MonoTime) {
+        if batch.count == 0 {
             return;
         }
-        self.granted.add(count, GRANTED_TIME_CONSTANT_MS, now);
+        self.granted.add(batch.count, GRANTED_TIME_CONSTANT_MS, now);
         let permit = SendPermit {
-            expires_at: asked_at + Duration::from_millis(PERMIT_TTL_MS),
+            expires_at: batch.asked_at + batch.ttl,
+            grantor: batch.grantor,
         };
-        for _ in 0..count {
+        for _ in 0..batch.count {
             self.refund(permit);
         }
     }
 
     /// Keeps only the share `kept` of the permits.
-    pub(crate) fn shrink(&mut self, kept: f64) {
+    pub fn shrink(&mut self, kept: f64) {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_precision_loss,
@@ -150,18 +168,19 @@
         self.permits.truncate(count);
     }
 
-    pub(crate) fn clear(&mut self) {
+    /// Forgets all permits and waiting requests.
+    pub fn clear(&mut self) {
         self.permits.clear();
         self.waiting.clear();
     }
 
-    /// Records a request that would suit this target best.
-    pub(crate) fn record_demand(&mut self, now: MonoTime) {
+    /// Records a request that would suit this rate best.
+    pub fn record_demand(&mut self, now: MonoTime) {
         self.demand.add(1, DEMAND_TIME_CONSTANT_MS, now);
     }
 
     /// Lets a request wait.
-    pub(crate) fn wait(&mut self, rank: RequestRank, times: WaitTimes, now: MonoTime) {
+    pub fn wait(&mut self, rank: RequestRank, times: WaitTimes, now: MonoTime) {
         let is_other =
             |waiting: &WaitingRequest| waiting.rank.ticket != rank.ticket && waiting.gone_at > now;
         self.waiting.retain(is_other);
@@ -173,42 +192,81 @@
     }
 
     /// Forgets a request that does not wait any more.
-    pub(crate) fn stop_waiting(&mut self, ticket: u64) {
+    pub fn stop_waiting(&mut self, ticket: u64) {
         self.waiting.retain(|waiting| waiting.rank.ticket != ticket);
     }
 
-    /// Returns how many permits to ask for now, given the limit of the target. They arrive after
-    /// `round_trip`.
-    pub(crate) fn wanted(&self, limit: f64, round_trip: Duration, now: MonoTime) -> u32 {
-        let advance_s = Duration::from_millis(ADVANCE_MS).as_secs_f64();
-        let rate = self.demand.get(DEMAND_TIME_CONSTANT_MS, now).min(limit);
+    /// Returns how many permits to ask for now. They arrive after `round_trip`.
+    #[must_use]
+    pub fn wanted(&self, policy: &RatePolicy, round_trip: Duration, now: MonoTime) -> u32 {
+        let usable = |w: &&WaitingRequest| w.gone_at > now && w.usable_until >= now + round_trip;
+        let waiting = self.waiting.iter().filter(usable).count();
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let needed = self.in_advance(policy, now).saturating_add(waiting);
+        needed.saturating_sub(self.held(now))
+    }
+
+    /// Returns how many permits to hold beyond those of the waiting requests.
+    fn in_advance(&self, policy: &RatePolicy, now: MonoTime) -> u32 {
+        let demand = self.demand.get(DEMAND_TIME_CONSTANT_MS, now);
+        let rate = demand.min(policy.per_second);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "the rate is not negative, and a saturated count is harmless"
         )]
-        let in_advance = (rate * advance_s) as u32;
-        let usable = |w: &&WaitingRequest| w.gone_at > now && w.usable_until >= now + round_trip;
-        let waiting = self.waiting.iter().filter(usable).count();
-        let needed = in_advance.saturating_add(u32::try_from(waiting).unwrap_or(u32::MAX));
-        let held = u32::try_from(self.held(now)).unwrap_or(u32::MAX);
-        needed.saturating_sub(held)
+        let in_advance = (rate * policy.advance.as_secs_f64()) as u32;
+        in_advance
+    }
+
+    /// Removes the permits that are not going to be used, and returns the keepers that can credit
+    /// them: those that have expired, and those beyond what is needed that expire within `last`.
+    pub(crate) fn take_unused(
+        &mut self,
+        policy: &RatePolicy,
+        last: Duration,
+        now: MonoTime,
+    ) -> Vec<SocketAddr> {
+        let needed = self
+            .in_advance(policy, now)
+            .saturating_add(self.waiting(now));
+        let mut excess = self.held(now).saturating_sub(needed);
+        let mut unused = Vec::new();
+        self.permits.retain(|permit| {
+            let is_valid = permit.is_valid(now);
+            let is_excess = is_valid && excess > 0 && permit.expires_at <= now + last;
+            excess -= u32::from(is_excess);
+            if !is_valid || is_excess {
+                unused.extend(permit.grantor);
+            }
+            is_valid && !is_excess
+        });
+        unused
+    }
+
+    /// Whether no permit is held, no request waits, and none has been sent for long.
+    pub(crate) fn is_idle(&self, now: MonoTime) -> bool {
+        let is_demanded = self.demand.get(DEMAND_TIME_CONSTANT_MS, now) >= DEMAND_MIN_PER_S;
+        self.permits.is_empty() && self.waiting(now) == 0 && !is_demanded
     }
 
     /// Returns the number of requests that wait.
-    pub(crate) fn waiting(&self, now: MonoTime) -> u32 {
+    #[must_use]
+    pub fn waiting(&self, now: MonoTime) -> u32 {
         let waiting = self.waiting.iter().filter(|w| w.gone_at > now);
         u32::try_from(waiting.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the rate of permits that keepers have granted lately, in permits per second.
-    pub(crate) fn granted_rate(&self, now: MonoTime) -> f64 {
+    #[must_use]
+    pub fn granted_rate(&self, now: MonoTime) -> f64 {
         self.granted.get(GRANTED_TIME_CONSTANT_MS, now)
     }
 
     /// Returns when a request of this rank can expect a permit. Keepers can be asked from `ask_at`
     /// on, and grant at least `rate_min` permits per second.
-    pub(crate) fn permit_expected_at(
+    #[must_use]
+    pub fn permit_expected_at(
         &self,
         rank: RequestRank,
         ask_at: MonoTime,
@@ -220,23 +278,26 @@
         }
         let ahead = self.ahead_of(rank, now) - self.held(now);
         let rate = self.granted_rate(now).max(rate_min);
-        #[expect(clippy::cast_precision_loss, reason = "a small count")]
-        let delay_s = if ahead == 0 { 0.0 } else { ahead as f64 / rate };
+        let delay_s = if ahead == 0 {
+            0.0
+        } else {
+            f64::from(ahead) / rate
+        };
         let delay = Duration::try_from_secs_f64(delay_s).unwrap_or(Duration::MAX);
         let delay = delay.min(EXPECTED_DELAY_MAX);
         ask_at + Duration::from_millis(ASK_ROUND_TRIP_MS) + delay
     }
 
-    fn held(&self, now: MonoTime) -> usize {
-        self.permits
-            .iter()
-            .filter(|permit| permit.is_valid(now))
-            .count()
+    /// Returns the number of permits that have not expired.
+    fn held(&self, now: MonoTime) -> u32 {
+        let valid = self.permits.iter().filter(|permit| permit.is_valid(now));
+        u32::try_from(valid.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the number of waiting requests with a better rank.
-    fn ahead_of(&self, rank: RequestRank, now: MonoTime) -> usize {
+    fn ahead_of(&self, rank: RequestRank, now: MonoTime) -> u32 {
         let is_ahead = |waiting: &&WaitingRequest| waiting.rank < rank && waiting.gone_at > now;
-        self.waiting.iter().filter(is_ahead).count()
+        let ahead = self.waiting.iter().filter(is_ahead);
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -18,13 +18,14 @@
 mod message;
 mod notice_table;
 mod permit_grantor;
-mod permit_queue;
 mod run;
 mod selector;
 mod shard_group;
 mod sub_request;
 mod target_tracker;
 
+pub use fulmarweir_permits::{GRANTORS_MAX, PermitAsker, RequestRank, SendPermit};
+
 pub use self::{
     attempt_budget::{AttemptCharge, AttemptCounts, BudgetSnapshot},
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
@@ -44,8 +45,7 @@
         UnclearSubRequest,
     },
     notice_table::{NoticeChange, TargetNotice},
-    permit_grantor::{GRANTORS_MAX, PermitAsk, PermitAsker, PermitGrant, PermitGrantor},
-    permit_queue::{RequestRank, SendPermit},
+    permit_grantor::{PermitAsk, PermitGrant, PermitGrantor},
     run::RelayRun,
     selector::{
         LinkTarget, PickCriteria, RelayTarget, TargetChoice, TargetPick, TargetSelector,
--- a/crates/route/src/relay/limit_table.rs
+++ b/crates/route/src/relay/limit_table.rs
@@ -8,13 +8,13 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::MonoTime;
+use fulmarweir_permits::{PermitBatch, PermitQueue, RequestRank, SendPermit, WaitTimes};
 
 use super::{
     attempt_budget::AttemptCharge,
     limit::{KnownLimit, LimitChange, LimitReport, LimitedCounts, LimitedLoad, StatedLimit},
     notice_table::TargetIncarnation,
-    permit_grantor::{PermitAsk, PermitGrant},
-    permit_queue::{PermitQueue, RequestRank, SendPermit, WaitTimes},
+    permit_grantor::{PERMIT_TTL_MS, PermitAsk, PermitGrant, limit_policy},
     selector::RelayTarget,
 };
 
@@ -26,8 +26,6 @@
 /// Expected time until the nearest keeper, or another one, replies, in milliseconds.
 const NEAR_ROUND_TRIP_MS: u64 = 3;
 const FAR_ROUND_TRIP_MS: u64 = 45;
-/// Share of the limit that VMs without a keeper use together. The other VMs may still use all of it.
-const ALONE_SHARE: f64 = 0.5;
 
 /// Permits to ask one keeper for.
 #[derive(Clone, Debug, PartialEq)]
@@ -331,7 +329,10 @@
             };
             let round_trip = Duration::from_millis(round_trip_ms);
             let limit = state.known.limit;
-            let wanted = limit.map_or(0, |limit| state.queue.wanted(limit, round_trip, now));
+            let wanted = limit.map_or(0, |limit| {
+                let policy = limit_policy(limit);
+                state.queue.wanted(&policy, round_trip, now)
+            });
             if wanted == 0 && !state.is_unreported {
                 continue;
             }
@@ -377,7 +378,8 @@
             state
                 .ask_at
                 .insert(call.keeper, now + grant.ask_again_after);
-            state.queue.add(granted, call.asked_at, now);
+            let batch = permit_batch(granted, call.asked_at);
+            state.queue.add(batch, now);
         }
     }
 
@@ -408,7 +410,8 @@
             let Some(limit) = state.known.limit else {
                 continue;
             };
-            let expected = limit * ALONE_SHARE * passed.as_secs_f64() / f64::from(vms.max(1));
+            let expected =
+                limit_policy(limit).alone_per_second * passed.as_secs_f64() / f64::from(vms.max(1));
             let fraction = expected.fract();
             #[expect(
                 clippy::cast_possible_truncation,
@@ -416,7 +419,7 @@
                 reason = "a saturated number of permits is more than enough"
             )]
             let permits = expected as u32 + u32::from(random() < fraction);
-            state.queue.add(permits, now, now);
+            state.queue.add(permit_batch(permits, now), now);
         }
     }
 
@@ -437,6 +440,15 @@
     }
 }
 
+fn permit_batch(count: u32, asked_at: MonoTime) -> PermitBatch {
+    PermitBatch {
+        count,
+        asked_at,
+        ttl: Duration::from_millis(PERMIT_TTL_MS),
+        grantor: None,
+    }
+}
+
 fn incarnation_of(report: &LimitReport) -> TargetIncarnation {
     TargetIncarnation {
         id: Arc::clone(&report.target),
--- a/crates/route/src/relay/message.rs
+++ b/crates/route/src/relay/message.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict};
+use fulmarweir_permits::SendPermit;
 
 use super::{
     attempt_budget::AttemptCharge,
     crash::{RequestFingerprint, RunEnd},
     link_state::LinkEvidence,
-    permit_queue::SendPermit,
     selector::RelayTarget,
     shard_group::ShardGroup,
     target_tracker::AttemptSignal,
--- a/crates/route/src/relay/permit_grantor.rs
+++ b/crates/route/src/relay/permit_grantor.rs
@@ -7,12 +7,12 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use fulmarweir_base::MonoTime;
+use fulmarweir_permits::{GrantBucket, PermitAsker, RateGrant, RatePolicy};
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -20,9 +20,6 @@
     notice_table::TargetIncarnation,
 };
 
-/// Most keepers that grant permits. Each may have saved up one permit, and a target takes few more
-/// requests than its limit says.
-pub const GRANTORS_MAX: usize = 5;
 /// Lowest rate of permits for a target in requests per second, so that a target which takes nothing
 /// is asked now and then whether that is over.
 const RATE_MIN: f64 = 0.05;
@@ -30,16 +27,29 @@
 const RATE_MAX: f64 = 1e6;
 /// Time for which permits that nobody asks for are saved up, in milliseconds.
 const SAVED_MS: u64 = 500;
-/// Shortest and longest time after which a VM that did not get enough asks again, in milliseconds.
-const ASK_AGAIN_MIN_MS: u64 = 20;
-const ASK_AGAIN_MAX_MS: u64 = 4_000;
-/// Time for which a VM counts as one that asks, in milliseconds.
-const ASKER_TTL_MS: u64 = 4_000;
-/// VMs ask again after this share of the time in which each of them would find a permit, or later.
-const ASK_AGAIN_SHARE_MIN: f64 = 0.4;
+/// Time after which a permit expires, in milliseconds, counted from when it was asked for. Permits
+/// that a lost VM held are of no use for longer, and a window of requests at the target holds little
+/// more than what was granted within it.
+pub(crate) const PERMIT_TTL_MS: u64 = 750;
+/// Time for which permits are asked for in advance, in milliseconds.
+const ADVANCE_MS: u64 = 250;
+/// Share of the limit that VMs without a keeper use together. The other VMs may still use all of it.
+const ALONE_SHARE: f64 = 0.5;
 /// Time for which it is remembered that a limit is over, in milliseconds.
 const LIFTED_TTL_MS: u64 = 60_000;
 
+/// Returns how the limit that a target states is granted.
+pub(crate) fn limit_policy(limit: f64) -> RatePolicy {
+    RatePolicy {
+        per_second: limit,
+        burst_span: Duration::from_millis(SAVED_MS),
+        bucket_min: 1.0,
+        permit_ttl: Duration::from_millis(PERMIT_TTL_MS),
+        advance: Duration::from_millis(ADVANCE_MS),
+        alone_per_second: limit * ALONE_SHARE,
+    }
+}
+
 /// A VM's request for permits, with what it knows of the limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PermitAsk {
@@ -49,15 +59,6 @@
     pub wanted: u32,
 }
 
-/// Who asks for permits.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PermitAsker {
-    /// Address of the VM.
-    pub vm: SocketAddr,
-    /// A random number from 0 to 1, by which VMs ask again at different times.
-    pub spread: f64,
-}
-
 /// The reply to a [`PermitAsk`].
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PermitGrant {
@@ -67,83 +68,35 @@
     pub ask_again_after: Duration,
 }
 
-impl PermitGrant {
-    /// Nothing is granted, and need not be asked for soon.
-    const fn none() -> Self {
+impl From<RateGrant> for PermitGrant {
+    fn from(grant: RateGrant) -> Self {
         Self {
-            granted: 0,
-            ask_again_after: Duration::from_millis(ASK_AGAIN_MAX_MS),
+            granted: grant.granted,
+            ask_again_after: grant.ask_again_after,
         }
     }
 }
 
-/// The part of a limit that this keeper grants.
-#[derive(Debug, Default)]
-struct GrantBucket {
+/// The limit of a target and the part of it that this keeper grants.
+#[derive(Debug)]
+struct LimitBucket {
     known: KnownLimit,
-    tokens: f64,
-    refilled_at: MonoTime,
-    /// VMs that lately did not get all that they asked for, and when they asked.
-    askers: HashMap<SocketAddr, MonoTime>,
+    bucket: GrantBucket,
 }
 
-impl GrantBucket {
+impl LimitBucket {
     fn new(now: MonoTime) -> Self {
         Self {
-            refilled_at: now,
-            ..Self::default()
-        }
-    }
-
-    fn refill(&mut self, rate: f64, now: MonoTime) {
-        let saved_max = (rate * Duration::from_millis(SAVED_MS).as_secs_f64()).max(1.0);
-        let gained = rate * now.since(self.refilled_at).as_secs_f64();
-        self.tokens = (self.tokens + gained).min(saved_max);
-        self.refilled_at = now;
-    }
-
-    fn grant(&mut self, asker: PermitAsker, wanted: u32, rate: f64, now: MonoTime) -> PermitGrant {
-        self.refill(rate, now);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "tokens are not negative and bounded by the highest rate"
-        )]
-        let granted = wanted.min(self.tokens as u32);
-        self.tokens -= f64::from(granted);
-        let ttl = Duration::from_millis(ASKER_TTL_MS);
-        self.askers.retain(|_, asked_at| now.since(*asked_at) < ttl);
-        let ask_again_after = if granted == wanted {
-            self.askers.remove(&asker.vm);
-            Duration::ZERO
-        } else {
-            self.askers.insert(asker.vm, now);
-            self.ask_again_after(rate, asker.spread)
-        };
-        PermitGrant {
-            granted,
-            ask_again_after,
+            known: KnownLimit::default(),
+            bucket: GrantBucket::new(now),
         }
     }
-
-    /// Returns after which time a VM should ask again, so that the VMs that ask now find a permit
-    /// each, at different times.
-    fn ask_again_after(&self, rate: f64, spread: f64) -> Duration {
-        #[expect(clippy::cast_precision_loss, reason = "a small count")]
-        let seconds = self.askers.len() as f64 / rate;
-        let after = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
-        let after = after.min(Duration::from_millis(ASK_AGAIN_MAX_MS));
-        let share = ASK_AGAIN_SHARE_MIN + spread * (1.0 - ASK_AGAIN_SHARE_MIN);
-        after
-            .mul_f64(share)
-            .max(Duration::from_millis(ASK_AGAIN_MIN_MS))
-    }
 }
 
 /// Grants this keeper's part of the limits of all targets, and knows these limits.
 #[derive(Debug)]
 pub struct PermitGrantor {
-    buckets: HashMap<TargetIncarnation, GrantBucket>,
+    buckets: HashMap<TargetIncarnation, LimitBucket>,
     revision: u64,
 }
 
@@ -178,15 +131,15 @@
             born_ms: ask.known.born_ms,
         };
         if !ask.known.is_valid() {
-            return (PermitGrant::none(), false);
+            return (RateGrant::none().into(), false);
         }
         let bucket = self.buckets.entry(incarnation);
-        let bucket = bucket.or_insert_with(|| GrantBucket::new(now));
+        let bucket = bucket.or_insert_with(|| LimitBucket::new(now));
         let known_at = now.earlier_by(ask.known.age);
         let is_changed = bucket.known.apply(ask.known.limit, known_at);
         self.revision = self.revision.wrapping_add(u64::from(is_changed));
         let Some(grantors) = grantors else {
-            return (PermitGrant::none(), is_changed);
+            return (RateGrant::none().into(), is_changed);
         };
         let Some(limit) = bucket.known.limit else {
             let grant = PermitGrant {
@@ -195,9 +148,9 @@
             };
             return (grant, is_changed);
         };
-        #[expect(clippy::cast_precision_loss, reason = "a small count")]
-        let rate = limit.clamp(RATE_MIN, RATE_MAX) / grantors.max(1) as f64;
-        (bucket.grant(asker, ask.wanted, rate, now), is_changed)
+        let part = limit_policy(limit.clamp(RATE_MIN, RATE_MAX)).part_of(grantors);
+        let grant = bucket.bucket.grant(asker, ask.wanted, &part, now);
+        (grant.into(), is_changed)
     }
 
     /// Returns what VMs have told this keeper of the limits of targets.
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -12,6 +12,7 @@
 use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict};
+use fulmarweir_permits::{RequestRank, WaitTimes};
 
 use self::trial::RequestTrial;
 use super::{
@@ -21,7 +22,6 @@
     message::{
         AnswerSource, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayParams, RequestOrigin,
     },
-    permit_queue::{RequestRank, WaitTimes},
     selector::{PickCriteria, RelayTarget, TargetChoice, TargetPick, TargetSelector},
     sub_request::{OpenAttempt, SubRequest, SubRequestState},
     target_tracker::AttemptSignal,
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -14,6 +14,7 @@
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
+use fulmarweir_permits::{RequestRank, SendPermit};
 
 use super::{
     attempt_budget::{AttemptCharge, BudgetGrant, BudgetSnapshot, ExtraAttemptBudget},
@@ -22,7 +23,6 @@
     limit_table::LimitTable,
     link_watch::LinkWatch,
     notice_table::{NoticeChange, NoticeTable, TargetIncarnation, TargetNotice},
-    permit_queue::{RequestRank, SendPermit},
     shard_group::{NearestTarget, ShardGroup, group_all_shards, group_shards},
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
--- a/crates/route/src/relay/selector/permits.rs
+++ b/crates/route/src/relay/selector/permits.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use fulmarweir_base::MonoTime;
+use fulmarweir_permits::{RequestRank, SendPermit, WaitTimes};
 
 use super::{RelayTarget, TargetSelector, is_usable};
 use crate::relay::{
@@ -10,7 +11,6 @@
     limit::{LimitChange, LimitReport, LimitedLoad, StatedLimit},
     limit_table::PermitCall,
     permit_grantor::PermitGrant,
-    permit_queue::{RequestRank, SendPermit, WaitTimes},
     target_tracker::TargetTracker,
 };
 
--- a/crates/route/src/relay/selector/pick.rs
+++ b/crates/route/src/relay/selector/pick.rs
@@ -6,11 +6,11 @@
 use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::MonoTime;
+use fulmarweir_permits::RequestRank;
 
 use super::{RelayTarget, TargetSelector, is_usable};
 use crate::relay::{
     limit_table::LimitTable,
-    permit_queue::RequestRank,
     target_tracker::{Locality, TargetTracker},
 };
 
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use fulmarweir_base::MonoTime;
+use fulmarweir_permits::SendPermit;
 
 use super::{
     attempt_budget::AttemptCharge,
     message::{AnswerSource, RelayAttempt, RepeatedSubRequest},
-    permit_queue::SendPermit,
     selector::RelayTarget,
 };
 
