--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -15,12 +15,13 @@
 use fulmarweir_route::{
     CrashTally, GRANTORS_MAX, PermitAsk, PermitAsker, PermitGrant, PermitGrantor,
 };
+use fulmarweir_wire::PeerVersion;
 use slog::{Logger, error, info};
 use tokio::sync::watch;
 
 use super::{
     adapter::ProtocolAdapter,
-    keeper_poll::{DirectoryOwner, KeeperDirectory, vm_list_digest},
+    keeper_poll::{DirectoryOwner, KeeperDirectory, RelayPeers, vm_list_digest},
     metrics::{RelayMetrics, set_count},
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
@@ -61,6 +62,7 @@
     pub(crate) metrics: RelayMetrics,
     pub(crate) directory: KeeperDirectory,
     pub(crate) quorum: Arc<QuorumClient>,
+    peers: RelayPeers,
     /// The voter of this VM; `None` while its storage cannot be opened.
     pub(crate) voter: Arc<Mutex<Option<Arc<VoterService>>>>,
     registry: Mutex<TargetRegistry>,
@@ -88,6 +90,7 @@
         adapter: ProtocolAdapter,
         log: Logger,
         timer: TimerService,
+        peers: RelayPeers,
         quorum: Arc<QuorumClient>,
         voter: Arc<Mutex<Option<Arc<VoterService>>>>,
     ) -> Arc<Self> {
@@ -108,6 +111,7 @@
             adapter,
             log,
             timer,
+            peers,
             quorum,
             voter,
         })
@@ -252,6 +256,8 @@
         self.metrics.voter_epoch.set(self.quorum.voters().epoch);
         let is_open = lock(&self.voter).is_some();
         self.metrics.voter_open.set(is_open.into());
+        let speak_newest = self.voters_speak_newest();
+        self.metrics.voters_newest.set(speak_newest.into());
     }
 
     fn entry_count(&self, now: MonoTime) -> u32 {
@@ -393,6 +399,21 @@
         is_grantor.then(|| voters.members.len().min(GRANTORS_MAX))
     }
 
+    /// Whether all voters are known to speak the newest protocol version.
+    ///
+    /// Registers and records that the version before cannot read must not be written before, since
+    /// a voter of that version could neither store nor copy them.
+    pub(crate) fn voters_speak_newest(&self) -> bool {
+        let own = self.settings.peer_address();
+        let voters = self.quorum.voters();
+        let mut members = voters.members.iter();
+        !voters.members.is_empty()
+            && members.all(|member| {
+                let is_own = member.address == own;
+                is_own || self.peers.version_of(member.address) == Some(PeerVersion::NEWEST)
+            })
+    }
+
     async fn handle_poll(&self, request: PollRequest) -> PollReply {
         let now = self.timer.now();
         match &request.source {
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -59,6 +59,7 @@
     pub(crate) connections_opened: CountGauge,
     pub(crate) voter_epoch: CountGauge,
     pub(crate) voter_open: CountGauge,
+    pub(crate) voters_newest: CountGauge,
     uptime: CountGauge,
 }
 
@@ -102,6 +103,7 @@
             connections_opened: Gauge::default(),
             voter_epoch: Gauge::default(),
             voter_open: Gauge::default(),
+            voters_newest: Gauge::default(),
             uptime: Gauge::default(),
         };
         metrics.register_counters();
@@ -236,6 +238,11 @@
                 "Whether the voter here takes part",
                 &self.voter_open,
             ),
+            (
+                "voters_newest",
+                "Whether all voters are known to speak the newest protocol version",
+                &self.voters_newest,
+            ),
             (
                 "requests_blocked",
                 "Requests that are not sent to targets, since they have ended several",
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -163,10 +163,10 @@
     let first_set = first_voters(&settings);
     let voter = open_voter(&settings, &first_set, &timer, &log).await;
     let voter = Arc::new(std::sync::Mutex::new(voter));
-    let transport = voter_transport(peers, Arc::clone(&voter), settings.peer_address());
+    let transport = voter_transport(peers.clone(), Arc::clone(&voter), settings.peer_address());
     let client = ClientSettings::new(first_set);
     let quorum = Arc::new(QuorumClient::new(client, transport, timer.clone()));
-    let node = KeeperNode::new(settings, adapter, log, timer, quorum, voter);
+    let node = KeeperNode::new(settings, adapter, log, timer, peers, quorum, voter);
     let mut tasks = RelayTasks::new();
     start_keeper_listeners(&node, Arc::clone(&meter), &mut tasks).await?;
     let ticking_node = Arc::clone(&node);
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,14 +1,14 @@
 //! Calls to other daemons over one multiplexed HTTP/2 connection per peer.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     marker::PhantomData,
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -22,6 +22,7 @@
     body::{read_body, write_body},
     error::{Result, WireError, WireFault},
     message::{PeerMessage, PeerVersion, decode_peer_message, encode_peer_message},
+    peer_versions::PeerVersionTable,
     traffic::{TrafficClass, TrafficMeter},
 };
 
@@ -40,6 +41,8 @@
 #[derive(Clone, Debug)]
 struct PeerConnection {
     request_sender: SendRequest<Bytes>,
+    /// Later connections of this process have higher numbers.
+    number: u64,
     /// Replies received so far, to distinguish a dead connection from one slow call.
     reply_count: Arc<AtomicU64>,
     /// Whether the peer has refused the newest protocol version.
@@ -73,6 +76,8 @@
 #[derive(Debug)]
 struct ClientShared {
     slots: std::sync::Mutex<HashMap<SocketAddr, ConnectionSlot>>,
+    versions: PeerVersionTable,
+    connection_count: AtomicU64,
     meter: Arc<TrafficMeter>,
     tasks: TaskTracker,
     stop: CancellationToken,
@@ -94,6 +99,8 @@
     pub fn new(meter: Arc<TrafficMeter>) -> Self {
         let shared = ClientShared {
             slots: std::sync::Mutex::default(),
+            versions: PeerVersionTable::default(),
+            connection_count: AtomicU64::default(),
             meter,
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
@@ -136,6 +143,21 @@
         }
     }
 
+    /// Returns the protocol version of the last reply of the peer at `address`.
+    ///
+    /// It is `None` if the peer has not replied yet or for a long time, or has refused the version that it
+    /// used before. Since the reply, the peer may have been replaced by another build.
+    #[must_use]
+    pub fn version_of(&self, address: SocketAddr) -> Option<PeerVersion> {
+        self.shared.versions.version_of(address, Instant::now())
+    }
+
+    /// Returns the peers whose version is known, with the version.
+    #[must_use]
+    pub fn known_versions(&self) -> BTreeMap<SocketAddr, PeerVersion> {
+        self.shared.versions.current(Instant::now())
+    }
+
     /// Closes all connections and waits for their tasks.
     pub async fn close(&self) {
         self.shared.stop.cancel();
@@ -152,20 +174,22 @@
     ) -> Result<R> {
         let connection = self.shared.connection(address).await?;
         let version = connection.version();
-        let sent = self.exchange_on(&connection, address, class, (request, version), sent_on);
-        match sent.await {
-            // The peer has read nothing of a call in a version that it does not know.
-            Err(error) if error.fault == WireFault::Protocol && version > PeerVersion::V8 => {
-                if request.version_min() > PeerVersion::V8 {
-                    return Err(error);
-                }
-                connection.is_older.store(true, Relaxed);
-                let call = (request, PeerVersion::V8);
-                self.exchange_on(&connection, address, class, call, sent_on)
-                    .await
-            }
-            result => result,
+        let call = (request, version);
+        let sent = self.exchange_on(&connection, address, class, call, sent_on);
+        let result = sent.await;
+        let is_refused = matches!(&result, Err(error) if error.fault == WireFault::Protocol);
+        if !is_refused || version == PeerVersion::V8 {
+            return result;
         }
+        // The peer has read nothing of a call in a version that it does not know. Calls that were
+        // refused at the same time each get here, whichever of them marks the connection first.
+        connection.is_older.store(true, Relaxed);
+        connection.reply_count.fetch_add(1, Relaxed);
+        self.shared.versions.forget(address, connection.number);
+        *sent_on = None;
+        let call = (request, PeerVersion::V8);
+        self.exchange_on(&connection, address, class, call, sent_on)
+            .await
     }
 
     async fn exchange_on(
@@ -191,6 +215,8 @@
         }
         let reply = read_reply(response).await?;
         connection.reply_count.fetch_add(1, Relaxed);
+        let (number, now) = (connection.number, Instant::now());
+        self.shared.versions.record(address, number, version, now);
         self.shared
             .meter
             .record_call(class, request_bytes, reply.len());
@@ -251,6 +277,7 @@
         let (stop, retired) = (self.stop.clone(), CancellationToken::new());
         let connection = PeerConnection {
             request_sender,
+            number: self.connection_count.fetch_add(1, Relaxed),
             reply_count: Arc::default(),
             is_older: Arc::default(),
             retired: retired.clone(),
@@ -290,9 +317,11 @@
 
 /// Returns the error of a call whose request body could not be sent in full.
 async fn write_error(response: ResponseFuture) -> WireError {
-    match response.await {
+    // A peer that refuses a call does not read its body, so the refusal may come before the end of
+    // a large one.
+    match read_reply(response).await {
         Ok(_) => WireError::may_have_run(WireFault::Broken),
-        Err(error) => stream_error(&error),
+        Err(error) => error,
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Each call is one stream: the request body is one encoded message, the
 //! response body the encoded reply. The path contains the protocol version. A
-//! daemon serves two versions, and calls peers of the older one in that form. Dropping a call resets its stream, which cancels the work at the
-//! peer.
+//! daemon serves two versions, and calls peers of the older one in that form.
+//! Dropping a call resets its stream, which cancels the work at the peer.
 //!
 //! ```
 //! use fulmarweir_wire::{decode_message, encode_message};
@@ -18,6 +18,7 @@
 mod codec;
 mod error;
 mod message;
+mod peer_versions;
 mod server;
 mod traffic;
 
