Test calls between builds of two versions, and count the calls by version

A known extension field that could not be decoded was treated as absent, which could lift a restriction that the field states; the message is rejected now. A server counts its calls by version, and those in unknown versions with the last caller and path.

The tests use a stand-in for another build that answers 404 before it reads a body.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod error;
 mod message;
 mod peer_versions;
+mod served_versions;
 mod server;
 mod traffic;
 
@@ -28,5 +29,6 @@
 pub use message::{
     ExtensionFields, PeerMessage, PeerVersion, decode_peer_message, encode_peer_message,
 };
+pub use served_versions::{ServedVersions, UnknownVersionCalls};
 pub use server::PeerServer;
 pub use traffic::{TrafficClass, TrafficMeter, TrafficTotals};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,10 +3,12 @@
 //! A message of version 9 is the message of version 8, followed by a list of optional fields. A reader
 //! passes over fields that it does not know, so later builds can add facts without a new version.
 
+use std::cell::Cell;
+
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
-    codec::{decode_message, encode_message},
+    codec::{MESSAGE_MAX_BYTES, decode_message, encode_message},
     error::{Result, WireError, WireFault},
 };
 
@@ -49,22 +51,43 @@
 
 /// Optional fields of a message, each with a number that is never used for anything else.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ExtensionFields(Vec<(u32, Vec<u8>)>);
+pub struct ExtensionFields {
+    fields: Vec<(u32, Vec<u8>)>,
+    /// Whether a field could not be encoded or decoded, which fails the whole message: to treat the
+    /// field as absent could lift a restriction that it states.
+    #[serde(skip)]
+    has_fault: Cell<bool>,
+}
 
 impl ExtensionFields {
-    /// Adds a field. One that cannot be encoded is left out.
+    /// Adds a field. One that cannot be encoded fails the message.
     pub fn put<T: Serialize>(&mut self, number: u32, value: &T) {
-        if let Ok(bytes) = bincode::serde::encode_to_vec(value, bincode::config::standard()) {
-            self.0.push((number, bytes));
+        match bincode::serde::encode_to_vec(value, bincode::config::standard()) {
+            Ok(bytes) => self.fields.push((number, bytes)),
+            Err(_) => self.has_fault.set(true),
         }
     }
 
-    /// Returns the field with this number, or `None` if it is absent or unreadable.
+    /// Returns the field with this number, or `None` if it is absent. One that cannot be decoded
+    /// fails the message.
     #[must_use]
     pub fn get<T: DeserializeOwned>(&self, number: u32) -> Option<T> {
-        let (_, bytes) = self.0.iter().find(|(known, _)| *known == number)?;
-        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-        decoded.ok().map(|(value, _)| value)
+        let (_, bytes) = self.fields.iter().find(|(known, _)| *known == number)?;
+        let codec = bincode::config::standard().with_limit::<MESSAGE_MAX_BYTES>();
+        match bincode::serde::decode_from_slice(bytes, codec) {
+            Ok((value, read_len)) if read_len == bytes.len() => Some(value),
+            _ => {
+                self.has_fault.set(true);
+                None
+            }
+        }
+    }
+
+    fn check(&self) -> Result<()> {
+        if self.has_fault.get() {
+            return Err(WireError::not_run(WireFault::Codec));
+        }
+        Ok(())
     }
 }
 
@@ -102,7 +125,11 @@
     }
     match version {
         PeerVersion::V8 => encode_message(message),
-        PeerVersion::V9 => encode_message(&(message, message.extension())),
+        PeerVersion::V9 => {
+            let fields = message.extension();
+            fields.check()?;
+            encode_message(&(message, fields))
+        }
     }
 }
 
@@ -110,13 +137,15 @@
 ///
 /// # Errors
 ///
-/// Returns [`WireFault::Codec`] if the bytes are not a valid message of this version.
+/// Returns [`WireFault::Codec`] if the bytes are not a valid message of this version, or if a field
+/// that the message reads is not valid. Fields that it does not read are not examined.
 pub fn decode_peer_message<M: PeerMessage>(bytes: &[u8], version: PeerVersion) -> Result<M> {
     match version {
         PeerVersion::V8 => decode_message(bytes),
         PeerVersion::V9 => {
             let (mut message, fields): (M, ExtensionFields) = decode_message(bytes)?;
             message.set_extension(&fields);
+            fields.check()?;
             Ok(message)
         }
     }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -130,7 +130,9 @@
     H: Fn(SocketAddr, Q) -> (TrafficClass, F),
     F: Future<Output = R>,
 {
-    let Some(version) = PeerVersion::of_path(request.uri().path()) else {
+    let path = request.uri().path();
+    let Some(version) = PeerVersion::of_path(path) else {
+        shared.meter.served().record_unknown(address, path);
         return refuse_call(&mut respond, StatusCode::NOT_FOUND);
     };
     let Some(body) = read_body(&mut request.into_body()).await else {
@@ -139,6 +141,7 @@
     let Ok(message) = decode_peer_message::<Q>(&body, version) else {
         return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
     };
+    shared.meter.served().record_call(version);
     let (class, reply) = (shared.handler)(address, message);
     let reply = tokio::select! {
         // Checks for a reset first, so that a call that its caller gave up while this process was
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
+use crate::served_versions::ServedVersions;
+
 /// HTTP/2 frame headers and indexed header fields of one call, in bytes.
 const CALL_OVERHEAD_BYTES: u64 = 60;
 
@@ -34,6 +36,7 @@
 pub struct TrafficMeter {
     control: ClassCounter,
     query: ClassCounter,
+    served: ServedVersions,
 }
 
 impl TrafficMeter {
@@ -47,6 +50,12 @@
         }
     }
 
+    /// Returns the counts of calls that were served, by protocol version.
+    #[must_use]
+    pub const fn served(&self) -> &ServedVersions {
+        &self.served
+    }
+
     /// Adds one call with a request of `request_bytes` and a reply of `reply_bytes`.
     pub fn record_call(&self, class: TrafficClass, request_bytes: usize, reply_bytes: usize) {
         let counter = self.counter(class);
--- /dev/null
+++ b/crates/wire/tests/versions.rs
@@ -0,0 +1,513 @@
+//! Tests calls between builds of different protocol versions, and the form of messages.
+
+use std::{
+    collections::VecDeque,
+    future::ready,
+    net::SocketAddr,
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use arbtest::arbtest;
+use bytes::Bytes;
+use fulmarweir_base::RunVerdict;
+use fulmarweir_wire::{
+    ExtensionFields, PeerClient, PeerMessage, PeerServer, PeerVersion, TrafficClass, TrafficMeter,
+    WireError, WireFault, decode_message, decode_peer_message, encode_message, encode_peer_message,
+};
+use http::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const PATH_8: &str = "/fulmarweir/peer/8";
+const PATH_9: &str = "/fulmarweir/peer/9";
+const NOTE_FIELD: u32 = 5;
+/// A number that no message reads.
+const LATER_FIELD: u32 = 6;
+const SEEDS: Range<u64> = 0..400;
+
+/// A message with an optional field and a kind that version 8 does not have.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum NoteMessage {
+    Plain {
+        body: Vec<u8>,
+        #[serde(skip)]
+        note: Option<String>,
+    },
+    Added(u32),
+}
+
+impl NoteMessage {
+    fn plain(len: usize) -> Self {
+        // Bytes that do not compress, so that the message is as large on the wire.
+        let mut state = 1_u32;
+        let next = |_| {
+            state = state.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            (state >> 24) as u8
+        };
+        let body = (0..len).map(next).collect();
+        Self::Plain { body, note: None }
+    }
+
+    fn with_note(note: &str) -> Self {
+        Self::Plain {
+            body: vec![1, 2],
+            note: Some(note.to_owned()),
+        }
+    }
+}
+
+impl PeerMessage for NoteMessage {
+    fn version_min(&self) -> PeerVersion {
+        match self {
+            Self::Plain { .. } => PeerVersion::V8,
+            Self::Added(_) => PeerVersion::V9,
+        }
+    }
+
+    fn extension(&self) -> ExtensionFields {
+        let mut fields = ExtensionFields::default();
+        if let Self::Plain {
+            note: Some(note), ..
+        } = self
+        {
+            fields.put(NOTE_FIELD, note);
+        }
+        fields
+    }
+
+    fn set_extension(&mut self, fields: &ExtensionFields) {
+        if let Self::Plain { note, .. } = self {
+            *note = fields.get(NOTE_FIELD);
+        }
+    }
+}
+
+/// A stand-in for another build, which serves one path, echoes its calls and refuses all others with
+/// status 404 before it reads their bodies.
+struct OtherBuild {
+    address: SocketAddr,
+    /// Paths of the calls, in order of arrival.
+    paths: Arc<Mutex<Vec<String>>>,
+    /// Closes the listener and all connections.
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl OtherBuild {
+    fn start(served: &'static str) -> Self {
+        Self::start_at("127.0.0.1:0".parse().unwrap(), served)
+    }
+
+    fn start_at(address: SocketAddr, served: &'static str) -> Self {
+        let listener = listen_at(address);
+        let address = listener.local_addr().unwrap();
+        let paths = Arc::<Mutex<Vec<String>>>::default();
+        let stop = CancellationToken::new();
+        let (seen, stopped) = (Arc::clone(&paths), stop.clone());
+        let task = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            loop {
+                let accepted = tokio::select! {
+                    () = stopped.cancelled() => return,
+                    accepted = listener.accept() => accepted,
+                };
+                let (stream, _) = accepted.unwrap();
+                connections.spawn(serve_connection(stream, served, Arc::clone(&seen)));
+            }
+        });
+        Self {
+            address,
+            paths,
+            stop,
+            task,
+        }
+    }
+
+    fn take_paths(&self) -> Vec<String> {
+        std::mem::take(&mut self.paths.lock().unwrap())
+    }
+
+    async fn stop(self) {
+        self.stop.cancel();
+        self.task.await.unwrap();
+    }
+}
+
+/// Listens at an address that a stopped server has just left.
+fn listen_at(address: SocketAddr) -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(address).unwrap();
+    socket.listen(64).unwrap()
+}
+
+async fn serve_connection(
+    stream: tokio::net::TcpStream,
+    served: &'static str,
+    paths: Arc<Mutex<Vec<String>>>,
+) {
+    let mut connection = h2::server::handshake(stream).await.unwrap();
+    let mut calls = tokio::task::JoinSet::new();
+    while let Some(Ok((request, mut respond))) = connection.accept().await {
+        let path = request.uri().path().to_owned();
+        let is_served = path == served;
+        paths.lock().unwrap().push(path);
+        if !is_served {
+            let refusal = Response::builder().status(StatusCode::NOT_FOUND);
+            respond
+                .send_response(refusal.body(()).unwrap(), true)
+                .unwrap();
+            continue;
+        }
+        calls.spawn(async move {
+            let mut body = request.into_body();
+            let mut message = Vec::new();
+            while let Some(chunk) = body.data().await {
+                let Ok(chunk) = chunk else { return };
+                let _ = body.flow_control().release_capacity(chunk.len());
+                message.extend_from_slice(&chunk);
+            }
+            let mut stream = respond.send_response(Response::new(()), false).unwrap();
+            let _ = stream.send_data(Bytes::from(message), true);
+        });
+    }
+}
+
+async fn call(
+    client: &PeerClient<NoteMessage, NoteMessage>,
+    address: SocketAddr,
+    message: &NoteMessage,
+) -> Result<NoteMessage, WireError> {
+    client
+        .call(address, TrafficClass::Query, message, CALL_TIMEOUT)
+        .await
+}
+
+/// Starts a server of this build that echoes its calls.
+fn start_server(
+    address: SocketAddr,
+    meter: Arc<TrafficMeter>,
+) -> (SocketAddr, CancellationToken, JoinHandle<()>) {
+    let listener = listen_at(address);
+    let address = listener.local_addr().unwrap();
+    let stop = CancellationToken::new();
+    let handler = |_from: SocketAddr, message: NoteMessage| (TrafficClass::Control, ready(message));
+    let server = PeerServer::new(handler, meter, stop.clone());
+    (address, stop, tokio::spawn(server.serve(listener)))
+}
+
+/// Guards against an upgrade during which the first VM replaced cannot call the others.
+#[tokio::test]
+async fn a_call_falls_back_to_version_8_and_the_connection_keeps_it() {
+    let peer = OtherBuild::start(PATH_8);
+    let client = PeerClient::new(Arc::default());
+    assert_eq!(client.version_of(peer.address), None);
+    for _ in 0..2 {
+        // The old build does not know the field, so it does not come back.
+        let reply = call(&client, peer.address, &NoteMessage::with_note("x")).await;
+        let expected = NoteMessage::Plain {
+            body: vec![1, 2],
+            note: None,
+        };
+        assert_eq!(reply.unwrap(), expected);
+    }
+    assert_eq!(peer.take_paths(), [PATH_9, PATH_8, PATH_8]);
+    assert_eq!(client.version_of(peer.address), Some(PeerVersion::V8));
+    client.close().await;
+    peer.stop().await;
+}
+
+/// Guards against a refusal that arrives while a large body is being sent, and is then reported as a
+/// broken stream whose call may have run.
+#[tokio::test]
+async fn a_call_with_a_large_body_falls_back_too() {
+    let peer = OtherBuild::start(PATH_8);
+    for len in [60_000, 70_000, 1_100_000, 6_000_000] {
+        let client = PeerClient::new(Arc::default());
+        let message = NoteMessage::plain(len);
+        let reply = call(&client, peer.address, &message).await;
+        assert_eq!(reply.as_ref().map(|reply| *reply == message), Ok(true));
+        assert_eq!(peer.take_paths(), [PATH_9, PATH_8], "{len} bytes");
+        client.close().await;
+    }
+    peer.stop().await;
+}
+
+/// Guards against calls that fail because another call on the same connection has fallen back first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_that_start_together_on_a_new_connection_all_fall_back() {
+    const CALLS: usize = 100;
+    for _ in 0..10 {
+        let peer = OtherBuild::start(PATH_8);
+        let client = PeerClient::new(Arc::default());
+        let message = NoteMessage::plain(300);
+        let calls = (0..CALLS).map(|_| {
+            let (client, message, address) = (client.clone(), message.clone(), peer.address);
+            tokio::spawn(async move { call(&client, address, &message).await })
+        });
+        for reply in futures::future::join_all(calls).await {
+            assert_eq!(reply.unwrap().unwrap(), message);
+        }
+        let paths = peer.take_paths();
+        let served = paths.iter().filter(|path| *path == PATH_8).count();
+        assert_eq!(served, CALLS);
+        assert!(paths.len() <= 2 * CALLS, "{} calls", paths.len());
+        client.close().await;
+        peer.stop().await;
+    }
+}
+
+/// Guards against a VM that keeps calling in version 8 after its peer was upgraded, and against one that
+/// is lost when its peer is downgraded. Calls in flight at the replacement may fail.
+#[tokio::test]
+async fn a_new_connection_starts_with_version_9_again() {
+    let client = PeerClient::new(Arc::default());
+    let mut peer = OtherBuild::start("/fulmarweir/peer/7");
+    let address = peer.address;
+    let message = NoteMessage::plain(10);
+    let background = {
+        let (client, message) = (client.clone(), message.clone());
+        tokio::spawn(async move {
+            loop {
+                match call(&client, address, &message).await {
+                    Ok(reply) => assert_eq!(reply, message),
+                    Err(error) => {
+                        let expected = [WireFault::Broken, WireFault::Connect, WireFault::Protocol];
+                        assert!(expected.contains(&error.fault), "{error}");
+                        tokio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                }
+            }
+        })
+    };
+    for (served, version) in [
+        (PATH_8, PeerVersion::V8),
+        (PATH_9, PeerVersion::V9),
+        (PATH_8, PeerVersion::V8),
+        (PATH_9, PeerVersion::V9),
+    ] {
+        peer.stop().await;
+        peer = OtherBuild::start_at(address, served);
+        let mut failures = 0;
+        while call(&client, address, &message).await.is_err() {
+            failures += 1;
+            assert!(failures < 100, "no call reaches the replaced peer");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(client.version_of(address), Some(version));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let paths = peer.take_paths();
+        assert_eq!(paths.first().map(String::as_str), Some(PATH_9));
+        assert_eq!(paths.last().map(String::as_str), Some(served));
+    }
+    assert!(!background.is_finished(), "a call failed in another way");
+    background.abort();
+    client.close().await;
+    peer.stop().await;
+}
+
+/// Guards against a new kind of request that reaches a build which would misread or reject it, and
+/// against one that is taken as possibly run.
+#[tokio::test]
+async fn a_request_of_version_9_alone_is_not_sent_to_a_version_8_peer() {
+    let peer = OtherBuild::start(PATH_8);
+    let client = PeerClient::new(Arc::default());
+    let not_run = WireError {
+        fault: WireFault::Protocol,
+        verdict: RunVerdict::NotRun,
+    };
+    // The version of the peer becomes known by the refusal.
+    let first = call(&client, peer.address, &NoteMessage::Added(1)).await;
+    assert_eq!(first, Err(not_run));
+    assert_eq!(peer.take_paths(), [PATH_9]);
+    let second = call(&client, peer.address, &NoteMessage::Added(2)).await;
+    assert_eq!(second, Err(not_run));
+    assert!(peer.take_paths().is_empty());
+    let plain = NoteMessage::plain(3);
+    assert_eq!(call(&client, peer.address, &plain).await, Ok(plain));
+    assert_eq!(peer.take_paths(), [PATH_8]);
+    client.close().await;
+    peer.stop().await;
+}
+
+/// Guards against endless attempts at a peer that speaks neither version.
+#[tokio::test]
+async fn a_peer_of_neither_version_gets_one_call_in_each() {
+    let peer = OtherBuild::start("/fulmarweir/peer/7");
+    let client = PeerClient::new(Arc::default());
+    let error = call(&client, peer.address, &NoteMessage::plain(3)).await;
+    let error = error.unwrap_err();
+    assert_eq!(error.fault, WireFault::Protocol);
+    assert_eq!(error.verdict, RunVerdict::NotRun);
+    assert_eq!(peer.take_paths(), [PATH_9, PATH_8]);
+    assert_eq!(client.version_of(peer.address), None);
+    client.close().await;
+    peer.stop().await;
+}
+
+/// Guards against an old build that is served in a form that it cannot read, and against a call in an
+/// unknown version that has an effect or passes unseen.
+#[tokio::test]
+async fn a_server_serves_both_versions_and_counts_unknown_ones() {
+    let meter = Arc::new(TrafficMeter::default());
+    let (address, stop, task) = start_server("127.0.0.1:0".parse().unwrap(), Arc::clone(&meter));
+    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let own_address = stream.local_addr().unwrap();
+    let (sender, connection) = h2::client::handshake(stream).await.unwrap();
+    let driver = tokio::spawn(connection);
+    let message = NoteMessage::with_note("x");
+    let v8 = encode_peer_message(&message, PeerVersion::V8).unwrap();
+    let v9 = encode_peer_message(&message, PeerVersion::V9).unwrap();
+    let mut replies = VecDeque::new();
+    for (path, body) in [
+        (PATH_8, &v8),
+        (PATH_9, &v9),
+        ("/fulmarweir/peer/7", &v8),
+        ("/fulmarweir/peer/10", &v9),
+        ("/", &v8),
+    ] {
+        let request = http::Request::post(format!("http://peer{path}"));
+        let mut sender = sender.clone().ready().await.unwrap();
+        let (response, mut stream) = sender
+            .send_request(request.body(()).unwrap(), false)
+            .unwrap();
+        stream.send_data(Bytes::from(body.clone()), true).unwrap();
+        let response = response.await.unwrap();
+        let status = response.status();
+        let mut received = Vec::new();
+        let mut body = response.into_body();
+        while let Some(chunk) = body.data().await {
+            received.extend_from_slice(&chunk.unwrap());
+        }
+        replies.push_back((status, received));
+    }
+    assert_eq!(replies.pop_front(), Some((StatusCode::OK, v8)));
+    assert_eq!(replies.pop_front(), Some((StatusCode::OK, v9)));
+    for refused in replies {
+        assert_eq!(refused, (StatusCode::NOT_FOUND, Vec::new()));
+    }
+    let served = meter.served();
+    assert_eq!(served.calls(PeerVersion::V8), 1);
+    assert_eq!(served.calls(PeerVersion::V9), 1);
+    let unknown = served.unknown();
+    assert_eq!(unknown.count, 3);
+    assert_eq!(unknown.last, Some((own_address, "/".to_owned())));
+    driver.abort();
+    stop.cancel();
+    task.await.unwrap();
+}
+
+/// Guards against a message of version 9 that a reader of the version 8 part cannot find, and
+/// against a cost of more than one byte where no field is set.
+#[test]
+fn a_version_9_message_is_that_of_version_8_followed_by_its_fields() {
+    let message = NoteMessage::plain(20);
+    let v8 = encode_peer_message(&message, PeerVersion::V8).unwrap();
+    let v9 = encode_peer_message(&message, PeerVersion::V9).unwrap();
+    assert_eq!(v9[..v8.len()], v8);
+    assert_eq!(v9[v8.len()..], [0]);
+    let noted = NoteMessage::with_note("abc");
+    let v8 = encode_peer_message(&noted, PeerVersion::V8).unwrap();
+    let v9 = encode_peer_message(&noted, PeerVersion::V9).unwrap();
+    assert_eq!(v9[..v8.len()], v8);
+    // One field: its number, the length of its bytes, and the text with its own length.
+    assert_eq!(v9[v8.len()..], [1, 5, 4, 3, b'a', b'b', b'c']);
+    let back: NoteMessage = decode_peer_message(&v9, PeerVersion::V9).unwrap();
+    assert_eq!(back, noted);
+}
+
+/// Guards against a later build whose optional fields make this build reject its messages.
+#[test]
+fn fields_with_unknown_numbers_are_skipped() {
+    let message = NoteMessage::plain(4);
+    let later: Vec<(u32, Vec<u8>)> = vec![
+        (LATER_FIELD, vec![255, 255, 255]),
+        (NOTE_FIELD, vec![1, b'n']),
+        (u32::MAX, Vec::new()),
+    ];
+    let bytes = encode_message(&(&message, later)).unwrap();
+    let back: NoteMessage = decode_peer_message(&bytes, PeerVersion::V9).unwrap();
+    let NoteMessage::Plain { body, note } = back else {
+        panic!("another message")
+    };
+    assert_eq!(body.len(), 4);
+    assert_eq!(note.as_deref(), Some("n"));
+}
+
+/// Guards against a known field that cannot be read and is taken as absent.
+#[test]
+fn a_known_field_with_invalid_bytes_is_an_error() {
+    for invalid in [vec![], vec![9, b'n'], vec![1, b'n', 0], vec![253; 9]] {
+        let fields: Vec<(u32, Vec<u8>)> = vec![(NOTE_FIELD, invalid.clone())];
+        let bytes = encode_message(&(NoteMessage::plain(4), fields)).unwrap();
+        let decoded = decode_peer_message::<NoteMessage>(&bytes, PeerVersion::V9);
+        let error = decoded.unwrap_err();
+        assert_eq!(error.fault, WireFault::Codec, "{invalid:?}");
+    }
+}
+
+/// Guards against a panic or a wrong message from bytes that were cut off or damaged.
+#[test]
+fn truncated_and_damaged_extensions_are_errors() {
+    for seed in SEEDS {
+        arbtest(|u| {
+            let note: String = u.arbitrary()?;
+            let bytes = encode_peer_message(&NoteMessage::with_note(&note), PeerVersion::V9);
+            let bytes = bytes.unwrap();
+            if bytes[0] == 0 {
+                let cut_len = u.choose_index(bytes.len())?;
+                let cut = decode_peer_message::<NoteMessage>(&bytes[..cut_len], PeerVersion::V9);
+                assert!(cut.is_err());
+                let mut longer = bytes.clone();
+                longer.push(0);
+                assert!(
+                    decode_peer_message::<NoteMessage>(&longer, PeerVersion::V9).is_err(),
+                    "bytes after the fields"
+                );
+            }
+            let mut damaged = bytes;
+            let position = u.choose_index(damaged.len())?;
+            damaged[position] ^= u.int_in_range(1..=255)?;
+            // Whatever is decoded is a message with its fields or an error.
+            let _ = decode_peer_message::<NoteMessage>(&damaged, PeerVersion::V9);
+            let random: Vec<u8> = u.arbitrary()?;
+            let _ = decode_peer_message::<NoteMessage>(&random, PeerVersion::V9);
+            Ok(())
+        })
+        .seed(seed << 32 | 512)
+        .run();
+    }
+}
+
+/// Guards against an allocation of a length that a damaged extension claims.
+#[test]
+fn a_claimed_number_of_fields_beyond_the_bytes_is_an_error() {
+    for claimed in [u64::from(u32::MAX), u64::MAX, 1 << 40] {
+        let message = encode_peer_message(&NoteMessage::plain(4), PeerVersion::V8).unwrap();
+        let mut bytes = message.clone();
+        bytes.push(253);
+        bytes.extend_from_slice(&claimed.to_le_bytes());
+        assert!(decode_peer_message::<NoteMessage>(&bytes, PeerVersion::V9).is_err());
+    }
+}
+
+/// Guards against a version 8 message that is read as one of version 9 or the other way round.
+#[test]
+fn a_message_of_one_version_is_no_message_of_the_other() {
+    let message = NoteMessage::with_note("x");
+    let v8 = encode_peer_message(&message, PeerVersion::V8).unwrap();
+    let v9 = encode_peer_message(&message, PeerVersion::V9).unwrap();
+    assert!(decode_peer_message::<NoteMessage>(&v8, PeerVersion::V9).is_err());
+    assert!(decode_peer_message::<NoteMessage>(&v9, PeerVersion::V8).is_err());
+    assert_eq!(
+        decode_message::<NoteMessage>(&v8).unwrap().version_min(),
+        PeerVersion::V8
+    );
+}
