Report the versions that peers speak, and test against recorded version 8 frames

Log lines: peer-version once for each change of a peer, and peer-version-unknown at most once in 10 s.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,6 +19,12 @@
     pub(crate) reason: &'static str,
 }
 
+/// Version of the protocol between VMs.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct VersionLabel {
+    pub(crate) version: &'static str,
+}
+
 /// Distance to a target.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct DistanceLabel {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -29,9 +29,12 @@
 mod listen;
 mod metrics;
 mod overload;
+mod peer_version_log;
 mod permits;
 mod quarantine_api;
 mod quarantine_log;
+#[cfg(test)]
+mod recorded_frames;
 mod reload;
 mod request_account;
 mod request_log;
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -1,12 +1,14 @@
 //! The metrics of entry VMs and keepers.
 
 use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
     sync::atomic::AtomicU64,
     time::{Duration, Instant},
 };
 
 use fulmarweir_route::{LinkChange, LinkState, QuarantineState};
-use fulmarweir_wire::{TrafficClass, TrafficMeter};
+use fulmarweir_wire::{PeerVersion, ServedVersions, TrafficClass, TrafficMeter};
 use prometheus_client::{
     metrics::{
         counter::Counter,
@@ -19,7 +21,7 @@
 
 use crate::metrics::{
     ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ProbeLabel, ReasonLabel, ServiceLabel,
-    StateLabel, render_registry,
+    StateLabel, VersionLabel, render_registry,
 };
 
 type CountGauge = Gauge<u64, AtomicU64>;
@@ -60,6 +62,8 @@
     pub(crate) voter_epoch: CountGauge,
     pub(crate) voter_open: CountGauge,
     pub(crate) voters_newest: CountGauge,
+    peer_versions: Family<VersionLabel, CountGauge>,
+    peer_calls_served: Family<VersionLabel, CountGauge>,
     uptime: CountGauge,
 }
 
@@ -104,6 +108,8 @@
             voter_epoch: Gauge::default(),
             voter_open: Gauge::default(),
             voters_newest: Gauge::default(),
+            peer_versions: Family::default(),
+            peer_calls_served: Family::default(),
             uptime: Gauge::default(),
         };
         metrics.register_counters();
@@ -193,6 +199,16 @@
     }
 
     fn register_gauges(&mut self) {
+        self.registry.register(
+            "peer_versions",
+            "Other VMs that this one has called, by the protocol version of their last reply",
+            self.peer_versions.clone(),
+        );
+        self.registry.register(
+            "peer_calls_served",
+            "Calls of other VMs since the start, by protocol version; those in unknown versions were refused",
+            self.peer_calls_served.clone(),
+        );
         let gauges = [
             (
                 "config_version",
@@ -267,6 +283,28 @@
         self.query_bytes.set(bytes(TrafficClass::Query));
     }
 
+    /// Updates the gauges of protocol versions.
+    pub(crate) fn update_versions(
+        &self,
+        known: &BTreeMap<SocketAddr, PeerVersion>,
+        served: &ServedVersions,
+    ) {
+        let set = |family: &Family<VersionLabel, CountGauge>, version, value| {
+            family.get_or_create(&VersionLabel { version }).set(value);
+        };
+        for (version, label) in [(PeerVersion::V8, "8"), (PeerVersion::V9, "9")] {
+            let peers = known.values().filter(|known| **known == version).count();
+            set_count(
+                &self
+                    .peer_versions
+                    .get_or_create(&VersionLabel { version: label }),
+                peers,
+            );
+            set(&self.peer_calls_served, label, served.calls(version));
+        }
+        set(&self.peer_calls_served, "unknown", served.unknown().count);
+    }
+
     /// Counts a request by its outcome.
     pub(crate) fn count_request(&self, outcome: &'static str) {
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -22,6 +22,7 @@
     keeper::KeeperNode,
     keeper_poll::{ConfigFetch, DirectoryOwner, KeeperDirectory, PollHooks, RelayPeers},
     listen::{start_entry_listeners, start_keeper_listeners},
+    peer_version_log::PeerVersionLog,
     permits::run_permits,
     state_file::{run_quarantine_file, run_target_file},
     tasks::{RelayContext, RelayTasks, run_lag_probe},
@@ -77,9 +78,11 @@
     let node = EntryNode::new(settings, adapter, context.log.clone(), timer, peers.clone());
     let mut tasks = RelayTasks::new();
     start_entry_listeners(&node, Arc::clone(&meter), &mut tasks).await?;
+    let versions = PeerVersionLog::new(node.log.clone(), peers.clone(), Arc::clone(&meter));
     let ticking_node = Arc::clone(&node);
     let tick = move || {
         ticking_node.tick();
+        versions.update(&ticking_node.metrics, ticking_node.timer.now());
         ticking_node.metrics.update_traffic(&meter);
         probe_brokers(&ticking_node);
     };
@@ -166,9 +169,10 @@
     let transport = voter_transport(peers.clone(), Arc::clone(&voter), settings.peer_address());
     let client = ClientSettings::new(first_set);
     let quorum = Arc::new(QuorumClient::new(client, transport, timer.clone()));
-    let node = KeeperNode::new(settings, adapter, log, timer, peers, quorum, voter);
+    let node = KeeperNode::new(settings, adapter, log, timer, peers.clone(), quorum, voter);
     let mut tasks = RelayTasks::new();
     start_keeper_listeners(&node, Arc::clone(&meter), &mut tasks).await?;
+    let versions = PeerVersionLog::new(node.log.clone(), peers, Arc::clone(&meter));
     let ticking_node = Arc::clone(&node);
     let owner = Arc::clone(&node) as Arc<dyn DirectoryOwner>;
     context.spawn(
@@ -176,6 +180,7 @@
         keeper_hooks(&node),
         move || {
             ticking_node.tick();
+            versions.update(&ticking_node.metrics, ticking_node.timer.now());
             ticking_node.metrics.update_traffic(&meter);
         },
         &mut tasks,
