Add the evacuation of data centres: register, orders, propagation and target selection

An operator's order must stop all sends to a data centre at every VM and survive a loss of power. The voters decide it in a register of its own; keepers pass it on in poll replies, and the target selector skips evacuated data centres.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -19,6 +19,7 @@
 mod driver;
 mod entry;
 mod entry_quarantine;
+mod evacuations;
 mod handover;
 mod handover_message;
 mod keeper;
--- a/crates/daemon/src/relay/adapter.rs
+++ b/crates/daemon/src/relay/adapter.rs
@@ -66,6 +66,10 @@
     ReadConfig,
     /// An operator submits a configuration.
     WriteConfig,
+    /// An operator begins the evacuation of the data centre with this name.
+    BeginEvacuation(Arc<str>),
+    /// An operator ends the evacuation of the data centre with this name.
+    EndEvacuation(Arc<str>),
 }
 
 /// The HTTP protocol of the deployment, as data and plain functions.
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use fulmarweir_fleet::AnnounceOutcome;
+use fulmarweir_quorum::EvacuationOrder;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use slog::{info, warn};
@@ -11,6 +12,7 @@
 use super::{
     adapter::ControlCall,
     body::read_body,
+    evacuations::answer_order,
     keeper::KeeperNode,
     quarantine_api::{answer_quarantine_call, quarantine_call},
     response::{RelayResponse, json, retry_later, text},
@@ -53,6 +55,12 @@
         }
         Some(ControlCall::ReadConfig) => read_config(&node).await,
         Some(ControlCall::WriteConfig) => write_config(&node, &body).await,
+        Some(ControlCall::BeginEvacuation(centre)) => {
+            answer_order(&node, EvacuationOrder::Begin, &centre).await
+        }
+        Some(ControlCall::EndEvacuation(centre)) => {
+            answer_order(&node, EvacuationOrder::End, &centre).await
+        }
         None => text(StatusCode::NOT_FOUND, "no such call"),
     }
 }
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -25,6 +25,7 @@
     adapter::ProtocolAdapter,
     broker_directory::BrokerDirectory,
     budget_log::BudgetLog,
+    evacuations::EvacuationView,
     keeper_poll::{ConfigFetch, KeeperDirectory, RelayPeers},
     limit_log::LimitLog,
     metrics::{RelayMetrics, set_count},
@@ -85,6 +86,7 @@
     pub(crate) peers: RelayPeers,
     pub(crate) brokers: Mutex<BrokerSelector>,
     pub(crate) rests: RestTable,
+    pub(crate) evacuations: EvacuationView,
     /// Attempts that continue after their request was answered, and probes of brokers.
     pub(crate) detached_tasks: TaskTracker,
     pub(crate) in_flight: AtomicU64,
@@ -143,6 +145,7 @@
             peers,
             brokers: Mutex::default(),
             rests: RestTable::default(),
+            evacuations: EvacuationView::default(),
             detached_tasks: TaskTracker::new(),
             in_flight: AtomicU64::new(0),
             table: Mutex::default(),
@@ -251,6 +254,10 @@
         let now = self.timer.now();
         let settled = reply.delta.as_ref().is_some_and(|delta| delta.settled);
         let mut changed = false;
+        // Before the targets, so that none of an evacuated data centre is in use for a moment.
+        if let Some(evacuations) = &reply.evacuations {
+            self.apply_evacuations(keeper, evacuations);
+        }
         if let Some(delta) = &reply.delta {
             changed = lock(&self.merged_registry).apply_delta(keeper, delta.clone(), now);
         }
@@ -331,6 +338,11 @@
         Arc::clone(known)
     }
 
+    /// Has the groups of shards of all routes computed anew.
+    pub(crate) fn forget_shard_groups(&self) {
+        lock(&self.shard_groups).clear();
+    }
+
     /// Returns the data centres to which shards of any route are handed over.
     pub(crate) fn broker_centres(&self) -> Vec<Arc<str>> {
         let groups = lock(&self.shard_groups);
@@ -461,7 +473,7 @@
             .collect();
         let limit = |service: &str| table.as_ref()?.connections_max(service);
         self.with_selector(|selector| selector.sync(targets, limit, self.timer.now()));
-        lock(&self.shard_groups).clear();
+        self.forget_shard_groups();
         set_count(&self.metrics.targets, count);
         self.state_changed.notify_waiters();
     }
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -20,6 +20,7 @@
 
 use super::{
     adapter::ProtocolAdapter,
+    evacuations::EvacuationView,
     keeper_poll::{DirectoryOwner, KeeperDirectory, vm_list_digest},
     metrics::{RelayMetrics, set_count},
     vm_message::{
@@ -70,6 +71,7 @@
     stranded: Mutex<BTreeMap<EntryContact, MonoTime>>,
     permits: Mutex<PermitGrantor>,
     pub(super) tally: Mutex<CrashTally>,
+    pub(crate) evacuations: EvacuationView,
     /// Revision of the quarantine that each other keeper has told.
     pub(super) quarantine_revisions: Mutex<HashMap<SocketAddr, u64>>,
     /// Counts changes that waiting polls may have to report.
@@ -103,6 +105,7 @@
             permits: Mutex::new(PermitGrantor::new(rand::random())),
             tally: Mutex::new(CrashTally::new(rand::random())),
             quarantine_revisions: Mutex::default(),
+            evacuations: EvacuationView::default(),
             changes: watch::Sender::new(0),
             settings,
             adapter,
@@ -453,6 +456,7 @@
             || self.has_other_limits(request)
             || lock(&self.tally).revision() != request.quarantine_revision
             || self.config_version() > request.config_version
+            || self.evacuations.is_news_for(request.evacuations_version)
     }
 
     fn has_other_limits(&self, request: &PollRequest) -> bool {
@@ -476,7 +480,9 @@
             limits: has_other_limits.then(|| permits.reports(now)),
             limits_revision: permits.revision(),
             quarantine: self.quarantine_report(request.quarantine_revision, now),
-            evacuations: None,
+            evacuations: request
+                .evacuations_version
+                .and_then(|version| self.evacuations.newer_than(version)),
         }
     }
 
--- a/crates/daemon/src/relay/links.rs
+++ b/crates/daemon/src/relay/links.rs
@@ -210,7 +210,10 @@
     match node.pool.probe_with_request(target.address, request).await {
         RequestProbe::Unreached => TargetProbe::Unreached,
         RequestProbe::Connected => TargetProbe::Connected,
-        RequestProbe::Replied => TargetProbe::Replied,
+        RequestProbe::Replied => {
+            lock(&node.selector).record_health_reply(target.address);
+            TargetProbe::Replied
+        }
     }
 }
 
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -39,6 +39,7 @@
     pub(crate) link_changes: Family<StateLabel, Counter>,
     pub(crate) links_lost: CountGauge,
     pub(crate) requests_blocked: CountGauge,
+    pub(crate) evacuated_centres: CountGauge,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
     pub(crate) handovers: Family<OutcomeLabel, Counter>,
     pub(crate) target_notices: Family<KindLabel, Counter>,
@@ -46,6 +47,7 @@
     pub(crate) latency: Family<ServiceLabel, Histogram>,
     pub(crate) announcements: Family<OutcomeLabel, Counter>,
     pub(crate) config_changes: Family<OutcomeLabel, Counter>,
+    pub(crate) evacuation_orders: Family<OutcomeLabel, Counter>,
     pub(crate) log_lines_dropped: Counter,
     pub(crate) config_version: CountGauge,
     pub(crate) targets: CountGauge,
@@ -82,6 +84,7 @@
             link_changes: Family::default(),
             links_lost: Gauge::default(),
             requests_blocked: Gauge::default(),
+            evacuated_centres: Gauge::default(),
             hedges: Family::default(),
             handovers: Family::default(),
             target_notices: Family::default(),
@@ -89,6 +92,7 @@
             latency: Family::new_with_constructor(latency_histogram),
             announcements: Family::default(),
             config_changes: Family::default(),
+            evacuation_orders: Family::default(),
             log_lines_dropped: Counter::default(),
             config_version: Gauge::default(),
             targets: Gauge::default(),
@@ -183,6 +187,11 @@
             "Configurations submitted here, by outcome",
             self.config_changes.clone(),
         );
+        registry.register(
+            "evacuation_orders",
+            "Orders to begin or end the evacuation of a data centre, by outcome",
+            self.evacuation_orders.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Request lines left out of the log to bound it",
@@ -241,6 +250,11 @@
                 "Requests that are not sent to targets, since they have ended several",
                 &self.requests_blocked,
             ),
+            (
+                "evacuated_centres",
+                "Data centres whose targets get no new requests",
+                &self.evacuated_centres,
+            ),
             (
                 "target_links_lost",
                 "Whether this VM has lost its links to targets",
@@ -306,6 +320,12 @@
         self.handovers.get_or_create(&label).inc();
     }
 
+    /// Counts an operator's order about an evacuation by its outcome.
+    pub(crate) fn count_evacuation_order(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.evacuation_orders.get_or_create(&label).inc();
+    }
+
     /// Counts a refused request by its reason.
     pub(crate) fn count_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -23,7 +23,7 @@
     keeper_poll::{ConfigFetch, DirectoryOwner, KeeperDirectory, PollHooks, RelayPeers},
     listen::{start_entry_listeners, start_keeper_listeners},
     permits::run_permits,
-    state_file::{run_quarantine_file, run_target_file},
+    state_file::{run_evacuations_file, run_quarantine_file, run_target_file},
     tasks::{RelayContext, RelayTasks, run_lag_probe},
     vm_message::{EntryContact, PollRequest, PollSource, VmReply, VmRequest},
     voters::{first_voters, open_voter, run_voters},
@@ -132,7 +132,7 @@
             limits_revision: request_node.limits_revision(keeper),
             quarantine_revision: request_node.quarantine_revision(keeper),
             wait_ms,
-            evacuations_version: 0,
+            evacuations_version: Some(request_node.evacuations.version()),
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_poll_reply(keeper, reply);
@@ -184,6 +184,7 @@
         tokio::spawn(run_voters(Arc::clone(&node), tasks.stop.clone())),
         tokio::spawn(run_target_file(Arc::clone(&node), tasks.stop.clone())),
         tokio::spawn(run_quarantine_file(Arc::clone(&node), tasks.stop.clone())),
+        tokio::spawn(run_evacuations_file(Arc::clone(&node), tasks.stop.clone())),
     ]);
     wait_for_stop_signal().await?;
     info!(node.log, "stopping");
@@ -207,10 +208,13 @@
             limits_revision: 0,
             quarantine_revision: request_node.quarantine_revision(keeper),
             wait_ms,
-            evacuations_version: 0,
+            evacuations_version: Some(request_node.evacuations.version()),
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_quarantine(keeper, &reply.quarantine);
+            if let Some(evacuations) = &reply.evacuations {
+                reply_node.learn_evacuations(evacuations, &keeper.to_string());
+            }
             if let Some(voters) = &reply.voters {
                 reply_node.quorum.learn_voters(voters);
             }
--- a/crates/daemon/src/relay/state_file.rs
+++ b/crates/daemon/src/relay/state_file.rs
@@ -18,10 +18,11 @@
 use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
 
-use super::keeper::KeeperNode;
+use super::{keeper::KeeperNode, vm_message::EvacuationState};
 
 const TARGETS_FILE: &str = "targets";
 const QUARANTINE_FILE: &str = "quarantine";
+const EVACUATIONS_FILE: &str = "evacuations";
 /// Period of the checks for changes, in milliseconds.
 const WRITE_PERIOD_MS: u64 = 500;
 
@@ -46,6 +47,19 @@
     write_changes(&node, QUARANTINE_FILE, stop, changed).await;
 }
 
+/// Restores the evacuations that an earlier run knew to be decided, then writes changes until stopped.
+///
+/// They may be out of date. Until a majority of the voters has confirmed newer ones, they are better
+/// than none.
+pub(crate) async fn run_evacuations_file(node: Arc<KeeperNode>, stop: CancellationToken) {
+    let restored: Option<EvacuationState> = read_state(&node, EVACUATIONS_FILE);
+    if let Some(state) = restored {
+        node.learn_evacuations(&state, "disk");
+    }
+    let changed = |version| node.changed_evacuations(version);
+    write_changes(&node, EVACUATIONS_FILE, stop, changed).await;
+}
+
 /// Writes a state to a file whenever its revision has changed, until stopped.
 async fn write_changes<T: Serialize + Send + 'static>(
     node: &KeeperNode,
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -55,9 +55,10 @@
     pub(crate) quarantine_revision: u64,
     /// Longest time until the reply, in milliseconds.
     pub(crate) wait_ms: u32,
-    /// Version of the evacuations that the poller holds, 0 for none.
+    /// Version of the evacuations that the poller holds, 0 for none; `None` if the poller speaks version
+    /// 8 and cannot read them.
     #[serde(skip)]
-    pub(crate) evacuations_version: u64,
+    pub(crate) evacuations_version: Option<u64>,
 }
 
 /// What has changed at a keeper since the poller's last poll.
@@ -279,6 +280,7 @@
     fn version_min(&self) -> PeerVersion {
         match self {
             Self::Rates(..) => PeerVersion::V9,
+            Self::Voter(request) if request.names_evacuations() => PeerVersion::V9,
             _ => PeerVersion::V8,
         }
     }
@@ -286,17 +288,16 @@
     fn extension(&self) -> ExtensionFields {
         let mut fields = ExtensionFields::default();
         if let Self::Poll(request) = self
-            && request.evacuations_version > 0
+            && let Some(version) = &request.evacuations_version
         {
-            fields.put(field::EVACUATIONS_VERSION, &request.evacuations_version);
+            fields.put(field::EVACUATIONS_VERSION, version);
         }
         fields
     }
 
     fn set_extension(&mut self, fields: &ExtensionFields) {
         if let Self::Poll(request) = self {
-            let version = fields.get(field::EVACUATIONS_VERSION);
-            request.evacuations_version = version.unwrap_or_default();
+            request.evacuations_version = fields.get(field::EVACUATIONS_VERSION);
         }
     }
 }
--- a/crates/daemon/src/relay/voters.rs
+++ b/crates/daemon/src/relay/voters.rs
@@ -11,7 +11,7 @@
 use slog::{Logger, error, info, warn};
 use tokio_util::sync::CancellationToken;
 
-use super::keeper::KeeperNode;
+use super::{evacuations::confirm_evacuations, keeper::KeeperNode};
 
 const VOTER_FOLDER: &str = "voter";
 /// Period of the checks of the voter set, in milliseconds.
@@ -117,7 +117,9 @@
         return;
     };
     node.quorum.learn_epoch(&voter.epoch_state());
-    confirm_config(node, &voter).await;
+    if confirm_evacuations(node, &voter).await {
+        confirm_config(node, &voter).await;
+    }
     let set = node.quorum.voters();
     if set.epoch == 0 {
         return;
--- a/crates/quorum/src/acceptor.rs
+++ b/crates/quorum/src/acceptor.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     acceptor::shard::{RecordSink, RegisterPage, RegisterShard, RetentionClock},
+    evacuation::evacuation_set,
     key::{REGISTER_SHARDS, RegisterKey},
     member::{EpochState, VoterIdentity, VoterSet},
     message::{PageCursor, RegisterCopy, RequestBody, VoterReply, VoterRequest},
@@ -88,6 +89,14 @@
         }
     }
 
+    /// Returns the version of the evacuations that the voter accepted, or 0 if it accepted none.
+    pub(crate) fn accepted_evacuations_version(&self) -> u64 {
+        let key = RegisterKey::Evacuations;
+        let accepted = self.shard(key.shard()).accepted(&key);
+        let value = accepted.as_ref().map(|accepted| &*accepted.value);
+        evacuation_set(value).map_or(0, |set| set.version)
+    }
+
     /// Applies a durable record after a restart.
     pub fn replay(&self, now: MonoTime, record: VoterRecord) {
         let shard = match &record {
--- a/crates/quorum/src/acceptor/shard.rs
+++ b/crates/quorum/src/acceptor/shard.rs
@@ -287,6 +287,6 @@
                 outcome.body.len()
             }
             RegisterValue::Config(state) => state.text.len() + FIXED_BYTES * state.outcomes.len(),
-            RegisterValue::Act(_) | RegisterValue::Voters(_) => 0,
+            RegisterValue::Act(_) | RegisterValue::Evacuations(_) | RegisterValue::Voters(_) => 0,
         }
 }
--- a/crates/quorum/src/client/calls.rs
+++ b/crates/quorum/src/client/calls.rs
@@ -10,6 +10,7 @@
     client::{CallProgress, QuorumClient},
     config::{ConfigChange, ConfigState, SubmitOutcome, VersionedConfig, read_config},
     error::Result,
+    evacuation::{EvacuationOrder, EvacuationSet, evacuation_set, read_evacuations},
     key::{ActKey, RegisterKey},
     member::VoterSet,
     message::{RequestBody, VoterReply},
@@ -72,6 +73,53 @@
             .await
     }
 
+    /// Begins or ends the evacuation of a data centre.
+    ///
+    /// Returns the set that the register holds afterwards. Repeating the call changes nothing unless
+    /// an opposite order was decided in between, so a call that timed out may be repeated.
+    ///
+    /// All voters must be able to read the register: a voter of protocol version 8 cannot.
+    ///
+    /// # Errors
+    /// [`crate::QuorumError::Timeout`] when the change is undecided or certainly not made; the
+    /// error's run verdict says which.
+    pub async fn order_evacuation(
+        &self,
+        order: EvacuationOrder,
+        centre: &Arc<str>,
+        timeout: Duration,
+    ) -> Result<EvacuationSet> {
+        self.run_change(RegisterKey::Evacuations, timeout, |value| {
+            order.apply(centre, value)
+        })
+        .await
+    }
+
+    /// Reads the evacuated data centres.
+    ///
+    /// The result is never older than a set that any call returned before this call began. A register
+    /// that no voter has accepted a value for is never written, so that a log without orders stays
+    /// readable to builds of protocol version 8.
+    ///
+    /// # Errors
+    /// [`crate::QuorumError::Timeout`] when no quorum answers in time, or too few voters can read the
+    /// register.
+    pub async fn read_evacuations(&self, timeout: Duration) -> Result<EvacuationSet> {
+        let key = RegisterKey::Evacuations;
+        let call = self.start_call(timeout);
+        match self.read_from_quorum(&call, &key).await {
+            QuorumRead::Decided(accepted) => {
+                let value = accepted.as_ref().map(|accepted| &*accepted.value);
+                Ok(evacuation_set(value).cloned().unwrap_or_default())
+            }
+            QuorumRead::Inconclusive { any_value: false } => Err(call.timeout_error()),
+            QuorumRead::Inconclusive { any_value: true } => {
+                let rest = call.deadline().since(self.timer.now());
+                self.run_change(key, rest, read_evacuations).await
+            }
+        }
+    }
+
     /// Claims the right to run an act. Only [`ClaimOutcome::Granted`] grants it.
     ///
     /// # Errors
@@ -156,7 +204,7 @@
     async fn read_from_quorum(&self, call: &CallProgress, key: &RegisterKey) -> QuorumRead {
         let set = self.voters();
         if set.epoch == 0 {
-            return QuorumRead::Inconclusive;
+            return QuorumRead::Inconclusive { any_value: false };
         }
         let body = RequestBody::Read { key: key.clone() };
         let requests = requests_to_all(&set, &body);
@@ -171,7 +219,10 @@
             match reply {
                 Some((_, Some(VoterReply::ReadValue { accepted }))) => values.push(accepted),
                 Some(_) => {}
-                None => return QuorumRead::Inconclusive,
+                None => {
+                    let any_value = values.iter().any(Option::is_some);
+                    return QuorumRead::Inconclusive { any_value };
+                }
             }
         }
         QuorumRead::of(values, &set)
@@ -183,19 +234,23 @@
     /// A quorum accepted this value in the same round, so it is chosen, or a quorum accepted none.
     Decided(Option<AcceptedValue>),
     /// The voters hold different values, or too few replied.
-    Inconclusive,
+    Inconclusive {
+        /// Whether any of them has accepted a value.
+        any_value: bool,
+    },
 }
 
 impl QuorumRead {
     fn of(mut values: Vec<Option<AcceptedValue>>, set: &VoterSet) -> Self {
         let ballot = |accepted: &Option<AcceptedValue>| accepted.as_ref().map(|a| a.ballot);
         let Some(first) = values.pop() else {
-            return Self::Inconclusive;
+            return Self::Inconclusive { any_value: false };
         };
         let unanimous = values.iter().all(|other| ballot(other) == ballot(&first));
         if unanimous && accepted_in_epoch(first.as_ref(), set) {
             return Self::Decided(first);
         }
-        Self::Inconclusive
+        let any_value = first.is_some() || values.iter().any(Option::is_some);
+        Self::Inconclusive { any_value }
     }
 }
--- a/crates/quorum/src/key.rs
+++ b/crates/quorum/src/key.rs
@@ -17,6 +17,8 @@
     Voters,
     /// The state of one act.
     Act(ActKey),
+    /// The evacuated data centres. Builds of protocol version 8 cannot read this key.
+    Evacuations,
 }
 
 /// Identifies an act by its service and the caller's idempotency key.
@@ -32,7 +34,7 @@
     /// Returns the shard that holds the register. It is the same at every voter.
     pub(crate) fn shard(&self) -> u32 {
         match self {
-            Self::Config | Self::Voters => 0,
+            Self::Config | Self::Voters | Self::Evacuations => 0,
             Self::Act(act) => shard_for_key(&act.key, REGISTER_SHARDS),
         }
     }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -3,8 +3,9 @@
 //! Each register is changed independently of the others: a proposer prepares a ballot at a quorum
 //! of voters, learns the current value, and has a quorum accept the changed value. Any VM may
 //! propose at any time. A voter replies only once its promises are durable. The registers hold the
-//! operators' configuration, the claims of acts by idempotency key, and the voter set itself. An
-//! act is a request to a service that runs at most once per idempotency key.
+//! operators' configuration, the evacuated data centres, the claims of acts by idempotency key, and
+//! the voter set itself. An act is a request to a service that runs at most once per idempotency
+//! key.
 //!
 //! ```
 //! use std::{sync::Arc, time::Duration};
@@ -53,6 +54,7 @@
 mod client;
 mod config;
 mod error;
+mod evacuation;
 mod key;
 mod member;
 mod message;
@@ -68,6 +70,7 @@
 pub use client::{ClientSettings, QuorumClient, VoterHealth, VoterSetOutcome, VoterTransport};
 pub use config::{CONFIG_OUTCOMES_MAX, ChangeRecord, ConfigState, SubmitOutcome};
 pub use error::{QuorumError, Result};
+pub use evacuation::{EvacuationOrder, EvacuationSet};
 pub use key::{ActKey, REGISTER_SHARDS, RegisterKey};
 pub use member::{EpochState, VoterIdentity, VoterMember, VoterSet};
 pub use message::{PageCursor, RegisterCopy, RequestBody, VoterReply, VoterRequest};
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -22,6 +22,25 @@
     pub body: RequestBody,
 }
 
+impl VoterRequest {
+    /// Whether the request names the evacuation register, which builds of protocol version 8 cannot
+    /// decode.
+    #[must_use]
+    pub fn names_evacuations(&self) -> bool {
+        let is_named = |key: &RegisterKey| *key == RegisterKey::Evacuations;
+        match &self.body {
+            RequestBody::Accept { key, .. }
+            | RequestBody::Prepare { key, .. }
+            | RequestBody::Read { key } => is_named(key),
+            RequestBody::Install { registers } => {
+                registers.iter().any(|register| is_named(&register.key))
+            }
+            RequestBody::ReadPage { from } => from.after.as_ref().is_some_and(is_named),
+            RequestBody::Complete | RequestBody::Identify | RequestBody::Seal { .. } => false,
+        }
+    }
+}
+
 /// An operation that a voter is asked to perform.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RequestBody {
--- a/crates/quorum/src/service.rs
+++ b/crates/quorum/src/service.rs
@@ -147,6 +147,14 @@
         self.acceptor.accepted_config_version()
     }
 
+    /// Returns the version of the evacuations that this voter accepted, or 0 if it accepted none.
+    ///
+    /// That version is not necessarily accepted by a quorum.
+    #[must_use]
+    pub fn accepted_evacuations_version(&self) -> u64 {
+        self.acceptor.accepted_evacuations_version()
+    }
+
     /// Returns the size of the log in bytes.
     #[must_use]
     pub fn log_bytes(&self) -> u64 {
--- a/crates/quorum/src/value.rs
+++ b/crates/quorum/src/value.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{act::ActState, ballot::Ballot, config::ConfigState, member::VoterSet};
+use crate::{
+    act::ActState, ballot::Ballot, config::ConfigState, evacuation::EvacuationSet, member::VoterSet,
+};
 
 /// The value of a register.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -15,6 +17,8 @@
     Config(ConfigState),
     /// Value of [`crate::RegisterKey::Voters`]: the latest decided set.
     Voters(VoterSet),
+    /// Value of [`crate::RegisterKey::Evacuations`].
+    Evacuations(EvacuationSet),
 }
 
 impl RegisterValue {
@@ -22,7 +26,10 @@
     pub(crate) const fn expires(&self) -> bool {
         match self {
             Self::Act(ActState::Finished { .. } | ActState::Released) => true,
-            Self::Act(ActState::Claimed(_)) | Self::Config(_) | Self::Voters(_) => false,
+            Self::Act(ActState::Claimed(_))
+            | Self::Config(_)
+            | Self::Evacuations(_)
+            | Self::Voters(_) => false,
         }
     }
 }
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -18,6 +18,8 @@
     MinVersion,
     /// No usable target holds any shard that the request needs.
     NoTargets,
+    /// All targets that could answer are in evacuated data centres.
+    Evacuated,
     /// Fewer shards answered than the service's minimum coverage requires.
     LowCoverage,
     /// Targets refused the request without running it.
@@ -38,11 +40,12 @@
 
 impl RefusalReason {
     /// Every reason, for metrics that export all labels from the start.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::QueueFull,
         Self::TooLate,
         Self::MinVersion,
         Self::NoTargets,
+        Self::Evacuated,
         Self::LowCoverage,
         Self::TargetsRefused,
         Self::TargetsClosed,
@@ -61,6 +64,7 @@
             Self::TooLate => "too-late",
             Self::MinVersion => "min-version",
             Self::NoTargets => "no-targets",
+            Self::Evacuated => "evacuated",
             Self::LowCoverage => "low-coverage",
             Self::TargetsRefused => "targets-refused",
             Self::TargetsClosed => "targets-closed",
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -9,6 +9,7 @@
 mod broker_selector;
 mod burst_share;
 mod crash;
+mod evacuation_gate;
 mod latency_table;
 mod limit;
 mod limit_table;
@@ -32,6 +33,7 @@
         AnswerReport, CrashCall, CrashNews, CrashReport, CrashTally, QuarantineEntry,
         QuarantineState, QuarantineTable, RequestFingerprint, SendRule,
     },
+    evacuation_gate::EvacuationChange,
     latency_table::LatencyTable,
     limit::{LimitChange, LimitReport, LimitedCounts, LimitedLoad, StatedLimit},
     limit_table::PermitCall,
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -122,7 +122,8 @@
             return (run, actions);
         }
         if run.too_few_targets(selector, now) {
-            run.refuse(RefusalReason::NoTargets, selector, now, &mut actions);
+            let reason = run.targets_reason(selector, now);
+            run.refuse(reason, selector, now, &mut actions);
             return (run, actions);
         }
         if run.starts_elsewhere(selector) {
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -24,6 +24,9 @@
 const ACCEPT_TOTAL_DIVISOR: u32 = 8;
 /// Minimum time after which a refused caller is told to retry.
 const RETRY_AFTER_MIN_MS: u64 = 50;
+/// Minimum time after which a caller is told to retry while all targets are evacuated. Evacuations last
+/// for minutes, but the order that ends one takes effect within a second.
+const EVACUATED_RETRY_MS: u64 = 1_000;
 /// Refused callers are told to retry up to this part later than necessary, each by a random share.
 const RETRY_SPREAD_DIVISOR: u32 = 4;
 
@@ -37,6 +40,20 @@
         !self.has_coverage(with_target.count())
     }
 
+    /// Returns why too few services have a target: an evacuation, if there would be enough without it.
+    pub(super) fn targets_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
+        let is_present = |sub_request: &&SubRequest| {
+            selector.has_target(&sub_request.service, now)
+                || selector.has_evacuated_target(&sub_request.service, now)
+        };
+        let present = self.sub_requests.iter().filter(is_present).count();
+        if self.has_coverage(present) {
+            RefusalReason::Evacuated
+        } else {
+            RefusalReason::NoTargets
+        }
+    }
+
     /// Whether too few services have a target that accepts requests soon enough.
     ///
     /// Load pattern: the targets of some shards are so full that they have asked for seconds of
@@ -210,7 +227,9 @@
             RunVerdict::NotRun if self.too_few_unblocked(selector, now) => {
                 RefusalReason::Quarantined
             }
-            RunVerdict::NotRun if self.too_few_targets(selector, now) => RefusalReason::NoTargets,
+            RunVerdict::NotRun if self.too_few_targets(selector, now) => {
+                self.targets_reason(selector, now)
+            }
             RunVerdict::NotRun if self.too_few_open(selector, now) => {
                 self.closed_reason(selector, now)
             }
@@ -230,6 +249,9 @@
     ) {
         self.finished = true;
         let mut retry_after = self.retry_after(selector, now).max(self.broker_retry_after);
+        if reason == RefusalReason::Evacuated {
+            retry_after = retry_after.max(Duration::from_millis(EVACUATED_RETRY_MS));
+        }
         if reason == RefusalReason::TargetsLimited {
             retry_after = self.turn_after(retry_after, selector, now);
         }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -1,5 +1,6 @@
 //! The state of all targets by service: their trackers, notices, limits and budgets.
 
+mod evacuations;
 mod links;
 mod permits;
 mod pick;
@@ -19,6 +20,7 @@
     attempt_budget::{AttemptCharge, BudgetGrant, BudgetSnapshot, ExtraAttemptBudget},
     burst_share::BurstShare,
     crash::{CrashWatch, QuarantineTable, RequestFingerprint},
+    evacuation_gate::{CentreState, EvacuationGate},
     limit_table::LimitTable,
     link_watch::LinkWatch,
     notice_table::{NoticeChange, NoticeTable, TargetIncarnation, TargetNotice},
@@ -109,6 +111,7 @@
     crashes: CrashWatch,
     quarantine: QuarantineTable,
     links: LinkWatch,
+    evacuations: EvacuationGate,
     last_ticket: u64,
 }
 
@@ -128,6 +131,7 @@
             crashes: CrashWatch::default(),
             quarantine: QuarantineTable::default(),
             links: LinkWatch::default(),
+            evacuations: EvacuationGate::default(),
             last_ticket: 0,
         }
     }
@@ -149,12 +153,14 @@
             let limit = connections_max(&target.service);
             let share = self.connection_share(&target, limit);
             let known = self.remove_tracker(&target);
-            let mut tracker = match known {
-                Some(tracker) => tracker,
-                None => TargetTracker::new(Arc::new(target), share, now),
-            };
+            let mut tracker = known.unwrap_or_else(|| {
+                // A changed entry can only come from an announcement.
+                self.evacuations.record_heard(&target);
+                TargetTracker::new(Arc::new(target), share, now)
+            });
             tracker.connection_share = share;
             tracker.notice = self.notices.state_of(&tracker.target);
+            tracker.centre_state = self.evacuations.state_of(&tracker.target.centre);
             let service = Arc::clone(&tracker.target.service);
             trackers.entry(service).or_default().push(tracker);
         }
@@ -166,6 +172,7 @@
             listed.extend(trackers.iter().map(|t| TargetIncarnation::of(&t.target)));
             self.services.entry(service).or_default().trackers = trackers;
         }
+        self.evacuations.remove_unlisted(&listed);
         self.crashes.sync(&listed, &successors, now);
         let is_listed = |incarnation: &TargetIncarnation| listed.contains(incarnation);
         self.rate_limits.remove_unlisted(is_listed, now);
@@ -323,8 +330,8 @@
     /// Whether a request that was assigned to `target` may still be sent, now that a connection is
     /// open.
     ///
-    /// Load pattern: a target asks for time, or a request is found to end targets, while attempts
-    /// wait for a connection.
+    /// Load pattern: a target asks for time, a data centre is evacuated, or a request is found to end
+    /// targets, while attempts wait for a connection.
     #[must_use]
     pub fn may_send(
         &mut self,
@@ -334,8 +341,10 @@
         now: MonoTime,
     ) -> bool {
         let notice = self.notices.state_of(target);
-        self.blocked_until(fingerprint, &target.service, now)
-            .is_none()
+        !self.is_evacuated(target)
+            && self
+                .blocked_until(fingerprint, &target.service, now)
+                .is_none()
             && !notice.has_left(now)
             && notice.closed_until(now).is_none()
             && self.rate_limits.may_send(target, permit, now)
@@ -381,7 +390,7 @@
         Some((tracker, &mut state.latency_ms))
     }
 
-    /// Whether any target of `service` is known that has not left.
+    /// Whether any target of `service` is known that has not left and is in no evacuated data centre.
     #[must_use]
     pub fn has_target(&self, service: &str, now: MonoTime) -> bool {
         let state = self.services.get(service);
@@ -468,7 +477,8 @@
         };
         let rounds =
             |tracker: &TargetTracker| tracker.load(now) / f64::from(tracker.target.slots.max(1));
-        let least = state.trackers.iter().map(rounds).fold(f64::MAX, f64::min);
+        let usable = state.trackers.iter().filter(|t| is_usable(t, now));
+        let least = usable.map(rounds).fold(f64::MAX, f64::min);
         Duration::from_secs_f64(state.latency_ms * least.clamp(1.0, 100.0) / 1000.0)
     }
 }
@@ -484,6 +494,11 @@
 }
 
 /// Whether a target still listens at its address and has not left.
-fn is_usable(tracker: &TargetTracker, now: MonoTime) -> bool {
+fn is_present(tracker: &TargetTracker, now: MonoTime) -> bool {
     !tracker.moved && !tracker.notice.has_left(now)
 }
+
+/// Whether requests may be sent to a target: it is present, and its data centre is not evacuated.
+fn is_usable(tracker: &TargetTracker, now: MonoTime) -> bool {
+    tracker.centre_state != CentreState::Evacuated && is_present(tracker, now)
+}
--- a/crates/route/src/relay/selector/links.rs
+++ b/crates/route/src/relay/selector/links.rs
@@ -6,6 +6,7 @@
 
 use super::{RelayTarget, TargetSelector, is_usable};
 use crate::relay::{
+    evacuation_gate::CentreState,
     link_state::{LinkChange, LinkEvidence, LinkExamination, LinkState, LinkTask},
     link_watch::LinkWatch,
 };
@@ -92,13 +93,15 @@
         sample
     }
 
-    /// Returns the known target at `address`, unless it has asked this VM for time.
+    /// Returns the known target at `address`, unless it has asked this VM for time or is in an evacuated
+    /// data centre.
     #[must_use]
     pub fn link_target_at(&self, address: SocketAddr, now: MonoTime) -> Option<LinkTarget> {
         let mut trackers = self.services.values().flat_map(|state| &state.trackers);
         let tracker = trackers.find(|tracker| tracker.target.address == address)?;
         let is_closed = tracker.notice.closed_until(now).is_some();
-        (!is_closed).then(|| LinkTarget::of(&tracker.target))
+        let is_evacuated = tracker.centre_state == CentreState::Evacuated;
+        (!is_closed && !is_evacuated).then(|| LinkTarget::of(&tracker.target))
     }
 
     /// Records the result of an examination of the links. If they are lost, forgets what this VM
--- a/crates/route/src/relay/selector/pick.rs
+++ b/crates/route/src/relay/selector/pick.rs
@@ -1,7 +1,8 @@
 //! Which target gets an attempt.
 //!
 //! Load patterns: a replica pauses, is slow, is near its limit or has just gone, while other replicas
-//! have capacity; a target takes a limited rate of requests, so that an attempt needs a permit.
+//! have capacity; a target takes a limited rate of requests, so that an attempt needs a permit; a data
+//! centre is evacuated, or has just returned.
 
 use std::{sync::Arc, time::Duration};
 
@@ -160,8 +161,10 @@
                 has_busy = true;
                 continue;
             }
+            let ticket = criteria.rank.ticket;
             let candidate = PickCandidate {
                 tracker,
+                is_held_back: tracker.centre_state.holds_back(ticket, now),
                 score: tracker.score(state.latency_ms, now),
                 is_repeat,
             };
@@ -210,14 +213,16 @@
     tracker: &'a TargetTracker,
     score: f64,
     is_repeat: bool,
+    /// Whether the target's data centre gets only a part of its load yet.
+    is_held_back: bool,
 }
 
 impl PickCandidate<'_> {
-    /// Whether this target is better than `other`. One that leaves is used only if there is no
-    /// other.
+    /// Whether this target is better than `other`. One that leaves, or whose data centre has only just
+    /// returned, is used only if there is no other.
     fn is_better(&self, other: &Self) -> bool {
-        let is_leaving = |candidate: &Self| candidate.tracker.notice.is_leaving();
-        match (is_leaving(self), is_leaving(other)) {
+        let is_last = |c: &Self| c.is_held_back || c.tracker.notice.is_leaving();
+        match (is_last(self), is_last(other)) {
             (false, true) => true,
             (true, false) => false,
             _ => self.score < other.score,
--- a/crates/route/src/relay/selector/quarantine.rs
+++ b/crates/route/src/relay/selector/quarantine.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{RelayTarget, TargetSelector, is_usable};
+use super::{RelayTarget, TargetSelector, is_present};
 use crate::relay::crash::{
     CrashCall, QuarantineEntry, QuarantineState, RequestFingerprint, RunEnd, SendRule,
 };
@@ -41,7 +41,7 @@
             state.trackers.iter().any(|tracker| {
                 tracker.target.id == target.id
                     && tracker.target.born_ms == target.born_ms
-                    && is_usable(tracker, now)
+                    && is_present(tracker, now)
                     && !tracker.notice.is_leaving()
             })
         })
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{notice_table::NoticeState, selector::RelayTarget};
+use super::{evacuation_gate::CentreState, notice_table::NoticeState, selector::RelayTarget};
 use crate::ReportedLoad;
 
 /// Minimum weight of the latest attempt in the moving average of the latency.
@@ -136,6 +136,8 @@
     pub(crate) notice: NoticeState,
     /// Whether another target now listens at the address.
     pub(crate) moved: bool,
+    /// Whether requests may be sent to the target's data centre.
+    pub(crate) centre_state: CentreState,
 }
 
 fn millis(duration: Duration) -> f64 {
@@ -162,6 +164,7 @@
             warm_up_until,
             notice: NoticeState::default(),
             moved: false,
+            centre_state: CentreState::default(),
         }
     }
 
