--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -24,7 +24,7 @@
     listen::{start_entry_listeners, start_keeper_listeners},
     peer_version_log::PeerVersionLog,
     permits::run_permits,
-    state_file::{run_quarantine_file, run_target_file},
+    state_file::{run_evacuations_file, run_quarantine_file, run_target_file},
     tasks::{RelayContext, RelayTasks, run_lag_probe},
     vm_message::{EntryContact, PollRequest, PollSource, VmReply, VmRequest},
     voters::{first_voters, open_voter, run_voters},
@@ -135,7 +135,7 @@
             limits_revision: request_node.limits_revision(keeper),
             quarantine_revision: request_node.quarantine_revision(keeper),
             wait_ms,
-            evacuations_version: 0,
+            evacuations_version: Some(request_node.evacuations.version()),
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_poll_reply(keeper, reply);
@@ -189,6 +189,7 @@
         tokio::spawn(run_voters(Arc::clone(&node), tasks.stop.clone())),
         tokio::spawn(run_target_file(Arc::clone(&node), tasks.stop.clone())),
         tokio::spawn(run_quarantine_file(Arc::clone(&node), tasks.stop.clone())),
+        tokio::spawn(run_evacuations_file(Arc::clone(&node), tasks.stop.clone())),
     ]);
     wait_for_stop_signal().await?;
     info!(node.log, "stopping");
@@ -212,10 +213,13 @@
             limits_revision: 0,
             quarantine_revision: request_node.quarantine_revision(keeper),
             wait_ms,
-            evacuations_version: 0,
+            evacuations_version: Some(request_node.evacuations.version()),
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_quarantine(keeper, &reply.quarantine);
+            if let Some(evacuations) = &reply.evacuations {
+                reply_node.learn_evacuations(evacuations, &keeper.to_string());
+            }
             if let Some(voters) = &reply.voters {
                 reply_node.quorum.learn_voters(voters);
             }
