--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -8,7 +8,7 @@
 
 use fulmarweir_base::{MonoTime, lock};
 use fulmarweir_conf::{RouteDestination, RouteRule};
-use fulmarweir_route::{RelayOutcome, RequestOrigin};
+use fulmarweir_route::{PlacementRule, RelayOutcome, RequestOrigin};
 use http::StatusCode;
 use tokio::sync::oneshot;
 
@@ -16,6 +16,7 @@
     driver::{RelayDriver, RelayResult},
     entry::EntryNode,
     handover_message::{decode_indexes, decode_repeats, decode_request, encode_reply},
+    home_bound::log_misplaced,
     request_account::{LogContext, OtherVm, log_request},
     routed::{RoutedRequest, relay_params},
     vm_message::{HandoverReply, HandoverRequest, VmReply},
@@ -23,6 +24,8 @@
 
 /// Why a VM that has lost its links to targets takes no requests of others.
 pub(super) const LINKS_LOST: &str = "links-lost";
+/// Why a VM outside of the home regions of a request does not run it.
+const HOME_BOUND: &str = "home-bound";
 /// Longest time until the next part of a rest is returned, in milliseconds.
 const REST_PERIOD_MS: u64 = 100;
 
@@ -188,7 +191,12 @@
     if !has_room && !takes_last {
         return Err("vm-overloaded");
     }
-    let (message, times) = decode_request(node, request, &rule).ok_or("unreadable")?;
+    let placement = PlacementRule::of(&rule, None);
+    if !node.is_within(&placement) {
+        log_misplaced(node, request, &placement);
+        return Err(HOME_BOUND);
+    }
+    let (message, times) = decode_request(node, request, &rule, placement).ok_or("unreadable")?;
     Ok(RoutedRequest {
         table,
         rule,
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, lock};
 use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable};
+use fulmarweir_route::PlacementRule;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -89,7 +90,8 @@
         return Err(early("no-request-id", response));
     };
     let times = request_times(node, &rule, &head.headers, arrived_at);
-    node.wait_during_startup(startup_wait, |node| has_targets(node, &rule))
+    let placement = PlacementRule::of(&rule, None);
+    node.wait_during_startup(startup_wait, |node| has_targets(node, &rule, &placement))
         .await;
     let in_flight = node.in_flight.load(Relaxed);
     let refusal = lock(&node.lag).overload_pause(rule.priority, in_flight);
@@ -106,6 +108,7 @@
     let fingerprint = RelayMessage::fingerprint_of(&head.method, &head.uri, &headers, &body);
     let message = RelayMessage {
         fingerprint,
+        placement,
         method: head.method,
         uri: origin_form(&head.uri),
         headers,
@@ -183,18 +186,19 @@
     usable.then(|| Duration::from_secs_f64(millis.min(STATED_TIME_MAX_MS) / 1000.0))
 }
 
-/// Whether every shard of a search, or any service of a weighted split, has a target.
-fn has_targets(node: &EntryNode, rule: &RouteRule) -> bool {
+/// Whether every shard of a search, or any service of a weighted split, has a target in the regions of
+/// `placement`.
+fn has_targets(node: &EntryNode, rule: &RouteRule, placement: &PlacementRule) -> bool {
     let now = node.timer.now();
     let selector = lock(&node.selector);
     match &rule.destination {
         RouteDestination::Gather(gather) => gather
             .shards
             .iter()
-            .all(|shard| selector.has_target(shard, now)),
+            .all(|shard| selector.has_target(shard, placement, now)),
         RouteDestination::Split(parts) => parts
             .iter()
-            .any(|part| selector.has_target(&part.service, now)),
+            .any(|part| selector.has_target(&part.service, placement, now)),
     }
 }
 
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -14,8 +14,8 @@
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
 use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayReply};
 use fulmarweir_route::{
-    GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
-    RelayRun, RelayTarget, RequestFingerprint, StatedLimit, TargetNotice,
+    GroupOutcome, PlacementRule, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
+    RelayParams, RelayRun, RelayTarget, RequestFingerprint, StatedLimit, TargetNotice,
 };
 use futures::{
     FutureExt, StreamExt,
@@ -57,6 +57,8 @@
     pub(crate) body: Bytes,
     /// What makes this request the same as others, whatever its id.
     pub(crate) fingerprint: RequestFingerprint,
+    /// Regions in which the request may run, as of its admission.
+    pub(crate) placement: PlacementRule,
     /// The caller's id of this request, which targets return in their replies.
     pub(crate) request_id: HeaderValue,
     pub(crate) route: Arc<str>,
@@ -139,6 +141,8 @@
     pub(crate) missing_services: Vec<Arc<str>>,
     /// The last fault of an attempt.
     pub(crate) last_fault: Option<&'static str>,
+    /// Services that were left out since nothing in the home regions could be reached.
+    pub(crate) home_bound_services: Vec<Arc<str>>,
     /// Brokers to which groups of shards were handed over.
     pub(crate) brokers: Vec<SocketAddr>,
 }
@@ -288,6 +292,7 @@
             verdict: self.run.verdict(),
             missing_services: self.run.missing_services().cloned().collect(),
             last_fault: self.last_fault,
+            home_bound_services: self.run.home_bound_services().cloned().collect(),
             brokers: std::mem::take(&mut self.brokers),
         };
         let group_outcome = self.run.group_outcome();
@@ -484,7 +489,8 @@
     let may_send = || {
         let now = node.timer.now();
         let mut selector = lock(&node.selector);
-        let may_send = selector.may_send(&attempt.target, message.fingerprint, attempt.permit, now);
+        let request = (message.fingerprint, &message.placement);
+        let may_send = selector.may_send(&attempt.target, request, attempt.permit, now);
         is_sent.store(may_send, Relaxed);
         may_send
     };
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -15,7 +15,8 @@
 use fulmarweir_fleet::{MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
-    BrokerSelector, LatencyTable, LinkState, Locality, RelayTarget, ShardGroup, TargetSelector,
+    BrokerEndpoint, BrokerSelector, LatencyTable, LinkState, Locality, PlacementRule, RelayTarget,
+    ShardGroup, TargetSelector,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
@@ -46,6 +47,13 @@
 /// Longest time that a request waits for the first reply of a keeper, in milliseconds.
 const STARTUP_WAIT_MAX_MS: u64 = 500;
 
+/// A route, and the home regions of those of its requests that are handed over alike.
+#[derive(Debug, Eq, Hash, PartialEq)]
+struct GroupsKey {
+    route: Arc<str>,
+    placement: PlacementRule,
+}
+
 /// The number of entry VMs that poll a keeper.
 #[derive(Clone, Copy, Debug)]
 struct EntryCount {
@@ -90,8 +98,9 @@
     pub(crate) in_flight: AtomicU64,
     table: Mutex<Option<Arc<RouteTable>>>,
     broker_directory: Mutex<BrokerDirectory>,
-    /// Shards of each route that may be handed over to brokers, computed on its first search.
-    shard_groups: Mutex<HashMap<Arc<str>, Arc<[ShardGroup]>>>,
+    /// Shards of each route that may be handed over to brokers, computed on its first search within each
+    /// set of home regions.
+    shard_groups: Mutex<HashMap<GroupsKey, Arc<[ShardGroup]>>>,
     merged_registry: Mutex<MergedRegistry>,
     entry_counts: Mutex<HashMap<SocketAddr, EntryCount>>,
     entry_vm_count: AtomicU32,
@@ -322,15 +331,49 @@
         Some(lock(&self.broker_directory).digest(keeper))
     }
 
-    /// Returns the groups of shards of a route that are handed over to brokers.
-    pub(crate) fn shard_groups(&self, route: &Arc<str>, shards: &[Arc<str>]) -> Arc<[ShardGroup]> {
+    /// Returns the groups of shards of a route that are handed over to brokers, for requests that may run
+    /// in the regions of `placement`.
+    pub(crate) fn shard_groups(
+        &self,
+        route: &Arc<str>,
+        placement: &PlacementRule,
+        shards: &[Arc<str>],
+    ) -> Arc<[ShardGroup]> {
         let now = self.timer.now();
         let mut groups = lock(&self.shard_groups);
-        let known = groups.entry(Arc::clone(route));
-        let known = known.or_insert_with(|| lock(&self.selector).shard_groups(shards, now).into());
+        let known = groups.entry(GroupsKey {
+            route: Arc::clone(route),
+            placement: placement.clone(),
+        });
+        let known = known.or_insert_with(|| {
+            let selector = lock(&self.selector);
+            selector.shard_groups(shards, placement, now).into()
+        });
         Arc::clone(known)
     }
 
+    /// Whether a request that may run in the regions of `placement` may be sent to another VM.
+    pub(crate) fn may_hand_to(&self, placement: &PlacementRule, vm: &BrokerEndpoint) -> bool {
+        let region = self.settings.region_of(&vm.centre);
+        placement.allows_vm(region, || self.speaks_newest(vm.address))
+    }
+
+    /// Whether the VM at `address` is known to speak the newest version of the protocol between VMs.
+    ///
+    /// The calls between VMs do not record versions yet, so every VM counts as an older one.
+    #[expect(
+        clippy::unused_self,
+        reason = "the versions of peers will be part of the state"
+    )]
+    pub(crate) fn speaks_newest(&self, _address: SocketAddr) -> bool {
+        false
+    }
+
+    /// Whether a request that may run in the regions of `placement` may run at this VM for another one.
+    pub(crate) fn is_within(&self, placement: &PlacementRule) -> bool {
+        placement.allows(self.settings.region_of(&self.settings.centre))
+    }
+
     /// Returns the data centres to which shards of any route are handed over.
     pub(crate) fn broker_centres(&self) -> Vec<Arc<str>> {
         let groups = lock(&self.shard_groups);
@@ -504,11 +547,13 @@
 
     fn relay_target(&self, announcement: TargetAnnouncement) -> RelayTarget {
         let locality = self.locality_of(&announcement.centre);
+        let region = self.settings.region_of(&announcement.centre).into();
         RelayTarget {
             id: announcement.id,
             service: announcement.service,
             address: announcement.address,
             centre: announcement.centre,
+            region,
             locality,
             slots: announcement.slots,
             born_ms: announcement.born_ms,
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -7,7 +7,8 @@
 
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
 use fulmarweir_route::{
-    GroupOutcome, HandoverOutcome, RepeatedSubRequest, ShardGroup, UnclearSubRequest,
+    BrokerEndpoint, GroupOutcome, HandoverOutcome, PlacementRule, RepeatedSubRequest, ShardGroup,
+    UnclearSubRequest,
 };
 use fulmarweir_wire::TrafficClass;
 use http::HeaderValue;
@@ -99,6 +100,8 @@
     permit: BrokerPermit,
     loan: ExtraLoan,
     pub(super) group: ShardGroup,
+    /// Regions in which the request may run.
+    placement: PlacementRule,
     /// The caller's id of the request, for logs.
     request_id: HeaderValue,
     request: HandoverRequest,
@@ -189,17 +192,27 @@
 
 impl BrokerPermit {
     /// Chooses a broker for a group.
-    fn acquire(node: &Arc<EntryNode>, group: &ShardGroup) -> Option<Self> {
+    fn acquire(
+        node: &Arc<EntryNode>,
+        group: &ShardGroup,
+        placement: &PlacementRule,
+    ) -> Option<Self> {
         let now = node.timer.now();
-        let broker = lock(&node.brokers).choose(&group.centre, &group.key, now)?;
+        let may_take = |vm: &BrokerEndpoint| node.may_hand_to(placement, vm);
+        let broker = lock(&node.brokers).choose(&group.centre, &group.key, may_take, now)?;
         Some(Self::new(node, broker, &group.centre))
     }
 
     /// Chooses any VM that has links to targets, besides those in `tried`.
-    fn acquire_helper(node: &Arc<EntryNode>, tried: &[SocketAddr]) -> Option<Self> {
+    fn acquire_helper(
+        node: &Arc<EntryNode>,
+        placement: &PlacementRule,
+        tried: &[SocketAddr],
+    ) -> Option<Self> {
         let now = node.timer.now();
         let locality = |centre: &str| node.locality_of(centre);
-        let chosen = lock(&node.brokers).choose_helper(locality, tried, now)?;
+        let may_take = |vm: &BrokerEndpoint| node.may_hand_to(placement, vm);
+        let chosen = lock(&node.brokers).choose_helper(locality, may_take, tried, now)?;
         Some(Self::new(node, chosen.address, &chosen.centre))
     }
 
@@ -235,9 +248,10 @@
     if lock(&node.selector).is_held_back(fingerprint, node.timer.now()) {
         return Vec::new();
     }
-    let groups = node.shard_groups(&routed.rule.name, services);
+    let placement = &routed.message.placement;
+    let groups = node.shard_groups(&routed.rule.name, placement, services);
     let plan = |group: &ShardGroup| {
-        let permit = BrokerPermit::acquire(node, group)?;
+        let permit = BrokerPermit::acquire(node, group, placement)?;
         Some(plan_group(permit, routed, services, group, &[]))
     };
     groups.iter().filter_map(plan).collect()
@@ -252,8 +266,9 @@
     group: &ShardGroup,
     repeats: &[RepeatedSubRequest],
 ) -> Option<Handover> {
-    let permit = BrokerPermit::acquire(node, group);
-    let permit = permit.or_else(|| BrokerPermit::acquire_helper(node, &[]))?;
+    let placement = &routed.message.placement;
+    let permit = BrokerPermit::acquire(node, group, placement);
+    let permit = permit.or_else(|| BrokerPermit::acquire_helper(node, placement, &[]))?;
     let locality = node.locality_of(&permit.centre);
     let mut handover = plan_group(permit, routed, services, group, repeats);
     handover.is_for_helper = true;
@@ -278,6 +293,7 @@
         permit,
         loan,
         group: group.clone(),
+        placement: routed.message.placement.clone(),
         request_id: routed.message.request_id.clone(),
         request,
     }
@@ -295,6 +311,7 @@
         permit,
         mut loan,
         group,
+        placement,
         request_id,
         request,
     } = handover;
@@ -307,7 +324,7 @@
     let mut tried = vec![broker];
     let mut reply = send_group(permit, &call, group_index, &silent).await;
     while is_untaken(&reply, is_for_helper)
-        && let Some(next) = next_broker(&node, &group, is_for_helper, &tried)
+        && let Some(next) = next_broker(&node, (&group, &placement), is_for_helper, &tried)
     {
         (broker, centre) = (next.broker, Arc::clone(&next.centre));
         tried.push(broker);
@@ -316,7 +333,7 @@
     }
     if is_for_helper
         && is_untaken(&reply, is_for_helper)
-        && let Some(last) = BrokerPermit::acquire_helper(&node, &[])
+        && let Some(last) = BrokerPermit::acquire_helper(&node, &placement, &[])
     {
         (broker, centre) = (last.broker, Arc::clone(&last.centre));
         prepare_next(&mut call, node.timer.now().since(started_at));
@@ -422,16 +439,16 @@
 /// Returns the next VM that is asked to take a group, if there is one.
 fn next_broker(
     node: &Arc<EntryNode>,
-    group: &ShardGroup,
+    (group, placement): (&ShardGroup, &PlacementRule),
     is_for_helper: bool,
     tried: &[SocketAddr],
 ) -> Option<BrokerPermit> {
     if is_for_helper {
         let may_ask = tried.len() < HELPERS_TRIED_MAX;
-        may_ask.then(|| BrokerPermit::acquire_helper(node, tried))?
+        may_ask.then(|| BrokerPermit::acquire_helper(node, placement, tried))?
     } else {
         let may_ask = tried.len() < BROKERS_TRIED_MAX;
-        may_ask.then(|| BrokerPermit::acquire(node, group))?
+        may_ask.then(|| BrokerPermit::acquire(node, group, placement))?
     }
 }
 
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -7,8 +7,8 @@
 use fulmarweir_conf::{RouteDestination, RouteRule};
 use fulmarweir_pool::RelayReply;
 use fulmarweir_route::{
-    AnswerSource, GroupOutcome, GroupRemainder, Locality, RelayOutcome, RepeatedSubRequest,
-    UnclearSubRequest,
+    AnswerSource, GroupOutcome, GroupRemainder, Locality, PlacementRule, RelayOutcome,
+    RepeatedSubRequest, UnclearSubRequest,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 
@@ -107,6 +107,7 @@
     node: &EntryNode,
     request: &HandoverRequest,
     rule: &RouteRule,
+    placement: PlacementRule,
 ) -> Option<(RelayMessage, RequestTimes)> {
     let now = node.timer.now();
     let headers = decode_headers(&request.headers)?;
@@ -114,6 +115,7 @@
     let deadline = now + Duration::from_millis(request.time_left_ms);
     let message = RelayMessage {
         fingerprint: request.fingerprint,
+        placement,
         method: Method::from_bytes(request.method.as_bytes()).ok()?,
         uri: request.uri.parse().ok()?,
         headers,
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -39,6 +39,7 @@
     pub(crate) link_changes: Family<StateLabel, Counter>,
     pub(crate) links_lost: CountGauge,
     pub(crate) requests_blocked: CountGauge,
+    pub(crate) home_bound: Family<OutcomeLabel, Counter>,
     pub(crate) hedges: Family<OutcomeLabel, Counter>,
     pub(crate) handovers: Family<OutcomeLabel, Counter>,
     pub(crate) target_notices: Family<KindLabel, Counter>,
@@ -82,6 +83,7 @@
             link_changes: Family::default(),
             links_lost: Gauge::default(),
             requests_blocked: Gauge::default(),
+            home_bound: Family::default(),
             hedges: Family::default(),
             handovers: Family::default(),
             target_notices: Family::default(),
@@ -162,6 +164,11 @@
             "Examinations of the links to targets, by the state that they led to",
             self.link_changes.clone(),
         );
+        registry.register(
+            "home_bound",
+            "Requests for which nothing in their home regions could be reached, by outcome",
+            self.home_bound.clone(),
+        );
         registry.register("hedges", "Second attempts, by outcome", self.hedges.clone());
         registry.register(
             "handovers",
@@ -300,6 +307,12 @@
         self.permits.get_or_create(&label).inc_by(count as u64);
     }
 
+    /// Counts a request for which nothing in its home regions could be reached.
+    pub(crate) fn count_home_bound(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.home_bound.get_or_create(&label).inc();
+    }
+
     /// Counts a handover by its outcome.
     pub(crate) fn count_handover(&self, outcome: &'static str) {
         let label = OutcomeLabel { outcome };
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -11,6 +11,7 @@
     driver::{RelayDriver, RelayMessage},
     entry::EntryNode,
     handover::plan_handovers,
+    home_bound::log_home_bound,
     request_account::{LogContext, OtherVm, RequestTimes, log_request},
     response::RelayResponse,
 };
@@ -53,6 +54,7 @@
         first_service: first_service.as_ref(),
         other_vm: OtherVm::To(&result.stats.brokers),
     };
+    log_home_bound(node, &routed, &result);
     let outcome = result.outcome_label(is_search);
     log_request(node, &context, outcome, response.status(), &result.stats);
     response
@@ -80,6 +82,7 @@
     let soft = times.soft_deadline.since(times.arrived_at);
     RelayParams {
         fingerprint: routed.message.fingerprint,
+        placement: routed.message.placement.clone(),
         services,
         idempotent: rule.idempotent,
         targets_max: rule.targets_max,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -58,11 +58,11 @@
     GroupOutcome, GroupRemainder, HandoverOutcome, LatencyTable, LimitChange, LimitReport,
     LimitedCounts, LimitedLoad, LinkChange, LinkExamination, LinkState, LinkSuspicion, LinkTarget,
     LinkTask, LinkWatch, Locality, NoticeChange, PermitAsk, PermitAsker, PermitCall, PermitGrant,
-    PermitGrantor, PickCriteria, QuarantineEntry, QuarantineState, QuarantineTable, RECORD_BYTES,
-    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal,
-    RelayRun, RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin, RequestRank,
-    SendPermit, SendRule, ShardGroup, StatedLimit, TargetChoice, TargetNotice, TargetPick,
-    TargetSelector, TargetSnapshot, UnclearSubRequest, merge_records,
+    PermitGrantor, PickCriteria, PlacementRule, QuarantineEntry, QuarantineState, QuarantineTable,
+    RECORD_BYTES, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRefusal, RelayRun, RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin,
+    RequestRank, SendPermit, SendRule, ShardGroup, StatedLimit, TargetChoice, TargetNotice,
+    TargetPick, TargetSelector, TargetSnapshot, UnclearSubRequest, merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchOutcome, SearchParams, SearchRun};
 pub use service::{
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -30,6 +30,8 @@
     Quarantined,
     /// This VM has lost its links to targets, and no other VM takes the request.
     LinksLost,
+    /// Nothing that may run the request can be reached in its home regions.
+    HomeBound,
     /// The deadline passed before an answer was complete.
     Deadline,
     /// An attempt may have run, so the request is not retried.
@@ -38,7 +40,7 @@
 
 impl RefusalReason {
     /// Every reason, for metrics that export all labels from the start.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::QueueFull,
         Self::TooLate,
         Self::MinVersion,
@@ -49,6 +51,7 @@
         Self::TargetsLimited,
         Self::Quarantined,
         Self::LinksLost,
+        Self::HomeBound,
         Self::Deadline,
         Self::Undecided,
     ];
@@ -67,6 +70,7 @@
             Self::TargetsLimited => "targets-limited",
             Self::Quarantined => "request-quarantined",
             Self::LinksLost => "links-lost",
+            Self::HomeBound => "home-bound",
             Self::Deadline => "deadline",
             Self::Undecided => "undecided",
         }
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -19,6 +19,7 @@
 mod notice_table;
 mod permit_grantor;
 mod permit_queue;
+mod placement;
 mod run;
 mod selector;
 mod shard_group;
@@ -46,6 +47,7 @@
     notice_table::{NoticeChange, TargetNotice},
     permit_grantor::{GRANTORS_MAX, PermitAsk, PermitAsker, PermitGrant, PermitGrantor},
     permit_queue::{RequestRank, SendPermit},
+    placement::PlacementRule,
     run::RelayRun,
     selector::{
         LinkTarget, PickCriteria, RelayTarget, TargetChoice, TargetPick, TargetSelector,
--- a/crates/route/src/relay/broker_selector.rs
+++ b/crates/route/src/relay/broker_selector.rs
@@ -160,12 +160,13 @@
 
     /// Returns the VM that takes a request of this one, which has lost its links to targets: the one
     /// with the fewest requests of this VM in flight, where a distant one must have fewer. `excluded`
-    /// are those that have not taken it.
+    /// are those that have not taken it, and `may_take` returns whether a VM may take it at all.
     ///
     /// Counts the request as in flight there.
     pub fn choose_helper(
         &mut self,
         locality: impl Fn(&str) -> Locality,
+        may_take: impl Fn(&BrokerEndpoint) -> bool,
         excluded: &[SocketAddr],
         now: MonoTime,
     ) -> Option<BrokerEndpoint> {
@@ -187,7 +188,7 @@
         };
         let usable = self.brokers.iter_mut().enumerate().filter(|(_, broker)| {
             let is_excluded = excluded.contains(&broker.endpoint.address);
-            broker.probe_passed && !is_excluded
+            broker.probe_passed && !is_excluded && may_take(&broker.endpoint)
         });
         let (_, chosen) = usable.min_by_key(cost)?;
         chosen.in_flight += 1;
@@ -220,17 +221,18 @@
     /// first usable ones in its ranking, the one with the fewest searches of this VM in flight.
     ///
     /// Counts the search as in flight at that broker. No search is sent to a broker before it has
-    /// answered a probe.
+    /// answered a probe, or if `may_take` returns false for it.
     pub fn choose(
         &mut self,
         centre: &Arc<str>,
         key: &Arc<str>,
+        may_take: impl Fn(&BrokerEndpoint) -> bool,
         now: MonoTime,
     ) -> Option<SocketAddr> {
         let ranking = self.ranking(centre, key);
         let is_usable = |index: &usize| {
             let broker = &self.brokers[*index];
-            broker.probe_passed && now >= broker.retry_at
+            broker.probe_passed && now >= broker.retry_at && may_take(&broker.endpoint)
         };
         let candidates = ranking.iter().copied().filter(is_usable);
         let candidates: Vec<usize> = candidates.take(BROKERS_PER_GROUP).collect();
--- a/crates/route/src/relay/message.rs
+++ b/crates/route/src/relay/message.rs
@@ -9,6 +9,7 @@
     crash::{RequestFingerprint, RunEnd},
     link_state::LinkEvidence,
     permit_queue::SendPermit,
+    placement::PlacementRule,
     selector::RelayTarget,
     shard_group::ShardGroup,
     target_tracker::AttemptSignal,
@@ -53,6 +54,8 @@
 pub struct RelayParams {
     /// What makes the request the same as others, whatever its id.
     pub fingerprint: RequestFingerprint,
+    /// Regions in which the request may run.
+    pub placement: PlacementRule,
     /// Services that must answer, one sub-request each.
     pub services: Vec<Arc<str>>,
     /// Whether the request may run more than once.
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -6,10 +6,11 @@
 
 mod finish;
 mod handover;
+mod homes;
 mod lost_links;
 mod trial;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict};
 
@@ -69,6 +70,8 @@
     broker_retry_after: Duration,
     /// Whether any VM has taken a group.
     was_taken: bool,
+    /// Sub-requests that were given up since no target in the home regions could be reached.
+    home_bound: BTreeSet<usize>,
 }
 
 impl RelayRun {
@@ -105,6 +108,7 @@
             hedge_wins: 0,
             broker_retry_after: Duration::ZERO,
             was_taken: false,
+            home_bound: BTreeSet::new(),
             params,
         };
         for sub_request in &run.params.lent_extra {
@@ -122,7 +126,8 @@
             return (run, actions);
         }
         if run.too_few_targets(selector, now) {
-            run.refuse(RefusalReason::NoTargets, selector, now, &mut actions);
+            run.record_without_home(selector, now);
+            run.refuse(run.no_targets_reason(), selector, now, &mut actions);
             return (run, actions);
         }
         if run.starts_elsewhere(selector) {
@@ -130,6 +135,11 @@
             run.finish_or_wake(selector, now, &mut actions);
             return (run, actions);
         }
+        if run.too_few_in_reach(selector, now) {
+            run.record_without_home(selector, now);
+            run.refuse(RefusalReason::HomeBound, selector, now, &mut actions);
+            return (run, actions);
+        }
         if run.too_few_open(selector, now) {
             let reason = run.closed_reason(selector, now);
             run.refuse(reason, selector, now, &mut actions);
@@ -416,12 +426,16 @@
         if !self.may_try(sub_request, is_hedge, selector, now) {
             return;
         }
+        if self.fails_out_of_reach(sub_request, selector, now) {
+            return;
+        }
         let targets_max = self.params.targets_max.max(1) as usize;
         let optional = kind == AttemptKind::First && self.tolerates_another_failure();
         let soft = self.params.soft_deadline.since(now);
         let progress = &self.sub_requests[sub_request];
         let criteria = PickCriteria {
             service: &progress.service,
+            placement: &self.params.placement,
             tried: &progress.tried,
             ran: &progress.ran,
             targets_max,
@@ -513,7 +527,7 @@
     ) -> TargetChoice {
         let fallback = |centre: &Arc<str>| {
             let service = &sub_request.service;
-            selector.fallback_target(service, centre, now)
+            selector.fallback_target(service, centre, &self.params.placement, now)
         };
         if let Some(centre) = &sub_request.pinned_centre {
             return TargetChoice::Only(fallback(centre));
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -30,10 +30,9 @@
 impl RelayRun {
     /// Whether too few services have a target for the request to be answered.
     pub(super) fn too_few_targets(&self, selector: &TargetSelector, now: MonoTime) -> bool {
-        let with_target = self
-            .sub_requests
-            .iter()
-            .filter(|sub_request| selector.has_target(&sub_request.service, now));
+        let with_target = self.sub_requests.iter().filter(|sub_request| {
+            selector.has_target(&sub_request.service, &self.params.placement, now)
+        });
         !self.has_coverage(with_target.count())
     }
 
@@ -44,7 +43,7 @@
     /// targets anything, and its caller learns when to come back.
     pub(super) fn too_few_open(&self, selector: &TargetSelector, now: MonoTime) -> bool {
         let is_open = |(index, sub_request): &(usize, &SubRequest)| {
-            let closed_until = selector.closed_until(&sub_request.service, self.rank, now);
+            let closed_until = self.closed_until(&sub_request.service, selector, now);
             closed_until.is_none_or(|until| until <= self.reopening_awaited_until(*index))
                 // Targets tell each VM separately, so a broker may still use them.
                 || self.is_handed_over(*index)
@@ -53,12 +52,22 @@
         !self.has_coverage(open.count())
     }
 
+    /// Returns when the first target of a service accepts the request again, if none does now.
+    fn closed_until(
+        &self,
+        service: &str,
+        selector: &TargetSelector,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        selector.closed_until(service, &self.params.placement, self.rank, now)
+    }
+
     /// Returns why too few services have a target that accepts requests.
     pub(super) fn closed_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
         let is_limited = |sub_request: &SubRequest| {
-            selector.has_limited_target(&sub_request.service, now)
-                && selector
-                    .closed_until(&sub_request.service, self.rank, now)
+            selector.has_limited_target(&sub_request.service, &self.params.placement, now)
+                && self
+                    .closed_until(&sub_request.service, selector, now)
                     .is_some()
         };
         if self.sub_requests.iter().any(is_limited) {
@@ -206,21 +215,30 @@
         }
         let links_reason = self.links_reason(selector);
         let reason = match self.verdict() {
-            RunVerdict::NotRun if links_reason.is_some() => RefusalReason::LinksLost,
-            RunVerdict::NotRun if self.too_few_unblocked(selector, now) => {
-                RefusalReason::Quarantined
-            }
-            RunVerdict::NotRun if self.too_few_targets(selector, now) => RefusalReason::NoTargets,
-            RunVerdict::NotRun if self.too_few_open(selector, now) => {
-                self.closed_reason(selector, now)
+            RunVerdict::NotRun => {
+                links_reason.unwrap_or_else(|| self.not_run_reason(selector, now))
             }
-            RunVerdict::NotRun => RefusalReason::TargetsRefused,
             _ if self.sub_requests.len() > 1 => RefusalReason::LowCoverage,
             _ => RefusalReason::Undecided,
         };
         self.refuse(reason, selector, now, actions);
     }
 
+    /// Returns why a request that has not run is refused.
+    fn not_run_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
+        if self.too_few_unblocked(selector, now) {
+            RefusalReason::Quarantined
+        } else if self.too_few_targets(selector, now) {
+            self.no_targets_reason()
+        } else if self.is_home_bound(selector, now) {
+            RefusalReason::HomeBound
+        } else if self.too_few_open(selector, now) {
+            self.closed_reason(selector, now)
+        } else {
+            RefusalReason::TargetsRefused
+        }
+    }
+
     pub(super) fn refuse(
         &mut self,
         reason: RefusalReason,
@@ -233,6 +251,9 @@
         if reason == RefusalReason::TargetsLimited {
             retry_after = self.turn_after(retry_after, selector, now);
         }
+        if reason == RefusalReason::HomeBound {
+            retry_after = self.with_spread(Self::home_bound_retry());
+        }
         if reason == RefusalReason::Quarantined {
             retry_after = self.unblocked_after(selector, now);
         }
@@ -254,8 +275,9 @@
             let service = &sub_request.service;
             // What failed for another reason says nothing about when it will not.
             let has_estimate =
-                sub_request.is_open() || selector.closed_until(service, self.rank, now).is_some();
-            let wait = has_estimate.then(|| selector.estimated_wait(service, self.rank, now));
+                sub_request.is_open() || self.closed_until(service, selector, now).is_some();
+            let wait = has_estimate
+                .then(|| selector.estimated_wait(service, &self.params.placement, self.rank, now));
             wait.unwrap_or_default()
         };
         let unanswered = self.sub_requests.iter().filter(|s| !s.is_answered());
@@ -267,7 +289,11 @@
         });
         let last_needed = waits.len().saturating_sub(dispensable.count() + 1);
         let wait = waits.get(last_needed).copied().unwrap_or_default();
-        let wait = wait.max(Duration::from_millis(RETRY_AFTER_MIN_MS));
+        self.with_spread(wait.max(Duration::from_millis(RETRY_AFTER_MIN_MS)))
+    }
+
+    /// Returns a time after which a caller may retry, plus a random part.
+    fn with_spread(&self, wait: Duration) -> Duration {
         let spread = self.params.retry_spread.clamp(0.0, 1.0);
         wait + (wait / RETRY_SPREAD_DIVISOR).mul_f64(spread)
     }
@@ -295,14 +321,14 @@
         let unanswered = self.sub_requests.iter().filter(|s| !s.is_answered());
         let closed = unanswered.filter_map(|sub_request| {
             let service = &sub_request.service;
-            let until = selector.closed_until(service, self.rank, now)?;
+            let until = self.closed_until(service, selector, now)?;
             Some((until, Arc::clone(service)))
         });
         let Some((_, service)) = closed.max() else {
             return retry_after;
         };
         selector
-            .reserve_return(&service, now + retry_after, now)
+            .reserve_return(&service, &self.params.placement, now + retry_after, now)
             .since(now)
     }
 
--- a/crates/route/src/relay/run/lost_links.rs
+++ b/crates/route/src/relay/run/lost_links.rs
@@ -116,7 +116,7 @@
         let groups = if is_held_back || is_hopeless || is_late {
             Vec::new()
         } else {
-            selector.helper_groups(&self.params.services, now)
+            selector.helper_groups(&self.params.services, &self.params.placement, now)
         };
         for mut group in groups {
             group.sub_requests.retain(|index| {
@@ -214,9 +214,14 @@
     }
 
     /// Returns the reason to refuse a request that has not run, if this VM has no links and no other one
-    /// has taken the request.
+    /// has taken the request. Only VMs in its home regions may take one that has any.
     pub(super) fn links_reason(&self, selector: &TargetSelector) -> Option<RefusalReason> {
         let is_stranded = selector.links().are_unusable() && !self.is_for_other_vm();
-        (is_stranded && !self.was_taken).then_some(RefusalReason::LinksLost)
+        let reason = if self.params.placement.is_unrestricted() {
+            RefusalReason::LinksLost
+        } else {
+            RefusalReason::HomeBound
+        };
+        (is_stranded && !self.was_taken).then_some(reason)
     }
 }
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -23,6 +23,7 @@
     link_watch::LinkWatch,
     notice_table::{NoticeChange, NoticeTable, TargetIncarnation, TargetNotice},
     permit_queue::{RequestRank, SendPermit},
+    placement::PlacementRule,
     shard_group::{NearestTarget, ShardGroup, group_all_shards, group_shards},
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
@@ -51,6 +52,8 @@
     pub address: SocketAddr,
     /// Data centre of the target.
     pub centre: Arc<str>,
+    /// Region of the data centre.
+    pub region: Arc<str>,
     /// Distance of the target from this VM.
     pub locality: Locality,
     /// Number of requests that the target runs concurrently.
@@ -178,8 +181,8 @@
         self.burst_share.record_vm_count(vms.max(1), now);
     }
 
-    /// Removes and returns the tracker of `target`, if it has the same incarnation, address and
-    /// slots.
+    /// Removes and returns the tracker of `target`, if it has the same incarnation, address,
+    /// slots and region.
     fn remove_tracker(&mut self, target: &RelayTarget) -> Option<TargetTracker> {
         let state = self.services.get_mut(&target.service)?;
         let is_same = |tracker: &TargetTracker| {
@@ -188,6 +191,7 @@
                 && known.born_ms == target.born_ms
                 && known.address == target.address
                 && known.slots == target.slots
+                && known.region == target.region
         };
         let index = state.trackers.iter().position(is_same)?;
         Some(state.trackers.swap_remove(index))
@@ -288,9 +292,16 @@
     /// Returns the target of `service` that a VM uses while the broker in `centre` is silent. All VMs
     /// that know the same targets name the same one.
     #[must_use]
-    pub fn fallback_target(&self, service: &str, centre: &str, now: MonoTime) -> Option<Arc<str>> {
+    pub fn fallback_target(
+        &self,
+        service: &str,
+        centre: &str,
+        placement: &PlacementRule,
+        now: MonoTime,
+    ) -> Option<Arc<str>> {
         let trackers = self.services.get(service)?.trackers.iter();
-        let in_centre = trackers.filter(|t| is_usable(t, now) && &*t.target.centre == centre);
+        let in_centre =
+            trackers.filter(|t| may_get(t, placement, now) && &*t.target.centre == centre);
         in_centre.map(|t| &t.target.id).min().cloned()
     }
 
@@ -329,10 +340,13 @@
     pub fn may_send(
         &mut self,
         target: &RelayTarget,
-        fingerprint: RequestFingerprint,
+        (fingerprint, placement): (RequestFingerprint, &PlacementRule),
         permit: Option<SendPermit>,
         now: MonoTime,
     ) -> bool {
+        if !placement.allows(&target.region) {
+            return false;
+        }
         let notice = self.notices.state_of(target);
         self.blocked_until(fingerprint, &target.service, now)
             .is_none()
@@ -381,11 +395,32 @@
         Some((tracker, &mut state.latency_ms))
     }
 
-    /// Whether any target of `service` is known that has not left.
+    /// Whether any target of `service` is known that has not left and may get a request.
     #[must_use]
-    pub fn has_target(&self, service: &str, now: MonoTime) -> bool {
+    pub fn has_target(&self, service: &str, placement: &PlacementRule, now: MonoTime) -> bool {
         let state = self.services.get(service);
-        state.is_some_and(|state| state.trackers.iter().any(|t| is_usable(t, now)))
+        state.is_some_and(|state| state.trackers.iter().any(|t| may_get(t, placement, now)))
+    }
+
+    /// Whether no target of `service` can be reached in the home regions of a request, as far as this VM
+    /// knows: no connection could be opened lately, and at most an attempt in flight finds out whether
+    /// one can now.
+    ///
+    /// Load pattern: all targets of the home regions are down. Their callers gain nothing by waiting for
+    /// a connection, as targets of other regions are no alternative.
+    #[must_use]
+    pub fn is_out_of_reach(&self, service: &str, placement: &PlacementRule, now: MonoTime) -> bool {
+        if placement.is_unrestricted() {
+            return false;
+        }
+        let Some(state) = self.services.get(service) else {
+            return true;
+        };
+        let mut at_home = state
+            .trackers
+            .iter()
+            .filter(|tracker| may_get(tracker, placement, now));
+        at_home.all(|tracker| tracker.is_unreached(now))
     }
 
     /// Returns when the first target of `service` accepts a request of this rank again, if none of
@@ -394,12 +429,15 @@
     pub fn closed_until(
         &self,
         service: &str,
+        placement: &PlacementRule,
         rank: RequestRank,
         now: MonoTime,
     ) -> Option<MonoTime> {
         let vms = self.burst_share.latest_vm_count();
         let trackers = &self.services.get(service)?.trackers;
-        let usable = trackers.iter().filter(|tracker| is_usable(tracker, now));
+        let usable = trackers
+            .iter()
+            .filter(|tracker| may_get(tracker, placement, now));
         let mut first: Option<MonoTime> = None;
         for tracker in usable {
             let target = &tracker.target;
@@ -417,22 +455,43 @@
 
     /// Returns the groups of shards of a search that should be handed over to brokers.
     #[must_use]
-    pub fn shard_groups(&self, services: &[Arc<str>], now: MonoTime) -> Vec<ShardGroup> {
-        let nearest = services.iter().map(|service| self.nearest(service, now));
+    pub fn shard_groups(
+        &self,
+        services: &[Arc<str>],
+        placement: &PlacementRule,
+        now: MonoTime,
+    ) -> Vec<ShardGroup> {
+        let nearest = services
+            .iter()
+            .map(|service| self.nearest(service, placement, now));
         group_shards(services, &nearest.collect::<Vec<_>>())
     }
 
     /// Returns the groups in which all shards of a request are handed over, since this VM has lost its
     /// links to targets.
     #[must_use]
-    pub fn helper_groups(&self, services: &[Arc<str>], now: MonoTime) -> Vec<ShardGroup> {
-        let nearest = services.iter().map(|service| self.nearest(service, now));
+    pub fn helper_groups(
+        &self,
+        services: &[Arc<str>],
+        placement: &PlacementRule,
+        now: MonoTime,
+    ) -> Vec<ShardGroup> {
+        let nearest = services
+            .iter()
+            .map(|service| self.nearest(service, placement, now));
         group_all_shards(services, &nearest.collect::<Vec<_>>())
     }
 
-    fn nearest(&self, service: &str, now: MonoTime) -> Option<NearestTarget> {
+    fn nearest(
+        &self,
+        service: &str,
+        placement: &PlacementRule,
+        now: MonoTime,
+    ) -> Option<NearestTarget> {
         let trackers = &self.services.get(service)?.trackers;
-        let usable = trackers.iter().filter(|tracker| is_usable(tracker, now));
+        let usable = trackers
+            .iter()
+            .filter(|tracker| may_get(tracker, placement, now));
         let nearest = usable.min_by_key(|t| (t.target.locality, &t.target.centre))?;
         Some(NearestTarget {
             centre: Arc::clone(&nearest.target.centre),
@@ -459,8 +518,14 @@
     /// Estimates the time after which some target of a service has a free slot again, or accepts
     /// requests again.
     #[must_use]
-    pub fn estimated_wait(&self, service: &str, rank: RequestRank, now: MonoTime) -> Duration {
-        if let Some(reopens_at) = self.closed_until(service, rank, now) {
+    pub fn estimated_wait(
+        &self,
+        service: &str,
+        placement: &PlacementRule,
+        rank: RequestRank,
+        now: MonoTime,
+    ) -> Duration {
+        if let Some(reopens_at) = self.closed_until(service, placement, rank, now) {
             return reopens_at.since(now);
         }
         let Some(state) = self.services.get(service) else {
@@ -468,7 +533,11 @@
         };
         let rounds =
             |tracker: &TargetTracker| tracker.load(now) / f64::from(tracker.target.slots.max(1));
-        let least = state.trackers.iter().map(rounds).fold(f64::MAX, f64::min);
+        let at_home = state
+            .trackers
+            .iter()
+            .filter(|tracker| placement.allows(&tracker.target.region));
+        let least = at_home.map(rounds).fold(f64::MAX, f64::min);
         Duration::from_secs_f64(state.latency_ms * least.clamp(1.0, 100.0) / 1000.0)
     }
 }
@@ -487,3 +556,8 @@
 fn is_usable(tracker: &TargetTracker, now: MonoTime) -> bool {
     !tracker.moved && !tracker.notice.has_left(now)
 }
+
+/// Whether a target is usable and in a region in which a request may run.
+fn may_get(tracker: &TargetTracker, placement: &PlacementRule, now: MonoTime) -> bool {
+    is_usable(tracker, now) && placement.allows(&tracker.target.region)
+}
--- a/crates/route/src/relay/selector/permits.rs
+++ b/crates/route/src/relay/selector/permits.rs
@@ -4,13 +4,14 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{RelayTarget, TargetSelector, is_usable};
+use super::{RelayTarget, TargetSelector, may_get};
 use crate::relay::{
     attempt_budget::AttemptCharge,
     limit::{LimitChange, LimitReport, LimitedLoad, StatedLimit},
     limit_table::PermitCall,
     permit_grantor::PermitGrant,
     permit_queue::{RequestRank, SendPermit, WaitTimes},
+    placement::PlacementRule,
     target_tracker::TargetTracker,
 };
 
@@ -99,12 +100,17 @@
         self.rate_limits.record_report(report, now)
     }
 
-    /// Whether a target of `service` has a limit.
+    /// Whether a target of `service` that may get a request has a limit.
     #[must_use]
-    pub fn has_limited_target(&self, service: &str, now: MonoTime) -> bool {
+    pub fn has_limited_target(
+        &self,
+        service: &str,
+        placement: &PlacementRule,
+        now: MonoTime,
+    ) -> bool {
         let state = self.services.get(service);
         let is_limited = |tracker: &TargetTracker| {
-            is_usable(tracker, now) && self.rate_limits.is_limited(&tracker.target)
+            may_get(tracker, placement, now) && self.rate_limits.is_limited(&tracker.target)
         };
         state.is_some_and(|state| state.trackers.iter().any(is_limited))
     }
@@ -136,6 +142,7 @@
     pub(crate) fn reserve_return(
         &mut self,
         service: &str,
+        placement: &PlacementRule,
         earliest: MonoTime,
         now: MonoTime,
     ) -> MonoTime {
@@ -144,6 +151,7 @@
             return earliest;
         };
         let targets = state.trackers.iter().map(|tracker| &tracker.target);
+        let targets = targets.filter(|target| placement.allows(&target.region));
         let limits = &self.rate_limits;
         let rate: f64 = targets.map(|t| limits.permit_rate(t, vms, now)).sum();
         let longest = Duration::from_millis(RETURN_SPAN_MAX_MS);
--- a/crates/route/src/relay/selector/pick.rs
+++ b/crates/route/src/relay/selector/pick.rs
@@ -7,10 +7,11 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{RelayTarget, TargetSelector, is_usable};
+use super::{RelayTarget, TargetSelector, may_get};
 use crate::relay::{
     limit_table::LimitTable,
     permit_queue::RequestRank,
+    placement::PlacementRule,
     target_tracker::{Locality, TargetTracker},
 };
 
@@ -64,6 +65,8 @@
 pub struct PickCriteria<'a> {
     /// Service that must answer.
     pub service: &'a Arc<str>,
+    /// Regions in which the request may run.
+    pub placement: &'a PlacementRule,
     /// Targets tried since the last pause of the sub-request; they are skipped.
     pub tried: &'a [Arc<str>],
     /// Targets on which the request may have run.
@@ -112,7 +115,7 @@
     },
     /// All targets were tried.
     AllTried,
-    /// The service has no target.
+    /// The service has no target that may get the request.
     NoTarget,
 }
 
@@ -134,8 +137,9 @@
         let mut has_open = false;
         let mut has_busy = false;
         let mut reopens_at: Option<MonoTime> = None;
-        let is_allowed =
-            |tracker: &&TargetTracker| is_usable(tracker, now) && choice.allows(&tracker.target.id);
+        let is_allowed = |tracker: &&TargetTracker| {
+            may_get(tracker, criteria.placement, now) && choice.allows(&tracker.target.id)
+        };
         for tracker in state.trackers.iter().filter(is_allowed) {
             has_allowed = true;
             let is_repeat = criteria.ran.contains(&tracker.target.id);
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -184,6 +184,12 @@
         now < self.down_until
     }
 
+    /// Whether no connection could be opened lately, and no more than an attempt in flight can tell
+    /// whether one can be opened now.
+    pub(crate) fn is_unreached(&self, now: MonoTime) -> bool {
+        self.connect_failures > 0 && (self.is_down(now) || self.in_flight() > 0)
+    }
+
     /// Whether the target refused a request recently, or more requests wait there than run.
     pub(crate) fn is_overloaded(&self, now: MonoTime) -> bool {
         now < self.refused_until || self.load(now) >= 2.0 * f64::from(self.target.slots.max(1))
--- a/crates/route/tests/burst_share.rs
+++ b/crates/route/tests/burst_share.rs
@@ -16,6 +16,7 @@
         service: "s0".into(),
         address: ([10, 0, 0, 1], 80).into(),
         centre: "a".into(),
+        region: "home".into(),
         locality: Locality::Centre,
         slots: 3,
         born_ms: 1,
--- a/crates/route/tests/relay_broker_selector.rs
+++ b/crates/route/tests/relay_broker_selector.rs
@@ -44,12 +44,12 @@
     assert_eq!(selector.usable_count(at(2)), 3);
     assert!(
         selector
-            .choose(&"other".into(), &"s0".into(), at(2))
+            .choose(&"other".into(), &"s0".into(), |_| true, at(2))
             .is_none()
     );
     assert!(
         selector
-            .choose(&"next".into(), &"s0".into(), at(2))
+            .choose(&"next".into(), &"s0".into(), |_| true, at(2))
             .is_some()
     );
 }
@@ -60,7 +60,7 @@
 fn the_broker_with_the_fewest_searches_in_flight_is_chosen() {
     let mut selector = selector();
     let mut chosen: Vec<SocketAddr> = (0..3)
-        .filter_map(|_| selector.choose(&"next".into(), &"s0".into(), at(2)))
+        .filter_map(|_| selector.choose(&"next".into(), &"s0".into(), |_| true, at(2)))
         .collect();
     chosen.sort_unstable();
     assert_eq!(chosen, [address(1), address(2), address(3)]);
@@ -68,7 +68,7 @@
     selector.record_handover_end(address(3), HandoverOutcome::Abandoned, at(10));
     for _ in 0..2 {
         assert_ne!(
-            selector.choose(&"next".into(), &"s0".into(), at(11)),
+            selector.choose(&"next".into(), &"s0".into(), |_| true, at(11)),
             Some(address(1))
         );
     }
@@ -78,7 +78,7 @@
 fn a_broker_that_declines_a_search_is_not_chosen_for_a_while() {
     let mut selector = selector();
     let broker = selector
-        .choose(&"next".into(), &"s0".into(), at(2))
+        .choose(&"next".into(), &"s0".into(), |_| true, at(2))
         .expect("a usable broker");
     selector.record_handover_end(broker, HandoverOutcome::NotTaken, at(5));
     assert_eq!(selector.usable_count(at(6)), 2);
@@ -92,7 +92,7 @@
     let mut selector = selector();
     let centres: [Arc<str>; 1] = ["next".into()];
     let broker = selector
-        .choose(&"next".into(), &"s0".into(), at(2))
+        .choose(&"next".into(), &"s0".into(), |_| true, at(2))
         .expect("a usable broker");
     selector.record_handover_end(broker, HandoverOutcome::Failed, at(100));
     assert_eq!(selector.usable_count(at(101)), 2);
@@ -128,7 +128,7 @@
     selector.sync(&[endpoint(2, "next"), endpoint(4, "next")], at(20));
     assert_eq!(selector.usable_count(at(21)), 1);
     assert_eq!(
-        selector.choose(&"next".into(), &"s0".into(), at(21)),
+        selector.choose(&"next".into(), &"s0".into(), |_| true, at(21)),
         Some(address(2))
     );
 }
@@ -148,7 +148,7 @@
 fn brokers_of(selector: &mut BrokerSelector, key: &str) -> BTreeSet<SocketAddr> {
     let (centre, key) = ("next".into(), key.into());
     let search = |_| {
-        let broker = selector.choose(&centre, &key, at(2)).unwrap();
+        let broker = selector.choose(&centre, &key, |_| true, at(2)).unwrap();
         selector.record_handover_end(broker, HandoverOutcome::Answered, at(2));
         broker
     };
@@ -219,7 +219,9 @@
     let mut selector = helpers();
     let mut counts = [0; 3];
     for _ in 0..60 {
-        let chosen = selector.choose_helper(locality, &[], at(2)).unwrap();
+        let chosen = selector
+            .choose_helper(locality, |_| true, &[], at(2))
+            .unwrap();
         let hosts = [1, 2, 3].map(address);
         let index = hosts.iter().position(|host| *host == chosen.address);
         counts[index.unwrap()] += 1;
@@ -236,12 +238,21 @@
         let declined = HandoverOutcome::NotTaken;
         selector.record_handover_end(address(host), declined, at(2));
     }
-    assert!(selector.choose_helper(locality, &[], at(3)).is_some());
+    assert!(
+        selector
+            .choose_helper(locality, |_| true, &[], at(3))
+            .is_some()
+    );
     selector.record_handover_end(address(1), HandoverOutcome::Stranded, at(4));
     selector.record_handover_end(address(2), HandoverOutcome::Failed, at(4));
-    let chosen = selector.choose_helper(locality, &[], at(5)).unwrap();
+    let chosen = selector
+        .choose_helper(locality, |_| true, &[], at(5))
+        .unwrap();
     assert_eq!(chosen.address, address(3));
-    assert_eq!(selector.choose_helper(locality, &[address(3)], at(5)), None);
+    assert_eq!(
+        selector.choose_helper(locality, |_| true, &[address(3)], at(5)),
+        None
+    );
 }
 
 /// Load pattern: many VMs lose their links at once, and some of them do not know yet.
@@ -249,7 +260,9 @@
 fn only_vms_that_have_just_reached_targets_help_at_first() {
     let mut selector = helpers();
     selector.require_new_probes(&[address(3)], at(10));
-    let chosen = selector.choose_helper(locality, &[], at(10)).unwrap();
+    let chosen = selector
+        .choose_helper(locality, |_| true, &[], at(10))
+        .unwrap();
     assert_eq!(chosen.address, address(3));
     let due = selector.due_helper_probes(8, locality, at(10));
     assert_eq!(due, [address(1), address(2)], "near ones first");
--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -18,9 +18,9 @@
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
     CrashTally, GroupOutcome, GroupRemainder, LimitReport, Locality, PermitAsker, PermitCall,
-    PermitGrant, PermitGrantor, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
-    RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup, StatedLimit,
-    TargetSelector,
+    PermitGrant, PermitGrantor, PlacementRule, RelayAction, RelayAttempt, RelayAttemptOutcome,
+    RelayOutcome, RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin,
+    ShardGroup, StatedLimit, TargetSelector,
 };
 
 /// Shards of each search.
@@ -360,6 +360,7 @@
                 service: shard_name(shard),
                 address: target_address(shard, number),
                 centre: TARGET_CENTRE.into(),
+                region: "home".into(),
                 locality,
                 slots: 100,
                 born_ms: life.born_ms,
@@ -855,6 +856,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
--- a/crates/route/tests/relay_limits.rs
+++ b/crates/route/tests/relay_limits.rs
@@ -6,8 +6,8 @@
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
     LimitChange, LimitReport, Locality, PermitAsk, PermitAsker, PermitGrant, PermitGrantor,
-    RefusalReason, RelayAction, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRun,
-    RelayTarget, RequestFingerprint, RequestOrigin, StatedLimit, TargetSelector,
+    PlacementRule, RefusalReason, RelayAction, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, StatedLimit, TargetSelector,
 };
 
 const ANSWER: RelayAttemptOutcome = RelayAttemptOutcome::Answered { load: None };
@@ -27,6 +27,7 @@
         service: service.into(),
         address: ([10, 0, 0, 1], 80).into(),
         centre: "here".into(),
+        region: "home".into(),
         locality: Locality::Centre,
         slots: 3,
         born_ms: 1,
@@ -71,6 +72,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
@@ -203,14 +205,14 @@
     };
     assert!(selector.may_send(
         &only,
-        RequestFingerprint::default(),
+        (RequestFingerprint::default(), &PlacementRule::default()),
         attempt.permit,
         at(1_001)
     ));
     selector.record_limit(&only, stated(LIMIT), at(900), at(1_002));
     assert!(!selector.may_send(
         &only,
-        RequestFingerprint::default(),
+        (RequestFingerprint::default(), &PlacementRule::default()),
         attempt.permit,
         at(1_003)
     ));
@@ -226,9 +228,19 @@
         panic!("not sent: {actions:?}");
     };
     let (number, permit) = (attempt.attempt, attempt.permit);
-    assert!(selector.may_send(&only, RequestFingerprint::default(), permit, at(1_100)));
+    assert!(selector.may_send(
+        &only,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        permit,
+        at(1_100)
+    ));
     assert!(
-        !selector.may_send(&only, RequestFingerprint::default(), permit, at(2_000)),
+        !selector.may_send(
+            &only,
+            (RequestFingerprint::default(), &PlacementRule::default()),
+            permit,
+            at(2_000)
+        ),
         "expired"
     );
     let outcome = RelayAttemptOutcome::NoConnection;
--- a/crates/route/tests/relay_lost_links.rs
+++ b/crates/route/tests/relay_lost_links.rs
@@ -5,9 +5,9 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    GroupOutcome, GroupRemainder, LinkExamination, LinkState, LinkTask, Locality, RefusalReason,
-    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRun,
-    RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin, TargetSelector,
+    GroupOutcome, GroupRemainder, LinkExamination, LinkState, LinkTask, Locality, PlacementRule,
+    RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRun, RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin, TargetSelector,
     UnclearSubRequest,
 };
 
@@ -51,6 +51,7 @@
         service: service(shard),
         address: ([10, 0, 0, u8::try_from(shard).unwrap()], port).into(),
         centre: "here".into(),
+        region: "home".into(),
         locality: Locality::Centre,
         slots: 3,
         born_ms: 1,
@@ -79,6 +80,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
--- a/crates/route/tests/relay_notices.rs
+++ b/crates/route/tests/relay_notices.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    AnswerSource, Locality, NoticeChange, PickCriteria, RefusalReason, RelayAction, RelayAttempt,
-    RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget,
-    RequestFingerprint, RequestOrigin, RequestRank, TargetChoice, TargetNotice, TargetPick,
-    TargetSelector,
+    AnswerSource, Locality, NoticeChange, PickCriteria, PlacementRule, RefusalReason, RelayAction,
+    RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun,
+    RelayTarget, RequestFingerprint, RequestOrigin, RequestRank, TargetChoice, TargetNotice,
+    TargetPick, TargetSelector,
 };
 
 const DRAIN: Duration = Duration::from_secs(5);
@@ -24,6 +24,7 @@
         service: service.into(),
         address: ([10, 0, 0, 1], 80).into(),
         centre: "here".into(),
+        region: "home".into(),
         locality: Locality::Centre,
         slots: 3,
         born_ms: 1,
@@ -65,6 +66,7 @@
 fn pick(selector: &mut TargetSelector, now: MonoTime) -> TargetPick {
     let criteria = PickCriteria {
         service: &"s0".into(),
+        placement: &PlacementRule::default(),
         tried: &[],
         ran: &[],
         targets_max: 2,
@@ -102,6 +104,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
@@ -140,7 +143,7 @@
     selector.sync(targets("s0", &["a"]), |_| Some(300), at(1_100));
     assert_eq!(picked_id(&mut selector, at(5_999)).as_deref(), Some("s0-a"));
     assert_eq!(pick(&mut selector, at(6_000)), TargetPick::NoTarget);
-    assert!(!selector.has_target("s0", at(6_000)));
+    assert!(!selector.has_target("s0", &PlacementRule::default(), at(6_000)));
 }
 
 #[test]
@@ -191,14 +194,44 @@
 fn an_attempt_that_waits_for_a_connection_is_withheld_after_a_notice() {
     let mut selector = selector(targets("s0", &["a", "b"]));
     let (waiting, other) = (target("s0", "a"), target("s0", "b"));
-    assert!(selector.may_send(&waiting, RequestFingerprint::default(), None, at(10)));
+    assert!(selector.may_send(
+        &waiting,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        None,
+        at(10)
+    ));
     selector.record_notice(&waiting, closed_for(2_000), 0.0, at(10));
-    assert!(!selector.may_send(&waiting, RequestFingerprint::default(), None, at(300)));
-    assert!(selector.may_send(&other, RequestFingerprint::default(), None, at(300)));
-    assert!(selector.may_send(&waiting, RequestFingerprint::default(), None, at(2_010)));
+    assert!(!selector.may_send(
+        &waiting,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        None,
+        at(300)
+    ));
+    assert!(selector.may_send(
+        &other,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        None,
+        at(300)
+    ));
+    assert!(selector.may_send(
+        &waiting,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        None,
+        at(2_010)
+    ));
     selector.record_notice(&waiting, leaving(), 0.0, at(3_000));
-    assert!(selector.may_send(&waiting, RequestFingerprint::default(), None, at(3_100)));
-    assert!(!selector.may_send(&waiting, RequestFingerprint::default(), None, at(8_000)));
+    assert!(selector.may_send(
+        &waiting,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        None,
+        at(3_100)
+    ));
+    assert!(!selector.may_send(
+        &waiting,
+        (RequestFingerprint::default(), &PlacementRule::default()),
+        None,
+        at(8_000)
+    ));
 }
 
 /// A withheld attempt has not reached its target: the sub-request goes to another one, uncharged.
--- a/crates/route/tests/relay_returned.rs
+++ b/crates/route/tests/relay_returned.rs
@@ -5,9 +5,9 @@
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    AttemptSignal, GroupOutcome, Locality, RelayAction, RelayAttempt, RelayAttemptOutcome,
-    RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup,
-    TargetSelector, UnclearSubRequest,
+    AttemptSignal, GroupOutcome, Locality, PlacementRule, RelayAction, RelayAttempt,
+    RelayAttemptOutcome, RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin,
+    ShardGroup, TargetSelector, UnclearSubRequest,
 };
 
 /// Soft deadline of a search, and that of its broker.
@@ -28,6 +28,7 @@
         service: "s0".into(),
         address: ([10, 0, 0, 1], 80).into(),
         centre: "there".into(),
+        region: "home".into(),
         locality: Locality::Region,
         slots: 3,
         born_ms: 1,
@@ -66,6 +67,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    AnswerSource, AttemptCharge, AttemptKind, GroupOutcome, LatencyTable, Locality, RefusalReason,
-    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRun,
-    RelayTarget, ReportedLoad, RequestFingerprint, RequestOrigin, ShardGroup, TargetSelector,
-    UnclearSubRequest,
+    AnswerSource, AttemptCharge, AttemptKind, GroupOutcome, LatencyTable, Locality, PlacementRule,
+    RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRun, RelayTarget, ReportedLoad, RequestFingerprint, RequestOrigin, ShardGroup,
+    TargetSelector, UnclearSubRequest,
 };
 
 fn at(millis: u64) -> MonoTime {
@@ -25,6 +25,10 @@
             Locality::Region => "next".into(),
             Locality::Far => "far".into(),
         },
+        region: match locality {
+            Locality::Centre | Locality::Region => "home".into(),
+            Locality::Far => "abroad".into(),
+        },
         locality,
         slots: 3,
         born_ms: 1,
@@ -82,6 +86,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
@@ -770,11 +775,15 @@
     selector.record_vm_count(1, at(0));
     selector.sync(targets.collect(), |_| Some(30), at(0));
     let services: Vec<Arc<str>> = (0..9).map(|shard| format!("s{shard}").into()).collect();
-    let groups = selector.shard_groups(&services, at(0));
+    let groups = selector.shard_groups(&services, &PlacementRule::default(), at(0));
     assert_eq!(groups.len(), 1);
     assert_eq!(&*groups[0].centre, "next");
     assert_eq!(groups[0].sub_requests, [3, 4, 5, 6, 7]);
-    assert!(selector.shard_groups(&services[..5], at(0)).is_empty());
+    assert!(
+        selector
+            .shard_groups(&services[..5], &PlacementRule::default(), at(0))
+            .is_empty()
+    );
 }
 
 #[test]
--- a/crates/route/tests/relay_trial.rs
+++ b/crates/route/tests/relay_trial.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    CrashCall, GroupOutcome, Locality, QuarantineEntry, QuarantineState, RefusalReason,
-    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal,
-    RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup, TargetSelector,
-    UnclearSubRequest,
+    CrashCall, GroupOutcome, Locality, PlacementRule, QuarantineEntry, QuarantineState,
+    RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup,
+    TargetSelector, UnclearSubRequest,
 };
 
 const SHARDS: usize = 5;
@@ -39,6 +39,7 @@
         service: shard(shard_number),
         address: ([10, 0, 0, 1], port).into(),
         centre: "here".into(),
+        region: "home".into(),
         locality: Locality::Centre,
         slots: 3,
         born_ms,
@@ -82,6 +83,7 @@
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
+        placement: PlacementRule::default(),
         retry_spread: 0.0,
     }
 }
@@ -215,12 +217,27 @@
     let mut selector = selector();
     let (mut run, actions) = RelayRun::start(params(1), &mut selector, at(0));
     let first = sends(&actions).remove(0);
-    assert!(selector.may_send(&first.target, fingerprint(), None, at(1)));
+    assert!(selector.may_send(
+        &first.target,
+        (fingerprint(), &PlacementRule::default()),
+        None,
+        at(1)
+    ));
     let blocked = entry(QuarantineState::Blocked);
     selector.apply_quarantine(keeper(), (1, 1), &[blocked], at(2));
-    assert!(!selector.may_send(&first.target, fingerprint(), None, at(3)));
+    assert!(!selector.may_send(
+        &first.target,
+        (fingerprint(), &PlacementRule::default()),
+        None,
+        at(3)
+    ));
     let other = RequestFingerprint::of("GET", "caller", "/b", b"");
-    assert!(selector.may_send(&first.target, other, None, at(3)));
+    assert!(selector.may_send(
+        &first.target,
+        (other, &PlacementRule::default()),
+        None,
+        at(3)
+    ));
     for now_ms in 4..300 {
         let actions = run.on_wake(&mut selector, at(now_ms));
         assert!(sends(&actions).is_empty(), "no hedge");
--- a/crates/route/tests/shard_groups.rs
+++ b/crates/route/tests/shard_groups.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
-use fulmarweir_route::{Locality, RelayTarget, ShardGroup, TargetSelector};
+use fulmarweir_route::{Locality, PlacementRule, RelayTarget, ShardGroup, TargetSelector};
 
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
@@ -31,6 +31,7 @@
         service: Arc::clone(service),
         address: ([10, 0, 0, 1], 80).into(),
         centre: centre.into(),
+        region: "home".into(),
         locality,
         slots: 7,
         born_ms: 1,
@@ -43,7 +44,7 @@
         targets.extend(place(index).map(|(centre, locality)| target(service, centre, locality)));
     }
     selector.sync(targets, |_| Some(194), at(0));
-    selector.shard_groups(&services, at(0))
+    selector.shard_groups(&services, &PlacementRule::default(), at(0))
 }
 
 fn by_key(groups: &[ShardGroup]) -> BTreeMap<Arc<str>, Vec<usize>> {
