Merge home regions; write new registers only while no voter is known to speak an older version

A voter that a keeper has not reached since its start no longer blocks an evacuation: as many voters as may be lost can be down. Reasons for refusals of evacuated and home-bound requests are told apart in one place.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -22,6 +22,7 @@
 mod evacuations;
 mod handover;
 mod handover_message;
+mod home_bound;
 mod keeper;
 mod keeper_poll;
 mod keeper_quarantine;
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -402,19 +402,27 @@
         is_grantor.then(|| voters.members.len().min(GRANTORS_MAX))
     }
 
-    /// Whether all voters are known to speak the newest protocol version.
+    /// Whether registers may be written that the protocol version before cannot read: a majority of the
+    /// voters is known to speak the newest version, and no voter is known to speak an older one.
     ///
-    /// Registers and records that the version before cannot read must not be written before, since
-    /// a voter of that version could neither store nor copy them.
+    /// A voter that this keeper has not reached since its start does not count: an order must be
+    /// possible while as many voters are down as may be lost.
     pub(crate) fn voters_speak_newest(&self) -> bool {
         let own = self.settings.peer_address();
         let voters = self.quorum.voters();
-        let mut members = voters.members.iter();
-        !voters.members.is_empty()
-            && members.all(|member| {
-                let is_own = member.address == own;
-                is_own || self.peers.version_of(member.address) == Some(PeerVersion::NEWEST)
-            })
+        let mut newest = 0;
+        for member in &voters.members {
+            if member.address == own {
+                newest += 1;
+                continue;
+            }
+            match self.peers.version_of(member.address) {
+                Some(PeerVersion::NEWEST) => newest += 1,
+                Some(_) => return false,
+                None => {}
+            }
+        }
+        newest > voters.members.len() / 2
     }
 
     async fn handle_poll(&self, request: PollRequest) -> PollReply {
--- a/crates/daemon/src/relay/recorded_frames.rs
+++ b/crates/daemon/src/relay/recorded_frames.rs
@@ -116,7 +116,7 @@
         limits_revision: 14,
         quarantine_revision: 15,
         wait_ms: 1_500,
-        evacuations_version: 0,
+        evacuations_version: None,
     }
 }
 
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -32,6 +32,8 @@
     Quarantined,
     /// This VM has lost its links to targets, and no other VM takes the request.
     LinksLost,
+    /// Nothing that may run the request can be reached in its home regions.
+    HomeBound,
     /// The deadline passed before an answer was complete.
     Deadline,
     /// An attempt may have run, so the request is not retried.
@@ -40,7 +42,7 @@
 
 impl RefusalReason {
     /// Every reason, for metrics that export all labels from the start.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::QueueFull,
         Self::TooLate,
         Self::MinVersion,
@@ -52,6 +54,7 @@
         Self::TargetsLimited,
         Self::Quarantined,
         Self::LinksLost,
+        Self::HomeBound,
         Self::Deadline,
         Self::Undecided,
     ];
@@ -71,6 +74,7 @@
             Self::TargetsLimited => "targets-limited",
             Self::Quarantined => "request-quarantined",
             Self::LinksLost => "links-lost",
+            Self::HomeBound => "home-bound",
             Self::Deadline => "deadline",
             Self::Undecided => "undecided",
         }
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -19,6 +19,7 @@
 mod message;
 mod notice_table;
 mod permit_grantor;
+mod placement;
 mod run;
 mod selector;
 mod shard_group;
@@ -48,6 +49,7 @@
     },
     notice_table::{NoticeChange, TargetNotice},
     permit_grantor::{PermitAsk, PermitGrant, PermitGrantor},
+    placement::PlacementRule,
     run::RelayRun,
     selector::{
         LinkTarget, PickCriteria, RelayTarget, TargetChoice, TargetPick, TargetSelector,
--- a/crates/route/src/relay/selector/evacuations.rs
+++ b/crates/route/src/relay/selector/evacuations.rs
@@ -5,7 +5,10 @@
 use fulmarweir_base::MonoTime;
 
 use super::{RelayTarget, TargetSelector, is_present};
-use crate::relay::evacuation_gate::{CentreState, EvacuationChange};
+use crate::relay::{
+    evacuation_gate::{CentreState, EvacuationChange},
+    placement::PlacementRule,
+};
 
 impl TargetSelector {
     /// Replaces the evacuated data centres, and returns what has changed. Attempts in flight there go
@@ -26,14 +29,21 @@
         self.evacuations.state_of(&target.centre) == CentreState::Evacuated
     }
 
-    /// Whether `service` has a target that only an evacuation keeps from being used.
+    /// Whether `service` has a target that a request may run at but for an evacuation.
     #[must_use]
-    pub(crate) fn has_evacuated_target(&self, service: &str, now: MonoTime) -> bool {
+    pub(crate) fn has_evacuated_target(
+        &self,
+        service: &str,
+        placement: &PlacementRule,
+        now: MonoTime,
+    ) -> bool {
         let state = self.services.get(service);
         state.is_some_and(|state| {
             let mut trackers = state.trackers.iter();
             trackers.any(|tracker| {
-                tracker.centre_state == CentreState::Evacuated && is_present(tracker, now)
+                tracker.centre_state == CentreState::Evacuated
+                    && is_present(tracker, now)
+                    && placement.allows(&tracker.target.region)
             })
         })
     }
