Identify the tenant of each request by its key

Requests of a configuration with tenants reached targets with the caller's Authorization header and without a tenant. It strips the key and the caller's tenant header, and names the tenant to targets. Handed-over requests resolve their tenant from that header in the same configuration version.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -20,6 +20,7 @@
 //! assert_eq!(list.faults()[1].line, 2);
 //! ```
 
+mod caller_identity;
 mod compiled_config;
 mod depends;
 mod digest;
@@ -35,6 +36,7 @@
 mod tenant_table;
 mod value;
 
+pub use caller_identity::{CallerIdentity, KeyFault};
 pub use compiled_config::{AnswerPreference, CompiledConfig, ServiceConfig, ServiceKind};
 pub use digest::{ConfigDigest, DIGEST_BYTES};
 pub use fault::{ConfigFault, FAULTS_MAX, FaultList, FaultReason, Result};
--- a/crates/conf/src/route_table.rs
+++ b/crates/conf/src/route_table.rs
@@ -149,6 +149,11 @@
         /// Name of the second tenant.
         second: Arc<str>,
     },
+    /// The name of a tenant is empty or can't be sent in a header.
+    InvalidTenantName {
+        /// The name.
+        tenant: Arc<str>,
+    },
     /// Two tenants have the same name.
     DuplicateTenant {
         /// The name.
@@ -177,6 +182,12 @@
             Self::SharedKey { first, second } => {
                 write!(f, "tenants {first} and {second} share a key")
             }
+            Self::InvalidTenantName { tenant } => {
+                write!(
+                    f,
+                    "tenant {tenant:?}: expected a name without control characters"
+                )
+            }
             Self::DuplicateTenant { tenant } => write!(f, "two tenants are named {tenant}"),
         }
     }
--- a/crates/conf/src/tenant_table.rs
+++ b/crates/conf/src/tenant_table.rs
@@ -59,6 +59,11 @@
         let mut by_name: HashMap<Arc<str>, Arc<TenantRule>> = HashMap::new();
         for rule in rules {
             let rule = Arc::new(rule);
+            if !is_valid_name(&rule.name) {
+                faults.push(RouteFault::InvalidTenantName {
+                    tenant: Arc::clone(&rule.name),
+                });
+            }
             for key in &rule.keys {
                 let earlier = by_key.insert(key_digest(key), Arc::clone(&rule));
                 if let Some(earlier) = earlier.filter(|earlier| earlier.name != rule.name) {
@@ -96,6 +101,11 @@
     }
 }
 
+/// Whether a name arrives unchanged in a header.
+fn is_valid_name(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && !name.contains(char::is_control)
+}
+
 fn key_digest(key: &str) -> KeyDigest {
     Sha256::digest(key.as_bytes()).into()
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -21,6 +21,7 @@
 mod entry_quarantine;
 mod handover;
 mod handover_message;
+mod identify;
 mod keeper;
 mod keeper_poll;
 mod keeper_quarantine;
--- a/crates/daemon/src/relay/adapter.rs
+++ b/crates/daemon/src/relay/adapter.rs
@@ -24,6 +24,8 @@
     pub part_signatures: HeaderName,
     /// The number of shards missing from a merged response.
     pub parts_missing: HeaderName,
+    /// The name of the tenant for which a request runs. Set by this tier, whatever the caller sent.
+    pub tenant: HeaderName,
 }
 
 /// How the relay treats a target's reply.
--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -16,6 +16,7 @@
     driver::{RelayDriver, RelayResult},
     entry::EntryNode,
     handover_message::{decode_indexes, decode_repeats, decode_request, encode_reply},
+    identify::{identify_handover, priority_of},
     request_account::{LogContext, OtherVm, log_request},
     routed::{RoutedRequest, relay_params},
     vm_message::{HandoverReply, HandoverRequest, VmReply},
@@ -176,6 +177,7 @@
         .find(|rule| rule.name == request.route)
         .cloned()
         .ok_or("no-route")?;
+    let tenant = identify_handover(node, &table, &rule, &request.headers)?;
     if lock(&node.selector).links().are_unusable() {
         return Err(LINKS_LOST);
     }
@@ -183,8 +185,8 @@
     let lag = *lock(&node.lag);
     let has_room = lag.accepts_handovers(in_flight);
     // Without this VM the caller would be refused, so it counts as one of its own.
-    let takes_last =
-        request.is_last_resort && lag.overload_pause(rule.priority, in_flight).is_none();
+    let priority = priority_of(&rule, tenant.as_deref());
+    let takes_last = request.is_last_resort && lag.overload_pause(priority, in_flight).is_none();
     if !has_room && !takes_last {
         return Err("vm-overloaded");
     }
@@ -192,6 +194,7 @@
     Ok(RoutedRequest {
         table,
         rule,
+        tenant,
         message: Arc::new(message),
         times,
     })
@@ -212,6 +215,7 @@
     let context = LogContext {
         table: &routed.table,
         rule: &routed.rule,
+        tenant: routed.tenant.as_deref(),
         request_id: &routed.message.request_id,
         times: routed.times,
         sub_requests,
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -17,6 +17,7 @@
     body::{BodyFault, read_body},
     driver::RelayMessage,
     entry::EntryNode,
+    identify::{identify_caller, identity_refusal, priority_of, set_tenant_headers},
     request_account::{EarlyRequest, RequestTimes, refuse_early},
     response::{RelayResponse, retry_later, text},
     routed::{RoutedRequest, run_routed},
@@ -68,6 +69,7 @@
         id: request_id.as_ref(),
         arrived_at,
         route: "none",
+        tenant: None,
     };
     let early = |reason, response| refuse_early(node, &unrouted, reason, response);
     let Some(table) = node.table() else {
@@ -80,6 +82,8 @@
     let body = read_request_body(body, &head.headers, table.limits.body_max_bytes)
         .await
         .map_err(|response| early("bad-body", response))?;
+    // A slow body may have taken longer than a change of the configuration.
+    let table = node.table().unwrap_or(table);
     let Some(rule) = find_rule(&table, &head.uri, &head.headers) else {
         let response = text(StatusCode::NOT_FOUND, "no route for this host and path");
         return Err(early("no-route", response));
@@ -88,21 +92,32 @@
         let response = text(StatusCode::BAD_REQUEST, "no request id");
         return Err(early("no-request-id", response));
     };
+    let identity = identify_caller(node, &table, &rule, &head.headers).map_err(|reason| {
+        let routed = EarlyRequest {
+            route: &rule.name,
+            ..unrouted
+        };
+        refuse_early(node, &routed, reason, identity_refusal(reason))
+    })?;
+    let tenant = identity.tenant().cloned();
     let times = request_times(node, &rule, &head.headers, arrived_at);
     node.wait_during_startup(startup_wait, |node| has_targets(node, &rule))
         .await;
+    let priority = priority_of(&rule, tenant.as_deref());
     let in_flight = node.in_flight.load(Relaxed);
-    let refusal = lock(&node.lag).overload_pause(rule.priority, in_flight);
+    let refusal = lock(&node.lag).overload_pause(priority, in_flight);
     if let Some(pause) = refusal {
         let response = retry_later("vm-overloaded", pause);
         let routed = EarlyRequest {
             route: &rule.name,
+            tenant: tenant.as_deref(),
             ..unrouted
         };
         return Err(refuse_early(node, &routed, "vm-overloaded", response));
     }
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
+    set_tenant_headers(node, &identity, &mut headers);
     let fingerprint = RelayMessage::fingerprint_of(&head.method, &head.uri, &headers, &body);
     let message = RelayMessage {
         fingerprint,
@@ -118,6 +133,7 @@
     let routed = RoutedRequest {
         table,
         rule,
+        tenant,
         message: Arc::new(message),
         times,
     };
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -12,7 +12,7 @@
 
 use fulmarweir_base::{MonoTime, TimerService, lock};
 use fulmarweir_conf::{RelaySettings, RouteTable};
-use fulmarweir_fleet::{MergedRegistry, TargetAnnouncement};
+use fulmarweir_fleet::{ConfigAssurance, MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
     BrokerSelector, LatencyTable, LinkState, Locality, RelayTarget, ShardGroup, TargetSelector,
@@ -89,6 +89,7 @@
     pub(crate) detached_tasks: TaskTracker,
     pub(crate) in_flight: AtomicU64,
     table: Mutex<Option<Arc<RouteTable>>>,
+    config_assurance: Mutex<ConfigAssurance>,
     broker_directory: Mutex<BrokerDirectory>,
     /// Shards of each route that may be handed over to brokers, computed on its first search.
     shard_groups: Mutex<HashMap<Arc<str>, Arc<[ShardGroup]>>>,
@@ -146,6 +147,7 @@
             detached_tasks: TaskTracker::new(),
             in_flight: AtomicU64::new(0),
             table: Mutex::default(),
+            config_assurance: Mutex::default(),
             broker_directory: Mutex::default(),
             shard_groups: Mutex::default(),
             merged_registry: Mutex::default(),
@@ -250,6 +252,7 @@
     pub(crate) fn apply_poll_reply(&self, keeper: SocketAddr, reply: &PollReply) {
         let now = self.timer.now();
         let settled = reply.delta.as_ref().is_some_and(|delta| delta.settled);
+        lock(&self.config_assurance).record(reply.config_version, now);
         let mut changed = false;
         if let Some(delta) = &reply.delta {
             changed = lock(&self.merged_registry).apply_delta(keeper, delta.clone(), now);
@@ -403,6 +406,11 @@
         }
     }
 
+    /// Whether a table with this version is the one in force, as far as this VM can know.
+    pub(crate) fn is_sure_of(&self, version: u64) -> bool {
+        lock(&self.config_assurance).is_sure_of(version, self.timer.now())
+    }
+
     /// Returns the configuration version in force, 0 for none.
     pub(crate) fn config_version(&self) -> u64 {
         self.table().map_or(0, |table| table.version)
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -30,6 +30,7 @@
     started: Instant,
     pub(crate) requests: Family<OutcomeLabel, Counter>,
     pub(crate) refusals: Family<ReasonLabel, Counter>,
+    pub(crate) identify: Family<OutcomeLabel, Counter>,
     pub(crate) attempts: Family<KindLabel, Counter>,
     pub(crate) attempt_charges: Family<ChargeLabel, Counter>,
     pub(crate) attempt_distances: Family<DistanceLabel, Counter>,
@@ -73,6 +74,7 @@
             started: Instant::now(),
             requests: Family::default(),
             refusals: Family::default(),
+            identify: Family::default(),
             attempts: Family::default(),
             attempt_charges: Family::default(),
             attempt_distances: Family::default(),
@@ -117,6 +119,11 @@
             "Requests refused, by reason",
             self.refusals.clone(),
         );
+        registry.register(
+            "identify",
+            "Requests of callers that need a key or need none on their route, by what their key told",
+            self.identify.clone(),
+        );
         registry.register(
             "attempts",
             "Attempts at targets, by kind",
@@ -265,6 +272,11 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request by what its key told.
+    pub(crate) fn count_identification(&self, outcome: &'static str) {
+        self.identify.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts an attempt whose connection ended without an answer.
     pub(crate) fn count_attempt_loss(&self, address: &'static str) {
         let label = ProbeLabel { address };
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
-use fulmarweir_conf::{RouteRule, RouteTable};
+use fulmarweir_conf::{RouteRule, RouteTable, TenantRule};
 use http::{HeaderValue, StatusCode};
 
 use super::{
@@ -25,12 +25,14 @@
     pub(super) id: Option<&'a HeaderValue>,
     pub(super) arrived_at: MonoTime,
     pub(super) route: &'a str,
+    pub(super) tenant: Option<&'a TenantRule>,
 }
 
 /// The properties of a request that its log line shows.
 pub(super) struct LogContext<'a> {
     pub(super) table: &'a RouteTable,
     pub(super) rule: &'a RouteRule,
+    pub(super) tenant: Option<&'a TenantRule>,
     pub(super) request_id: &'a HeaderValue,
     pub(super) times: RequestTimes,
     pub(super) sub_requests: usize,
@@ -90,6 +92,7 @@
     let line = RequestLine {
         request: context.request_id.to_str().unwrap_or("unreadable"),
         route: &context.rule.name,
+        tenant: tenant_label(context.tenant),
         config_version: context.table.version,
         outcome,
         status: response_status.as_u16(),
@@ -113,6 +116,11 @@
     }
 }
 
+/// Returns what log lines show for the tenant of a request.
+fn tenant_label(tenant: Option<&TenantRule>) -> &str {
+    tenant.map_or("none", |tenant| &tenant.name)
+}
+
 /// Describes the last fault, the request if it is held back, and the targets of unanswered services as seen by this VM.
 fn target_detail(node: &EntryNode, stats: &RelayStats, now: MonoTime) -> String {
     use std::fmt::Write as _;
@@ -169,6 +177,7 @@
     let line = RequestLine {
         request: request.unwrap_or("none"),
         route: early.route,
+        tenant: tenant_label(early.tenant),
         config_version: node.config_version(),
         outcome: reason,
         status: response.status().as_u16(),
--- a/crates/daemon/src/relay/request_log.rs
+++ b/crates/daemon/src/relay/request_log.rs
@@ -21,6 +21,8 @@
 pub(crate) struct RequestLine<'a> {
     pub(crate) request: &'a str,
     pub(crate) route: &'a str,
+    /// Name of the tenant for which the request runs, `none` without one.
+    pub(crate) tenant: &'a str,
     pub(crate) config_version: u64,
     pub(crate) outcome: &'static str,
     pub(crate) status: u16,
@@ -118,6 +120,7 @@
         }
         drop(state);
         info!(self.log, "request"; "request" => line.request, "route" => line.route,
+            "tenant" => line.tenant,
             "config_version" => line.config_version, "outcome" => line.outcome,
             "status" => line.status, "run" => line.verdict,
             "took_ms" => line.took.as_millis(), "objective_ms" => line.latency_objective.as_millis(),
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fulmarweir_base::lock;
-use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, WeightedService};
+use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, TenantRule, WeightedService};
 use fulmarweir_route::{RelayParams, RequestOrigin};
 
 use super::{
@@ -11,6 +11,7 @@
     driver::{RelayDriver, RelayMessage},
     entry::EntryNode,
     handover::plan_handovers,
+    identify::priority_of,
     request_account::{LogContext, OtherVm, RequestTimes, log_request},
     response::RelayResponse,
 };
@@ -20,6 +21,8 @@
 pub(super) struct RoutedRequest {
     pub(super) table: Arc<RouteTable>,
     pub(super) rule: Arc<RouteRule>,
+    /// The tenant for which the request was admitted, if it has one.
+    pub(super) tenant: Option<Arc<TenantRule>>,
     pub(super) message: Arc<RelayMessage>,
     pub(super) times: RequestTimes,
 }
@@ -47,6 +50,7 @@
     let context = LogContext {
         table: &routed.table,
         rule: &routed.rule,
+        tenant: routed.tenant.as_deref(),
         request_id: &routed.message.request_id,
         times: routed.times,
         sub_requests,
@@ -83,7 +87,7 @@
         services,
         idempotent: rule.idempotent,
         targets_max: rule.targets_max,
-        priority: rule.priority,
+        priority: priority_of(rule, routed.tenant.as_deref()),
         coverage_min,
         origin: RequestOrigin::default(),
         is_handover: false,
