--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -23,6 +23,7 @@
 mod handover;
 mod handover_message;
 mod home_bound;
+mod identify;
 mod keeper;
 mod keeper_poll;
 mod keeper_quarantine;
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -12,7 +12,7 @@
 
 use fulmarweir_base::{MonoTime, TimerService, lock};
 use fulmarweir_conf::{RelaySettings, RouteTable};
-use fulmarweir_fleet::{MergedRegistry, TargetAnnouncement};
+use fulmarweir_fleet::{ConfigAssurance, MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
     BrokerEndpoint, BrokerSelector, LatencyTable, LinkState, Locality, PlacementRule, RelayTarget,
@@ -100,6 +100,7 @@
     pub(crate) detached_tasks: TaskTracker,
     pub(crate) in_flight: AtomicU64,
     table: Mutex<Option<Arc<RouteTable>>>,
+    config_assurance: Mutex<ConfigAssurance>,
     broker_directory: Mutex<BrokerDirectory>,
     /// Shards of each route that may be handed over to brokers, computed on its first search within each
     /// set of home regions.
@@ -159,6 +160,7 @@
             detached_tasks: TaskTracker::new(),
             in_flight: AtomicU64::new(0),
             table: Mutex::default(),
+            config_assurance: Mutex::default(),
             broker_directory: Mutex::default(),
             shard_groups: Mutex::default(),
             merged_registry: Mutex::default(),
@@ -263,6 +265,7 @@
     pub(crate) fn apply_poll_reply(&self, keeper: SocketAddr, reply: &PollReply) {
         let now = self.timer.now();
         let settled = reply.delta.as_ref().is_some_and(|delta| delta.settled);
+        lock(&self.config_assurance).record(reply.config_version, now);
         let mut changed = false;
         // Before the targets, so that none of an evacuated data centre is in use for a moment.
         if let Some(evacuations) = &reply.evacuations {
@@ -453,6 +456,11 @@
         }
     }
 
+    /// Whether a table with this version is the one in force, as far as this VM can know.
+    pub(crate) fn is_sure_of(&self, version: u64) -> bool {
+        lock(&self.config_assurance).is_sure_of(version, self.timer.now())
+    }
+
     /// Returns the configuration version in force, 0 for none.
     pub(crate) fn config_version(&self) -> u64 {
         self.table().map_or(0, |table| table.version)
