--- a/crates/permits/src/bucket.rs
+++ b/crates/permits/src/bucket.rs
@@ -9,8 +9,6 @@
 /// Shortest and longest time after which a VM that did not get enough asks again, in milliseconds.
 const ASK_AGAIN_MIN_MS: u64 = 20;
 const ASK_AGAIN_MAX_MS: u64 = 4_000;
-/// Time for which a VM counts as one that asks, in milliseconds.
-const ASKER_TTL_MS: u64 = 4_000;
 /// VMs ask again after this share of the time in which each of them would find a permit, or later.
 const ASK_AGAIN_SHARE_MIN: f64 = 0.4;
 
@@ -82,7 +80,7 @@
         )]
         let granted = wanted.min(self.tokens as u32);
         self.tokens -= f64::from(granted);
-        let ttl = Duration::from_millis(ASKER_TTL_MS);
+        let ttl = part.asker_ttl;
         self.askers.retain(|_, asked_at| now.since(*asked_at) < ttl);
         let ask_again_after = if granted == wanted {
             self.askers.remove(&asker.vm);
--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -21,16 +21,22 @@
 
 /// Pause before a keeper that did not reply is asked again, in milliseconds.
 const FAILED_ASK_PAUSE_MS: u64 = 1_000;
-/// Expected time until the nearest keeper, or another one, replies, in milliseconds.
+/// Expected time until the nearest keeper, or another one, replies to its first call, in
+/// milliseconds.
 const NEAR_ROUND_TRIP_MS: u64 = 3;
 const FAR_ROUND_TRIP_MS: u64 = 45;
-/// Time after which a reply of the nearest keeper is not waited for before others are asked, in
-/// milliseconds. A request is held for at most 60 ms.
+/// Weight of the latest call in the moving average of a keeper's round trip.
+const ROUND_TRIP_WEIGHT: f64 = 0.2;
+/// Number of keepers that are asked at once as long as there is time to ask others after them. More
+/// would take permits out of use that others need.
+const PARALLEL_ASKS: usize = 2;
+/// Time after which a reply of the nearest keeper is not waited for before others are asked: this
+/// multiple of its usual round trip, and at least this number of milliseconds. A request is held for
+/// at most 60 ms.
+const OVERDUE_FACTOR: f64 = 1.5;
 const OVERDUE_MS: u64 = 10;
 /// Period in which permits are asked for in advance and given back, in milliseconds.
 const SWEEP_MS: u64 = 100;
-/// A permit that is not needed is given back once this share of its time is left, or less.
-const RETURN_SHARE: f64 = 0.6;
 /// Time after which a key without requests is forgotten, in milliseconds. No keeper asks to be left
 /// alone for longer.
 const IDLE_TTL_MS: u64 = 10_000;
@@ -64,15 +70,23 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingAsk {
     wanted: u32,
-    asked_at: MonoTime,
+    /// When the reply is not waited for any longer.
+    overdue_at: MonoTime,
 }
 
 impl PendingAsk {
     fn is_overdue(self, now: MonoTime) -> bool {
-        now.since(self.asked_at) >= Duration::from_millis(OVERDUE_MS)
+        now >= self.overdue_at
     }
 }
 
+/// A keeper that can be asked, and how long its replies take.
+#[derive(Clone, Copy, Debug)]
+struct UsableKeeper {
+    address: SocketAddr,
+    round_trip: Duration,
+}
+
 /// A rate and this VM's permits of it.
 #[derive(Debug)]
 struct RateEntry {
@@ -121,44 +135,61 @@
         !is_refused && !self.pending.contains_key(&keeper)
     }
 
-    fn missing(&self, round_trip_ms: u64, now: MonoTime) -> u32 {
-        let round_trip = Duration::from_millis(round_trip_ms);
+    /// Returns how many permits to ask for that arrive after `round_trip`.
+    fn missing(&self, round_trip: Duration, now: MonoTime) -> u32 {
         let wanted = self.queue.wanted(&self.policy, round_trip, now);
         let fresh = self.pending.values().filter(|ask| !ask.is_overdue(now));
         wanted.saturating_sub(fresh.map(|ask| ask.wanted).sum())
     }
 
     /// Returns which keepers to ask now, and for how many permits.
-    fn due_asks(&self, keepers: &[SocketAddr], now: MonoTime) -> Vec<(SocketAddr, u32)> {
-        let Some(nearest) = keepers.first().copied() else {
+    /// `turn` selects the first of several keepers that are equally suitable.
+    fn due_asks(
+        &self,
+        keepers: &[UsableKeeper],
+        turn: usize,
+        now: MonoTime,
+    ) -> Vec<(SocketAddr, u32)> {
+        let Some((nearest, others)) = keepers.split_first() else {
             return Vec::new();
         };
-        if self.may_ask(nearest, now) {
-            let wanted = self.missing(NEAR_ROUND_TRIP_MS, now);
-            return Vec::from_iter((wanted > 0).then_some((nearest, wanted)));
+        if self.may_ask(nearest.address, now) {
+            let wanted = self.missing(nearest.round_trip, now);
+            return Vec::from_iter((wanted > 0).then_some((nearest.address, wanted)));
         }
-        let pending = self.pending.get(&nearest);
+        let pending = self.pending.get(&nearest.address);
         if pending.is_some_and(|ask| !ask.is_overdue(now)) {
             return Vec::new();
         }
-        let missing = self.missing(FAR_ROUND_TRIP_MS, now);
-        let mut due: Vec<SocketAddr> = keepers[1..].to_vec();
-        due.retain(|keeper| self.may_ask(*keeper, now));
-        if self.queue.waiting(now) == 0 {
-            // What is asked for in advance is not worth a call to each keeper.
-            due.truncate(1);
-        }
-        if missing == 0 || due.is_empty() {
+        let due = others.iter().filter(|k| self.may_ask(k.address, now));
+        let mut due: Vec<UsableKeeper> = due.copied().collect();
+        let Some(round_trip) = due.iter().map(|keeper| keeper.round_trip).max() else {
+            return Vec::new();
+        };
+        let missing = self.missing(round_trip, now);
+        if missing == 0 {
             return Vec::new();
         }
+        let parallel = if self.queue.waiting(now) == 0 {
+            1
+        } else if self.missing(round_trip * 2, now) == missing {
+            PARALLEL_ASKS
+        } else {
+            due.len()
+        };
+        // Each time, others are asked, so that the load of this data centre is spread over them.
+        let first = turn % due.len();
+        due.rotate_left(first);
+        due.truncate(parallel);
+        let due = due.into_iter().map(|keeper| keeper.address);
+        let due: Vec<SocketAddr> = due.collect();
         let wanted = missing.div_ceil(u32::try_from(due.len()).unwrap_or(u32::MAX));
         due.into_iter().map(|keeper| (keeper, wanted)).collect()
     }
 
     /// Takes permits out of use that are not needed.
     fn collect_unused(&mut self, now: MonoTime) {
-        let last = self.policy.permit_ttl.mul_f64(RETURN_SHARE);
-        for keeper in self.queue.take_unused(&self.policy, last, now) {
+        for keeper in self.queue.take_unused(&self.policy, now) {
             *self.returns.entry(keeper).or_default() += 1;
         }
     }
@@ -184,7 +215,11 @@
     keepers: Vec<SocketAddr>,
     /// Keepers that did not reply to the last call, and when to ask them again.
     failed: HashMap<SocketAddr, MonoTime>,
+    /// Moving average of the time until each keeper replies.
+    round_trips: HashMap<SocketAddr, Duration>,
     swept_at: MonoTime,
+    /// Counts the asks of other keepers than the nearest one.
+    asked_far: usize,
 }
 
 impl RateLedger {
@@ -305,6 +340,8 @@
         if self.keepers != keepers {
             self.keepers = keepers.to_vec();
             self.failed.retain(|keeper, _| keepers.contains(keeper));
+            self.round_trips
+                .retain(|keeper, _| keepers.contains(keeper));
         }
     }
 
@@ -339,6 +376,10 @@
     /// Applies what a keeper has granted, in the order of the asks of `call`.
     pub fn apply_grants(&mut self, call: &RateCall, grants: &[RateGrant], now: MonoTime) {
         self.failed.remove(&call.keeper);
+        let latest = now.since(call.asked_at);
+        let round_trip = self.round_trips.entry(call.keeper).or_insert(latest);
+        *round_trip =
+            round_trip.mul_f64(1.0 - ROUND_TRIP_WEIGHT) + latest.mul_f64(ROUND_TRIP_WEIGHT);
         for (ask, grant) in call.asks.iter().zip(grants) {
             let Some(entry) = self.entries.get_mut(&ask.key) else {
                 continue;
@@ -421,18 +462,33 @@
     }
 
     /// Returns the keepers that can be asked. Those whose last call failed come last.
-    fn usable_keepers(&self, now: MonoTime) -> Vec<SocketAddr> {
+    fn usable_keepers(&self, now: MonoTime) -> Vec<UsableKeeper> {
         let is_usable = |keeper: &&SocketAddr| self.failed.get(keeper).is_none_or(|at| *at <= now);
-        let usable = self.keepers.iter().copied();
-        let mut usable: Vec<SocketAddr> = usable.filter(|keeper| is_usable(&keeper)).collect();
+        let mut usable: Vec<SocketAddr> = self.keepers.iter().filter(is_usable).copied().collect();
         usable.sort_by_key(|keeper| self.failed.contains_key(keeper));
+        let with_round_trip = |(number, address)| {
+            let expected_ms = if number == 0 {
+                NEAR_ROUND_TRIP_MS
+            } else {
+                FAR_ROUND_TRIP_MS
+            };
+            let known = self.round_trips.get(&address).copied();
+            UsableKeeper {
+                address,
+                round_trip: known.unwrap_or(Duration::from_millis(expected_ms)),
+            }
+        };
         usable
+            .into_iter()
+            .enumerate()
+            .map(with_round_trip)
+            .collect()
     }
 
     fn add_due_asks(
         &mut self,
         key: &RateKey,
-        keepers: &[SocketAddr],
+        keepers: &[UsableKeeper],
         is_sweep: bool,
         calls: &mut BTreeMap<SocketAddr, Vec<RateAsk>>,
         now: MonoTime,
@@ -443,9 +499,10 @@
         };
         if is_sweep {
             entry.collect_unused(now);
-            entry.returns.retain(|keeper, _| keepers.contains(keeper));
+            let is_usable = |keeper| keepers.iter().any(|usable| usable.address == keeper);
+            entry.returns.retain(|keeper, _| is_usable(*keeper));
         }
-        let mut due = entry.due_asks(keepers, now);
+        let mut due = entry.due_asks(keepers, self.asked_far, now);
         if is_sweep {
             for keeper in entry.returns.keys() {
                 let is_free = !entry.pending.contains_key(keeper);
@@ -454,10 +511,15 @@
                 }
             }
         }
+        let nearest = keepers.first().map(|keeper| keeper.address);
         for (keeper, wanted) in due {
+            self.asked_far += usize::from(wanted > 0 && Some(keeper) != nearest);
+            let usable = keepers.iter().find(|usable| usable.address == keeper);
+            let round_trip = usable.map_or(Duration::ZERO, |usable| usable.round_trip);
+            let overdue = round_trip.mul_f64(OVERDUE_FACTOR);
             let pending = PendingAsk {
                 wanted,
-                asked_at: now,
+                overdue_at: now + overdue.max(Duration::from_millis(OVERDUE_MS)),
             };
             entry.pending.insert(keeper, pending);
             calls.entry(keeper).or_default().push(RateAsk {
--- a/crates/permits/src/policy.rs
+++ b/crates/permits/src/policy.rs
@@ -7,10 +7,14 @@
 /// Most keepers that grant permits. Each may have saved up a few permits whatever the rate is, which
 /// come on top of the burst.
 pub const GRANTORS_MAX: usize = 5;
+const GRANTORS: f64 = 5.0;
 /// Lowest rate in requests per second, so that no time until the next permit is unbounded.
 const RATE_MIN: f64 = 0.05;
 /// Highest rate in requests per second, above which there is no limit in effect.
 const RATE_MAX: f64 = 1e6;
+/// Time for which a VM counts as one that asks, in milliseconds. VMs that were refused ask the other
+/// keepers, so most of them have got a permit by then.
+const ASKER_TTL_MS: u64 = 500;
 /// Longest time for which permits are saved up, for tenants whose burst is large against the rate.
 const BURST_SPAN_MAX: Duration = Duration::from_mins(10);
 
@@ -21,16 +25,18 @@
 const TENANT_ADVANCE_MS: u64 = 250;
 /// Permits that a keeper saves up for a tenant at least. With one permit each, two requests at once
 /// in one data centre would need calls to other data centres.
-const TENANT_BUCKET_MIN: f64 = 2.0;
+const TENANT_BUCKET_MIN: f64 = 3.0;
 /// Share of a tenant's rate, and requests per second beyond it, that all VMs without a keeper use
 /// together. Both fit into what the bound of a tenant leaves above the rate.
 const TENANT_ALONE_SHARE: f64 = 0.02;
 const TENANT_ALONE_PER_S: f64 = 0.8;
 
-/// Time after which a permit for a cold target expires, and time over which such permits are saved
-/// up, in milliseconds. Their sum keeps any second below 1.4 times the rate.
+/// Time after which a permit for a cold target expires, in milliseconds. In a second as many requests
+/// are sent as permits were granted in that time and this one.
 const COLD_PERMIT_TTL_MS: u64 = 200;
-const COLD_BURST_SPAN_MS: u64 = 200;
+/// Time for which permits for a cold target are saved up beyond one at each grantor, in seconds. With
+/// the share of VMs without a keeper, this keeps any second below 1.5 times the rate and 5 more.
+const COLD_BURST_SPAN_S: f64 = 0.18;
 /// Time for which permits for a cold target are asked for in advance, in milliseconds.
 const COLD_ADVANCE_MS: u64 = 100;
 /// Share of the rate of a cold target that all VMs without a keeper use together.
@@ -50,6 +56,8 @@
     pub permit_ttl: Duration,
     /// Time for which permits are asked for in advance.
     pub advance: Duration,
+    /// Time for which a VM that did not get all that it asked for counts as one that asks again.
+    pub asker_ttl: Duration,
     /// Requests per second that all VMs without a keeper send together.
     pub alone_per_second: f64,
 }
@@ -62,10 +70,11 @@
         match key {
             RateKey::Cold { .. } => Self {
                 per_second,
-                burst_span: Duration::from_millis(COLD_BURST_SPAN_MS),
-                bucket_min: 1.0,
+                burst_span: Duration::ZERO,
+                bucket_min: 1.0 + per_second * COLD_BURST_SPAN_S / GRANTORS,
                 permit_ttl: Duration::from_millis(COLD_PERMIT_TTL_MS),
                 advance: Duration::from_millis(COLD_ADVANCE_MS),
+                asker_ttl: Duration::from_millis(ASKER_TTL_MS),
                 alone_per_second: per_second * COLD_ALONE_SHARE,
             },
             RateKey::Tenant(_) => {
@@ -76,6 +85,7 @@
                     bucket_min: TENANT_BUCKET_MIN,
                     permit_ttl: Duration::from_millis(TENANT_PERMIT_TTL_MS),
                     advance: Duration::from_millis(TENANT_ADVANCE_MS),
+                    asker_ttl: Duration::from_millis(ASKER_TTL_MS),
                     alone_per_second: per_second * TENANT_ALONE_SHARE + TENANT_ALONE_PER_S,
                 }
             }
--- a/crates/permits/src/queue.rs
+++ b/crates/permits/src/queue.rs
@@ -219,14 +219,9 @@
         in_advance
     }
 
-    /// Removes the permits that are not going to be used, and returns the keepers that can credit
-    /// them: those that have expired, and those beyond what is needed that expire within `last`.
-    pub(crate) fn take_unused(
-        &mut self,
-        policy: &RatePolicy,
-        last: Duration,
-        now: MonoTime,
-    ) -> Vec<SocketAddr> {
+    /// Removes the permits that have expired and those beyond what is needed, and returns the keepers
+    /// that can credit them.
+    pub(crate) fn take_unused(&mut self, policy: &RatePolicy, now: MonoTime) -> Vec<SocketAddr> {
         let needed = self
             .in_advance(policy, now)
             .saturating_add(self.waiting(now));
@@ -234,7 +229,7 @@
         let mut unused = Vec::new();
         self.permits.retain(|permit| {
             let is_valid = permit.is_valid(now);
-            let is_excess = is_valid && excess > 0 && permit.expires_at <= now + last;
+            let is_excess = is_valid && excess > 0;
             excess -= u32::from(is_excess);
             if !is_valid || is_excess {
                 unused.extend(permit.grantor);
--- a/crates/route/src/relay/permit_grantor.rs
+++ b/crates/route/src/relay/permit_grantor.rs
@@ -33,6 +33,8 @@
 pub(crate) const PERMIT_TTL_MS: u64 = 750;
 /// Time for which permits are asked for in advance, in milliseconds.
 const ADVANCE_MS: u64 = 250;
+/// Time for which a VM counts as one that asks, in milliseconds.
+const ASKER_TTL_MS: u64 = 4_000;
 /// Share of the limit that VMs without a keeper use together. The other VMs may still use all of it.
 const ALONE_SHARE: f64 = 0.5;
 /// Time for which it is remembered that a limit is over, in milliseconds.
@@ -46,6 +48,7 @@
         bucket_min: 1.0,
         permit_ttl: Duration::from_millis(PERMIT_TTL_MS),
         advance: Duration::from_millis(ADVANCE_MS),
+        asker_ttl: Duration::from_millis(ASKER_TTL_MS),
         alone_per_second: limit * ALONE_SHARE,
     }
 }
