Grant permits of rates at keepers, and acquire them at entry VMs

VmRequest::Rates was answered NotKept. Keepers grant their part now, in a module of its own, and the task that asks for permits of stated limits also sends the calls of the rate ledger.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -55,6 +55,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Kind of key of a rate over all VMs, and what became of the permits.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RateLabel {
+    pub(crate) key: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
 /// Purpose of traffic between daemons.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ClassLabel {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -32,6 +32,12 @@
 mod permits;
 mod quarantine_api;
 mod quarantine_log;
+mod rate_grants;
+#[allow(
+    dead_code,
+    reason = "requests of tenants, which acquire permits, are added separately"
+)]
+mod rate_permits;
 mod reload;
 mod request_account;
 mod request_log;
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -29,6 +29,7 @@
     limit_log::LimitLog,
     metrics::{RelayMetrics, set_count},
     overload::LoopLag,
+    rate_permits::RatePermits,
     request_log::RequestLog,
     rest_table::RestTable,
     target_notices::apply_limit_report,
@@ -106,7 +107,9 @@
     /// Addresses of targets that are probed a second time.
     pub(crate) probed_again: Mutex<HashSet<SocketAddr>>,
     /// Wakes the task that asks keepers for permits.
-    pub(crate) permits_wanted: Notify,
+    pub(crate) permits_wanted: Arc<Notify>,
+    /// Permits for rates over all VMs.
+    pub(crate) rates: RatePermits,
     /// Wakes the task that tells keepers of lost requests.
     pub(crate) crash_news: Notify,
     /// Counts the losses of the links to targets, to tell the requests in flight.
@@ -131,6 +134,7 @@
         let started_at = timer.now();
         // By then, no extra attempt of an earlier process of this VM is in the window.
         let burst_from = started_at + settings.extra_attempts.window;
+        let permits_wanted = Arc::new(Notify::new());
         Arc::new(Self {
             adapter,
             request_log: RequestLog::new(log.clone()),
@@ -158,7 +162,8 @@
             limits_revisions: Mutex::default(),
             quarantine_revisions: Mutex::default(),
             probed_again: Mutex::default(),
-            permits_wanted: Notify::new(),
+            rates: RatePermits::new(timer.clone(), Arc::clone(&permits_wanted)),
+            permits_wanted,
             crash_news: Notify::new(),
             link_losses: watch::Sender::new(0),
             helpers_asked_at: Mutex::default(),
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -22,6 +22,7 @@
     adapter::ProtocolAdapter,
     keeper_poll::{DirectoryOwner, KeeperDirectory, vm_list_digest},
     metrics::{RelayMetrics, set_count},
+    rate_grants::RateGrants,
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
     },
@@ -69,6 +70,7 @@
     /// Entry VMs that have lost their links to targets, and when they last said so.
     stranded: Mutex<BTreeMap<EntryContact, MonoTime>>,
     permits: Mutex<PermitGrantor>,
+    rates: RateGrants,
     pub(super) tally: Mutex<CrashTally>,
     /// Revision of the quarantine that each other keeper has told.
     pub(super) quarantine_revisions: Mutex<HashMap<SocketAddr, u64>>,
@@ -101,6 +103,7 @@
             entries: Mutex::default(),
             stranded: Mutex::default(),
             permits: Mutex::new(PermitGrantor::new(rand::random())),
+            rates: RateGrants::new(timer.now()),
             tally: Mutex::new(CrashTally::new(rand::random())),
             quarantine_revisions: Mutex::default(),
             changes: watch::Sender::new(0),
@@ -244,6 +247,7 @@
             .collect();
         set_count(&self.metrics.targets, listed.len());
         lock(&self.permits).remove_expired(&listed, now);
+        self.rates.remove_expired(now);
         self.decide_quarantine(now);
         let blocked = lock(&self.tally).table().blocked_count(now);
         set_count(&self.metrics.requests_blocked, blocked);
@@ -357,7 +361,10 @@
                 VmReply::Noted
             }
             VmRequest::Permits(vm, asks) => VmReply::Permits(self.grant_permits(vm, &asks)),
-            VmRequest::Rates(..) => VmReply::NotKept,
+            VmRequest::Rates(vm, asks) => {
+                let (grantors, now) = (self.permit_grantors(), self.timer.now());
+                VmReply::Rates(self.rates.grant(vm, &asks, grantors, now))
+            }
         }
     }
 
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -18,8 +18,8 @@
 };
 
 use crate::metrics::{
-    ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ProbeLabel, ReasonLabel, ServiceLabel,
-    StateLabel, render_registry,
+    ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ProbeLabel, RateLabel, ReasonLabel,
+    ServiceLabel, StateLabel, render_registry,
 };
 
 type CountGauge = Gauge<u64, AtomicU64>;
@@ -43,6 +43,7 @@
     pub(crate) handovers: Family<OutcomeLabel, Counter>,
     pub(crate) target_notices: Family<KindLabel, Counter>,
     pub(crate) permits: Family<OutcomeLabel, Counter>,
+    pub(crate) rate_permits: Family<RateLabel, Counter>,
     pub(crate) latency: Family<ServiceLabel, Histogram>,
     pub(crate) announcements: Family<OutcomeLabel, Counter>,
     pub(crate) config_changes: Family<OutcomeLabel, Counter>,
@@ -86,6 +87,7 @@
             handovers: Family::default(),
             target_notices: Family::default(),
             permits: Family::default(),
+            rate_permits: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             announcements: Family::default(),
             config_changes: Family::default(),
@@ -137,6 +139,11 @@
             "Permits to send to targets with a limit that keepers were asked for, by outcome",
             self.permits.clone(),
         );
+        registry.register(
+            "rate_permits",
+            "Permits for rates over all VMs that keepers were asked for, by kind of key and outcome",
+            self.rate_permits.clone(),
+        );
         registry.register(
             "attempt_distances",
             "Attempts at targets, by how far these are",
@@ -300,6 +307,15 @@
         self.permits.get_or_create(&label).inc_by(count as u64);
     }
 
+    /// Counts permits for a rate over all VMs that a keeper was asked for.
+    pub(crate) fn count_rate_permits(&self, key: &'static str, outcome: &'static str, count: u32) {
+        if count > 0 {
+            let label = RateLabel { key, outcome };
+            let permits = self.rate_permits.get_or_create(&label);
+            permits.inc_by(count.into());
+        }
+    }
+
     /// Counts a handover by its outcome.
     pub(crate) fn count_handover(&self, outcome: &'static str) {
         let label = OutcomeLabel { outcome };
--- a/crates/daemon/src/relay/permits.rs
+++ b/crates/daemon/src/relay/permits.rs
@@ -1,8 +1,9 @@
-//! Asks keepers for permits to send to targets with a limit.
+//! Asks keepers for permits: to send to targets with a limit, and for rates over all VMs.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::lock;
+use fulmarweir_permits::{RateCall, RateGrant, RateKey};
 use fulmarweir_route::{PermitCall, PermitGrant};
 use fulmarweir_wire::TrafficClass;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -16,58 +17,102 @@
 
 /// Period in which permits are asked for in advance while any target has a limit, in milliseconds.
 const PERIOD_MS: u64 = 100;
+/// Period of looking for live keepers while no permits are needed, in milliseconds. The first request
+/// of a tenant must not find that no keeper is known.
+const IDLE_PERIOD_MS: u64 = 250;
 /// Time limit of one call, in milliseconds: a round trip between regions, and some lag.
 const CALL_TIMEOUT_MS: u64 = 400;
 
 /// Asks keepers for permits as requests need them, until stopped.
 pub(super) async fn run_permits(node: Arc<EntryNode>, stop: CancellationToken) {
     let period = Duration::from_millis(PERIOD_MS);
-    let mut calls = FuturesUnordered::new();
+    let idle_period = Duration::from_millis(IDLE_PERIOD_MS);
+    let mut limit_calls = FuturesUnordered::new();
+    let mut rate_calls = FuturesUnordered::new();
     let mut granted_alone_at = node.timer.now();
     loop {
         let now = node.timer.now();
         let keepers = node.keepers_by_distance();
+        let passed = now.since(granted_alone_at).min(period);
         if keepers.is_empty() {
-            let passed = now.since(granted_alone_at).min(period);
             lock(&node.selector).grant_alone(passed, rand::random, now);
         }
+        let vms = lock(&node.selector).highest_vm_count();
+        if let Some(vms) = vms {
+            node.rates.grant_alone(vms, passed, now);
+        }
         granted_alone_at = now;
         for call in lock(&node.selector).due_permit_calls(&keepers, now) {
-            calls.push(ask_keeper(&node, call));
+            limit_calls.push(ask_for_limits(&node, call));
+        }
+        for call in node.rates.due_calls(&keepers, now) {
+            rate_calls.push(ask_for_rates(&node, call));
         }
-        let is_needed = lock(&node.selector).needs_permits();
+        let limits_period = lock(&node.selector).needs_permits().then_some(period);
+        let due = [limits_period, node.rates.poll_after()];
+        let due = due.into_iter().flatten().fold(idle_period, Duration::min);
         tokio::select! {
             () = stop.cancelled() => return,
-            Some((call, grants)) = calls.next() => apply_reply(&node, &call, grants.as_deref()),
+            Some((call, grants)) = limit_calls.next() => {
+                apply_limit_reply(&node, &call, grants.as_deref());
+            }
+            Some((call, grants)) = rate_calls.next() => {
+                node.rates.apply_reply(&call, grants.as_deref());
+                count_rate_permits(&node, &call, grants.as_deref());
+            }
             () = node.permits_wanted.notified() => {}
-            () = node.timer.sleep_until(now + period), if is_needed => {}
+            () = node.timer.sleep_until(now + due) => {}
         }
     }
 }
 
-async fn ask_keeper(node: &EntryNode, call: PermitCall) -> (PermitCall, Option<Vec<PermitGrant>>) {
+async fn ask_for_limits(
+    node: &EntryNode,
+    call: PermitCall,
+) -> (PermitCall, Option<Vec<PermitGrant>>) {
     let request = VmRequest::Permits(node.settings.peer_address(), call.asks.clone());
+    let grants = match ask_keeper(node, call.keeper, request, call.asks.len()).await {
+        Some(VmReply::Permits(grants)) if grants.len() == call.asks.len() => Some(grants),
+        _ => None,
+    };
+    (call, grants)
+}
+
+async fn ask_for_rates(node: &EntryNode, call: RateCall) -> (RateCall, Option<Vec<RateGrant>>) {
+    let request = VmRequest::Rates(node.settings.peer_address(), call.asks.clone());
+    let grants = match ask_keeper(node, call.keeper, request, call.asks.len()).await {
+        Some(VmReply::Rates(grants)) if grants.len() == call.asks.len() => Some(grants),
+        _ => None,
+    };
+    (call, grants)
+}
+
+/// Returns the reply of a keeper to a call for `asks` keys or targets.
+async fn ask_keeper(
+    node: &EntryNode,
+    keeper: SocketAddr,
+    request: VmRequest,
+    asks: usize,
+) -> Option<VmReply> {
     let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
     let reply = node
         .peers
-        .call(call.keeper, TrafficClass::Control, &request, timeout);
-    let grants = match reply.await {
-        Ok(VmReply::Permits(grants)) if grants.len() == call.asks.len() => Some(grants),
-        Ok(_) => None,
+        .call(keeper, TrafficClass::Control, &request, timeout);
+    match reply.await {
+        Ok(reply) => Some(reply),
         Err(error) => {
             if node.request_log.acquire_degraded_line(node.timer.now()) {
-                warn!(node.log, "permits-not-granted"; "keeper" => %call.keeper,
-                    "targets" => call.asks.len(), "fault" => %error);
+                warn!(node.log, "permits-not-granted"; "keeper" => %keeper,
+                    "targets" => asks, "fault" => %error);
             } else {
                 node.metrics.log_lines_dropped.inc();
             }
             None
         }
-    };
-    (call, grants)
+    }
 }
 
-fn apply_reply(node: &EntryNode, call: &PermitCall, grants: Option<&[PermitGrant]>) {
+fn apply_limit_reply(node: &EntryNode, call: &PermitCall, grants: Option<&[PermitGrant]>) {
     let now = node.timer.now();
     let mut selector = lock(&node.selector);
     let Some(grants) = grants else {
@@ -87,6 +132,25 @@
     node.metrics.count_permits("denied", denied);
 }
 
+/// Counts what a keeper was asked for, by the kind of key.
+fn count_rate_permits(node: &EntryNode, call: &RateCall, grants: Option<&[RateGrant]>) {
+    for (index, ask) in call.asks.iter().enumerate() {
+        let key = match ask.key {
+            RateKey::Cold { .. } => "cold",
+            RateKey::Tenant(_) => "tenant",
+        };
+        let Some(grant) = grants.and_then(|grants| grants.get(index)) else {
+            node.metrics.count_rate_permits(key, "failed", ask.wanted);
+            continue;
+        };
+        let granted = grant.granted.min(ask.wanted);
+        let metrics = &node.metrics;
+        metrics.count_rate_permits(key, "granted", granted);
+        metrics.count_rate_permits(key, "denied", ask.wanted - granted);
+        metrics.count_rate_permits(key, "returned", ask.returned);
+    }
+}
+
 impl EntryNode {
     /// Returns the addresses of the live keepers, ordered by distance.
     pub(super) fn keepers_by_distance(&self) -> Vec<SocketAddr> {
--- a/crates/route/src/relay/burst_share.rs
+++ b/crates/route/src/relay/burst_share.rs
@@ -76,6 +76,11 @@
         burst / f64::from(*highest)
     }
 
+    /// Returns the highest number of VMs that was reported lately, `None` before the first report.
+    pub(crate) fn highest_vm_count(&self) -> Option<u32> {
+        self.vm_counts.front().map(|(count, _)| *count)
+    }
+
     /// Returns the number of VMs that was reported last, 1 before the first report.
     pub(crate) fn latest_vm_count(&self) -> u32 {
         self.vm_counts.back().map_or(1, |(count, _)| *count)
--- a/crates/route/src/relay/selector/permits.rs
+++ b/crates/route/src/relay/selector/permits.rs
@@ -90,6 +90,13 @@
         self.rate_limits.grant_alone(vms, passed, random, now);
     }
 
+    /// Returns the highest number of VMs that a keeper has lately reported, by which a VM without
+    /// keepers determines its share of rates; `None` before the first report.
+    #[must_use]
+    pub fn highest_vm_count(&self) -> Option<u32> {
+        self.burst_share.highest_vm_count()
+    }
+
     /// Records what a keeper knows of the limit of a target; returns the change, if there is one.
     pub fn record_limit_report(
         &mut self,
