--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -36,6 +36,12 @@
 mod permits;
 mod quarantine_api;
 mod quarantine_log;
+mod rate_grants;
+#[allow(
+    dead_code,
+    reason = "requests of tenants, which acquire permits, are added separately"
+)]
+mod rate_permits;
 #[cfg(test)]
 mod recorded_frames;
 mod reload;
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -24,6 +24,7 @@
     evacuations::EvacuationView,
     keeper_poll::{DirectoryOwner, KeeperDirectory, RelayPeers, vm_list_digest},
     metrics::{RelayMetrics, set_count},
+    rate_grants::RateGrants,
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
     },
@@ -72,6 +73,7 @@
     /// Entry VMs that have lost their links to targets, and when they last said so.
     stranded: Mutex<BTreeMap<EntryContact, MonoTime>>,
     permits: Mutex<PermitGrantor>,
+    rates: RateGrants,
     pub(super) tally: Mutex<CrashTally>,
     pub(crate) evacuations: EvacuationView,
     /// Revision of the quarantine that each other keeper has told.
@@ -106,6 +108,7 @@
             entries: Mutex::default(),
             stranded: Mutex::default(),
             permits: Mutex::new(PermitGrantor::new(rand::random())),
+            rates: RateGrants::new(timer.now()),
             tally: Mutex::new(CrashTally::new(rand::random())),
             quarantine_revisions: Mutex::default(),
             evacuations: EvacuationView::default(),
@@ -251,6 +254,7 @@
             .collect();
         set_count(&self.metrics.targets, listed.len());
         lock(&self.permits).remove_expired(&listed, now);
+        self.rates.remove_expired(now);
         self.decide_quarantine(now);
         let blocked = lock(&self.tally).table().blocked_count(now);
         set_count(&self.metrics.requests_blocked, blocked);
@@ -366,7 +370,10 @@
                 VmReply::Noted
             }
             VmRequest::Permits(vm, asks) => VmReply::Permits(self.grant_permits(vm, &asks)),
-            VmRequest::Rates(..) => VmReply::NotKept,
+            VmRequest::Rates(vm, asks) => {
+                let (grantors, now) = (self.permit_grantors(), self.timer.now());
+                VmReply::Rates(self.rates.grant(vm, &asks, grantors, now))
+            }
         }
     }
 
