--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -183,7 +183,8 @@
     usable.then(|| Duration::from_secs_f64(millis.min(STATED_TIME_MAX_MS) / 1000.0))
 }
 
-/// Whether every shard of a search, or any service of a weighted split, has a target.
+/// Whether every shard of a search, or any service of a weighted split, has a target. One that only an
+/// evacuation keeps from being used counts, since waiting for another one would gain nothing.
 fn has_targets(node: &EntryNode, rule: &RouteRule) -> bool {
     let now = node.timer.now();
     let selector = lock(&node.selector);
@@ -191,10 +192,10 @@
         RouteDestination::Gather(gather) => gather
             .shards
             .iter()
-            .all(|shard| selector.has_target(shard, now)),
+            .all(|shard| selector.has_present_target(shard, now)),
         RouteDestination::Split(parts) => parts
             .iter()
-            .any(|part| selector.has_target(&part.service, now)),
+            .any(|part| selector.has_present_target(&part.service, now)),
     }
 }
 
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -12,7 +12,7 @@
 use super::{
     adapter::ControlCall,
     body::read_body,
-    evacuations::answer_order,
+    evacuations::{answer_order, confirm_before_config},
     keeper::KeeperNode,
     quarantine_api::{answer_quarantine_call, quarantine_call},
     response::{RelayResponse, json, retry_later, text},
@@ -92,7 +92,9 @@
     let timeout = Duration::from_millis(READ_TIMEOUT_MS);
     match node.quorum.read_config(timeout).await {
         Ok(state) if state.version > 0 => {
-            node.apply_decided_config(state.version, &state.text, "read");
+            if confirm_before_config(node).await {
+                node.apply_decided_config(state.version, &state.text, "read");
+            }
             json(
                 StatusCode::OK,
                 Bytes::copy_from_slice(state.text.as_bytes()),
@@ -135,7 +137,7 @@
             count_config_change(node, "decided");
             info!(node.log, "config-decided"; "version" => version, "held" => held,
                 "voter_epoch" => node.quorum.voters().epoch);
-            if held == version {
+            if held == version && confirm_before_config(node).await {
                 node.store_config(version, &document, "operator");
             }
             json(StatusCode::OK, "{}")
--- a/crates/daemon/src/relay/evacuations.rs
+++ b/crates/daemon/src/relay/evacuations.rs
@@ -174,6 +174,16 @@
     }
 }
 
+/// Like [`confirm_evacuations`], for a configuration that an operator has sent or read. If it may not be
+/// announced yet, the periodic check of the voters does so later.
+pub(crate) async fn confirm_before_config(node: &KeeperNode) -> bool {
+    let voter = lock(&node.voter).clone();
+    match voter {
+        Some(voter) => confirm_evacuations(node, &voter).await,
+        None => true,
+    }
+}
+
 /// Has the voters decide an operator's order, and answers once it is durable.
 pub(crate) async fn answer_order(
     node: &KeeperNode,
--- a/crates/quorum/tests/evacuations.rs
+++ b/crates/quorum/tests/evacuations.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
-use fulmarweir_quorum::{EvacuationOrder, EvacuationSet, QuorumClient};
+use fulmarweir_quorum::{Acceptor, EvacuationOrder, EvacuationSet, QuorumClient};
 use sim::{LOSSY, RELIABLE, SimNet, for_seeds};
 use tokio::task::LocalSet;
 
@@ -64,7 +64,7 @@
         assert!(client.read_evacuations(CALL_TIMEOUT).await.is_err());
         client.read_config(CALL_TIMEOUT).await.unwrap();
         let registers: Vec<usize> = (0..3)
-            .map(|number| net.with_acceptor(number, |acceptor| acceptor.register_count()))
+            .map(|number| net.with_acceptor(number, Acceptor::register_count))
             .collect();
         let read = client.read_evacuations(CALL_TIMEOUT).await.unwrap();
         assert_eq!(read, EvacuationSet::default());
@@ -74,7 +74,7 @@
         net.restart(0);
         net.restart(1);
         for (number, before) in (0..3).zip(registers) {
-            let after = net.with_acceptor(number, |acceptor| acceptor.register_count());
+            let after = net.with_acceptor(number, Acceptor::register_count);
             assert_eq!(after, before);
         }
     });
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -497,11 +497,7 @@
                 }
             }
             TargetPick::AllTried => self.begin_next_round(sub_request, is_hedge, now),
-            TargetPick::NoTarget => {
-                if self.sub_requests[sub_request].open_attempts.is_empty() {
-                    self.sub_requests[sub_request].state = SubRequestState::Failed;
-                }
-            }
+            TargetPick::NoTarget => self.fail_if_idle(sub_request),
         }
     }
 
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -42,10 +42,8 @@
 
     /// Returns why too few services have a target: an evacuation, if there would be enough without it.
     pub(super) fn targets_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
-        let is_present = |sub_request: &&SubRequest| {
-            selector.has_target(&sub_request.service, now)
-                || selector.has_evacuated_target(&sub_request.service, now)
-        };
+        let is_present =
+            |sub_request: &&SubRequest| selector.has_present_target(&sub_request.service, now);
         let present = self.sub_requests.iter().filter(is_present).count();
         if self.has_coverage(present) {
             RefusalReason::Evacuated
--- a/crates/route/src/relay/run/trial.rs
+++ b/crates/route/src/relay/run/trial.rs
@@ -147,7 +147,7 @@
     }
 
     /// Gives a sub-request up that has no attempt in flight. A silent broker may still answer it.
-    fn fail_if_idle(&mut self, sub_request: usize) {
+    pub(super) fn fail_if_idle(&mut self, sub_request: usize) {
         let progress = &mut self.sub_requests[sub_request];
         if progress.is_open() && progress.open_attempts.is_empty() {
             progress.state = progress
--- a/crates/route/src/relay/selector/evacuations.rs
+++ b/crates/route/src/relay/selector/evacuations.rs
@@ -26,16 +26,11 @@
         self.evacuations.state_of(&target.centre) == CentreState::Evacuated
     }
 
-    /// Whether `service` has a target that only an evacuation keeps from being used.
+    /// Whether `service` has a target that has not left, be it in an evacuated data centre or not.
     #[must_use]
-    pub(crate) fn has_evacuated_target(&self, service: &str, now: MonoTime) -> bool {
+    pub fn has_present_target(&self, service: &str, now: MonoTime) -> bool {
         let state = self.services.get(service);
-        state.is_some_and(|state| {
-            let mut trackers = state.trackers.iter();
-            trackers.any(|tracker| {
-                tracker.centre_state == CentreState::Evacuated && is_present(tracker, now)
-            })
-        })
+        state.is_some_and(|state| state.trackers.iter().any(|t| is_present(t, now)))
     }
 
     /// Returns when the evacuation of the target's data centre ended, unless the target has announced
--- a/crates/route/tests/evacuations.rs
+++ b/crates/route/tests/evacuations.rs
@@ -256,7 +256,7 @@
     let mut repeated = Vec::new();
     for attempt in &first {
         let end = (attempt.sub_request, attempt.attempt);
-        let actions = run.on_attempt_end(end.0, end.1, crashed.clone(), &mut selector, at(10_020));
+        let actions = run.on_attempt_end(end.0, end.1, crashed, &mut selector, at(10_020));
         repeated.extend(sent_centres(&actions));
     }
     assert!(!repeated.is_empty());
@@ -342,6 +342,34 @@
     assert!(!sent_centres(&actions).contains(&EAST.to_owned()));
 }
 
+/// Guards against a shard that is given up although its broker, which is only silent, may still answer:
+/// the fallback target that its origin may use is in the evacuated data centre.
+#[test]
+fn a_shard_of_a_silent_broker_there_waits_for_the_broker() {
+    let mut selector = both(2);
+    let mut params = params(2);
+    params.handover_groups = vec![ShardGroup {
+        key: "group".into(),
+        centre: EAST.into(),
+        sub_requests: vec![0, 1],
+    }];
+    let (mut run, _) = start(params, &mut selector);
+    evacuate(&mut selector, &[EAST], at(10_010));
+    let actions = run.on_group_silent(0, &mut selector, at(10_020));
+    assert!(sends(&actions).is_empty());
+    assert_eq!(refusal(&actions), None);
+    let answered = GroupOutcome {
+        accepted: true,
+        answered: vec![0, 1],
+        ..GroupOutcome::default()
+    };
+    let actions = run.on_group_end(0, &answered, &mut selector, at(10_030));
+    assert!(matches!(
+        actions.as_slice(),
+        [RelayAction::Finish(RelayOutcome::Answered(_))]
+    ));
+}
+
 #[test]
 fn a_request_whose_targets_are_all_evacuated_is_refused_at_once() {
     let mut selector = both(1);
