--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -203,7 +203,8 @@
 }
 
 /// Whether every shard of a search, or any service of a weighted split, has a target in the regions of
-/// `placement`.
+/// `placement`. One that only an evacuation keeps from being used counts, since waiting for another
+/// one would gain nothing.
 fn has_targets(node: &EntryNode, rule: &RouteRule, placement: &PlacementRule) -> bool {
     let now = node.timer.now();
     let selector = lock(&node.selector);
@@ -211,10 +212,10 @@
         RouteDestination::Gather(gather) => gather
             .shards
             .iter()
-            .all(|shard| selector.has_target(shard, placement, now)),
+            .all(|shard| selector.has_present_target(shard, placement, now)),
         RouteDestination::Split(parts) => parts
             .iter()
-            .any(|part| selector.has_target(&part.service, placement, now)),
+            .any(|part| selector.has_present_target(&part.service, placement, now)),
     }
 }
 
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -43,8 +43,7 @@
     pub(super) fn targets_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
         let is_present = |sub_request: &&SubRequest| {
             let placement = &self.params.placement;
-            selector.has_target(&sub_request.service, placement, now)
-                || selector.has_evacuated_target(&sub_request.service, placement, now)
+            selector.has_present_target(&sub_request.service, placement, now)
         };
         let present = self.sub_requests.iter().filter(is_present).count();
         if self.has_coverage(present) {
--- a/crates/route/src/relay/selector/evacuations.rs
+++ b/crates/route/src/relay/selector/evacuations.rs
@@ -29,9 +29,10 @@
         self.evacuations.state_of(&target.centre) == CentreState::Evacuated
     }
 
-    /// Whether `service` has a target that a request may run at but for an evacuation.
+    /// Whether `service` has a target in the regions of `placement` that has not left, be it in an evacuated
+    /// data centre or not.
     #[must_use]
-    pub(crate) fn has_evacuated_target(
+    pub fn has_present_target(
         &self,
         service: &str,
         placement: &PlacementRule,
@@ -39,12 +40,10 @@
     ) -> bool {
         let state = self.services.get(service);
         state.is_some_and(|state| {
-            let mut trackers = state.trackers.iter();
-            trackers.any(|tracker| {
-                tracker.centre_state == CentreState::Evacuated
-                    && is_present(tracker, now)
-                    && placement.allows(&tracker.target.region)
-            })
+            state
+                .trackers
+                .iter()
+                .any(|t| is_present(t, now) && placement.allows(&t.target.region))
         })
     }
 
