--- a/crates/quorum/tests/evacuations.rs
+++ b/crates/quorum/tests/evacuations.rs
@@ -5,6 +5,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
+use fulmarweir_base::RunVerdict;
 use fulmarweir_quorum::{Acceptor, EvacuationOrder, EvacuationSet, QuorumClient};
 use sim::{LOSSY, RELIABLE, SimNet, for_seeds};
 use tokio::task::LocalSet;
@@ -145,6 +146,37 @@
     });
 }
 
+/// Guards against a read that returns an order which a later read does not return: an order at a minority is
+/// decided by the read that finds it.
+#[test]
+fn an_order_at_a_minority_is_decided_by_the_read_that_returns_it() {
+    for_seeds(8, |seed| async move {
+        let net = SimNet::new(seed, 3, 3, RETENTION);
+        let client = net.client(1);
+        begin(&client, "east").await;
+        net.crash(0);
+        net.crash(1);
+        // The promise from the first order lets the accept reach the only voter that is up.
+        let west = centre("west");
+        let undecided = client.order_evacuation(EvacuationOrder::Begin, &west, CALL_TIMEOUT);
+        let verdict = undecided.await.unwrap_err().current_context().verdict();
+        assert_eq!(verdict, RunVerdict::MayHaveRun);
+        net.restart(0);
+        net.restart(1);
+        let first = net.client(2).read_evacuations(CALL_TIMEOUT).await.unwrap();
+        for number in 3..6 {
+            let reader = net.client(number);
+            let later = reader.read_evacuations(CALL_TIMEOUT).await.unwrap();
+            assert!(later.version >= first.version);
+        }
+        let repeated = begin(&net.client(6), "west").await;
+        assert_eq!(
+            (repeated.version, names(&repeated)),
+            (2, vec!["east", "west"])
+        );
+    });
+}
+
 /// The sets that calls have reported.
 #[derive(Default)]
 struct History {
