--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -135,7 +135,7 @@
             run.finish_or_wake(selector, now, &mut actions);
             return (run, actions);
         }
-        if run.too_few_in_reach(selector, now) {
+        if run.starts_out_of_reach(selector, now) {
             run.record_without_home(selector, now);
             run.refuse(RefusalReason::HomeBound, selector, now, &mut actions);
             return (run, actions);
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -165,7 +165,7 @@
     }
 
     /// Returns the time by which a target must have accepted the request.
-    fn accept_deadline(&self) -> MonoTime {
+    pub(super) fn accept_deadline(&self) -> MonoTime {
         let soft = self.params.soft_deadline.since(self.started_at) / ACCEPT_SOFT_DIVISOR;
         let total = self.params.deadline.since(self.started_at) / ACCEPT_TOTAL_DIVISOR;
         self.started_at + soft.max(total)
--- a/crates/route/src/relay/run/homes.rs
+++ b/crates/route/src/relay/run/homes.rs
@@ -5,17 +5,23 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fulmarweir_base::MonoTime;
+use fulmarweir_base::{MonoTime, RunVerdict};
 
 use super::RelayRun;
 use crate::{
     RefusalReason,
-    relay::{placement::PlacementRule, selector::TargetSelector, sub_request::SubRequestState},
+    relay::{
+        placement::PlacementRule,
+        selector::TargetSelector,
+        sub_request::{SubRequest, SubRequestState},
+    },
 };
 
 /// Time after which the caller of a request retries that nothing in its home regions could run. Targets
 /// announce themselves about every 1.2 s, and one that was down is tried again after 2 s at most.
 const HOME_BOUND_RETRY_MS: u64 = 1_000;
+/// Delay after which a sub-request without a target in reach checks again whether others have ended.
+const OUT_OF_REACH_PAUSE_MS: u64 = 4;
 
 impl RelayRun {
     /// Returns the regions in which the request may run.
@@ -47,17 +53,29 @@
         Duration::from_millis(HOME_BOUND_RETRY_MS)
     }
 
-    /// Whether too few services have a target in the home regions that this VM or a broker may reach.
-    pub(super) fn too_few_in_reach(&self, selector: &TargetSelector, now: MonoTime) -> bool {
+    /// Whether too few services have a target in the home regions that this VM may reach, or a broker to
+    /// which their group is to be handed over.
+    pub(super) fn starts_out_of_reach(&self, selector: &TargetSelector, now: MonoTime) -> bool {
+        self.too_few_in_reach(|index| self.is_handed_over(index), selector, now)
+    }
+
+    /// The same, given which services another VM runs.
+    fn too_few_in_reach(
+        &self,
+        is_elsewhere: impl Fn(usize) -> bool,
+        selector: &TargetSelector,
+        now: MonoTime,
+    ) -> bool {
         let placement = &self.params.placement;
         if placement.is_unrestricted() {
             return false;
         }
         let in_reach = self.sub_requests.iter().enumerate().filter(|(index, s)| {
-            // A broker opens connections of its own, but to the same targets only.
             s.reached_attempts > 0
+                || s.may_have_run()
                 || !selector.is_out_of_reach(&s.service, placement, now)
-                || (self.is_handed_over(*index) && selector.has_target(&s.service, placement, now))
+                // A broker opens connections of its own, but to the same targets only.
+                || (is_elsewhere(*index) && selector.has_target(&s.service, placement, now))
         });
         !self.has_coverage(in_reach.count())
     }
@@ -75,8 +93,12 @@
         }
     }
 
-    /// Gives up a sub-request that has reached no target, if none in the home regions can be reached;
-    /// returns whether it did. An attempt in flight or a silent broker may still answer.
+    /// Gives up a sub-request that has reached no target, if none in the home regions can be reached, or
+    /// if the request has not run and cannot be answered for this reason; returns whether that is so.
+    ///
+    /// Load pattern: the targets of all shards of a search go down. The first shard that finds out would
+    /// end the search while the attempts of the others wait for connections, so that the caller would be
+    /// told that it may have run. They end soon, so it waits for them, but not until the deadline.
     pub(super) fn fails_out_of_reach(
         &mut self,
         sub_request: usize,
@@ -84,25 +106,49 @@
         now: MonoTime,
     ) -> bool {
         let placement = &self.params.placement;
-        let progress = &mut self.sub_requests[sub_request];
+        if placement.is_unrestricted() {
+            return false;
+        }
+        let progress = &self.sub_requests[sub_request];
         // One that may have run is worth waiting for, as its caller must not repeat it.
-        if progress.reached_attempts > 0
-            || progress.may_have_run()
-            || !selector.is_out_of_reach(&progress.service, placement, now)
+        if progress.reached_attempts > 0 || progress.may_have_run() {
+            return false;
+        }
+        if selector.is_out_of_reach(&progress.service, placement, now) {
+            self.home_bound.insert(sub_request);
+        } else if self.verdict() != RunVerdict::NotRun
+            || !self.too_few_in_reach(|_| false, selector, now)
         {
             return false;
         }
-        progress.state = SubRequestState::Failed;
-        self.home_bound.insert(sub_request);
+        if self.awaits_others(sub_request) && now < self.accept_deadline() {
+            self.pause(sub_request, OUT_OF_REACH_PAUSE_MS, now);
+        } else {
+            self.sub_requests[sub_request].state = SubRequestState::Failed;
+        }
         true
     }
 
+    /// Whether the request cannot be answered without a sub-request, and others may be running.
+    fn awaits_others(&self, sub_request: usize) -> bool {
+        let others = || {
+            let all = self.sub_requests.iter().enumerate();
+            all.filter(|(index, _)| *index != sub_request)
+                .map(|(_, other)| other)
+        };
+        let is_running = |other: &SubRequest| {
+            other.is_in_flight() || matches!(other.state, SubRequestState::HandedOver(_))
+        };
+        let not_failed = others().filter(|other| other.state != SubRequestState::Failed);
+        !self.has_coverage(not_failed.count()) && others().any(is_running)
+    }
+
     /// Whether a request that has not run is refused as home-bound.
     pub(super) fn is_home_bound(&self, selector: &TargetSelector, now: MonoTime) -> bool {
         if self.params.placement.is_unrestricted() {
             return false;
         }
         let in_reach = self.sub_requests.len() - self.home_bound.len();
-        !self.has_coverage(in_reach) || self.too_few_in_reach(selector, now)
+        !self.has_coverage(in_reach) || self.too_few_in_reach(|_| false, selector, now)
     }
 }
