Let the soak replace VMs between two builds

--old-program FILE names a second build. Each start of a process draws its build from a generator of its own, so the faults of a seed stay the same.

--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -7,6 +7,8 @@
     cmd fulmarweir-soak {
         /// The program under test.
         required --program program: PathBuf
+        /// A second build, by which VMs are replaced when they start again, and the other way round.
+        optional --old-program old_program: PathBuf
         /// First seed.
         optional --seed seed: u64
         /// Number of seeds.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,8 @@
 pub struct SoakSettings {
     /// The program under test.
     pub program: PathBuf,
+    /// A second build, by which VMs are replaced when they start again, and the other way round.
+    pub old_program: Option<PathBuf>,
     /// Seed of the generator that draws all faults and their times.
     pub seed: u64,
     /// How long faults are injected.
@@ -42,6 +44,8 @@
     pub served: u64,
     /// Number of requests sent.
     pub requests: u64,
+    /// Number of VMs that were replaced by the other build.
+    pub replaced: u64,
     /// Folder with the settings, data and logs of the processes.
     pub folder: PathBuf,
 }
@@ -96,6 +100,7 @@
     tasks.close();
     // Answers and runs that are still in flight are checked as well.
     let _ = tokio::time::timeout(Duration::from_secs(5), tasks.wait()).await;
+    let replaced = tier.replaced_count();
     let folder = tier.stop().await;
     ledger.check_runs();
     let (requests, served) = ledger.counts();
@@ -104,6 +109,7 @@
         faults: faults.into_log(),
         served,
         requests,
+        replaced,
         folder,
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -19,16 +19,18 @@
         let runtime = tokio::runtime::Runtime::new().expect("the tokio runtime starts");
         let report = runtime.block_on(run_soak(SoakSettings {
             program: flags.program.clone(),
+            old_program: flags.old_program.clone(),
             seed,
             fault_duration: Duration::from_secs(flags.seconds.unwrap_or(SECONDS_DEFAULT)),
             entries: flags.entries.unwrap_or(ENTRIES_DEFAULT),
         }));
         println!(
-            "seed {seed}: {} broken promises, {} of {} served, {} faults",
+            "seed {seed}: {} broken promises, {} of {} served, {} faults, {} replaced",
             report.violations.len(),
             report.served,
             report.requests,
-            report.faults.len()
+            report.faults.len(),
+            report.replaced
         );
         if report.violations.is_empty() {
             // The logs of a run without violations are not kept.
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -10,6 +10,8 @@
 };
 
 use fulmarweir_base::lock;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::{
     process::{Child, Command},
@@ -43,6 +45,8 @@
 const CLAIM_OCTET: u8 = 3;
 /// Number of second octets, from 64 on.
 const SECOND_OCTETS: u32 = 128;
+/// Distinguishes the draws of builds from all others of a seed.
+const BUILD_SEED: u64 = 4_700;
 /// Last octet of the first target's address.
 const FIRST_TARGET_OCTET: u8 = 100;
 
@@ -68,13 +72,45 @@
     settings_file: PathBuf,
     data_folder: Option<PathBuf>,
     log_file: PathBuf,
-    program: PathBuf,
+    builds: BuildChoice,
     child: Option<Child>,
     pub(crate) proxy: LinkProxy,
     /// Used by callers only if the node is an entry VM.
     vm: EntryVm,
 }
 
+/// Chooses the build of each start of a process.
+struct BuildChoice {
+    programs: Vec<PathBuf>,
+    /// Index of the build of the last start.
+    current: Option<usize>,
+    replaced: u64,
+    /// Draws the builds of one VM, so that the other faults of a seed stay the same.
+    generator: Pcg64Mcg,
+}
+
+impl BuildChoice {
+    fn new(settings: &SoakSettings, number: u8) -> Self {
+        let programs = settings.old_program.iter().chain([&settings.program]);
+        let seed = settings.seed ^ (BUILD_SEED + u64::from(number));
+        Self {
+            programs: programs.cloned().collect(),
+            current: None,
+            replaced: 0,
+            generator: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the program of the next start.
+    fn next_program(&mut self) -> &Path {
+        let next = self.generator.random_range(0..self.programs.len());
+        let is_other = self.current.is_some_and(|current| current != next);
+        self.replaced += u64::from(is_other);
+        self.current = Some(next);
+        &self.programs[next]
+    }
+}
+
 /// All processes of the tier and the links to the targets.
 pub(crate) struct Tier {
     /// The keepers, which take the configuration and the announcements of targets, then the entry
@@ -152,6 +188,11 @@
         entries.map(|node| node.vm.clone()).collect()
     }
 
+    /// Returns how many VMs were replaced by the other build.
+    pub(crate) fn replaced_count(&self) -> u64 {
+        self.nodes.iter().map(|node| node.builds.replaced).sum()
+    }
+
     /// Undoes all faults: opens every link and makes sure that every process runs.
     pub(crate) async fn undo_faults(&mut self) {
         for (_, _, proxy) in &self.target_links {
@@ -252,7 +293,7 @@
             is_keeper,
             settings_file,
             data_folder,
-            program: settings.program.clone(),
+            builds: BuildChoice::new(settings, number),
             child: None,
             proxy,
         }
@@ -265,7 +306,8 @@
             .open(&self.log_file);
         let log = log.expect("the log file can be opened");
         let error_log = log.try_clone().expect("the log file can be shared");
-        let child = Command::new(&self.program)
+        let program = self.builds.next_program();
+        let child = Command::new(program)
             .arg("--settings")
             .arg(&self.settings_file)
             .stdin(Stdio::null())
