--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -331,7 +331,9 @@
         StatusCode::OK => {}
         StatusCode::NOT_FOUND => return Err(WireError::not_run(WireFault::Protocol)),
         StatusCode::SERVICE_UNAVAILABLE => return Err(WireError::not_run(WireFault::Refused)),
-        _ => return Err(WireError::not_run(WireFault::Codec)),
+        StatusCode::BAD_REQUEST => return Err(WireError::not_run(WireFault::Codec)),
+        // The peer could not encode its reply, after it ran the call.
+        _ => return Err(WireError::may_have_run(WireFault::Codec)),
     }
     read_body(&mut response.into_body())
         .await
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -404,6 +404,33 @@
     task.await.unwrap();
 }
 
+/// Guards against a call that has run and is reported as not run, since its reply could not be encoded in
+/// the version of the call.
+#[tokio::test]
+async fn a_call_whose_reply_cannot_be_encoded_may_have_run() {
+    let listener = listen_at("127.0.0.1:0".parse().unwrap());
+    let address = listener.local_addr().unwrap();
+    let stop = CancellationToken::new();
+    let handler = |_from: SocketAddr, _message: NoteMessage| {
+        let reply = vec![0; fulmarweir_wire::MESSAGE_MAX_BYTES + 1];
+        let reply = NoteMessage::Plain {
+            body: reply,
+            note: None,
+        };
+        (TrafficClass::Control, ready(reply))
+    };
+    let server = PeerServer::new(handler, Arc::default(), stop.clone());
+    let task = tokio::spawn(server.serve(listener));
+    let client = PeerClient::new(Arc::default());
+    let error = call(&client, address, &NoteMessage::plain(3)).await;
+    let error = error.unwrap_err();
+    assert_eq!(error.fault, WireFault::Codec);
+    assert_eq!(error.verdict, RunVerdict::MayHaveRun);
+    client.close().await;
+    stop.cancel();
+    task.await.unwrap();
+}
+
 /// Guards against a message of version 9 that a reader of the version 8 part cannot find, and
 /// against a cost of more than one byte where no field is set.
 #[test]
