--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -186,9 +186,13 @@
     usable.then(|| Duration::from_secs_f64(millis.min(STATED_TIME_MAX_MS) / 1000.0))
 }
 
-/// Whether every shard of a search, or any service of a weighted split, has a target in the regions of
-/// `placement`.
+/// Whether a request need not wait for targets during startup: every shard of a search, or any service of a
+/// weighted split, has a target in the regions of `placement`, or the request has home regions and all
+/// targets are known.
 fn has_targets(node: &EntryNode, rule: &RouteRule, placement: &PlacementRule) -> bool {
+    if !placement.is_unrestricted() && node.knows_targets() {
+        return true;
+    }
     let now = node.timer.now();
     let selector = lock(&node.selector);
     match &rule.destination {
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -106,6 +106,8 @@
     entry_vm_count: AtomicU32,
     stopping: AtomicBool,
     keepers_lost: AtomicBool,
+    /// Whether a keeper that knows all targets has told them.
+    knows_targets: AtomicBool,
     budget_log: Mutex<BudgetLog>,
     limit_log: Mutex<LimitLog>,
     /// Revision of the limits that each keeper has told.
@@ -162,6 +164,7 @@
             entry_vm_count: AtomicU32::new(1),
             stopping: AtomicBool::new(false),
             keepers_lost: AtomicBool::new(false),
+            knows_targets: AtomicBool::new(false),
             budget_log: Mutex::default(),
             limit_log: Mutex::default(),
             limits_revisions: Mutex::default(),
@@ -277,6 +280,14 @@
         if changed {
             self.sync_targets();
         }
+        if settled && !self.knows_targets.swap(true, Relaxed) {
+            self.state_changed.notify_waiters();
+        }
+    }
+
+    /// Whether a keeper that knows all targets has told them since the start.
+    pub(crate) fn knows_targets(&self) -> bool {
+        self.knows_targets.load(Relaxed)
     }
 
     /// Waits until the links to targets are lost while `is_sent` is false. Does not return otherwise.
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -28,7 +28,7 @@
 /// Relays a request of a caller and returns the response.
 pub(super) async fn run_routed(node: &Arc<EntryNode>, routed: RoutedRequest) -> RelayResponse {
     let routed = Arc::new(routed);
-    let services = needed_services(&routed.rule);
+    let services = needed_services(node, &routed);
     let (sub_requests, first_service) = (services.len(), services.first().cloned());
     let mut params = relay_params(node, &routed, services);
     let now = node.timer.now();
@@ -60,12 +60,26 @@
     response
 }
 
-/// Returns the services to which a request is sent.
-fn needed_services(rule: &RouteRule) -> Vec<Arc<str>> {
-    match &rule.destination {
-        RouteDestination::Gather(gather) => gather.shards.clone(),
-        RouteDestination::Split(services) => choose_service(services).into_iter().collect(),
-    }
+/// Returns the services to which a request is sent. One with home regions goes to a service that has
+/// targets there, if any has.
+fn needed_services(node: &EntryNode, routed: &RoutedRequest) -> Vec<Arc<str>> {
+    let services = match &routed.rule.destination {
+        RouteDestination::Gather(gather) => return gather.shards.clone(),
+        RouteDestination::Split(services) => services,
+    };
+    let placement = &routed.message.placement;
+    let chosen = if placement.is_unrestricted() || services.len() == 1 {
+        choose_service(services)
+    } else {
+        let now = node.timer.now();
+        let selector = lock(&node.selector);
+        let in_reach = services
+            .iter()
+            .filter(|part| !selector.is_out_of_reach(&part.service, placement, now));
+        let in_reach: Vec<WeightedService> = in_reach.cloned().collect();
+        choose_service(&in_reach).or_else(|| choose_service(services))
+    };
+    chosen.into_iter().collect()
 }
 
 /// Returns the parameters of a request to `services`.
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -129,6 +129,10 @@
     pub(crate) answer_in_ms: u64,
     /// Time until the caller's deadline, in milliseconds.
     pub(crate) time_left_ms: u64,
+    /// Whether the request has home regions, so that a broker must know these. Not sent: a broker takes
+    /// the home regions from its configuration.
+    #[serde(skip)]
+    pub(crate) has_homes: bool,
 }
 
 /// A sub-request of a handover that was sent before.
@@ -279,6 +283,8 @@
     fn version_min(&self) -> PeerVersion {
         match self {
             Self::Rates(..) => PeerVersion::V9,
+            // A broker that was replaced by an older build meanwhile must not get it in that version.
+            Self::Search(request) if request.has_homes => PeerVersion::V9,
             _ => PeerVersion::V8,
         }
     }
--- a/crates/route/src/relay/message.rs
+++ b/crates/route/src/relay/message.rs
@@ -240,7 +240,8 @@
     pub(crate) const fn signal(self, latency: Duration) -> AttemptSignal {
         match self {
             Self::Answered { load } => AttemptSignal::Answered { latency, load },
-            Self::Refused | Self::OverLimit | Self::Rejected => AttemptSignal::Refused,
+            Self::Refused | Self::Rejected => AttemptSignal::Refused,
+            Self::OverLimit => AttemptSignal::OverLimit,
             Self::Moved => AttemptSignal::Moved,
             Self::Unreachable | Self::Crashed => AttemptSignal::Unreachable,
             Self::NoConnection | Self::Withheld => AttemptSignal::Neutral,
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -105,6 +105,8 @@
     Unreachable,
     /// The target refused the request without running it.
     Refused,
+    /// The target closed the connection before the request was sent.
+    OverLimit,
     /// Another target now listens at the address.
     Moved,
     /// The attempt was abandoned before an answer arrived.
@@ -131,6 +133,10 @@
     refused_until: MonoTime,
     down_until: MonoTime,
     connect_failures: u32,
+    /// Attempts since the last reply that found no usable connection.
+    unreached_attempts: u32,
+    /// Until when another attempt is not expected to find one.
+    unreached_until: MonoTime,
     warm_up_until: MonoTime,
     /// What the target has told this VM about itself.
     pub(crate) notice: NoticeState,
@@ -138,6 +144,12 @@
     pub(crate) moved: bool,
 }
 
+/// Returns the time for which a target counts as down after another failed connection attempt.
+fn down_pause(failures: u32) -> Duration {
+    let doublings = failures.min(8);
+    Duration::from_millis((DOWN_MIN_MS << doublings).min(DOWN_MAX_MS))
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1000.0
 }
@@ -159,6 +171,8 @@
             refused_until: MonoTime::ZERO,
             down_until: MonoTime::ZERO,
             connect_failures: 0,
+            unreached_attempts: 0,
+            unreached_until: MonoTime::ZERO,
             warm_up_until,
             notice: NoticeState::default(),
             moved: false,
@@ -184,10 +198,10 @@
         now < self.down_until
     }
 
-    /// Whether no connection could be opened lately, and no more than an attempt in flight can tell
-    /// whether one can be opened now.
+    /// Whether the last attempts found no usable connection, and no more than one in flight can tell
+    /// whether there is one now.
     pub(crate) fn is_unreached(&self, now: MonoTime) -> bool {
-        self.connect_failures > 0 && (self.is_down(now) || self.in_flight() > 0)
+        self.unreached_attempts > 0 && (now < self.unreached_until || self.in_flight() > 0)
     }
 
     /// Whether the target refused a request recently, or more requests wait there than run.
@@ -262,11 +276,21 @@
         if let Some(index) = self.sent_times.iter().position(|sent| *sent == sent_at) {
             self.sent_times.remove(index);
         }
+        match signal {
+            // Another connection is in use, so the target is reached.
+            AttemptSignal::OverLimit if self.in_flight() > 0 => {}
+            AttemptSignal::Unreachable | AttemptSignal::OverLimit => self.record_unreached(now),
+            AttemptSignal::Answered { .. }
+            | AttemptSignal::Failed
+            | AttemptSignal::Refused
+            | AttemptSignal::Moved => self.unreached_attempts = 0,
+            AttemptSignal::Abandoned | AttemptSignal::Neutral => {}
+        }
         match signal {
             AttemptSignal::Answered { latency, load } => self.record_answer(latency, load, now),
             AttemptSignal::Failed => self.record_failure(now),
             AttemptSignal::Unreachable => self.record_unreachable(now),
-            AttemptSignal::Refused => {
+            AttemptSignal::Refused | AttemptSignal::OverLimit => {
                 self.refused_until = now + Duration::from_millis(REFUSED_PAUSE_MS);
             }
             AttemptSignal::Moved => self.moved = true,
@@ -281,6 +305,7 @@
         self.failure_rate = 0.0;
         self.connect_failures = 0;
         self.down_until = MonoTime::ZERO;
+        self.unreached_attempts = 0;
         self.refused_until = MonoTime::ZERO;
         self.latency_updated_at = MonoTime::ZERO;
     }
@@ -307,10 +332,13 @@
 
     fn record_unreachable(&mut self, now: MonoTime) {
         self.record_failure(now);
-        let doublings = self.connect_failures.min(8);
-        let pause_ms = (DOWN_MIN_MS << doublings).min(DOWN_MAX_MS);
+        self.down_until = now + down_pause(self.connect_failures);
         self.connect_failures += 1;
-        self.down_until = now + Duration::from_millis(pause_ms);
+    }
+
+    fn record_unreached(&mut self, now: MonoTime) {
+        self.unreached_until = now + down_pause(self.unreached_attempts);
+        self.unreached_attempts += 1;
     }
 
     fn record_latency(&mut self, latency_ms: f64, now: MonoTime) {
--- a/crates/route/tests/fleet_homes.rs
+++ b/crates/route/tests/fleet_homes.rs
@@ -103,7 +103,7 @@
     ];
     for seed in 0..SEEDS {
         let limited = move |target: &RelayTarget, _: u64| {
-            if seed % 4 == 3 && target.address.port() % 100 == 0 {
+            if seed % 4 == 3 && target.address.port().is_multiple_of(100) {
                 StatedLimit::PerSecond(20.0)
             } else {
                 StatedLimit::None
--- a/crates/route/tests/relay_homes.rs
+++ b/crates/route/tests/relay_homes.rs
@@ -7,9 +7,10 @@
     ExtraAttemptLimits, RouteDestination, RouteRule, TenantRule, WeightedService,
 };
 use fulmarweir_route::{
-    BrokerEndpoint, BrokerSelector, GroupOutcome, LinkExamination, LinkTask, Locality,
-    PlacementRule, RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
-    RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, TargetSelector,
+    AttemptSignal, BrokerEndpoint, BrokerSelector, GroupOutcome, LinkExamination, LinkTask,
+    Locality, PlacementRule, RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome,
+    RelayOutcome, RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin,
+    TargetSelector,
 };
 
 fn at(millis: u64) -> MonoTime {
@@ -26,7 +27,7 @@
 
 /// Returns a target whose data centre has the name of its region.
 fn target(service: &str, region: &str, locality: Locality) -> RelayTarget {
-    let port = 100 * u16::from(service.as_bytes()[1] - b'0') + region.len() as u16;
+    let port = 100 * u16::from(service.as_bytes()[1]) + u16::from(region.as_bytes()[0]);
     RelayTarget {
         id: format!("{service}-{region}").into(),
         service: service.into(),
@@ -268,6 +269,33 @@
     assert_eq!(run.home_bound_services().count(), 1);
 }
 
+/// Load pattern: a target closes each new connection, as one over its connection limit does. It counts as
+/// out of reach unless it works on another attempt, and until it replies to one.
+#[test]
+fn a_target_that_closes_connections_is_out_of_reach_until_it_replies() {
+    let only = target("s0", "north", Locality::Centre);
+    let homes = rule(&["north"], &[]);
+    let mut selector = selector(vec![only.clone()]);
+    let out_of_reach =
+        |selector: &TargetSelector, ms| selector.is_out_of_reach("s0", &homes, at(ms));
+    let end = |selector: &mut TargetSelector, sent_ms: u64, signal, ms: u64| {
+        selector.attempt_ended(&only, at(sent_ms), signal, at(ms));
+    };
+    selector.attempt_sent(&only, at(0));
+    selector.attempt_sent(&only, at(1));
+    end(&mut selector, 1, AttemptSignal::OverLimit, 2);
+    assert!(!out_of_reach(&selector, 2), "it works on another attempt");
+    end(&mut selector, 0, AttemptSignal::OverLimit, 3);
+    assert!(out_of_reach(&selector, 3));
+    assert!(!out_of_reach(&selector, 200), "one attempt finds out");
+    selector.attempt_sent(&only, at(200));
+    assert!(out_of_reach(&selector, 201), "the others do not wait");
+    end(&mut selector, 200, AttemptSignal::Refused, 202);
+    assert!(!out_of_reach(&selector, 202), "it has replied");
+    let anywhere = PlacementRule::default();
+    assert!(!selector.is_out_of_reach("unknown", &anywhere, at(0)));
+}
+
 /// Guards against a search whose caller is told that it may have run, since one shard was found to be
 /// out of reach while others waited for connections.
 #[test]
