--- a/crates/quorum/src/client.rs
+++ b/crates/quorum/src/client.rs
@@ -163,7 +163,7 @@
     }
 
     /// Returns the latest voter set, and elects that of epoch 1 first if none was elected yet.
-    async fn elected_set(&self, call: &mut CallProgress) -> Result<VoterSet> {
+    pub(crate) async fn elected_set(&self, call: &mut CallProgress) -> Result<VoterSet> {
         let set = self.voters();
         if set.members.is_empty() {
             return Err(Report::new(QuorumError::NoVoters));
--- a/crates/quorum/src/client/calls.rs
+++ b/crates/quorum/src/client/calls.rs
@@ -106,16 +106,23 @@
     /// register.
     pub async fn read_evacuations(&self, timeout: Duration) -> Result<EvacuationSet> {
         let key = RegisterKey::Evacuations;
-        let call = self.start_call(timeout);
-        match self.read_from_quorum(&call, &key).await {
-            QuorumRead::Decided(accepted) => {
-                let value = accepted.as_ref().map(|accepted| &*accepted.value);
-                Ok(evacuation_set(value).cloned().unwrap_or_default())
-            }
-            QuorumRead::Inconclusive { any_value: false } => Err(call.timeout_error()),
-            QuorumRead::Inconclusive { any_value: true } => {
-                let rest = call.deadline().since(self.timer.now());
-                self.run_change(key, rest, read_evacuations).await
+        let mut call = self.start_call(timeout);
+        loop {
+            self.elected_set(&mut call).await?;
+            match self.read_from_quorum(&call, &key).await {
+                QuorumRead::Decided(accepted) => {
+                    let value = accepted.as_ref().map(|accepted| &*accepted.value);
+                    return Ok(evacuation_set(value).cloned().unwrap_or_default());
+                }
+                QuorumRead::Inconclusive(replies) if replies.any_value => {
+                    let rest = call.deadline().since(self.timer.now());
+                    return self.run_change(key, rest, read_evacuations).await;
+                }
+                QuorumRead::Inconclusive(replies) if replies.any_other_epoch => {
+                    self.finish_abandoned_change(&mut call).await?;
+                    self.back_off(&mut call).await?;
+                }
+                QuorumRead::Inconclusive(_) => return Err(call.timeout_error()),
             }
         }
     }
@@ -204,12 +211,13 @@
     async fn read_from_quorum(&self, call: &CallProgress, key: &RegisterKey) -> QuorumRead {
         let set = self.voters();
         if set.epoch == 0 {
-            return QuorumRead::Inconclusive { any_value: false };
+            return QuorumRead::Inconclusive(InconclusiveReplies::default());
         }
         let body = RequestBody::Read { key: key.clone() };
         let requests = requests_to_all(&set, &body);
         let mut replies = self.dispatcher.send_all(&set.members, requests);
         let mut values = Vec::new();
+        let mut any_other_epoch = false;
         while values.len() < set.quorum() {
             let reply = tokio::select! {
                 biased;
@@ -218,10 +226,16 @@
             };
             match reply {
                 Some((_, Some(VoterReply::ReadValue { accepted }))) => values.push(accepted),
+                Some((_, Some(VoterReply::Moved { epoch } | VoterReply::NotWhole { epoch }))) => {
+                    any_other_epoch = true;
+                    self.observe_epoch(&epoch);
+                }
                 Some(_) => {}
                 None => {
-                    let any_value = values.iter().any(Option::is_some);
-                    return QuorumRead::Inconclusive { any_value };
+                    return QuorumRead::Inconclusive(InconclusiveReplies {
+                        any_value: values.iter().any(Option::is_some),
+                        any_other_epoch,
+                    });
                 }
             }
         }
@@ -234,23 +248,32 @@
     /// A quorum accepted this value in the same round, so it is chosen, or a quorum accepted none.
     Decided(Option<AcceptedValue>),
     /// The voters hold different values, or too few replied.
-    Inconclusive {
-        /// Whether any of them has accepted a value.
-        any_value: bool,
-    },
+    Inconclusive(InconclusiveReplies),
+}
+
+/// What the replies to an inconclusive read say.
+#[derive(Clone, Copy, Debug, Default)]
+struct InconclusiveReplies {
+    /// Whether any voter has accepted a value.
+    any_value: bool,
+    /// Whether any voter is in another epoch.
+    any_other_epoch: bool,
 }
 
 impl QuorumRead {
     fn of(mut values: Vec<Option<AcceptedValue>>, set: &VoterSet) -> Self {
         let ballot = |accepted: &Option<AcceptedValue>| accepted.as_ref().map(|a| a.ballot);
         let Some(first) = values.pop() else {
-            return Self::Inconclusive { any_value: false };
+            return Self::Inconclusive(InconclusiveReplies::default());
         };
         let unanimous = values.iter().all(|other| ballot(other) == ballot(&first));
         if unanimous && accepted_in_epoch(first.as_ref(), set) {
             return Self::Decided(first);
         }
         let any_value = first.is_some() || values.iter().any(Option::is_some);
-        Self::Inconclusive { any_value }
+        Self::Inconclusive(InconclusiveReplies {
+            any_value,
+            any_other_epoch: false,
+        })
     }
 }
