--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -484,7 +484,8 @@
     let may_send = || {
         let now = node.timer.now();
         let mut selector = lock(&node.selector);
-        let may_send = selector.may_send(&attempt.target, message.fingerprint, attempt.permit, now);
+        let may_send =
+            selector.may_send(&attempt.target, message.fingerprint, attempt.permits, now);
         is_sent.store(may_send, Relaxed);
         may_send
     };
--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -281,6 +281,24 @@
         }
     }
 
+    /// Forgets a request that does not wait for a permit of any key any more.
+    pub fn stop_all_waiting(&mut self, ticket: u64) {
+        for entry in self.entries.values_mut() {
+            entry.queue.stop_waiting(ticket);
+        }
+    }
+
+    /// Returns the permits per second that this VM can expect. `vms` is the number of VMs that share
+    /// the rate.
+    #[must_use]
+    pub fn permit_rate(&self, key: &RateKey, vms: u32, now: MonoTime) -> f64 {
+        let entry = self.entries.get(key);
+        entry.map_or(0.0, |entry| {
+            let granted = entry.queue.granted_rate(now);
+            granted.max(entry.policy.per_second / f64::from(vms.max(1)))
+        })
+    }
+
     /// Returns what a request can expect that finds no permit.
     #[must_use]
     pub fn state(&self, key: &RateKey, now: MonoTime) -> RateState {
@@ -321,9 +339,14 @@
         now: MonoTime,
     ) -> MonoTime {
         let Some(entry) = self.entries.get(key) else {
-            return now;
+            return PermitQueue::default().permit_expected_at(rank, now, 1.0, now);
+        };
+        let rate = if self.is_alone() {
+            entry.policy.alone_per_second
+        } else {
+            entry.policy.per_second
         };
-        let rate_min = entry.policy.per_second / f64::from(vms.max(1));
+        let rate_min = rate / f64::from(vms.max(1));
         let ask_at = self.denied_until(key, now).unwrap_or(now);
         entry.queue.permit_expected_at(rank, ask_at, rate_min, now)
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -53,16 +53,16 @@
 pub use hits::{HitScore, HitsError, SearchHit, merge_hits, parse_hits, write_hits};
 pub use refusal::{RefusalReason, RouteRefusal};
 pub use relay::{
-    AnswerReport, AnswerSource, AttemptCharge, AttemptCounts, AttemptSignal, BrokerEndpoint,
-    BrokerSelector, BudgetSnapshot, CrashCall, CrashNews, CrashReport, CrashTally, GRANTORS_MAX,
-    GroupOutcome, GroupRemainder, HandoverOutcome, LatencyTable, LimitChange, LimitReport,
-    LimitedCounts, LimitedLoad, LinkChange, LinkExamination, LinkState, LinkSuspicion, LinkTarget,
-    LinkTask, LinkWatch, Locality, NoticeChange, PermitAsk, PermitAsker, PermitCall, PermitGrant,
-    PermitGrantor, PickCriteria, QuarantineEntry, QuarantineState, QuarantineTable, RECORD_BYTES,
-    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal,
-    RelayRun, RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin, RequestRank,
-    SendPermit, SendRule, ShardGroup, StatedLimit, TargetChoice, TargetNotice, TargetPick,
-    TargetSelector, TargetSnapshot, UnclearSubRequest, merge_records,
+    AnswerReport, AnswerSource, AttemptCharge, AttemptCounts, AttemptPermits, AttemptSignal,
+    BrokerEndpoint, BrokerSelector, BudgetSnapshot, CrashCall, CrashNews, CrashReport, CrashTally,
+    GRANTORS_MAX, GroupOutcome, GroupRemainder, HandoverOutcome, LatencyTable, LimitChange,
+    LimitReport, LimitedCounts, LimitedLoad, LinkChange, LinkExamination, LinkState, LinkSuspicion,
+    LinkTarget, LinkTask, LinkWatch, Locality, NoticeChange, PermitAsk, PermitAsker, PermitCall,
+    PermitGrant, PermitGrantor, PickCriteria, QuarantineEntry, QuarantineState, QuarantineTable,
+    RECORD_BYTES, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRefusal, RelayRun, RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin,
+    RequestRank, SendPermit, SendRule, ShardGroup, StatedLimit, TargetChoice, TargetNotice,
+    TargetPick, TargetSelector, TargetSnapshot, UnclearSubRequest, WarmUpReport, merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchOutcome, SearchParams, SearchRun};
 pub use service::{
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -26,6 +26,8 @@
     TargetsClosed,
     /// Targets take only a limited rate of requests, and others come first.
     TargetsLimited,
+    /// Targets are cold and tolerate only a limited rate of requests, and others come first.
+    ColdRate,
     /// The request has ended the targets that ran it, so none gets it for a time.
     Quarantined,
     /// This VM has lost its links to targets, and no other VM takes the request.
@@ -38,7 +40,7 @@
 
 impl RefusalReason {
     /// Every reason, for metrics that export all labels from the start.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::QueueFull,
         Self::TooLate,
         Self::MinVersion,
@@ -47,6 +49,7 @@
         Self::TargetsRefused,
         Self::TargetsClosed,
         Self::TargetsLimited,
+        Self::ColdRate,
         Self::Quarantined,
         Self::LinksLost,
         Self::Deadline,
@@ -65,6 +68,7 @@
             Self::TargetsRefused => "targets-refused",
             Self::TargetsClosed => "targets-closed",
             Self::TargetsLimited => "targets-limited",
+            Self::ColdRate => "cold-rate",
             Self::Quarantined => "request-quarantined",
             Self::LinksLost => "links-lost",
             Self::Deadline => "deadline",
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -8,6 +8,7 @@
 mod attempt_budget;
 mod broker_selector;
 mod burst_share;
+mod cold_table;
 mod crash;
 mod latency_table;
 mod limit;
@@ -18,6 +19,7 @@
 mod message;
 mod notice_table;
 mod permit_grantor;
+mod permit_tables;
 mod run;
 mod selector;
 mod shard_group;
@@ -29,6 +31,7 @@
 pub use self::{
     attempt_budget::{AttemptCharge, AttemptCounts, BudgetSnapshot},
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
+    cold_table::WarmUpReport,
     crash::{
         AnswerReport, CrashCall, CrashNews, CrashReport, CrashTally, QuarantineEntry,
         QuarantineState, QuarantineTable, RequestFingerprint, SendRule,
@@ -46,6 +49,7 @@
     },
     notice_table::{NoticeChange, TargetNotice},
     permit_grantor::{PermitAsk, PermitGrant, PermitGrantor},
+    permit_tables::AttemptPermits,
     run::RelayRun,
     selector::{
         LinkTarget, PickCriteria, RelayTarget, TargetChoice, TargetPick, TargetSelector,
--- a/crates/route/src/relay/message.rs
+++ b/crates/route/src/relay/message.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict};
-use fulmarweir_permits::SendPermit;
 
 use super::{
     attempt_budget::AttemptCharge,
     crash::{RequestFingerprint, RunEnd},
     link_state::LinkEvidence,
+    permit_tables::AttemptPermits,
     selector::RelayTarget,
     shard_group::ShardGroup,
     target_tracker::AttemptSignal,
@@ -160,8 +160,8 @@
     pub kind: AttemptKind,
     /// How the attempt is charged to the budget of extra attempts.
     pub charge: AttemptCharge,
-    /// The permit to send the attempt, if its target had a limit when it was chosen.
-    pub permit: Option<SendPermit>,
+    /// The permits to send the attempt, if its target needed any when it was chosen.
+    pub permits: AttemptPermits,
 }
 
 /// How an attempt of a relayed request ended.
--- a/crates/route/src/relay/run.rs
+++ b/crates/route/src/relay/run.rs
@@ -22,6 +22,7 @@
     message::{
         AnswerSource, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayParams, RequestOrigin,
     },
+    permit_tables::AttemptPermits,
     selector::{PickCriteria, RelayTarget, TargetChoice, TargetPick, TargetSelector},
     sub_request::{OpenAttempt, SubRequest, SubRequestState},
     target_tracker::AttemptSignal,
@@ -189,10 +190,8 @@
             }
             _ => {}
         }
-        if let Some(permit) = open.permit
-            && outcome.is_not_sent()
-        {
-            selector.refund_permit(&open.target, permit);
+        if outcome.is_not_sent() {
+            selector.refund_permits(&open.target, open.permits);
         }
         if self.finished || !self.sub_requests[sub_request].is_open() {
             return actions;
@@ -458,7 +457,7 @@
                     idle_timeout,
                     kind,
                     charge,
-                    permit: None,
+                    permits: AttemptPermits::default(),
                 };
                 self.send(send, selector, now, actions);
             }
@@ -565,7 +564,7 @@
         actions: &mut Vec<RelayAction>,
     ) {
         self.next_attempt += 1;
-        send.permit = selector.take_permit(&send.target, self.rank, now);
+        send.permits = selector.take_permits(&send.target, self.rank, now);
         selector.attempt_sent(&send.target, now);
         selector.run_started(&send.target, self.params.fingerprint, now);
         selector.count_limited_attempt(&send.target, send.charge);
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -55,14 +55,18 @@
 
     /// Returns why too few services have a target that accepts requests.
     pub(super) fn closed_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
-        let is_limited = |sub_request: &SubRequest| {
-            selector.has_limited_target(&sub_request.service, now)
-                && selector
-                    .closed_until(&sub_request.service, self.rank, now)
-                    .is_some()
+        let is_closed = |sub_request: &&SubRequest| {
+            let service = &sub_request.service;
+            selector.closed_until(service, self.rank, now).is_some()
         };
-        if self.sub_requests.iter().any(is_limited) {
+        let mut closed = self.sub_requests.iter().filter(is_closed);
+        if closed
+            .clone()
+            .any(|sub_request| selector.has_limited_target(&sub_request.service, now))
+        {
             RefusalReason::TargetsLimited
+        } else if closed.any(|sub_request| selector.has_cold_target(&sub_request.service, now)) {
+            RefusalReason::ColdRate
         } else {
             RefusalReason::TargetsClosed
         }
@@ -230,7 +234,11 @@
     ) {
         self.finished = true;
         let mut retry_after = self.retry_after(selector, now).max(self.broker_retry_after);
-        if reason == RefusalReason::TargetsLimited {
+        let is_rate = matches!(
+            reason,
+            RefusalReason::TargetsLimited | RefusalReason::ColdRate
+        );
+        if is_rate {
             retry_after = self.turn_after(retry_after, selector, now);
         }
         if reason == RefusalReason::Quarantined {
--- a/crates/route/src/relay/selector.rs
+++ b/crates/route/src/relay/selector.rs
@@ -14,15 +14,15 @@
 
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
-use fulmarweir_permits::{RequestRank, SendPermit};
+use fulmarweir_permits::RequestRank;
 
 use super::{
     attempt_budget::{AttemptCharge, BudgetGrant, BudgetSnapshot, ExtraAttemptBudget},
     burst_share::BurstShare,
     crash::{CrashWatch, QuarantineTable, RequestFingerprint},
-    limit_table::LimitTable,
     link_watch::LinkWatch,
     notice_table::{NoticeChange, NoticeTable, TargetIncarnation, TargetNotice},
+    permit_tables::{AttemptPermits, PermitTables},
     shard_group::{NearestTarget, ShardGroup, group_all_shards, group_shards},
     target_tracker::{AttemptSignal, Locality, TargetTracker},
 };
@@ -105,7 +105,7 @@
     limits: ExtraAttemptLimits,
     burst_share: BurstShare,
     notices: NoticeTable,
-    rate_limits: LimitTable,
+    permits: PermitTables,
     crashes: CrashWatch,
     quarantine: QuarantineTable,
     links: LinkWatch,
@@ -124,7 +124,7 @@
             burst_share: BurstShare::new(limits.window, burst_from),
             limits,
             notices: NoticeTable::default(),
-            rate_limits: LimitTable::default(),
+            permits: PermitTables::default(),
             crashes: CrashWatch::default(),
             quarantine: QuarantineTable::default(),
             links: LinkWatch::default(),
@@ -144,6 +144,7 @@
     ) {
         self.notices.remove_expired(now);
         let successors = latest_at_address(&targets);
+        self.permits.cold.sync(targets.iter(), now);
         let mut trackers: HashMap<Arc<str>, Vec<TargetTracker>> = HashMap::new();
         for target in targets {
             let limit = connections_max(&target.service);
@@ -168,7 +169,7 @@
         }
         self.crashes.sync(&listed, &successors, now);
         let is_listed = |incarnation: &TargetIncarnation| listed.contains(incarnation);
-        self.rate_limits.remove_unlisted(is_listed, now);
+        self.permits.limits.remove_unlisted(is_listed, now);
     }
 
     /// Records the number of entry VMs, including this one, that a keeper has just reported.
@@ -330,7 +331,7 @@
         &mut self,
         target: &RelayTarget,
         fingerprint: RequestFingerprint,
-        permit: Option<SendPermit>,
+        permits: AttemptPermits,
         now: MonoTime,
     ) -> bool {
         let notice = self.notices.state_of(target);
@@ -338,7 +339,7 @@
             .is_none()
             && !notice.has_left(now)
             && notice.closed_until(now).is_none()
-            && self.rate_limits.may_send(target, permit, now)
+            && self.permits.may_send(target, permits, now)
     }
 
     /// Records that an attempt was sent.
@@ -357,6 +358,7 @@
         signal: AttemptSignal,
         now: MonoTime,
     ) {
+        self.permits.cold.record_attempt(target, signal, now);
         let Some((tracker, latency_ms)) = self.tracker_mut(target) else {
             return;
         };
@@ -403,8 +405,8 @@
         let mut first: Option<MonoTime> = None;
         for tracker in usable {
             let target = &tracker.target;
-            let limits = &self.rate_limits;
-            let permit_at = limits.permit_expected_at(target, rank, vms, now);
+            let permits = &self.permits;
+            let permit_at = permits.permit_expected_at(target, rank, vms, now);
             let closed_until = tracker.notice.closed_until(now);
             let until = closed_until.map_or(permit_at, |until| until.max(permit_at));
             if until <= now {
--- a/crates/route/src/relay/selector/links.rs
+++ b/crates/route/src/relay/selector/links.rs
@@ -63,7 +63,8 @@
         let usable = trackers.filter(|tracker| {
             is_usable(tracker, now)
                 && tracker.notice.closed_until(now).is_none()
-                && !self.rate_limits.is_limited(&tracker.target)
+                && !self.permits.limits.is_limited(&tracker.target)
+                && !self.permits.cold.is_cold(&tracker.target, now)
         });
         let mut targets: Vec<&Arc<RelayTarget>> = usable.map(|tracker| &tracker.target).collect();
         targets.sort_by_cached_key(|target| rendezvous_weight(target.address, seed));
@@ -118,6 +119,7 @@
             }
             self.crashes.forget_since(change.since);
         }
+        self.record_regained_links(change, now);
         Some(change)
     }
 
@@ -128,6 +130,16 @@
         reached: usize,
         now: MonoTime,
     ) -> Option<LinkChange> {
-        self.links.record_return_probe(probed, reached, now)
+        let change = self.links.record_return_probe(probed, reached, now)?;
+        self.record_regained_links(change, now);
+        Some(change)
+    }
+
+    /// Counts all targets as cold for a time if the links to them are back after an outage.
+    fn record_regained_links(&mut self, change: LinkChange, now: MonoTime) {
+        let was_lost = matches!(change.before, LinkState::Lost | LinkState::TargetsDown);
+        if was_lost && change.after == LinkState::Up {
+            self.record_return(None, now);
+        }
     }
 }
--- a/crates/route/src/relay/selector/pick.rs
+++ b/crates/route/src/relay/selector/pick.rs
@@ -1,7 +1,7 @@
 //! Which target gets an attempt.
 //!
 //! Load patterns: a replica pauses, is slow, is near its limit or has just gone, while other replicas
-//! have capacity; a target takes a limited rate of requests, so that an attempt needs a permit.
+//! have capacity; a target takes a limited rate of requests, or is cold, so that an attempt needs a permit.
 
 use std::{sync::Arc, time::Duration};
 
@@ -10,7 +10,7 @@
 
 use super::{RelayTarget, TargetSelector, is_usable};
 use crate::relay::{
-    limit_table::LimitTable,
+    permit_tables::PermitTables,
     target_tracker::{Locality, TargetTracker},
 };
 
@@ -128,7 +128,7 @@
         let used = criteria.ran.len() + choice.reserved_besides(criteria.ran);
         let at_target_limit = used >= criteria.targets_max;
         let mut best: Option<PickCandidate<'_>> = None;
-        // Targets with a limit for which this VM has no permit.
+        // Targets with a limit, or cold ones, for which this VM has no permit.
         let mut without_permit: Vec<PickCandidate<'_>> = Vec::new();
         let mut has_allowed = false;
         let mut has_open = false;
@@ -165,23 +165,24 @@
                 score: tracker.score(state.latency_ms, now),
                 is_repeat,
             };
-            if !self.rate_limits.allows(&tracker.target, criteria.rank, now) {
+            if !self.permits.allows(&tracker.target, criteria.rank, now) {
                 without_permit.push(candidate);
             } else if best.as_ref().is_none_or(|best| candidate.is_better(best)) {
                 best = Some(candidate);
             }
         }
-        let limits = &mut self.rate_limits;
+        let permits = &mut self.permits;
         if best.is_none() && !has_busy && !without_permit.is_empty() {
-            return pick_limited(limits, &without_permit, criteria, vms, now);
+            return pick_limited(permits, &without_permit, criteria, vms, now);
         }
         if criteria.is_new {
             without_permit.retain(|c| best.as_ref().is_none_or(|best| c.is_better(best)));
-            if let Some(target) = permit_worth_asking(limits, &without_permit, now) {
+            if let Some(target) = permit_worth_asking(permits, &without_permit, criteria.rank, now)
+            {
                 return TargetPick::AwaitPermit(target);
             }
             if let Some(best) = &best {
-                limits.record_demand(&best.tracker.target, now);
+                permits.record_demand(&best.tracker.target, now);
             }
         }
         let is_too_slow = |lowest: f64| {
@@ -228,7 +229,7 @@
 /// Picks one of the targets with a limit for which this VM has no permit, given that there is no
 /// other target: the one for which a permit can be expected first.
 fn pick_limited(
-    limits: &mut LimitTable,
+    permits: &mut PermitTables,
     candidates: &[PickCandidate<'_>],
     criteria: &PickCriteria<'_>,
     vms: u32,
@@ -236,14 +237,14 @@
 ) -> TargetPick {
     let expected = candidates.iter().map(|candidate| {
         let target = &candidate.tracker.target;
-        let expected_at = limits.permit_expected_at(target, criteria.rank, vms, now);
+        let expected_at = permits.permit_expected_at(target, criteria.rank, vms, now);
         (expected_at, target)
     });
     let Some((expected_at, target)) = expected.min_by_key(|(expected_at, _)| *expected_at) else {
         return TargetPick::NoTarget;
     };
     if criteria.is_new {
-        limits.record_demand(target, now);
+        permits.record_demand(target, now);
     }
     TargetPick::AllLimited {
         target: Arc::clone(target),
@@ -254,16 +255,17 @@
 /// Returns the best of the targets for which keepers can be asked for a permit now, all of which suit
 /// a request better than those that it may be sent to.
 fn permit_worth_asking(
-    limits: &mut LimitTable,
+    permits: &mut PermitTables,
     candidates: &[PickCandidate<'_>],
+    rank: RequestRank,
     now: MonoTime,
 ) -> Option<Arc<RelayTarget>> {
     let by_score = |a: &&PickCandidate<'_>, b: &&PickCandidate<'_>| a.score.total_cmp(&b.score);
     let best = candidates.iter().min_by(by_score)?;
-    limits.record_demand(&best.tracker.target, now);
+    permits.record_demand(&best.tracker.target, now);
     let askable = candidates
         .iter()
-        .filter(|candidate| limits.can_ask(&candidate.tracker.target, now));
+        .filter(|candidate| permits.can_ask(&candidate.tracker.target, rank, now));
     let asked = askable.min_by(by_score)?;
     Some(Arc::clone(&asked.tracker.target))
 }
--- a/crates/route/src/relay/sub_request.rs
+++ b/crates/route/src/relay/sub_request.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use fulmarweir_base::MonoTime;
-use fulmarweir_permits::SendPermit;
 
 use super::{
     attempt_budget::AttemptCharge,
     message::{AnswerSource, RelayAttempt, RepeatedSubRequest},
+    permit_tables::AttemptPermits,
     selector::RelayTarget,
 };
 
@@ -33,7 +33,7 @@
     pub(crate) target: Arc<RelayTarget>,
     pub(crate) sent_at: MonoTime,
     pub(crate) charge: AttemptCharge,
-    pub(crate) permit: Option<SendPermit>,
+    pub(crate) permits: AttemptPermits,
     /// Whether the attempt shows if its request ends targets: others wait for it, or one before it
     /// was lost with its target.
     pub(crate) is_trial: bool,
@@ -233,7 +233,7 @@
             target: Arc::clone(target),
             sent_at: now,
             charge: sent.charge,
-            permit: sent.permit,
+            permits: sent.permits,
             is_trial: on_trial || self.crashes > 0,
         });
         self.reached_attempts += 1;
--- a/crates/route/tests/relay_limits.rs
+++ b/crates/route/tests/relay_limits.rs
@@ -204,14 +204,14 @@
     assert!(selector.may_send(
         &only,
         RequestFingerprint::default(),
-        attempt.permit,
+        attempt.permits,
         at(1_001)
     ));
     selector.record_limit(&only, stated(LIMIT), at(900), at(1_002));
     assert!(!selector.may_send(
         &only,
         RequestFingerprint::default(),
-        attempt.permit,
+        attempt.permits,
         at(1_003)
     ));
 }
@@ -225,7 +225,7 @@
     let [RelayAction::Send(attempt), ..] = actions.as_slice() else {
         panic!("not sent: {actions:?}");
     };
-    let (number, permit) = (attempt.attempt, attempt.permit);
+    let (number, permit) = (attempt.attempt, attempt.permits);
     assert!(selector.may_send(&only, RequestFingerprint::default(), permit, at(1_100)));
     assert!(
         !selector.may_send(&only, RequestFingerprint::default(), permit, at(2_000)),
--- a/crates/route/tests/relay_notices.rs
+++ b/crates/route/tests/relay_notices.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    AnswerSource, Locality, NoticeChange, PickCriteria, RefusalReason, RelayAction, RelayAttempt,
-    RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget,
-    RequestFingerprint, RequestOrigin, RequestRank, TargetChoice, TargetNotice, TargetPick,
-    TargetSelector,
+    AnswerSource, AttemptPermits, Locality, NoticeChange, PickCriteria, RefusalReason, RelayAction,
+    RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun,
+    RelayTarget, RequestFingerprint, RequestOrigin, RequestRank, TargetChoice, TargetNotice,
+    TargetPick, TargetSelector,
 };
 
 const DRAIN: Duration = Duration::from_secs(5);
@@ -191,14 +191,44 @@
 fn an_attempt_that_waits_for_a_connection_is_withheld_after_a_notice() {
     let mut selector = selector(targets("s0", &["a", "b"]));
     let (waiting, other) = (target("s0", "a"), target("s0", "b"));
-    assert!(selector.may_send(&waiting, RequestFingerprint::default(), None, at(10)));
+    assert!(selector.may_send(
+        &waiting,
+        RequestFingerprint::default(),
+        AttemptPermits::default(),
+        at(10)
+    ));
     selector.record_notice(&waiting, closed_for(2_000), 0.0, at(10));
-    assert!(!selector.may_send(&waiting, RequestFingerprint::default(), None, at(300)));
-    assert!(selector.may_send(&other, RequestFingerprint::default(), None, at(300)));
-    assert!(selector.may_send(&waiting, RequestFingerprint::default(), None, at(2_010)));
+    assert!(!selector.may_send(
+        &waiting,
+        RequestFingerprint::default(),
+        AttemptPermits::default(),
+        at(300)
+    ));
+    assert!(selector.may_send(
+        &other,
+        RequestFingerprint::default(),
+        AttemptPermits::default(),
+        at(300)
+    ));
+    assert!(selector.may_send(
+        &waiting,
+        RequestFingerprint::default(),
+        AttemptPermits::default(),
+        at(2_010)
+    ));
     selector.record_notice(&waiting, leaving(), 0.0, at(3_000));
-    assert!(selector.may_send(&waiting, RequestFingerprint::default(), None, at(3_100)));
-    assert!(!selector.may_send(&waiting, RequestFingerprint::default(), None, at(8_000)));
+    assert!(selector.may_send(
+        &waiting,
+        RequestFingerprint::default(),
+        AttemptPermits::default(),
+        at(3_100)
+    ));
+    assert!(!selector.may_send(
+        &waiting,
+        RequestFingerprint::default(),
+        AttemptPermits::default(),
+        at(8_000)
+    ));
 }
 
 /// A withheld attempt has not reached its target: the sub-request goes to another one, uncharged.
--- a/crates/route/tests/relay_trial.rs
+++ b/crates/route/tests/relay_trial.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    CrashCall, GroupOutcome, Locality, QuarantineEntry, QuarantineState, RefusalReason,
-    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal,
-    RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup, TargetSelector,
-    UnclearSubRequest,
+    AttemptPermits, CrashCall, GroupOutcome, Locality, QuarantineEntry, QuarantineState,
+    RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup,
+    TargetSelector, UnclearSubRequest,
 };
 
 const SHARDS: usize = 5;
@@ -215,12 +215,22 @@
     let mut selector = selector();
     let (mut run, actions) = RelayRun::start(params(1), &mut selector, at(0));
     let first = sends(&actions).remove(0);
-    assert!(selector.may_send(&first.target, fingerprint(), None, at(1)));
+    assert!(selector.may_send(
+        &first.target,
+        fingerprint(),
+        AttemptPermits::default(),
+        at(1)
+    ));
     let blocked = entry(QuarantineState::Blocked);
     selector.apply_quarantine(keeper(), (1, 1), &[blocked], at(2));
-    assert!(!selector.may_send(&first.target, fingerprint(), None, at(3)));
+    assert!(!selector.may_send(
+        &first.target,
+        fingerprint(),
+        AttemptPermits::default(),
+        at(3)
+    ));
     let other = RequestFingerprint::of("GET", "caller", "/b", b"");
-    assert!(selector.may_send(&first.target, other, None, at(3)));
+    assert!(selector.may_send(&first.target, other, AttemptPermits::default(), at(3)));
     for now_ms in 4..300 {
         let actions = run.on_wake(&mut selector, at(now_ms));
         assert!(sends(&actions).is_empty(), "no hedge");
