Learn at any time which targets are cold

A target's warm-up was read once, when it was first seen. Keepers pass on when a target turns cold or warm unexpectedly now, without a change for each announcement, and VMs read X-Fulmarweir-Cold-Ms in replies. A VM without keepers asks the targets that it uses.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -14,6 +14,7 @@
 mod broker_directory;
 mod budget_log;
 mod caller;
+mod cold_targets;
 mod control;
 mod crash_news;
 mod driver;
--- a/crates/daemon/src/relay/adapter.rs
+++ b/crates/daemon/src/relay/adapter.rs
@@ -53,6 +53,8 @@
     pub retry_after: Option<Duration>,
     /// The rate of requests that the target takes from all VMs together.
     pub limit: StatedLimit,
+    /// Time for which the target is cold, if it says so.
+    pub cold_for: Option<Duration>,
 }
 
 /// A control request of a target or an operator.
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -33,8 +33,9 @@
 };
 
 use super::{
-    adapter::ReplyClass,
+    adapter::{ReplyClass, ReplyNotice},
     attempt_loss::{examine_loss, record_refused_connection},
+    cold_targets::record_cold_reply,
     entry::EntryNode,
     handover::{FinishedHandover, Handover, fetch_rest, hand_over, plan_for_helper},
     handover_message::GroupReply,
@@ -524,22 +525,17 @@
     let class = (node.adapter.classify)(&reply, message.request_id.as_bytes());
     // Any other reply may come from another target than this one.
     if !matches!(class, ReplyClass::Moved | ReplyClass::Invalid) {
+        let is_answer = matches!(class, ReplyClass::Answer { .. });
         let reply_notice = (node.adapter.read_notice)(&reply);
-        notice = notice_of(&node, reply_notice);
-        let stated_limit = reply_notice.limit;
         let request_id = &message.request_id;
-        apply_notice(
+        notice = apply_reply_notice(
             &node,
             request_id,
-            &attempt.target,
-            notice,
-            NoticeSource::Reply,
+            &attempt,
+            reply_notice,
+            is_answer,
+            sent_at,
         );
-        // Only an answer shows that a limit is over; a failure may come from before the target.
-        let is_answer = matches!(class, ReplyClass::Answer { .. });
-        if is_answer || stated_limit != StatedLimit::None {
-            apply_limit(&node, request_id, &attempt.target, stated_limit, sent_at);
-        }
     }
     match class {
         ReplyClass::Answer { load } => {
@@ -563,6 +559,28 @@
     }
 }
 
+/// Applies what the reply to an attempt says about its target; returns what other VMs should know.
+fn apply_reply_notice(
+    node: &EntryNode,
+    request_id: &HeaderValue,
+    attempt: &RelayAttempt,
+    reply_notice: ReplyNotice,
+    is_answer: bool,
+    sent_at: MonoTime,
+) -> TargetNotice {
+    let target = &attempt.target;
+    if let Some(cold_for) = reply_notice.cold_for {
+        record_cold_reply(node, target, cold_for);
+    }
+    let notice = notice_of(node, reply_notice);
+    apply_notice(node, request_id, target, notice, NoticeSource::Reply);
+    // Only an answer shows that a limit is over; a failure may come from before the target.
+    if is_answer || reply_notice.limit != StatedLimit::None {
+        apply_limit(node, request_id, target, reply_notice.limit, sent_at);
+    }
+    notice
+}
+
 /// Builds the HTTP request of one attempt. Returns `None` if a header value is invalid.
 fn build_request(
     node: &EntryNode,
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -25,6 +25,7 @@
     adapter::ProtocolAdapter,
     broker_directory::BrokerDirectory,
     budget_log::BudgetLog,
+    cold_targets::record_warm_ups,
     keeper_poll::{ConfigFetch, KeeperDirectory, RelayPeers},
     limit_log::LimitLog,
     metrics::{RelayMetrics, set_count},
@@ -257,6 +258,7 @@
         let settled = reply.delta.as_ref().is_some_and(|delta| delta.settled);
         let mut changed = false;
         if let Some(delta) = &reply.delta {
+            record_warm_ups(self, keeper, &delta.announcements);
             changed = lock(&self.merged_registry).apply_delta(keeper, delta.clone(), now);
         }
         let brokers = lock(&self.broker_directory).update(keeper, reply.brokers.as_deref(), now);
@@ -445,6 +447,7 @@
         let heard = lock(&self.merged_registry).keepers_heard_within(silence, now);
         set_count(&self.metrics.keepers, heard);
         let lost = heard == 0;
+        lock(&self.selector).set_keepers_lost(lost);
         if self.keepers_lost.swap(lost, Relaxed) == lost {
             return;
         }
@@ -460,12 +463,21 @@
         let serving = lock(&self.merged_registry).serving();
         let table = self.table();
         let count = serving.len();
+        let version = table.as_ref().map_or(0, |table| table.version);
+        let cold_rate = |announcement: &TargetAnnouncement| {
+            let rule = table.as_ref()?.warm_up(&announcement.service)?;
+            Some((Arc::clone(&announcement.service), rule.per_second))
+        };
+        let cold_rates: HashMap<Arc<str>, f64> = serving.iter().filter_map(cold_rate).collect();
         let targets = serving
             .into_iter()
             .map(|announcement| self.relay_target(announcement))
             .collect();
         let limit = |service: &str| table.as_ref()?.connections_max(service);
-        self.with_selector(|selector| selector.sync(targets, limit, self.timer.now()));
+        self.with_selector(|selector| {
+            selector.set_cold_rates(version, cold_rates);
+            selector.sync(targets, limit, self.timer.now());
+        });
         lock(&self.shard_groups).clear();
         set_count(&self.metrics.targets, count);
         self.state_changed.notify_waiters();
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -209,7 +209,7 @@
             info!(self.log, "target-announced"; "target" => &*announcement.id,
                 "service" => &*announcement.service, "address" => %announcement.address,
                 "state" => ?announcement.state, "sequence" => announcement.sequence,
-                "born_ms" => announcement.born_ms);
+                "born_ms" => announcement.born_ms, "cold_ms" => announcement.warm_up_ms);
             self.notify_changes();
         }
     }
--- a/crates/daemon/src/relay/links.rs
+++ b/crates/daemon/src/relay/links.rs
@@ -215,7 +215,10 @@
 }
 
 /// Returns a request that any target replies to, whatever it serves.
-fn health_request(node: &EntryNode, target: &LinkTarget) -> Option<Request<Full<Bytes>>> {
+pub(super) fn health_request(
+    node: &EntryNode,
+    target: &LinkTarget,
+) -> Option<Request<Full<Bytes>>> {
     let table = node.table()?;
     let path = table.health_path(&target.service)?;
     let mut request = Request::new(Full::default());
--- a/crates/daemon/src/relay/permits.rs
+++ b/crates/daemon/src/relay/permits.rs
@@ -23,6 +23,13 @@
 /// Time limit of one call, in milliseconds: a round trip between regions, and some lag.
 const CALL_TIMEOUT_MS: u64 = 400;
 
+/// Whose ledger a call is of.
+#[derive(Clone, Copy, Debug)]
+enum RateOwner {
+    Tenants,
+    ColdTargets,
+}
+
 /// Asks keepers for permits as requests need them, until stopped.
 pub(super) async fn run_permits(node: Arc<EntryNode>, stop: CancellationToken) {
     let period = Duration::from_millis(PERIOD_MS);
@@ -37,7 +44,11 @@
         if keepers.is_empty() {
             lock(&node.selector).grant_alone(passed, rand::random, now);
         }
-        let vms = lock(&node.selector).highest_vm_count();
+        let vms = {
+            let mut selector = lock(&node.selector);
+            selector.grant_cold_alone(passed, rand::random, now);
+            selector.highest_vm_count()
+        };
         if let Some(vms) = vms {
             node.rates.grant_alone(vms, passed, now);
         }
@@ -46,18 +57,32 @@
             limit_calls.push(ask_for_limits(&node, call));
         }
         for call in node.rates.due_calls(&keepers, now) {
-            rate_calls.push(ask_for_rates(&node, call));
+            rate_calls.push(ask_for_rates(&node, call, RateOwner::Tenants));
+        }
+        for call in lock(&node.selector).due_cold_calls(&keepers, now) {
+            rate_calls.push(ask_for_rates(&node, call, RateOwner::ColdTargets));
         }
-        let limits_period = lock(&node.selector).needs_permits().then_some(period);
-        let due = [limits_period, node.rates.poll_after()];
+        let (limits_period, cold_period) = {
+            let selector = lock(&node.selector);
+            let limits_period = selector.needs_permits().then_some(period);
+            (limits_period, selector.cold_poll_after())
+        };
+        let due = [limits_period, cold_period, node.rates.poll_after()];
         let due = due.into_iter().flatten().fold(idle_period, Duration::min);
         tokio::select! {
             () = stop.cancelled() => return,
             Some((call, grants)) = limit_calls.next() => {
                 apply_limit_reply(&node, &call, grants.as_deref());
             }
-            Some((call, grants)) = rate_calls.next() => {
-                node.rates.apply_reply(&call, grants.as_deref());
+            Some((owner, call, grants)) = rate_calls.next() => {
+                match owner {
+                    RateOwner::Tenants => node.rates.apply_reply(&call, grants.as_deref()),
+                    RateOwner::ColdTargets => {
+                        let now = node.timer.now();
+                        let grants = grants.as_deref();
+                        lock(&node.selector).apply_cold_reply(&call, grants, now);
+                    }
+                }
                 count_rate_permits(&node, &call, grants.as_deref());
             }
             () = node.permits_wanted.notified() => {}
@@ -78,13 +103,17 @@
     (call, grants)
 }
 
-async fn ask_for_rates(node: &EntryNode, call: RateCall) -> (RateCall, Option<Vec<RateGrant>>) {
+async fn ask_for_rates(
+    node: &EntryNode,
+    call: RateCall,
+    owner: RateOwner,
+) -> (RateOwner, RateCall, Option<Vec<RateGrant>>) {
     let request = VmRequest::Rates(node.settings.peer_address(), call.asks.clone());
     let grants = match ask_keeper(node, call.keeper, request, call.asks.len()).await {
         Some(VmReply::Rates(grants)) if grants.len() == call.asks.len() => Some(grants),
         _ => None,
     };
-    (call, grants)
+    (owner, call, grants)
 }
 
 /// Returns the reply of a keeper to a call for `asks` keys or targets.
--- a/crates/daemon/src/relay/target_notices.rs
+++ b/crates/daemon/src/relay/target_notices.rs
@@ -22,7 +22,7 @@
 }
 
 impl NoticeSource {
-    fn label(self) -> String {
+    pub(super) fn label(self) -> String {
         match self {
             Self::Reply => "reply".to_owned(),
             Self::Broker(address) => format!("broker:{address}"),
--- a/crates/daemon/src/relay/tasks.rs
+++ b/crates/daemon/src/relay/tasks.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    cold_targets::check_cold_targets,
     entry::EntryNode,
     keeper_poll::{DirectoryOwner, KeeperPoller, PollHooks, RelayPeers, run_polls},
     links::check_links,
@@ -150,5 +151,6 @@
         let delay = node.timer.now().since(due);
         lock(&node.lag).record(delay);
         check_links(&node);
+        check_cold_targets(&node);
     }
 }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -21,6 +21,11 @@
 const RESTORED_LEASE_PERIODS: u32 = 2;
 /// Time for which a tombstone is kept; longer than any lease and any delayed announcement.
 const TOMBSTONE_RETENTION_MS: u64 = 60_000;
+/// Time by which the end of a target's warm-up must change to be passed on, in milliseconds.
+const WARM_UP_CHANGE_MIN_MS: u64 = 1_000;
+/// A longer warm-up is passed on once less than this time of the one that readers know is left, in
+/// milliseconds: two announcements and some lag.
+const WARM_UP_RENEWED_BEFORE_MS: u64 = 3_000;
 /// Maximum number of lapsed leases kept for readers; readers further behind get all targets.
 const LAPSES_MAX: usize = 1024;
 
@@ -64,6 +69,26 @@
     announcement: TargetAnnouncement,
     lapses_at: MonoTime,
     revision: u64,
+    /// Until when the target is cold, as readers know it.
+    told_cold_until: MonoTime,
+}
+
+impl HeldAnnouncement {
+    /// Whether readers must be told that the target is cold for a time that differs from what they
+    /// know.
+    ///
+    /// Load pattern: thousands of targets announce every 1.2 s how long they are still cold, and only
+    /// what cannot be derived from earlier announcements is worth a change.
+    fn has_other_warm_up(&self, warm_up_ms: u32, now: MonoTime) -> bool {
+        let cold_until = now + Duration::from_millis(warm_up_ms.into());
+        let change = Duration::from_millis(WARM_UP_CHANGE_MIN_MS);
+        let renewed_before = Duration::from_millis(WARM_UP_RENEWED_BEFORE_MS);
+        let told = self.told_cold_until.max(now);
+        let turns_cold = told == now && warm_up_ms > 0;
+        let is_shorter = cold_until + change < told;
+        let is_longer = cold_until > told + change && told < now + renewed_before;
+        turns_cold || is_shorter || is_longer
+    }
 }
 
 /// The targets that announce to one keeper, with their leases.
@@ -145,8 +170,12 @@
                 return AnnounceOutcome::Stale;
             }
             held.lapses_at = now + self.lease;
-            if !held.announcement.differs_from(&announcement) {
+            let is_same = !held.announcement.differs_from(&announcement)
+                && !held.has_other_warm_up(announcement.warm_up_ms, now);
+            if is_same {
+                // Readers that get all targets learn how long they are cold from now on.
                 held.announcement.sequence = announcement.sequence;
+                held.announcement.warm_up_ms = announcement.warm_up_ms;
                 return AnnounceOutcome::Renewed;
             }
         }
@@ -260,6 +289,7 @@
         let held = HeldAnnouncement {
             lapses_at: now + retention,
             revision: self.revision,
+            told_cold_until: now + Duration::from_millis(announcement.warm_up_ms.into()),
             announcement,
         };
         self.held.insert(Arc::clone(&held.announcement.id), held);
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -254,3 +254,62 @@
     assert!(delta.whole);
     assert_eq!(delta.announcements.len(), 1);
 }
+
+fn cold(sequence: u64, warm_up_ms: u32) -> TargetAnnouncement {
+    TargetAnnouncement {
+        warm_up_ms,
+        ..announcement("a", 1, 1, sequence)
+    }
+}
+
+/// Guards against a change for each announcement while a target warms up as expected.
+#[test]
+fn a_warm_up_that_goes_on_as_expected_is_no_change() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(cold(1, 10_000), at(0));
+    for (sequence, now_ms) in (2..).zip((1_200..10_000).step_by(1_200)) {
+        let left_ms = 10_000 - now_ms;
+        let announced = cold(sequence, u32::try_from(left_ms).unwrap());
+        let outcome = registry.announce(announced, at(now_ms));
+        assert_eq!(outcome, AnnounceOutcome::Renewed, "at {now_ms}");
+    }
+    let whole = registry.changes_since(None);
+    assert_eq!(
+        whole.announcements[0].warm_up_ms, 400,
+        "not the first value"
+    );
+}
+
+/// Guards against VMs that flood a target which has become cold without a restart.
+#[test]
+fn a_target_that_turns_cold_or_warm_unexpectedly_is_a_change() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(cold(1, 0), at(0));
+    assert_eq!(
+        registry.announce(cold(2, 0), at(1_000)),
+        AnnounceOutcome::Renewed
+    );
+    let turned = registry.announce(cold(3, 9_000), at(2_000));
+    assert_eq!(turned, AnnounceOutcome::Changed);
+    let warm = registry.announce(cold(4, 0), at(3_000));
+    assert_eq!(warm, AnnounceOutcome::Changed, "8 s earlier than told");
+}
+
+/// Guards against a target that counts as warm between the end that was told and the next one.
+#[test]
+fn a_longer_warm_up_is_passed_on_before_the_earlier_one_ends() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(cold(1, 5_000), at(0));
+    assert_eq!(
+        registry.announce(cold(2, 5_000), at(1_200)),
+        AnnounceOutcome::Renewed
+    );
+    assert_eq!(
+        registry.announce(cold(3, 5_000), at(2_400)),
+        AnnounceOutcome::Changed
+    );
+    assert_eq!(
+        registry.announce(cold(4, 5_000), at(3_600)),
+        AnnounceOutcome::Renewed
+    );
+}
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -354,16 +354,39 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> RequestProbe {
+        let reply = self.request_head(address, request).await;
+        reply.map_or_else(|probe| probe, |_| RequestProbe::Replied)
+    }
+
+    /// Sends `request` on a connection of its own and returns the status and the headers of the reply.
+    /// The body is left empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns what became of the request if no reply came in time.
+    pub async fn request_head(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<RelayReply, RequestProbe> {
         let end = self.timer.now() + Duration::from_millis(REQUEST_PROBE_TIMEOUT_MS);
         let time_left = || end.since(self.timer.now());
         let connected = timeout(time_left(), self.connect(address)).await;
         let Ok(Ok(NewConnection { mut sender, .. })) = connected else {
-            return RequestProbe::Unreached;
+            return Err(RequestProbe::Unreached);
         };
         match timeout(time_left(), sender.send(request)).await {
-            Ok(Ok(_)) => RequestProbe::Replied,
-            Ok(Err(_)) => RequestProbe::Unreached,
-            Err(_) => RequestProbe::Connected,
+            Ok(Ok(response)) => {
+                let (head, _) = response.into_parts();
+                Ok(RelayReply {
+                    status: head.status,
+                    headers: head.headers,
+                    body: Bytes::new(),
+                    on_reused_connection: false,
+                })
+            }
+            Ok(Err(_)) => Err(RequestProbe::Unreached),
+            Err(_) => Err(RequestProbe::Connected),
         }
     }
 
--- a/crates/route/src/relay/selector/permits.rs
+++ b/crates/route/src/relay/selector/permits.rs
@@ -116,7 +116,16 @@
 
     /// Records what a target has told of its warm-up; returns until when it is cold, if that is news.
     pub fn record_warm_up(&mut self, report: &WarmUpReport, now: MonoTime) -> Option<MonoTime> {
-        self.permits.cold.record(report, now)
+        let cold_until = self.permits.cold.record(report, now)?;
+        for state in self.services.values_mut() {
+            let is_same = |tracker: &&mut TargetTracker| {
+                tracker.target.id == report.target && tracker.target.born_ms == report.born_ms
+            };
+            if let Some(tracker) = state.trackers.iter_mut().find(is_same) {
+                tracker.warm_up_until = cold_until;
+            }
+        }
+        Some(cold_until)
     }
 
     /// Records whether no keeper tells which targets are cold.
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -131,7 +131,7 @@
     refused_until: MonoTime,
     down_until: MonoTime,
     connect_failures: u32,
-    warm_up_until: MonoTime,
+    pub(crate) warm_up_until: MonoTime,
     /// What the target has told this VM about itself.
     pub(crate) notice: NoticeState,
     /// Whether another target now listens at the address.
