--- a/crates/daemon/src/relay/recorded_frames.rs
+++ b/crates/daemon/src/relay/recorded_frames.rs
@@ -177,6 +177,7 @@
 
 fn handover_request() -> HandoverRequest {
     HandoverRequest {
+        has_homes: false,
         origin: "entry-7".into(),
         config_version: 31,
         route: "find".into(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -53,8 +53,8 @@
 pub use hits::{HitScore, HitsError, SearchHit, merge_hits, parse_hits, write_hits};
 pub use refusal::{RefusalReason, RouteRefusal};
 pub use relay::{
-    AnswerReport, AnswerSource, AttemptCharge, AttemptCounts, AttemptSignal, BrokerEndpoint,
-    BrokerSelector, BudgetSnapshot, CrashCall, CrashNews, CrashReport, CrashTally,
+    AnswerReport, AnswerSource, AttemptCharge, AttemptCounts, AttemptPermits, AttemptSignal,
+    BrokerEndpoint, BrokerSelector, BudgetSnapshot, CrashCall, CrashNews, CrashReport, CrashTally,
     EvacuationChange, GRANTORS_MAX, GroupOutcome, GroupRemainder, HandoverOutcome, LatencyTable,
     LimitChange, LimitReport, LimitedCounts, LimitedLoad, LinkChange, LinkExamination, LinkState,
     LinkSuspicion, LinkTarget, LinkTask, LinkWatch, Locality, NoticeChange, PermitAsk, PermitAsker,
@@ -63,7 +63,7 @@
     RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget, RepeatedSubRequest,
     RequestFingerprint, RequestOrigin, RequestRank, SendPermit, SendRule, ShardGroup, StatedLimit,
     TargetChoice, TargetNotice, TargetPick, TargetSelector, TargetSnapshot, UnclearSubRequest,
-    merge_records,
+    WarmUpReport, merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchOutcome, SearchParams, SearchRun};
 pub use service::{
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -28,6 +28,8 @@
     TargetsClosed,
     /// Targets take only a limited rate of requests, and others come first.
     TargetsLimited,
+    /// Targets are cold and tolerate only a limited rate of requests, and others come first.
+    ColdRate,
     /// The request has ended the targets that ran it, so none gets it for a time.
     Quarantined,
     /// This VM has lost its links to targets, and no other VM takes the request.
@@ -42,7 +44,7 @@
 
 impl RefusalReason {
     /// Every reason, for metrics that export all labels from the start.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::QueueFull,
         Self::TooLate,
         Self::MinVersion,
@@ -52,6 +54,7 @@
         Self::TargetsRefused,
         Self::TargetsClosed,
         Self::TargetsLimited,
+        Self::ColdRate,
         Self::Quarantined,
         Self::LinksLost,
         Self::HomeBound,
@@ -72,6 +75,7 @@
             Self::TargetsRefused => "targets-refused",
             Self::TargetsClosed => "targets-closed",
             Self::TargetsLimited => "targets-limited",
+            Self::ColdRate => "cold-rate",
             Self::Quarantined => "request-quarantined",
             Self::LinksLost => "links-lost",
             Self::HomeBound => "home-bound",
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -8,6 +8,7 @@
 mod attempt_budget;
 mod broker_selector;
 mod burst_share;
+mod cold_table;
 mod crash;
 mod evacuation_gate;
 mod latency_table;
@@ -19,6 +20,7 @@
 mod message;
 mod notice_table;
 mod permit_grantor;
+mod permit_tables;
 mod placement;
 mod run;
 mod selector;
@@ -31,6 +33,7 @@
 pub use self::{
     attempt_budget::{AttemptCharge, AttemptCounts, BudgetSnapshot},
     broker_selector::{BrokerEndpoint, BrokerSelector, HandoverOutcome},
+    cold_table::WarmUpReport,
     crash::{
         AnswerReport, CrashCall, CrashNews, CrashReport, CrashTally, QuarantineEntry,
         QuarantineState, QuarantineTable, RequestFingerprint, SendRule,
@@ -49,6 +52,7 @@
     },
     notice_table::{NoticeChange, TargetNotice},
     permit_grantor::{PermitAsk, PermitGrant, PermitGrantor},
+    permit_tables::AttemptPermits,
     placement::PlacementRule,
     run::RelayRun,
     selector::{
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -81,14 +81,21 @@
 
     /// Returns why too few services have a target that accepts requests.
     pub(super) fn closed_reason(&self, selector: &TargetSelector, now: MonoTime) -> RefusalReason {
-        let is_limited = |sub_request: &SubRequest| {
-            selector.has_limited_target(&sub_request.service, &self.params.placement, now)
-                && self
-                    .closed_until(&sub_request.service, selector, now)
-                    .is_some()
+        let is_closed = |sub_request: &&SubRequest| {
+            let service = &sub_request.service;
+            self.closed_until(service, selector, now).is_some()
         };
-        if self.sub_requests.iter().any(is_limited) {
+        let placement = &self.params.placement;
+        let mut closed = self.sub_requests.iter().filter(is_closed);
+        if closed
+            .clone()
+            .any(|sub_request| selector.has_limited_target(&sub_request.service, placement, now))
+        {
             RefusalReason::TargetsLimited
+        } else if closed
+            .any(|sub_request| selector.has_cold_target(&sub_request.service, placement, now))
+        {
+            RefusalReason::ColdRate
         } else {
             RefusalReason::TargetsClosed
         }
@@ -268,7 +275,11 @@
         if reason == RefusalReason::Evacuated {
             retry_after = retry_after.max(Duration::from_millis(EVACUATED_RETRY_MS));
         }
-        if reason == RefusalReason::TargetsLimited {
+        let is_rate = matches!(
+            reason,
+            RefusalReason::TargetsLimited | RefusalReason::ColdRate
+        );
+        if is_rate {
             retry_after = self.turn_after(retry_after, selector, now);
         }
         if reason == RefusalReason::HomeBound {
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -137,7 +137,7 @@
     unreached_attempts: u32,
     /// Until when another attempt is not expected to find one.
     unreached_until: MonoTime,
-    warm_up_until: MonoTime,
+    pub(crate) warm_up_until: MonoTime,
     /// What the target has told this VM about itself.
     pub(crate) notice: NoticeState,
     /// Whether another target now listens at the address.
--- a/crates/route/tests/relay_homes.rs
+++ b/crates/route/tests/relay_homes.rs
@@ -7,10 +7,10 @@
     ExtraAttemptLimits, RouteDestination, RouteRule, TenantRule, WeightedService,
 };
 use fulmarweir_route::{
-    AttemptSignal, BrokerEndpoint, BrokerSelector, GroupOutcome, LinkExamination, LinkTask,
-    Locality, PlacementRule, RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome,
-    RelayOutcome, RelayParams, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin,
-    TargetSelector,
+    AttemptPermits, AttemptSignal, BrokerEndpoint, BrokerSelector, GroupOutcome, LinkExamination,
+    LinkTask, Locality, PlacementRule, RefusalReason, RelayAction, RelayAttempt,
+    RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRun, RelayTarget, RequestFingerprint,
+    RequestOrigin, TargetSelector,
 };
 
 fn at(millis: u64) -> MonoTime {
@@ -177,8 +177,14 @@
     let outside = target("s0", "south", Locality::Far);
     let mut selector = selector(vec![outside.clone()]);
     let fingerprint = RequestFingerprint::default();
-    let mut may_send =
-        |rule: &PlacementRule| selector.may_send(&outside, (fingerprint, rule), None, at(1));
+    let mut may_send = |rule: &PlacementRule| {
+        selector.may_send(
+            &outside,
+            (fingerprint, rule),
+            AttemptPermits::default(),
+            at(1),
+        )
+    };
     assert!(!may_send(&rule(&["north"], &[])));
     assert!(may_send(&rule(&["south"], &[])));
     assert!(may_send(&PlacementRule::default()));
--- a/crates/route/tests/relay_notices.rs
+++ b/crates/route/tests/relay_notices.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    AnswerSource, Locality, NoticeChange, PickCriteria, PlacementRule, RefusalReason, RelayAction,
-    RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun,
-    RelayTarget, RequestFingerprint, RequestOrigin, RequestRank, TargetChoice, TargetNotice,
-    TargetPick, TargetSelector,
+    AnswerSource, AttemptPermits, Locality, NoticeChange, PickCriteria, PlacementRule,
+    RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
+    RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, RequestRank,
+    TargetChoice, TargetNotice, TargetPick, TargetSelector,
 };
 
 const DRAIN: Duration = Duration::from_secs(5);
@@ -197,39 +197,39 @@
     assert!(selector.may_send(
         &waiting,
         (RequestFingerprint::default(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(10)
     ));
     selector.record_notice(&waiting, closed_for(2_000), 0.0, at(10));
     assert!(!selector.may_send(
         &waiting,
         (RequestFingerprint::default(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(300)
     ));
     assert!(selector.may_send(
         &other,
         (RequestFingerprint::default(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(300)
     ));
     assert!(selector.may_send(
         &waiting,
         (RequestFingerprint::default(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(2_010)
     ));
     selector.record_notice(&waiting, leaving(), 0.0, at(3_000));
     assert!(selector.may_send(
         &waiting,
         (RequestFingerprint::default(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(3_100)
     ));
     assert!(!selector.may_send(
         &waiting,
         (RequestFingerprint::default(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(8_000)
     ));
 }
--- a/crates/route/tests/relay_trial.rs
+++ b/crates/route/tests/relay_trial.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::MonoTime;
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    CrashCall, GroupOutcome, Locality, PlacementRule, QuarantineEntry, QuarantineState,
-    RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
-    RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin, ShardGroup,
-    TargetSelector, UnclearSubRequest,
+    AttemptPermits, CrashCall, GroupOutcome, Locality, PlacementRule, QuarantineEntry,
+    QuarantineState, RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
+    RelayParams, RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, RequestOrigin,
+    ShardGroup, TargetSelector, UnclearSubRequest,
 };
 
 const SHARDS: usize = 5;
@@ -220,7 +220,7 @@
     assert!(selector.may_send(
         &first.target,
         (fingerprint(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(1)
     ));
     let blocked = entry(QuarantineState::Blocked);
@@ -228,14 +228,14 @@
     assert!(!selector.may_send(
         &first.target,
         (fingerprint(), &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(3)
     ));
     let other = RequestFingerprint::of("GET", "caller", "/b", b"");
     assert!(selector.may_send(
         &first.target,
         (other, &PlacementRule::default()),
-        None,
+        AttemptPermits::default(),
         at(3)
     ));
     for now_ms in 4..300 {
