--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -84,6 +84,8 @@
     ask_at: HashMap<SocketAddr, MonoTime>,
     /// Permits to give back to each keeper.
     returns: HashMap<SocketAddr, u32>,
+    /// Whether permits have arrived that may not be needed.
+    has_arrivals: bool,
     used_at: MonoTime,
 }
 
@@ -96,6 +98,7 @@
             pending: HashMap::new(),
             ask_at: HashMap::new(),
             returns: HashMap::new(),
+            has_arrivals: false,
             used_at: now,
         }
     }
@@ -128,21 +131,26 @@
         wanted.saturating_sub(fresh.map(|ask| ask.wanted).sum())
     }
 
-    /// Returns which keepers to ask now, and for how many permits.
-    fn due_asks(&self, keepers: &[SocketAddr], now: MonoTime) -> Vec<(SocketAddr, u32)> {
-        let Some(nearest) = keepers.first().copied() else {
-            return Vec::new();
-        };
-        if self.may_ask(nearest, now) {
-            let wanted = self.missing(NEAR_ROUND_TRIP_MS, now);
-            return Vec::from_iter((wanted > 0).then_some((nearest, wanted)));
-        }
-        let pending = self.pending.get(&nearest);
-        if pending.is_some_and(|ask| !ask.is_overdue(now)) {
-            return Vec::new();
+    /// Returns which keepers to ask now, and for how many permits. `nearest` is the nearest keeper,
+    /// if it can be asked.
+    fn due_asks(
+        &self,
+        keepers: &[SocketAddr],
+        nearest: Option<SocketAddr>,
+        now: MonoTime,
+    ) -> Vec<(SocketAddr, u32)> {
+        if let Some(nearest) = nearest {
+            if self.may_ask(nearest, now) {
+                let wanted = self.missing(NEAR_ROUND_TRIP_MS, now);
+                return Vec::from_iter((wanted > 0).then_some((nearest, wanted)));
+            }
+            let pending = self.pending.get(&nearest);
+            if pending.is_some_and(|ask| !ask.is_overdue(now)) {
+                return Vec::new();
+            }
         }
         let missing = self.missing(FAR_ROUND_TRIP_MS, now);
-        let mut due: Vec<SocketAddr> = keepers[1..].to_vec();
+        let mut due: Vec<SocketAddr> = keepers.to_vec();
         due.retain(|keeper| self.may_ask(*keeper, now));
         if self.queue.waiting(now) == 0 {
             // What is asked for in advance is not worth a call to each keeper.
@@ -163,6 +171,16 @@
         }
     }
 
+    /// Takes permits out of use that have just arrived and are unlikely to be needed.
+    ///
+    /// Several keepers are asked at once for a request that one permit is enough for. If the others
+    /// were kept for a part of their time, small quotas would seem used up meanwhile.
+    fn collect_surplus(&mut self, now: MonoTime) {
+        for keeper in self.queue.take_surplus(&self.policy, now) {
+            *self.returns.entry(keeper).or_default() += 1;
+        }
+    }
+
     fn is_idle(&self, now: MonoTime) -> bool {
         let is_unused = now.since(self.used_at) >= Duration::from_millis(IDLE_TTL_MS);
         is_unused && self.pending.is_empty() && self.returns.is_empty() && self.queue.is_idle(now)
@@ -250,7 +268,13 @@
     #[must_use]
     pub fn state(&self, key: &RateKey, now: MonoTime) -> RateState {
         if self.is_alone() {
-            return RateState::Unreachable;
+            // Without requests that wait, no call would find out that a keeper replies again.
+            let may_retry = |keeper| self.failed.get(keeper).is_some_and(|at| *at <= now);
+            return if self.keepers.iter().any(may_retry) {
+                RateState::Pending
+            } else {
+                RateState::Unreachable
+            };
         }
         self.denied_until(key, now)
             .map_or(RateState::Pending, |until| RateState::Denied { until })
@@ -359,6 +383,10 @@
                 grantor: Some(call.keeper),
             };
             entry.queue.add(batch, now);
+            entry.has_arrivals = granted > 0;
+            if entry.has_arrivals {
+                self.urgent.insert(ask.key.clone());
+            }
         }
     }
 
@@ -441,12 +469,19 @@
             self.urgent.remove(key);
             return;
         };
+        let has_arrivals = std::mem::take(&mut entry.has_arrivals);
+        if has_arrivals {
+            entry.collect_surplus(now);
+        }
         if is_sweep {
             entry.collect_unused(now);
             entry.returns.retain(|keeper, _| keepers.contains(keeper));
         }
-        let mut due = entry.due_asks(keepers, now);
-        if is_sweep {
+        // A request is held for one round trip to another data centre, not for two.
+        let nearest = self.keepers.first().copied();
+        let nearest = nearest.filter(|keeper| !self.failed.contains_key(keeper));
+        let mut due = entry.due_asks(keepers, nearest, now);
+        if is_sweep || has_arrivals {
             for keeper in entry.returns.keys() {
                 let is_free = !entry.pending.contains_key(keeper);
                 if is_free && due.iter().all(|(asked, _)| asked != keeper) {
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -15,6 +15,7 @@
 mod ledger;
 mod policy;
 mod queue;
+mod quota;
 
 pub use bucket::{GrantBucket, PermitAsker};
 pub use grantor::RateGrantor;
@@ -22,3 +23,4 @@
 pub use ledger::{RateCall, RateLedger, RateState};
 pub use policy::{GRANTORS_MAX, RatePolicy};
 pub use queue::{PermitBatch, PermitQueue, RequestRank, SendPermit, WaitTimes};
+pub use quota::{QuotaDecision, QuotaGate, QuotaRequest, hold_limit};
--- a/crates/permits/src/queue.rs
+++ b/crates/permits/src/queue.rs
@@ -219,6 +219,20 @@
         in_advance
     }
 
+    /// Removes the permits beyond those that the present demand uses before they expire, and returns
+    /// the keepers that can credit them.
+    pub(crate) fn take_surplus(&mut self, policy: &RatePolicy, now: MonoTime) -> Vec<SocketAddr> {
+        let demand = self.demand.get(DEMAND_TIME_CONSTANT_MS, now);
+        let until_expiry = RatePolicy {
+            advance: policy.permit_ttl,
+            ..*policy
+        };
+        if demand * policy.permit_ttl.as_secs_f64() >= 1.0 {
+            return Vec::new();
+        }
+        self.take_unused(&until_expiry, policy.permit_ttl, now)
+    }
+
     /// Removes the permits that are not going to be used, and returns the keepers that can credit
     /// them: those that have expired, and those beyond what is needed that expire within `last`.
     pub(crate) fn take_unused(
