--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -23,4 +23,4 @@
 pub use ledger::{RateCall, RateLedger, RateState};
 pub use policy::{GRANTORS_MAX, RatePolicy};
 pub use queue::{PermitBatch, PermitQueue, RequestRank, SendPermit, WaitTimes};
-pub use quota::{QuotaDecision, QuotaGate, QuotaRequest, hold_limit};
+pub use quota::{RetryPlanner, hold_limit};
--- a/crates/permits/src/queue.rs
+++ b/crates/permits/src/queue.rs
@@ -219,28 +219,9 @@
         in_advance
     }
 
-    /// Removes the permits beyond those that the present demand uses before they expire, and returns
-    /// the keepers that can credit them.
-    pub(crate) fn take_surplus(&mut self, policy: &RatePolicy, now: MonoTime) -> Vec<SocketAddr> {
-        let demand = self.demand.get(DEMAND_TIME_CONSTANT_MS, now);
-        let until_expiry = RatePolicy {
-            advance: policy.permit_ttl,
-            ..*policy
-        };
-        if demand * policy.permit_ttl.as_secs_f64() >= 1.0 {
-            return Vec::new();
-        }
-        self.take_unused(&until_expiry, policy.permit_ttl, now)
-    }
-
-    /// Removes the permits that are not going to be used, and returns the keepers that can credit
-    /// them: those that have expired, and those beyond what is needed that expire within `last`.
-    pub(crate) fn take_unused(
-        &mut self,
-        policy: &RatePolicy,
-        last: Duration,
-        now: MonoTime,
-    ) -> Vec<SocketAddr> {
+    /// Removes the permits that have expired and those beyond what is needed, and returns the keepers
+    /// that can credit them.
+    pub(crate) fn take_unused(&mut self, policy: &RatePolicy, now: MonoTime) -> Vec<SocketAddr> {
         let needed = self
             .in_advance(policy, now)
             .saturating_add(self.waiting(now));
@@ -248,7 +229,8 @@
         let mut unused = Vec::new();
         self.permits.retain(|permit| {
             let is_valid = permit.is_valid(now);
-            let is_excess = is_valid && excess > 0 && permit.expires_at <= now + last;
+            // A permit without a grantor can't be given back, and callers are too few to meet it at once.
+            let is_excess = is_valid && excess > 0 && permit.grantor.is_some();
             excess -= u32::from(is_excess);
             if !is_valid || is_excess {
                 unused.extend(permit.grantor);
