Admit requests of tenants within their quotas

The stage quota takes one permit for each request of a tenant with a quota, after the check for overload. A refused request gets 429, with a time to return that differs between callers, or 503 if no keeper has decided within the hold. A request that was refused without having run gives its permit back.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -33,11 +33,8 @@
 mod permits;
 mod quarantine_api;
 mod quarantine_log;
+mod quota;
 mod rate_grants;
-#[allow(
-    dead_code,
-    reason = "requests of tenants, which acquire permits, are added separately"
-)]
 mod rate_permits;
 mod reload;
 mod request_account;
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -18,7 +18,8 @@
     driver::RelayMessage,
     entry::EntryNode,
     identify::{identify_caller, identity_refusal, priority_of, set_tenant_headers},
-    request_account::{EarlyRequest, RequestTimes, refuse_early},
+    quota::admit_within_quota,
+    request_account::{EarlyRequest, RequestTimes, refuse_early, refuse_for_quota},
     response::{RelayResponse, retry_later, text},
     routed::{RoutedRequest, run_routed},
 };
@@ -115,6 +116,16 @@
         };
         return Err(refuse_early(node, &routed, "vm-overloaded", response));
     }
+    let subject = (&request_id, rule.latency_objective);
+    let admitted = admit_within_quota(node, &table, tenant.as_deref(), subject).await;
+    let permit = admitted.map_err(|refusal| {
+        let routed = EarlyRequest {
+            route: &rule.name,
+            tenant: tenant.as_deref(),
+            ..unrouted
+        };
+        refuse_for_quota(node, &routed, refusal)
+    })?;
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
     set_tenant_headers(node, &identity, &mut headers);
@@ -137,7 +148,7 @@
         message: Arc::new(message),
         times,
     };
-    Ok(run_routed(node, routed).await)
+    Ok(run_routed(node, routed, permit).await)
 }
 
 /// Reads a request body of at most `limit` bytes. Rejects it unread if `Content-Length` exceeds
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -15,7 +15,7 @@
 use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayReply};
 use fulmarweir_route::{
     GroupOutcome, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
-    RelayRun, RelayTarget, RequestFingerprint, StatedLimit, TargetNotice,
+    RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, StatedLimit, TargetNotice,
 };
 use futures::{
     FutureExt, StreamExt,
@@ -116,6 +116,12 @@
 }
 
 impl RelayResult {
+    /// Whether the request was refused and has run nowhere.
+    pub(crate) fn has_not_run(&self) -> bool {
+        let is_not_run = |refusal: &RelayRefusal| refusal.verdict == RunVerdict::NotRun;
+        matches!(&self.outcome, RelayOutcome::Refused(refusal) if is_not_run(refusal))
+    }
+
     /// Returns the label of the outcome for logs and metrics.
     pub(crate) fn outcome_label(&self, is_search: bool) -> &'static str {
         match &self.outcome {
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -29,6 +29,7 @@
     limit_log::LimitLog,
     metrics::{RelayMetrics, set_count},
     overload::LoopLag,
+    quota::QuotaStage,
     rate_permits::RatePermits,
     request_log::RequestLog,
     rest_table::RestTable,
@@ -109,6 +110,7 @@
     pub(crate) probed_again: Mutex<HashSet<SocketAddr>>,
     /// Wakes the task that asks keepers for permits.
     pub(crate) permits_wanted: Arc<Notify>,
+    pub(crate) quota: QuotaStage,
     /// Permits for rates over all VMs.
     pub(crate) rates: RatePermits,
     /// Wakes the task that tells keepers of lost requests.
@@ -164,6 +166,7 @@
             limits_revisions: Mutex::default(),
             quarantine_revisions: Mutex::default(),
             probed_again: Mutex::default(),
+            quota: QuotaStage::default(),
             rates: RatePermits::new(timer.clone(), Arc::clone(&permits_wanted)),
             permits_wanted,
             crash_news: Notify::new(),
@@ -432,6 +435,7 @@
         self.log_target_count();
         self.log_empty_budgets(now);
         self.log_limited_loads(now);
+        self.quota.tick(&self.log, now);
         let blocked = {
             let mut selector = lock(&self.selector);
             selector.remove_expired_crashes(now);
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) requests: Family<OutcomeLabel, Counter>,
     pub(crate) refusals: Family<ReasonLabel, Counter>,
     pub(crate) identify: Family<OutcomeLabel, Counter>,
+    pub(crate) quota: Family<OutcomeLabel, Counter>,
     pub(crate) attempts: Family<KindLabel, Counter>,
     pub(crate) attempt_charges: Family<ChargeLabel, Counter>,
     pub(crate) attempt_distances: Family<DistanceLabel, Counter>,
@@ -76,6 +77,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             identify: Family::default(),
+            quota: Family::default(),
             attempts: Family::default(),
             attempt_charges: Family::default(),
             attempt_distances: Family::default(),
@@ -126,6 +128,11 @@
             "Requests of callers that need a key or need none on their route, by what their key told",
             self.identify.clone(),
         );
+        registry.register(
+            "quota",
+            "Requests of tenants with a quota, by what became of them",
+            self.quota.clone(),
+        );
         registry.register(
             "attempts",
             "Attempts at targets, by kind",
@@ -284,6 +291,11 @@
         self.identify.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request of a tenant with a quota, or the credit for one.
+    pub(crate) fn count_quota(&self, outcome: &'static str) {
+        self.quota.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts an attempt whose connection ended without an answer.
     pub(crate) fn count_attempt_loss(&self, address: &'static str) {
         let label = ProbeLabel { address };
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -7,7 +7,8 @@
 use http::{HeaderValue, StatusCode};
 
 use super::{
-    driver::RelayStats, entry::EntryNode, request_log::RequestLine, response::RelayResponse,
+    driver::RelayStats, entry::EntryNode, quota::QuotaRefusal, request_log::RequestLine,
+    response::RelayResponse,
 };
 
 /// Arrival time, deadlines and latency objective of one request.
@@ -156,6 +157,22 @@
     detail
 }
 
+/// Counts a request that is not admitted within the quota of its tenant, and logs it unless it is over
+/// the quota: such refusals have a bounded log line for each tenant.
+pub(super) fn refuse_for_quota(
+    node: &EntryNode,
+    early: &EarlyRequest<'_>,
+    refusal: QuotaRefusal,
+) -> Box<RelayResponse> {
+    let (reason, response) = (refusal.reason(), refusal.response());
+    if let QuotaRefusal::OverQuota { .. } = refusal {
+        node.metrics.count_refusal(reason);
+        node.metrics.count_request(reason);
+        return Box::new(response);
+    }
+    refuse_early(node, early, reason, response)
+}
+
 /// Counts and logs a request that is answered without being relayed.
 pub(super) fn refuse_early(
     node: &EntryNode,
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -28,7 +28,16 @@
 
 /// Returns a 503 response to a request that has not run, with `pause` as `Retry-After` in seconds.
 pub(crate) fn retry_later(reason: &'static str, pause: Duration) -> RelayResponse {
-    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    retry_with_status(StatusCode::SERVICE_UNAVAILABLE, reason, pause)
+}
+
+/// Returns a response to a request that has not run, with `pause` as `Retry-After` in seconds.
+pub(crate) fn retry_with_status(
+    status: StatusCode,
+    reason: &'static str,
+    pause: Duration,
+) -> RelayResponse {
+    let mut response = text(status, reason);
     let seconds = format!("{:.3}", pause.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -12,6 +12,7 @@
     entry::EntryNode,
     handover::plan_handovers,
     identify::priority_of,
+    quota::{QuotaPermit, credit_quota},
     request_account::{LogContext, OtherVm, RequestTimes, log_request},
     response::RelayResponse,
 };
@@ -27,8 +28,12 @@
     pub(super) times: RequestTimes,
 }
 
-/// Relays a request of a caller and returns the response.
-pub(super) async fn run_routed(node: &Arc<EntryNode>, routed: RoutedRequest) -> RelayResponse {
+/// Relays a request of a caller and returns the response. `permit` is the one of the tenant's quota.
+pub(super) async fn run_routed(
+    node: &Arc<EntryNode>,
+    routed: RoutedRequest,
+    permit: Option<QuotaPermit>,
+) -> RelayResponse {
     let routed = Arc::new(routed);
     let services = needed_services(&routed.rule);
     let (sub_requests, first_service) = (services.len(), services.first().cloned());
@@ -45,6 +50,11 @@
     let request = Arc::clone(&routed);
     let (driver, actions) = RelayDriver::start(Arc::clone(node), request, params, handovers);
     let mut result = driver.run_to_end(actions).await;
+    if let Some(permit) = &permit
+        && result.has_not_run()
+    {
+        credit_quota(node, permit);
+    }
     let response = build_response(node, &routed.rule, &mut result);
     let is_search = matches!(routed.rule.destination, RouteDestination::Gather(_));
     let context = LogContext {
