--- a/crates/daemon/src/relay/quota.rs
+++ b/crates/daemon/src/relay/quota.rs
@@ -101,7 +101,8 @@
         let mut state = lock(&self.state);
         let spread = rand::random();
         let planner = &mut state.planner;
-        let retry_after = planner.retry_after(key, refused_until, spread, now);
+        let quota = tenant.quota.map_or(0.0, |quota| quota.per_second);
+        let retry_after = planner.retry_after(key, quota, refused_until, spread, now);
         let is_known = state.refusals.contains_key(&tenant.name);
         if is_known || state.refusals.len() < LOGGED_TENANTS_MAX {
             let count = state.refusals.entry(Arc::clone(&tenant.name)).or_default();
@@ -109,7 +110,6 @@
             if count.logged_at.is_none() {
                 count.logged_at = Some(now);
                 let refused = std::mem::take(&mut count.refused);
-                let quota = tenant.quota.map_or(0.0, |quota| quota.per_second);
                 info!(log, "tenant-over-quota"; "tenant" => &*tenant.name, "refused" => refused,
                     "quota_per_s" => quota, "retry_after_ms" => retry_after.as_millis(),
                     "request" => request_id.to_str().unwrap_or("unreadable"));
--- a/crates/permits/src/queue.rs
+++ b/crates/permits/src/queue.rs
@@ -128,9 +128,12 @@
 
     /// Takes the permit that expires first, for the request with this rank.
     pub fn take(&mut self, rank: RequestRank, now: MonoTime) -> Option<SendPermit> {
-        self.permits.retain(|permit| permit.is_valid(now));
+        // Expired permits that a keeper can credit are given back by `take_unused`.
+        self.permits
+            .retain(|permit| permit.is_valid(now) || permit.grantor.is_some());
         self.stop_waiting(rank.ticket);
-        (!self.permits.is_empty()).then(|| self.permits.remove(0))
+        let first_valid = self.permits.partition_point(|permit| !permit.is_valid(now));
+        (first_valid < self.permits.len()).then(|| self.permits.remove(first_valid))
     }
 
     /// Gives a permit back whose request was not sent.
--- a/crates/permits/src/quota.rs
+++ b/crates/permits/src/quota.rs
@@ -35,6 +35,9 @@
     admitted_at: MonoTime,
     /// When the next permit is expected that no caller was told to return for.
     next_free_at: MonoTime,
+    /// When the last refusal of keepers ends, and for how long it was.
+    refused_until: MonoTime,
+    refused_for: Duration,
     used_at: MonoTime,
 }
 
@@ -50,11 +53,22 @@
         self.admitted_at = now;
     }
 
-    fn next_retry(&mut self, refused_until: MonoTime, spread: f64, now: MonoTime) -> Duration {
-        let window = refused_until.since(now);
-        let between = Duration::try_from_secs_f64(1.0 / self.admitted_per_s(now));
-        // Without an admitted request: keepers state after which time a VM finds one permit.
-        let between = between.unwrap_or(window).min(window);
+    fn next_retry(
+        &mut self,
+        per_second: f64,
+        refused_until: MonoTime,
+        spread: f64,
+        now: MonoTime,
+    ) -> Duration {
+        if refused_until != self.refused_until {
+            self.refused_until = refused_until;
+            self.refused_for = refused_until.since(now);
+        }
+        let seconds = |rate: f64| Duration::try_from_secs_f64(1.0 / rate);
+        // Keepers state after which time a VM finds one permit, if this VM has got none lately.
+        let refused_for = self.refused_for;
+        let between = seconds(self.admitted_per_s(now)).map_or(refused_for, |b| b.min(refused_for));
+        let between = between.max(seconds(per_second).unwrap_or_default());
         let retry_max = Duration::from_millis(RETRY_MAX_MS);
         let at = self.next_free_at.max(refused_until).min(now + retry_max);
         self.next_free_at = at + between;
@@ -75,17 +89,19 @@
     }
 
     /// Returns the time after which a refused caller may return, given when a keeper can be asked
-    /// again. Each caller is told the time of another permit, at the rate at which this VM gets them.
-    /// `spread` is a random number from 0 to 1, by which the callers of all VMs return at different
+    /// again. Each caller is told the time of another permit, at the rate at which this VM gets them,
+    /// which is at most the quota of `per_second`. `spread` is a random number from 0 to 1, by which the callers of all VMs return at different
     /// times.
     pub fn retry_after(
         &mut self,
         key: &RateKey,
+        per_second: f64,
         refused_until: MonoTime,
         spread: f64,
         now: MonoTime,
     ) -> Duration {
-        self.pace(key, now).next_retry(refused_until, spread, now)
+        let pace = self.pace(key, now);
+        pace.next_retry(per_second, refused_until, spread, now)
     }
 
     /// Forgets tenants that have sent nothing lately.
--- a/crates/permits/tests/fleet/mod.rs
+++ b/crates/permits/tests/fleet/mod.rs
@@ -463,7 +463,10 @@
             self.returned.1 += u32::from(held.returned);
         } else if let RateState::Denied { until } = answer {
             let spread = self.random.random();
-            let retry_after = state.planner.retry_after(&key, until, spread, now);
+            let retry_after =
+                state
+                    .planner
+                    .retry_after(&key, held.limit.per_second, until, spread, now);
             if self.callers_return && !held.returned {
                 self.schedule(now + retry_after, Event::Arrive(held.tenant, true));
             }
