--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -37,11 +37,8 @@
 mod permits;
 mod quarantine_api;
 mod quarantine_log;
+mod quota;
 mod rate_grants;
-#[allow(
-    dead_code,
-    reason = "requests of tenants, which acquire permits, are added separately"
-)]
 mod rate_permits;
 #[cfg(test)]
 mod recorded_frames;
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -33,6 +33,7 @@
     pub(crate) requests: Family<OutcomeLabel, Counter>,
     pub(crate) refusals: Family<ReasonLabel, Counter>,
     pub(crate) identify: Family<OutcomeLabel, Counter>,
+    pub(crate) quota: Family<OutcomeLabel, Counter>,
     pub(crate) attempts: Family<KindLabel, Counter>,
     pub(crate) attempt_charges: Family<ChargeLabel, Counter>,
     pub(crate) attempt_distances: Family<DistanceLabel, Counter>,
@@ -84,6 +85,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             identify: Family::default(),
+            quota: Family::default(),
             attempts: Family::default(),
             attempt_charges: Family::default(),
             attempt_distances: Family::default(),
@@ -123,6 +125,7 @@
             uptime: Gauge::default(),
         };
         metrics.register_counters();
+        metrics.register_control_counters();
         metrics.register_gauges();
         metrics
     }
@@ -140,6 +143,11 @@
             "Requests of callers that need a key or need none on their route, by what their key told",
             self.identify.clone(),
         );
+        registry.register(
+            "quota",
+            "Requests of tenants with a quota, by what became of them",
+            self.quota.clone(),
+        );
         registry.register(
             "attempts",
             "Attempts at targets, by kind",
@@ -206,6 +214,16 @@
             "Time to an answer, by route",
             self.latency.clone(),
         );
+        registry.register(
+            "log_lines_dropped",
+            "Request lines left out of the log to bound it",
+            self.log_lines_dropped.clone(),
+        );
+    }
+
+    /// Registers what keepers count of targets and operators.
+    fn register_control_counters(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
             "announcements",
             "Announcements of targets, by outcome",
@@ -221,11 +239,6 @@
             "Orders to begin or end the evacuation of a data centre, by outcome",
             self.evacuation_orders.clone(),
         );
-        registry.register(
-            "log_lines_dropped",
-            "Request lines left out of the log to bound it",
-            self.log_lines_dropped.clone(),
-        );
     }
 
     fn register_gauges(&mut self) {
@@ -350,6 +363,11 @@
         self.identify.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request of a tenant with a quota, or the credit for one.
+    pub(crate) fn count_quota(&self, outcome: &'static str) {
+        self.quota.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts an attempt whose connection ended without an answer.
     pub(crate) fn count_attempt_loss(&self, address: &'static str) {
         let label = ProbeLabel { address };
--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -303,7 +303,13 @@
     #[must_use]
     pub fn state(&self, key: &RateKey, now: MonoTime) -> RateState {
         if self.is_alone() {
-            return RateState::Unreachable;
+            // Without requests that wait, no call would find out that a keeper replies again.
+            let may_retry = |keeper| self.failed.get(keeper).is_some_and(|at| *at <= now);
+            return if self.keepers.iter().any(may_retry) {
+                RateState::Pending
+            } else {
+                RateState::Unreachable
+            };
         }
         self.denied_until(key, now)
             .map_or(RateState::Pending, |until| RateState::Denied { until })
--- a/crates/route/tests/evacuations.rs
+++ b/crates/route/tests/evacuations.rs
@@ -5,10 +5,10 @@
 use fulmarweir_base::{MonoTime, RunVerdict};
 use fulmarweir_conf::ExtraAttemptLimits;
 use fulmarweir_route::{
-    GroupOutcome, Locality, PickCriteria, PlacementRule, RefusalReason, RelayAction, RelayAttempt,
-    RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget,
-    RepeatedSubRequest, RequestFingerprint, RequestOrigin, RequestRank, ShardGroup, StatedLimit,
-    TargetChoice, TargetNotice, TargetPick, TargetSelector,
+    AttemptPermits, GroupOutcome, Locality, PickCriteria, PlacementRule, RefusalReason,
+    RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams, RelayRefusal,
+    RelayRun, RelayTarget, RepeatedSubRequest, RequestFingerprint, RequestOrigin, RequestRank,
+    ShardGroup, StatedLimit, TargetChoice, TargetNotice, TargetPick, TargetSelector,
 };
 
 const ANSWER: RelayAttemptOutcome = RelayAttemptOutcome::Answered { load: None };
@@ -195,12 +195,12 @@
     evacuate(&mut selector, &[EAST], at(10_001));
     let anywhere = PlacementRule::default();
     let rule = (RequestFingerprint::default(), &anywhere);
-    assert!(!selector.may_send(&first.target, rule, None, at(10_002)));
+    assert!(!selector.may_send(&first.target, rule, AttemptPermits::default(), at(10_002)));
     let withheld = RelayAttemptOutcome::Withheld;
     let actions = run.on_attempt_end(0, first.attempt, withheld, &mut selector, at(10_002));
     let second = sends(&actions).remove(0);
     assert_eq!(&*second.target.centre, WEST);
-    assert!(selector.may_send(&second.target, rule, None, at(10_003)));
+    assert!(selector.may_send(&second.target, rule, AttemptPermits::default(), at(10_003)));
     assert!(selector.extra_left("s0", at(10_003)) >= budget);
 }
 
