--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -15,7 +15,6 @@
 use fulmarweir_route::{
     CrashTally, GRANTORS_MAX, PermitAsk, PermitAsker, PermitGrant, PermitGrantor,
 };
-use fulmarweir_wire::PeerVersion;
 use slog::{Logger, error, info};
 use tokio::sync::watch;
 
@@ -26,6 +25,7 @@
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
     },
+    voters::speak_newest,
 };
 use crate::metrics::OutcomeLabel;
 
@@ -405,13 +405,9 @@
     /// a voter of that version could neither store nor copy them.
     pub(crate) fn voters_speak_newest(&self) -> bool {
         let own = self.settings.peer_address();
-        let voters = self.quorum.voters();
-        let mut members = voters.members.iter();
-        !voters.members.is_empty()
-            && members.all(|member| {
-                let is_own = member.address == own;
-                is_own || self.peers.version_of(member.address) == Some(PeerVersion::NEWEST)
-            })
+        speak_newest(&self.quorum.voters(), own, |voter| {
+            self.peers.version_of(voter)
+        })
     }
 
     async fn handle_poll(&self, request: PollRequest) -> PollReply {
--- a/crates/daemon/src/relay/voters.rs
+++ b/crates/daemon/src/relay/voters.rs
@@ -1,13 +1,14 @@
 //! Keeps the voter of this keeper open and the voter set complete: opens the voter's storage,
 //! catches up voters that lag, and joins or replaces lost members.
 
-use std::{collections::HashMap, path::Path, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, TimerService, VmName, lock};
 use fulmarweir_conf::RelaySettings;
 use fulmarweir_quorum::{
     VoterHealth, VoterIdentity, VoterMember, VoterService, VoterSet, VoterSettings,
 };
+use fulmarweir_wire::PeerVersion;
 use slog::{Logger, error, info, warn};
 use tokio_util::sync::CancellationToken;
 
@@ -31,7 +32,7 @@
 
 /// Returns the voter name for a peer address. Names are derived from addresses because seeds
 /// are known by address only.
-pub(crate) fn voter_name(address: std::net::SocketAddr) -> Option<VmName> {
+pub(crate) fn voter_name(address: SocketAddr) -> Option<VmName> {
     format!("{}-{}", address.ip(), address.port())
         .replace(':', "_")
         .parse()
@@ -51,6 +52,18 @@
     VoterSet::from_settings(seeds.filter_map(|seed| Some((voter_name(*seed)?, *seed))))
 }
 
+/// Whether all voters are known to speak the newest protocol version. The voter at `own` is this
+/// process; `version_of` returns what is known of the others.
+pub(crate) fn speak_newest(
+    voters: &VoterSet,
+    own: SocketAddr,
+    version_of: impl Fn(SocketAddr) -> Option<PeerVersion>,
+) -> bool {
+    let is_newest = |voter| voter == own || version_of(voter) == Some(PeerVersion::NEWEST);
+    let mut members = voters.members.iter();
+    !voters.members.is_empty() && members.all(|member| is_newest(member.address))
+}
+
 fn has_log(folder: &Path) -> bool {
     let entries = std::fs::read_dir(folder.join(VOTER_FOLDER));
     entries.is_ok_and(|mut entries| {
@@ -255,3 +268,39 @@
         Err(report) => warn!(node.log, "voter-not-joined"; "fault" => %report.current_context()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn address(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    /// Guards against a register of a new kind that is written while a voter cannot read it, or may
+    /// not be able to.
+    #[test]
+    fn new_registers_wait_until_every_voter_is_known_to_speak_the_newest_version() {
+        let ports: [u16; 3] = [1, 2, 3];
+        let voters = ports.map(|port| (voter_name(address(port)).unwrap(), address(port)));
+        let voters = VoterSet::from_settings(voters);
+        let own = address(1);
+        let speak = |second, third| {
+            speak_newest(&voters, own, |voter| match voter.port() {
+                2 => second,
+                3 => third,
+                _ => None,
+            })
+        };
+        let (v8, v9) = (Some(PeerVersion::V8), Some(PeerVersion::V9));
+        assert!(speak(v9, v9));
+        for (second, third) in [(v8, v9), (v9, v8), (None, v9), (v9, None), (None, None)] {
+            assert!(!speak(second, third), "{second:?} {third:?}");
+        }
+        // A keeper that is no voter needs to know all of them.
+        assert!(!speak_newest(&voters, address(4), |voter| {
+            (voter != own).then_some(PeerVersion::V9)
+        }));
+        assert!(!speak_newest(&VoterSet::default(), own, |_| v9));
+    }
+}
