--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -15,7 +15,6 @@
 use fulmarweir_route::{
     CrashTally, GRANTORS_MAX, PermitAsk, PermitAsker, PermitGrant, PermitGrantor,
 };
-use fulmarweir_wire::PeerVersion;
 use slog::{Logger, error, info};
 use tokio::sync::watch;
 
@@ -28,6 +27,7 @@
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
     },
+    voters::speak_newest,
 };
 use crate::metrics::OutcomeLabel;
 
@@ -409,27 +409,12 @@
         is_grantor.then(|| voters.members.len().min(GRANTORS_MAX))
     }
 
-    /// Whether registers may be written that the protocol version before cannot read: a majority of the
-    /// voters is known to speak the newest version, and no voter is known to speak an older one.
-    ///
-    /// A voter that this keeper has not reached since its start does not count: an order must be
-    /// possible while as many voters are down as may be lost.
+    /// Whether the voters can read registers that the protocol version before cannot.
     pub(crate) fn voters_speak_newest(&self) -> bool {
         let own = self.settings.peer_address();
-        let voters = self.quorum.voters();
-        let mut newest = 0;
-        for member in &voters.members {
-            if member.address == own {
-                newest += 1;
-                continue;
-            }
-            match self.peers.version_of(member.address) {
-                Some(PeerVersion::NEWEST) => newest += 1,
-                Some(_) => return false,
-                None => {}
-            }
-        }
-        newest > voters.members.len() / 2
+        speak_newest(&self.quorum.voters(), own, |voter| {
+            self.peers.version_of(voter)
+        })
     }
 
     async fn handle_poll(&self, request: PollRequest) -> PollReply {
