--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -331,3 +331,44 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn handover(has_homes: bool) -> VmRequest {
+        VmRequest::Search(Box::new(HandoverRequest {
+            origin: "entry-1".into(),
+            config_version: 1,
+            route: "find".into(),
+            sub_requests: vec![0],
+            service: None,
+            repeats: Vec::new(),
+            is_last_resort: false,
+            lent_extra: Vec::new(),
+            fingerprint: RequestFingerprint::default(),
+            method: "GET".to_owned(),
+            uri: "/find/a".to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            answer_in_ms: 100,
+            time_left_ms: 1_000,
+            has_homes,
+        }))
+    }
+
+    /// Guards against a broker that was replaced by an older build, which would send the request to any
+    /// region, after its version was last known.
+    #[test]
+    fn only_handovers_with_home_regions_need_the_newest_version() {
+        assert_eq!(handover(true).version_min(), PeerVersion::V9);
+        assert_eq!(handover(false).version_min(), PeerVersion::V8);
+    }
+
+    /// Guards against a change of the version 8 message.
+    #[test]
+    fn home_regions_do_not_change_the_message() {
+        let encoded = |has_homes| serde_json::to_string(&handover(has_homes)).unwrap();
+        assert_eq!(encoded(true), encoded(false));
+    }
+}
