--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -177,7 +177,8 @@
         .find(|rule| rule.name == request.route)
         .cloned()
         .ok_or("no-route")?;
-    let tenant = identify_handover(node, &table, &rule, &request.headers)?;
+    let tenant_header = &node.adapter.headers.tenant;
+    let tenant = identify_handover(tenant_header, &table, &rule, &request.headers)?;
     if lock(&node.selector).links().are_unusable() {
         return Err(LINKS_LOST);
     }
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -128,7 +128,7 @@
     })?;
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
-    set_tenant_headers(node, &identity, &mut headers);
+    set_tenant_headers(&names.tenant, &identity, &mut headers);
     let fingerprint = RelayMessage::fingerprint_of(&head.method, &head.uri, &headers, &body);
     let message = RelayMessage {
         fingerprint,
--- a/crates/daemon/src/relay/identify.rs
+++ b/crates/daemon/src/relay/identify.rs
@@ -54,44 +54,44 @@
 }
 
 /// Replaces the headers by which a caller has identified itself with the one that targets are told
-/// its tenant by. Other VMs to which the request is handed over get the same headers.
+/// its tenant by, `tenant_header`. Other VMs to which the request is handed over get the same headers.
 pub(super) fn set_tenant_headers(
-    node: &EntryNode,
+    tenant_header: &HeaderName,
     identity: &CallerIdentity,
     headers: &mut HeaderMap,
 ) {
     if *identity == CallerIdentity::Unchecked {
         return;
     }
-    let name = &node.adapter.headers.tenant;
     headers.remove(header::AUTHORIZATION);
-    headers.remove(name);
+    headers.remove(tenant_header);
     let tenant = identity.tenant();
     // Names that can't be sent in a header make a configuration invalid.
     let value = tenant.and_then(|tenant| HeaderValue::from_bytes(tenant.name.as_bytes()).ok());
     if let Some(value) = value {
-        headers.insert(name, value);
+        headers.insert(tenant_header, value);
     }
 }
 
 /// Returns the tenant of a request that another VM has handed over, or the reason why it is not
 /// taken.
 pub(super) fn identify_handover(
-    node: &EntryNode,
+    tenant_header: &HeaderName,
     table: &RouteTable,
     rule: &RouteRule,
     headers: &[(String, Vec<u8>)],
 ) -> Result<Option<Arc<TenantRule>>, &'static str> {
-    let values = |name: HeaderName| {
+    let values = |name: &HeaderName| {
+        let name = name.clone();
         let named = headers.iter();
         let named = named.filter(move |(other, _)| other.eq_ignore_ascii_case(name.as_str()));
         named.map(|(_, value)| value.as_slice())
     };
     // A build that knows no tenants forwards what its callers have sent.
-    if table.tenants().is_some() && values(header::AUTHORIZATION).next().is_some() {
+    if table.tenants().is_some() && values(&header::AUTHORIZATION).next().is_some() {
         return Err("not-identified");
     }
-    let names = values(node.adapter.headers.tenant.clone());
+    let names = values(tenant_header);
     let identity = table.resolve(rule, names).ok_or("no-tenant")?;
     Ok(identity.tenant().cloned())
 }
@@ -101,3 +101,121 @@
     let own = tenant.and_then(|tenant| tenant.priority);
     own.unwrap_or(rule.priority)
 }
+
+#[cfg(test)]
+mod tests {
+    use fulmarweir_conf::{CallerLimits, RouteDestination, ServiceRule, WeightedService};
+    use http::{Method, Uri};
+
+    use super::*;
+    use crate::relay::driver::RelayMessage;
+
+    const TENANT: HeaderName = HeaderName::from_static("x-tenant");
+
+    fn route(name: &str, anonymous: bool) -> RouteRule {
+        RouteRule {
+            name: name.into(),
+            host: name.into(),
+            prefix: "/".into(),
+            idempotent: true,
+            timeout: Duration::from_secs(2),
+            latency_objective: Duration::from_millis(200),
+            priority: 2,
+            targets_max: 2,
+            anonymous,
+            home_regions: Vec::new(),
+            destination: RouteDestination::Split(vec![WeightedService {
+                service: "a".into(),
+                weight: 1.0,
+            }]),
+        }
+    }
+
+    fn tenant(name: &str, priority: Option<u32>) -> TenantRule {
+        TenantRule {
+            name: name.into(),
+            keys: vec![format!("key-{name}").into()],
+            priority,
+            quota: None,
+            home_regions: Vec::new(),
+        }
+    }
+
+    fn table(tenants: Option<Vec<TenantRule>>) -> RouteTable {
+        let service = ServiceRule {
+            name: "a".into(),
+            connections_max: 30,
+            health_path: "/".into(),
+            warm_up: None,
+        };
+        let limits = CallerLimits {
+            head_max_bytes: 16_384,
+            body_max_bytes: 262_144,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        };
+        let routes = vec![route("keyed", false), route("open", true)];
+        RouteTable::compile(7, routes, vec![service], tenants, limits).unwrap()
+    }
+
+    fn with_tenants() -> RouteTable {
+        table(Some(vec![tenant("ordu", None), tenant("kars", Some(0))]))
+    }
+
+    /// Guards against handovers that run without a tenant, for one that their origin has not found, or
+    /// with a key.
+    #[test]
+    fn handovers_without_one_known_tenant_are_not_taken() {
+        let run = |table: &RouteTable, host: &str, headers: &[(&str, &str)]| {
+            let pair =
+                |(name, value): &(&str, &str)| ((*name).to_owned(), value.as_bytes().to_vec());
+            let headers: Vec<(String, Vec<u8>)> = headers.iter().map(pair).collect();
+            let rule = table.find(host, "/").unwrap();
+            let tenant = identify_handover(&TENANT, table, rule, &headers)?;
+            Ok(tenant.map(|tenant| tenant.name.to_string()))
+        };
+        let keyed = with_tenants();
+        let ordu = ("x-tenant", "ordu");
+        let key = ("authorization", "Bearer key-ordu");
+        assert_eq!(run(&keyed, "keyed", &[ordu]), Ok(Some("ordu".into())));
+        for headers in [&[][..], &[("x-tenant", "nobody")], &[ordu, ordu]] {
+            assert_eq!(
+                run(&keyed, "keyed", headers),
+                Err("no-tenant"),
+                "{headers:?}"
+            );
+        }
+        for host in ["keyed", "open"] {
+            assert_eq!(run(&keyed, host, &[ordu, key]), Err("not-identified"));
+        }
+        assert_eq!(run(&keyed, "open", &[]), Ok(None));
+        // Without tenants, a handover carries what the caller has sent.
+        assert_eq!(run(&table(None), "keyed", &[key, ordu]), Ok(None));
+    }
+
+    /// Guards against a request that becomes another one for the quarantine when its key changes.
+    #[test]
+    fn keys_do_not_change_the_fingerprint_of_a_request() {
+        let uri: Uri = "/a?b=c".parse().unwrap();
+        let fingerprint = |key: Option<&'static str>| {
+            let mut headers = HeaderMap::new();
+            headers.insert(header::HOST, HeaderValue::from_static("keyed"));
+            if let Some(key) = key {
+                headers.insert(header::AUTHORIZATION, HeaderValue::from_static(key));
+            }
+            RelayMessage::fingerprint_of(&Method::GET, &uri, &headers, b"body")
+        };
+        let without = fingerprint(None);
+        assert_eq!(fingerprint(Some("Bearer key-ordu")), without);
+        assert_eq!(fingerprint(Some("Bearer key-kars")), without);
+    }
+
+    /// Guards against a route that outranks the priority of a tenant.
+    #[test]
+    fn the_priority_of_a_tenant_replaces_that_of_the_route() {
+        let rule = route("keyed", false);
+        assert_eq!(priority_of(&rule, None), 2);
+        assert_eq!(priority_of(&rule, Some(&tenant("ordu", None))), 2);
+        assert_eq!(priority_of(&rule, Some(&tenant("kars", Some(0)))), 0);
+    }
+}
