--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -259,6 +259,8 @@
         let mut changed = false;
         if let Some(delta) = &reply.delta {
             record_warm_ups(self, keeper, &delta.announcements);
+            // Until the next tick, targets would count as cold.
+            lock(&self.selector).set_keepers_lost(false);
             changed = lock(&self.merged_registry).apply_delta(keeper, delta.clone(), now);
         }
         let brokers = lock(&self.broker_directory).update(keeper, reply.brokers.as_deref(), now);
--- a/crates/permits/src/grantor.rs
+++ b/crates/permits/src/grantor.rs
@@ -31,7 +31,7 @@
         if limit.version <= self.limit.version {
             return;
         }
-        let before = RatePolicy::of(key, self.limit).part_of(grantors);
+        let before = RatePolicy::grantor_part(key, self.limit, grantors);
         self.bucket.refill(&before, now);
         self.limit = limit;
     }
@@ -76,7 +76,7 @@
             bucket: GrantBucket::new(started_at),
         });
         known.apply(&ask.key, ask.limit, grantors, now);
-        let part = RatePolicy::of(&ask.key, known.limit).part_of(grantors);
+        let part = RatePolicy::grantor_part(&ask.key, known.limit, grantors);
         known.bucket.refill(&part, now);
         known.bucket.credit(ask.returned, &part);
         known.bucket.grant(asker, ask.wanted, &part, now)
--- a/crates/permits/src/policy.rs
+++ b/crates/permits/src/policy.rs
@@ -7,6 +7,7 @@
 /// Most keepers that grant permits. Each may have saved up a few permits whatever the rate is, which
 /// come on top of the burst.
 pub const GRANTORS_MAX: usize = 5;
+/// The same number, by which what is saved up whatever the rate is, is divided.
 const GRANTORS: f64 = 5.0;
 /// Lowest rate in requests per second, so that no time until the next permit is unbounded.
 const RATE_MIN: f64 = 0.05;
@@ -100,6 +101,18 @@
         Self { per_second, ..self }
     }
 
+    /// Returns the part of the rate of `key` that each of `grantors` grants. Fewer grantors save up
+    /// as many permits together.
+    pub(crate) fn grantor_part(key: &RateKey, limit: RateLimit, grantors: usize) -> Self {
+        let part = Self::of(key, limit).part_of(grantors);
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let factor = GRANTORS / grantors.clamp(1, GRANTORS_MAX) as f64;
+        Self {
+            bucket_min: part.bucket_min * factor,
+            ..part
+        }
+    }
+
     /// Returns the most permits that are saved up at a rate of [`Self::per_second`].
     pub(crate) fn bucket_size(&self) -> f64 {
         (self.per_second * self.burst_span.as_secs_f64()).max(self.bucket_min)
