--- a/crates/permits/tests/cold_targets.rs
+++ b/crates/permits/tests/cold_targets.rs
@@ -80,6 +80,20 @@
     }
 }
 
+/// Guards against a rate that fewer keepers than usual cannot hand out.
+#[test]
+fn the_rate_is_used_whatever_the_number_of_keepers() {
+    for keepers in [1, 3] {
+        let mut fleet = Fleet::new(9, keepers, 3, 4);
+        fleet.set_limit(&cold(0), limit(20.0));
+        send(&mut fleet, &cold(0), 9, 60, (2_000, 12_000));
+        fleet.run_until(13_000);
+        assert_within_bound(&fleet, &cold(0), 20.0);
+        let share = used_share(&fleet, &cold(0), 20.0, (2_000, 12_000));
+        assert!(share >= 0.8, "{share} with {keepers} keepers");
+    }
+}
+
 /// Load pattern: the targets of a data centre return at once, and all VMs find them within 100 ms.
 /// Guards against permits that were saved up for all of them.
 #[test]
--- /dev/null
+++ b/crates/permits/tests/ledger.rs
@@ -0,0 +1,173 @@
+//! Tests of which keepers one VM asks for permits, and what it tells its requests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use fulmarweir_base::MonoTime;
+use fulmarweir_permits::{
+    RateCall, RateGrant, RateKey, RateLedger, RateLimit, RateState, RequestRank, WaitTimes,
+};
+
+const LIMIT: RateLimit = RateLimit {
+    version: 1,
+    per_second: 5.0,
+    burst: 5.0,
+};
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::ZERO + Duration::from_millis(ms)
+}
+
+/// Returns five keepers, the nearest first.
+fn keepers() -> Vec<SocketAddr> {
+    (1..=5).map(|host| ([10, 0, 0, host], 1).into()).collect()
+}
+
+fn key() -> RateKey {
+    RateKey::Tenant("club".into())
+}
+
+/// Lets a request wait for up to 60 ms.
+fn wait(ledger: &mut RateLedger, ticket: u64, ms: u64) {
+    let deadline = at(ms + 60);
+    let rank = RequestRank {
+        priority: 0,
+        deadline,
+        ticket,
+    };
+    let times = WaitTimes {
+        retry_at: deadline,
+        usable_until: deadline,
+    };
+    ledger.set_limit(&key(), LIMIT, at(ms));
+    ledger.wait(&key(), rank, times, at(ms));
+}
+
+/// Applies the same reply to all calls.
+fn reply(ledger: &mut RateLedger, calls: &[RateCall], granted: u32, ms: u64) {
+    for call in calls {
+        let grant = RateGrant {
+            granted,
+            ask_again_after: Duration::from_millis(500),
+        };
+        let grants = vec![grant; call.asks.len()];
+        ledger.apply_grants(call, &grants, at(ms));
+    }
+}
+
+fn hosts(calls: &[RateCall]) -> Vec<SocketAddr> {
+    calls.iter().map(|call| call.keeper).collect()
+}
+
+/// Guards against more than one call in the normal case.
+#[test]
+fn one_permit_costs_one_call_to_the_nearest_keeper() {
+    let mut ledger = RateLedger::default();
+    ledger.due_calls(&keepers(), at(0));
+    wait(&mut ledger, 1, 10);
+    let calls = ledger.due_calls(&keepers(), at(10));
+    assert_eq!(hosts(&calls), [keepers()[0]]);
+    assert_eq!((calls[0].asks.len(), calls[0].asks[0].wanted), (1, 1));
+    assert!(
+        ledger.due_calls(&keepers(), at(11)).is_empty(),
+        "it is being asked"
+    );
+    reply(&mut ledger, &calls, 1, 12);
+    assert!(ledger.try_take(&key(), at(12)).is_some());
+    assert!(ledger.try_take(&key(), at(12)).is_none());
+}
+
+/// Guards against a quota of which only the nearest keeper's part is used, and against refusals
+/// before all keepers have refused.
+#[test]
+fn other_keepers_are_asked_before_a_request_is_denied() {
+    let mut ledger = RateLedger::default();
+    ledger.due_calls(&keepers(), at(0));
+    wait(&mut ledger, 1, 10);
+    let mut asked = Vec::new();
+    for ms in [10, 12, 22, 32, 42] {
+        let calls = ledger.due_calls(&keepers(), at(ms));
+        asked.extend(hosts(&calls));
+        assert_eq!(ledger.state(&key(), at(ms)), RateState::Pending, "at {ms}");
+        reply(&mut ledger, &calls, 0, ms + 2);
+        if asked.len() == 5 {
+            break;
+        }
+    }
+    asked.sort_unstable();
+    assert_eq!(asked, keepers());
+    let until = ledger.denied_until(&key(), at(50)).unwrap();
+    assert!((at(512)..=at(514)).contains(&until), "{until:?}");
+    assert!(ledger.due_calls(&keepers(), at(50)).is_empty());
+    assert_eq!(ledger.state(&key(), until), RateState::Pending);
+}
+
+/// Guards against permits that nobody uses until they expire.
+#[test]
+fn permits_that_are_not_needed_are_given_back_once() {
+    let mut ledger = RateLedger::default();
+    ledger.due_calls(&keepers(), at(0));
+    wait(&mut ledger, 1, 10);
+    let calls = ledger.due_calls(&keepers(), at(10));
+    ledger.stop_waiting(&key(), 1);
+    reply(&mut ledger, &calls, 1, 12);
+    let returns = ledger.due_calls(&keepers(), at(150));
+    assert_eq!(hosts(&returns), [keepers()[0]]);
+    assert_eq!(
+        (returns[0].asks[0].wanted, returns[0].asks[0].returned),
+        (0, 1)
+    );
+    reply(&mut ledger, &returns, 0, 152);
+    assert!(ledger.try_take(&key(), at(152)).is_none());
+    assert_eq!(
+        ledger.denied_until(&key(), at(152)),
+        None,
+        "nothing was refused"
+    );
+    assert!(ledger.due_calls(&keepers(), at(300)).is_empty());
+}
+
+/// Guards against requests that wait for a keeper that is gone, or that are unlimited without one.
+#[test]
+fn without_keepers_a_vm_uses_a_small_random_share() {
+    let mut ledger = RateLedger::default();
+    ledger.due_calls(&keepers()[..1], at(0));
+    wait(&mut ledger, 1, 10);
+    let calls = ledger.due_calls(&keepers()[..1], at(10));
+    assert!(!ledger.is_alone());
+    ledger.record_failed_call(&calls[0], at(410));
+    assert_eq!(ledger.state(&key(), at(410)), RateState::Unreachable);
+    ledger.grant_alone(82, Duration::from_millis(100), || 0.5, at(410));
+    assert!(ledger.try_take(&key(), at(410)).is_none());
+    ledger.grant_alone(82, Duration::from_millis(100), || 0.0, at(420));
+    assert!(ledger.try_take(&key(), at(420)).is_some());
+    wait(&mut ledger, 2, 1_400);
+    assert!(
+        ledger.due_calls(&keepers()[..1], at(1_400)).is_empty(),
+        "too early"
+    );
+    wait(&mut ledger, 3, 1_420);
+    let calls = ledger.due_calls(&keepers()[..1], at(1_420));
+    reply(&mut ledger, &calls, 1, 1_422);
+    assert!(!ledger.is_alone());
+}
+
+/// Guards against permits of a higher rate that outlive it.
+#[test]
+fn a_lower_rate_drops_permits_in_part() {
+    let mut ledger = RateLedger::default();
+    ledger.due_calls(&keepers(), at(0));
+    for ticket in 1..=10 {
+        wait(&mut ledger, ticket, 10);
+    }
+    let calls = ledger.due_calls(&keepers(), at(10));
+    reply(&mut ledger, &calls, 10, 12);
+    let lower = RateLimit {
+        version: 2,
+        per_second: 2.0,
+        burst: 2.0,
+    };
+    ledger.set_limit(&key(), lower, at(13));
+    ledger.set_limit(&key(), LIMIT, at(14));
+    let taken = (0..10).filter(|_| ledger.try_take(&key(), at(15)).is_some());
+    assert_eq!(taken.count(), 4);
+}
