--- a/crates/route/tests/relay_fleet/mod.rs
+++ b/crates/route/tests/relay_fleet/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod cold;
 mod crashes;
 mod links;
 
@@ -72,6 +73,7 @@
 
 /// The reaction of a target to an attempt: its outcome and the time until the VM learns it.
 pub(crate) type Reaction = (RelayAttemptOutcome, u64);
+use self::cold::{ColdEvent, ColdModel};
 use self::crashes::CrashEvent;
 use self::links::LinkEvent;
 pub(crate) use self::{crashes::CrashModel, links::LinkModel};
@@ -192,6 +194,7 @@
     GroupEnd(u64, usize, GroupOutcome),
     /// The caller of a run leaves.
     CallerLeft(u64),
+    Cold(ColdEvent),
     Crash(CrashEvent),
     Link(LinkEvent),
 }
@@ -214,6 +217,7 @@
     stated_limits: Limits,
     /// Calls for permits that reached a keeper.
     pub(crate) permit_calls: usize,
+    pub(crate) cold: ColdModel,
     pub(crate) crashes: CrashModel,
     pub(crate) links: LinkModel,
     /// Requests that were answered.
@@ -247,6 +251,7 @@
             keepers: Vec::new(),
             stated_limits: Box::new(|_, _| StatedLimit::None),
             permit_calls: 0,
+            cold: ColdModel::default(),
             crashes: CrashModel::default(),
             links: LinkModel::default(),
             outcomes: Vec::new(),
@@ -606,6 +611,7 @@
     fn handle(&mut self, event: Event) {
         let event = match event {
             Event::Link(event) => return self.handle_link(event),
+            Event::Cold(event) => return self.handle_cold(event),
             event => event,
         };
         let id = match &event {
@@ -686,9 +692,17 @@
     }
 
     fn ask_if_urgent(&mut self, vm: usize) {
-        if !self.keepers.is_empty() && self.vms[vm].selector.take_permit_urgency() {
+        let has_keepers = !self.keepers.is_empty();
+        if !(has_keepers || self.has_cold_keepers()) || !self.vms[vm].selector.take_permit_urgency()
+        {
+            return;
+        }
+        if has_keepers {
             self.ask(vm);
         }
+        if self.has_cold_keepers() {
+            self.ask_cold(vm);
+        }
     }
 
     /// Lets a VM ask the keepers that are due, the first of which is near.
