--- a/crates/route/tests/fleet_cold.rs
+++ b/crates/route/tests/fleet_cold.rs
@@ -13,7 +13,7 @@
 const ALLOWED: f64 = RATE * 1.5 + 5.0;
 const USED_MIN: f64 = RATE * 0.8;
 const TARGETS: [&str; 3] = ["s0-0", "s0-1", "s0-2"];
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 fn fleet(vms: usize) -> Fleet {
     let centres: Vec<&str> = ["a", "b"].into_iter().cycle().take(vms).collect();
