--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -43,18 +43,22 @@
     }
 
     /// Whether a request may run in all regions.
+    #[inline]
     #[must_use]
     pub const fn is_unrestricted(&self) -> bool {
         self.regions.is_none()
     }
 
     /// Whether a request may run in `region`.
+    #[inline]
     #[must_use]
     pub fn allows(&self, region: &str) -> bool {
-        match &self.regions {
-            None => true,
-            Some(homes) => homes.iter().any(|home| **home == *region),
-        }
+        self.is_unrestricted() || self.is_home(region)
+    }
+
+    fn is_home(&self, region: &str) -> bool {
+        let mut homes = self.regions.iter().flat_map(|homes| homes.iter());
+        homes.any(|home| **home == *region)
     }
 
     /// Whether a request may be sent to another VM in `region`. A VM that does not speak the newest
