Accept the connections that wait in the kernel's queue when a listener stops

requests_that_were_just_accepted_are_answered_in_a_planned_stop failed once at a load of 10: a caller whose connection was accepted by the kernel got no answer. The last accepts went through the runtime, whose readiness of the socket lags behind the kernel, so a waiting connection could be overlooked and reset. They are made on the plain socket now until it has none. Found by reading; not reproduced on demand.

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -4,7 +4,6 @@
 
 use axum::Router;
 use error_stack::ResultExt;
-use futures::FutureExt;
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -67,17 +66,34 @@
         let _ = stream.set_nodelay(true);
         serve(stream, &graceful, &tasks);
     }
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+    for stream in queued_connections(listener) {
         let _ = stream.set_nodelay(true);
         serve(stream, &graceful, &tasks);
     }
-    drop(listener);
     tokio::time::sleep(Duration::from_millis(LAST_REQUESTS_MS)).await;
     graceful.shutdown().await;
     tasks.close();
     tasks.wait().await;
 }
 
+/// Closes a listener and returns the connections that wait to be accepted.
+///
+/// These are accepted without the runtime, whose knowledge of the socket lags behind the kernel:
+/// closing the listener would reset a connection that the runtime has not been told of.
+fn queued_connections(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut streams = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        streams.extend(stream.ok());
+    }
+    streams
+}
+
 fn serve_connection(
     stream: TcpStream,
     router: Router,
