--- a/crates/permits/tests/cold_targets.rs
+++ b/crates/permits/tests/cold_targets.rs
@@ -60,9 +60,10 @@
 /// Guards against a rate that is exceeded, or that is lost between the keepers' parts.
 #[test]
 fn the_rate_of_a_cold_target_is_kept_and_used() {
-    for vms in [9, 75, 300] {
+    for (vms, far_ms) in [(9, 10), (75, 10), (300, 10), (9, 22), (75, 22)] {
         for per_second in [2_u32, 5, 20, 60] {
             let mut fleet = Fleet::new(vms, 5, 5, 1);
+            fleet.far_ms = far_ms;
             let rate = f64::from(per_second);
             fleet.set_limit(&cold(0), limit(rate));
             send(
@@ -75,7 +76,7 @@
             fleet.run_until(23_000);
             assert_within_bound(&fleet, &cold(0), rate);
             let share = used_share(&fleet, &cold(0), rate, (2_000, 22_000));
-            assert!(share >= 0.8, "{share} of {rate} with {vms} VMs");
+            assert!(share >= 0.8, "{share} of {rate}, {vms} VMs, {far_ms} ms");
         }
     }
 }
--- a/crates/permits/tests/model/mod.rs
+++ b/crates/permits/tests/model/mod.rs
@@ -109,6 +109,8 @@
     sequence: u64,
     /// Share of calls and of replies that are lost.
     pub(crate) loss: f64,
+    /// Time for a message to a keeper in another data centre.
+    pub(crate) far_ms: u64,
     /// Time for which requests of a tenant are held.
     pub(crate) hold_ms: u64,
     pub(crate) calls: u64,
@@ -149,6 +151,7 @@
             now_ms: 0,
             sequence: 0,
             loss: 0.0,
+            far_ms: 10,
             hold_ms: 60,
             calls: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -340,7 +343,7 @@
     fn delay_to(&self, vm: usize, call: &RateCall) -> u64 {
         let keeper = usize::from(call.keeper.port());
         let is_near = self.keepers[keeper].centre == self.vms[vm].centre;
-        if is_near { 1 } else { 10 }
+        if is_near { 1 } else { self.far_ms }
     }
 
     /// Has a keeper answer a call, unless the call or the reply is lost.
--- a/crates/permits/tests/tenant_quotas.rs
+++ b/crates/permits/tests/tenant_quotas.rs
@@ -89,8 +89,9 @@
 /// Guards against quotas that are lost between the keepers' parts.
 #[test]
 fn usual_loads_of_all_sizes_are_served() {
-    for vms in [9, 82, 300] {
+    for (vms, far_ms) in [(9, 10), (82, 10), (300, 10), (9, 22), (82, 22), (300, 22)] {
         let mut fleet = Fleet::new(vms, 5, 5, 1);
+        fleet.far_ms = far_ms;
         let rates = [
             (5.0, 0.2),
             (5.0, 1.0),
@@ -105,7 +106,10 @@
         fleet.run_until(62_000);
         for (number, (rate, load)) in rates.into_iter().enumerate() {
             let share = served_share(&fleet, &tenant(number), quota(rate));
-            assert!(share >= 0.98, "{share} of {load} at {rate} with {vms} VMs");
+            assert!(
+                share >= 0.98,
+                "{share} of {load} at {rate}, {vms} VMs, {far_ms} ms"
+            );
             assert_within_bound(&fleet, &tenant(number), quota(rate), 0);
         }
     }
