--- a/crates/route/src/relay/cold_table.rs
+++ b/crates/route/src/relay/cold_table.rs
@@ -28,9 +28,9 @@
 const UNKNOWN_MS: u64 = 4_000;
 /// Time for which a target is warm that has said so to this VM while it reaches no keeper, and the
 /// shortest and the longest pause between two checks, in milliseconds.
-const CHECKED_TTL_MS: u64 = 1_500;
-const CHECK_PAUSE_MIN_MS: u64 = 750;
-const CHECK_PAUSE_MAX_MS: u64 = 1_250;
+const CHECKED_TTL_MS: u64 = 1_000;
+const CHECK_PAUSE_MIN_MS: u64 = 500;
+const CHECK_PAUSE_MAX_MS: u64 = 750;
 /// Time after the last request that would suit a target in which it is checked, in milliseconds.
 const DEMAND_TTL_MS: u64 = 1_000;
 /// Most targets that are checked at once.
