--- a/crates/daemon/src/relay/evacuations.rs
+++ b/crates/daemon/src/relay/evacuations.rs
@@ -105,7 +105,14 @@
     pub(crate) fn apply_evacuations(&self, keeper: SocketAddr, state: &EvacuationState) {
         self.evacuations.adopt(state, |before| {
             let now = self.timer.now();
-            let change = self.with_selector(|selector| selector.set_evacuated(&state.centres, now));
+            let change = self.with_selector(|selector| {
+                let change = selector.set_evacuated(&state.centres, now);
+                // Targets may have become cold just before the end.
+                for centre in &change.ended {
+                    selector.record_return(Some(centre), now);
+                }
+                change
+            });
             self.forget_shard_groups();
             set_count(&self.metrics.evacuated_centres, state.centres.len());
             info!(self.log, "evacuation-in-force"; "version" => state.version, "before" => before,
