Do not probe evacuated targets, nor count their end as a crash

Operators stop targets of an evacuated data centre, so requests that still run there are not to blame.

--- a/crates/daemon/src/relay/attempt_loss.rs
+++ b/crates/daemon/src/relay/attempt_loss.rs
@@ -16,6 +16,9 @@
 /// been ending.
 const SECOND_PROBE_DELAY_MS: u64 = 150;
 
+/// What the log and the metrics name instead of a result where no probe was sent.
+const NOT_PROBED: &str = "not-probed";
+
 /// Returns the outcome of an attempt whose connection ended without an answer; logs and counts it.
 pub(super) async fn examine_loss(
     node: &Arc<EntryNode>,
@@ -26,9 +29,9 @@
 ) -> RelayAttemptOutcome {
     let target = &attempt.target;
     let ran_for = node.timer.now().since(sent_at);
-    let probe = node.pool.probe(target.address).await;
+    let probe = probe_target(node, target).await;
     let now = node.timer.now();
-    let has_ended = probe == AddressProbe::Refusing;
+    let has_ended = probe == Some(AddressProbe::Refusing);
     let (may_be_links, is_in_service) = {
         let selector = lock(&node.selector);
         (
@@ -37,21 +40,22 @@
         )
     };
     let has_crashed = has_ended && !may_be_links && is_in_service;
-    node.metrics.count_attempt_loss(probe.as_str());
+    let address = probe.map_or(NOT_PROBED, AddressProbe::as_str);
+    node.metrics.count_attempt_loss(address);
     if node.request_log.acquire_degraded_line(now) {
         info!(node.log, "attempt-lost";
             "request" => message.request_id.to_str().unwrap_or("unreadable"),
             "fingerprint" => %message.fingerprint, "target" => &*target.id,
             "service" => &*target.service, "born_ms" => target.born_ms,
             "fault" => fault.as_str(), "ran_ms" => ran_for.as_millis(),
-            "address" => probe.as_str(), "crashed" => has_crashed);
+            "address" => address, "crashed" => has_crashed);
     } else {
         node.metrics.log_lines_dropped.inc();
     }
     if has_crashed {
         return RelayAttemptOutcome::Crashed;
     }
-    let is_unclear = matches!(probe, AddressProbe::Closing | AddressProbe::Silent);
+    let is_unclear = matches!(probe, Some(AddressProbe::Closing | AddressProbe::Silent));
     if is_unclear || (has_ended && may_be_links) {
         probe_again(node, target);
     }
@@ -61,6 +65,14 @@
     }
 }
 
+/// Probes the address of a target, unless its data centre is evacuated.
+async fn probe_target(node: &EntryNode, target: &RelayTarget) -> Option<AddressProbe> {
+    if lock(&node.selector).is_evacuated(target) {
+        return None;
+    }
+    Some(node.pool.probe(target.address).await)
+}
+
 /// Records that nothing listens at the address of `target`, if a request has left it without an
 /// answer before.
 pub(super) fn record_refused_connection(node: &EntryNode, target: &RelayTarget) {
@@ -85,7 +97,7 @@
             .sleep_until(task_node.timer.now() + delay)
             .await;
         let is_open = lock(&task_node.selector).has_unanswered(&target);
-        if is_open && task_node.pool.probe(target.address).await == AddressProbe::Refusing {
+        if is_open && probe_target(&task_node, &target).await == Some(AddressProbe::Refusing) {
             record_refused_connection(&task_node, &target);
         }
         lock(&task_node.probed_again).remove(&target.address);
--- a/crates/route/src/relay/selector/quarantine.rs
+++ b/crates/route/src/relay/selector/quarantine.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_base::MonoTime;
 
-use super::{RelayTarget, TargetSelector, is_present};
+use super::{RelayTarget, TargetSelector, is_usable};
 use crate::relay::crash::{
     CrashCall, QuarantineEntry, QuarantineState, RequestFingerprint, RunEnd, SendRule,
 };
@@ -33,7 +33,8 @@
         self.crashes.run_ended(target, run, end, is_suspected, now);
     }
 
-    /// Whether `target` is in use and has not said that it leaves, so that its end would be a crash.
+    /// Whether `target` is in use and has not said that it leaves, so that its end would be a crash. The
+    /// end of one in an evacuated data centre is expected, and no request is to blame for it.
     #[must_use]
     pub fn is_in_service(&self, target: &RelayTarget, now: MonoTime) -> bool {
         let state = self.services.get(&target.service);
@@ -41,7 +42,7 @@
             state.trackers.iter().any(|tracker| {
                 tracker.target.id == target.id
                     && tracker.target.born_ms == target.born_ms
-                    && is_present(tracker, now)
+                    && is_usable(tracker, now)
                     && !tracker.notice.is_leaving()
             })
         })
--- a/crates/route/tests/evacuations.rs
+++ b/crates/route/tests/evacuations.rs
@@ -263,6 +263,17 @@
     assert!(repeated.iter().all(|centre| centre == WEST), "{repeated:?}");
 }
 
+/// Guards against requests that are held back since an operator stops the targets of an evacuated data
+/// centre while they run there.
+#[test]
+fn the_end_of_an_evacuated_target_is_no_crash() {
+    let mut selector = both(1);
+    assert!(selector.is_in_service(&target(0, EAST), at(1)));
+    evacuate(&mut selector, &[EAST], at(2));
+    assert!(!selector.is_in_service(&target(0, EAST), at(3)));
+    assert!(selector.is_in_service(&target(0, WEST), at(3)));
+}
+
 #[test]
 fn shards_are_grouped_by_data_centres_that_are_not_evacuated() {
     let targets = (0..10).flat_map(|shard| {
