Wake up for rates over all VMs only where a configuration has some

Each entry VM woke four times a second to look for keepers, also in deployments without tenants and cold targets. The loop sleeps until a request needs a permit there, as before this work; a new configuration wakes it.

--- a/crates/conf/src/route_table.rs
+++ b/crates/conf/src/route_table.rs
@@ -267,6 +267,14 @@
         self.tenants.as_ref()
     }
 
+    /// Whether requests may need permits of rates that hold for all VMs: those of tenants, or of cold
+    /// targets.
+    #[must_use]
+    pub fn has_rates(&self) -> bool {
+        let has_warm_up = |rule: &ServiceRule| rule.warm_up.is_some();
+        self.tenants.is_some() || self.services.values().any(has_warm_up)
+    }
+
     /// Returns what a cold target of `service` tolerates, or `None` without a bound.
     #[must_use]
     pub fn warm_up(&self, service: &str) -> Option<WarmUpRule> {
--- a/crates/conf/tests/route_table.rs
+++ b/crates/conf/tests/route_table.rs
@@ -4,7 +4,7 @@
 
 use fulmarweir_conf::{
     CallerLimits, GatherRule, RouteDestination, RouteFault, RouteRule, RouteTable, ServiceRule,
-    WeightedService,
+    WarmUpRule, WeightedService,
 };
 
 fn limits() -> CallerLimits {
@@ -119,3 +119,20 @@
     }
     assert_eq!(faults.len(), 6);
 }
+
+/// Guards against VMs of deployments without tenants and cold targets that wake up for rates.
+#[test]
+fn only_tenants_and_warm_up_rules_call_for_rates() {
+    let routes = || vec![rule("only", "one.example", "/x/", "a")];
+    let compile = |services, tenants| RouteTable::compile(7, routes(), services, tenants, limits());
+    let plain = compile(services(&["a"]), None).unwrap();
+    assert!(!plain.has_rates());
+    let keyed = compile(services(&["a"]), Some(Vec::new())).unwrap();
+    assert!(keyed.has_rates());
+    let mut warming = services(&["a"]);
+    warming[0].warm_up = Some(WarmUpRule {
+        duration: Duration::from_secs(3),
+        per_second: 10.0,
+    });
+    assert!(compile(warming, None).unwrap().has_rates());
+}
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -459,6 +459,8 @@
         }
         self.metrics.config_version.set(version);
         self.sync_targets();
+        // The configuration may be the first with rates that hold for all VMs.
+        self.permits_wanted.notify_one();
     }
 
     /// Decides whether to fetch a keeper's configuration, given its version.
--- a/crates/daemon/src/relay/permits.rs
+++ b/crates/daemon/src/relay/permits.rs
@@ -67,8 +67,16 @@
             let limits_period = selector.needs_permits().then_some(period);
             (limits_period, selector.cold_poll_after())
         };
-        let due = [limits_period, cold_period, node.rates.poll_after()];
-        let due = due.into_iter().flatten().fold(idle_period, Duration::min);
+        // Without such rates, nothing but requests for limited targets wakes this loop.
+        let has_rates = node.table().is_some_and(|table| table.has_rates());
+        let keepers_period = has_rates.then_some(idle_period);
+        let due = [
+            limits_period,
+            cold_period,
+            node.rates.poll_after(),
+            keepers_period,
+        ];
+        let due = due.into_iter().flatten().min();
         tokio::select! {
             () = stop.cancelled() => return,
             Some((call, grants)) = limit_calls.next() => {
@@ -86,7 +94,7 @@
                 count_rate_permits(&node, &call, grants.as_deref());
             }
             () = node.permits_wanted.notified() => {}
-            () = node.timer.sleep_until(now + due) => {}
+            () = node.timer.sleep_until(now + due.unwrap_or_default()), if due.is_some() => {}
         }
     }
 }
