--- /dev/null
+++ b/review/harness/servers.rs
@@ -0,0 +1,217 @@
+//! Stand-in searchers: they run requests, sign their answers and report to the keepers.
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst},
+        Arc, Mutex,
+    },
+    thread::{self, sleep},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    http::{self, Message, Reader},
+    record::Record,
+};
+
+/// A request that a searcher has run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub request: String,
+    pub service: String,
+    pub server: String,
+}
+
+/// What all searchers have run.
+#[derive(Default)]
+pub struct Runs {
+    pub list: Mutex<Vec<Run>>,
+}
+
+impl Runs {
+    /// Services and searchers that have run a request.
+    pub fn of(&self, request: &str) -> Vec<(String, String)> {
+        let list = self.list.lock().unwrap();
+        let runs = list.iter().filter(|run| run.request == request);
+        runs.map(|run| (run.service.clone(), run.server.clone())).collect()
+    }
+}
+
+/// One incarnation of a searcher.
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub slots: u32,
+    pub work: Duration,
+    pub born_ms: u64,
+    pub seq: AtomicU64,
+    /// Stops the heartbeats.
+    pub silent: AtomicBool,
+    running: AtomicU32,
+    runs: Arc<Runs>,
+    record: Arc<Record>,
+}
+
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Server {
+    pub fn new(
+        (id, service, zone): (&str, &str, &str),
+        address: SocketAddr,
+        (slots, work_ms): (u32, u64),
+        runs: &Arc<Runs>,
+        record: &Arc<Record>,
+    ) -> Arc<Server> {
+        Arc::new(Server {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address,
+            slots,
+            work: Duration::from_millis(work_ms),
+            born_ms: unix_ms(),
+            seq: AtomicU64::new(0),
+            silent: AtomicBool::new(false),
+            running: AtomicU32::new(0),
+            runs: Arc::clone(runs),
+            record: Arc::clone(record),
+        })
+    }
+
+    /// Listens and answers until the process ends.
+    pub fn serve(self: &Arc<Self>) {
+        let listener = TcpListener::bind(self.address).expect("the address of a searcher is free");
+        let server = Arc::clone(self);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.serve_connection(stream));
+            }
+        });
+    }
+
+    /// Sends heartbeats to the keepers, the first of which is preferred.
+    pub fn beat(self: &Arc<Self>, keepers: Vec<SocketAddr>) {
+        let server = Arc::clone(self);
+        thread::spawn(move || {
+            let mut at = 0;
+            loop {
+                if !server.silent.load(SeqCst) && !server.beat_once(keepers[at], "ready") {
+                    at = (at + 1) % keepers.len();
+                    sleep(Duration::from_millis(100));
+                    continue;
+                }
+                sleep(Duration::from_millis(1_200));
+            }
+        });
+    }
+
+    /// Sends one heartbeat; returns whether it was acknowledged.
+    pub fn beat_once(&self, keeper: SocketAddr, state: &str) -> bool {
+        let seq = self.seq.fetch_add(1, SeqCst) + 1;
+        let body = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+             \"slots\":{},\"state\":\"{state}\",\"warmupLeftMs\":0,\"seq\":{seq},\"born\":{}}}",
+            self.service, self.address, self.zone, self.slots, self.born_ms
+        );
+        let path = format!("/fulmarweir/instances/{}", self.id);
+        let headers = [("host", "control"), ("content-type", "application/json")];
+        let limit = Duration::from_secs(1);
+        let answer = http::call(keeper, "PUT", &path, &headers, body.as_bytes(), limit);
+        answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
+    }
+
+    fn serve_connection(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = Reader::new(stream);
+        while let Ok(Some(request)) = reader.next() {
+            let answer = self.answer(&request);
+            if writer.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Message) -> Vec<u8> {
+        let load = format!("{},0,{}", self.running.load(SeqCst), self.slots);
+        let (_, path) = request.target();
+        if path == "/health" {
+            let headers = [
+                ("x-fulmarweir-instance", self.id.as_str()),
+                ("x-fulmarweir-server-load", load.as_str()),
+            ];
+            return response_bytes("200 OK", &headers, b"");
+        }
+        let Some(id) = request.header("x-fulmarweir-request-id") else {
+            return response_bytes("400 Bad Request", &[("x-fulmarweir-not-run", "1")], b"");
+        };
+        let echo = ("x-fulmarweir-request-id", id);
+        let expected = request.header("x-fulmarweir-expect-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            let headers = [echo, ("x-fulmarweir-not-run", "1")];
+            return response_bytes("421 Misdirected Request", &headers, b"");
+        }
+        if self.running.fetch_add(1, SeqCst) >= self.slots {
+            self.running.fetch_sub(1, SeqCst);
+            let headers = [echo, ("x-fulmarweir-not-run", "1"), ("retry-after", "0.05")];
+            return response_bytes("503 Service Unavailable", &headers, b"");
+        }
+        let run = Run {
+            request: id.to_owned(),
+            service: self.service.clone(),
+            server: self.id.clone(),
+        };
+        self.record.line(&format!("run {id} service={} server={} path={path}", self.service, self.id));
+        self.runs.list.lock().unwrap().push(run);
+        sleep(self.work);
+        self.running.fetch_sub(1, SeqCst);
+        let stamp = stamp(&self.service, &self.id, id);
+        let headers = [
+            echo,
+            ("x-fulmarweir-server-stamp", stamp.as_str()),
+            ("x-fulmarweir-server-load", load.as_str()),
+            ("keep-alive", "timeout=30"),
+        ];
+        response_bytes("200 OK", &headers, &records(&self.service, id))
+    }
+}
+
+/// The signature of a searcher for its answer to a request.
+pub fn stamp(service: &str, server: &str, request: &str) -> String {
+    format!("{service}.{server}.{request}")
+}
+
+/// The records of a shard for a request: four of 16 bytes, in no particular order.
+pub fn records(service: &str, request: &str) -> Vec<u8> {
+    let mut state = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in service.bytes().chain(request.bytes()) {
+        state = (state ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    let mut bytes = Vec::new();
+    for _ in 0..8 {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        bytes.extend_from_slice(&state.to_be_bytes());
+    }
+    bytes
+}
+
+pub fn response_bytes(status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status}\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
