--- a/review/harness/first_start.rs
+++ b/review/harness/first_start.rs
@@ -31,7 +31,8 @@
         keepers: 4,
         entries_per_zone: 1,
         drain_ms: 4_000,
-        link_delay: Duration::ZERO,
+        losses_max: 1,
+        link_delay: None,
     };
     let mut tier = Tier::prepare(&shape);
     let runs: Arc<Runs> = Arc::default();
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -153,3 +153,43 @@
     let answer = Reader::new(stream).next()?;
     answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
+
+/// A connection that is kept open for many requests.
+pub struct KeptConnection {
+    address: SocketAddr,
+    limit: Duration,
+    open: Option<(TcpStream, Reader)>,
+}
+
+impl KeptConnection {
+    pub fn new(address: SocketAddr, limit: Duration) -> Self {
+        Self { address, limit, open: None }
+    }
+
+    /// Sends a request without a body, and opens a connection if there is none.
+    pub fn call(&mut self, method: &str, path: &str, headers: &[(&str, &str)]) -> io::Result<Message> {
+        let answer = self.call_once(&request_bytes(method, path, headers, &[]));
+        let closes = |answer: &Message| {
+            answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        };
+        if answer.as_ref().map_or(true, closes) {
+            self.open = None;
+        }
+        answer
+    }
+
+    fn call_once(&mut self, request: &[u8]) -> io::Result<Message> {
+        if self.open.is_none() {
+            let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
+            stream.set_nodelay(true)?;
+            stream.set_read_timeout(Some(self.limit))?;
+            let reader = Reader::new(stream.try_clone()?);
+            self.open = Some((stream, reader));
+        }
+        let Some((stream, reader)) = &mut self.open else {
+            return Err(io::ErrorKind::NotConnected.into());
+        };
+        stream.write_all(request)?;
+        reader.next()?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+}
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod operator;
 mod proxy;
+mod quota;
 mod race;
 mod record;
 mod servers;
@@ -30,6 +31,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "first-start" => first_start::run(&folder, trouble),
+        "quota" => quota::run(&folder, trouble),
         "race" => race::run(&folder, trouble),
         _ => Verdict::NotRun,
     };
--- a/review/harness/proxy.rs
+++ b/review/harness/proxy.rs
@@ -1,38 +1,109 @@
-//! A TCP proxy that delays what passes in each direction.
+//! A TCP proxy that delays what passes in each direction, or holds it up.
 
 use std::{
+    collections::HashSet,
+    fs,
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::mpsc::{channel, Receiver},
+    sync::{
+        mpsc::{channel, Receiver},
+        Arc, Mutex,
+    },
     thread::{self, sleep},
     time::{Duration, Instant},
 };
 
-/// Forwards connections from `listen` to `target`, each byte `delay` later. The opening of a
-/// connection takes a round trip as well.
-pub fn start(listen: SocketAddr, target: SocketAddr, delay: Duration) {
+/// How often a link that is cut is looked at.
+const CUT_POLL: Duration = Duration::from_millis(5);
+
+/// Which links are cut: pairs of a process that connects, by its id, and the host that it connects
+/// to, by its last octet.
+#[derive(Default)]
+pub struct Cuts {
+    /// Processes that may connect.
+    pub processes: Mutex<Vec<u32>>,
+    pairs: Mutex<HashSet<(u32, u8)>>,
+}
+
+impl Cuts {
+    pub fn cut(&self, process: u32, host: u8) {
+        self.pairs.lock().unwrap().insert((process, host));
+    }
+
+    pub fn heal(&self) {
+        self.pairs.lock().unwrap().clear();
+    }
+
+    fn wait_while_cut(&self, link: (u32, u8)) {
+        while self.pairs.lock().unwrap().contains(&link) {
+            sleep(CUT_POLL);
+        }
+    }
+
+    /// Returns which of the processes has opened the connection from `peer` to `own`.
+    fn source(&self, peer: SocketAddr, own: SocketAddr) -> u32 {
+        let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let (local, remote) = (hex(peer), hex(own));
+        let inode = table.lines().find_map(|line| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let is_same = words.len() > 9 && words[1] == local && words[2] == remote;
+            is_same.then(|| words[9].to_owned())
+        });
+        let Some(inode) = inode else { return 0 };
+        let wanted = format!("socket:[{inode}]");
+        let holds = |process: &&u32| {
+            let files = fs::read_dir(format!("/proc/{process}/fd"));
+            files.is_ok_and(|files| {
+                files.flatten().any(|file| {
+                    fs::read_link(file.path()).is_ok_and(|link| link.to_string_lossy() == wanted)
+                })
+            })
+        };
+        let processes = self.processes.lock().unwrap();
+        processes.iter().find(holds).copied().unwrap_or(0)
+    }
+}
+
+fn hex(address: SocketAddr) -> String {
+    match address {
+        SocketAddr::V4(v4) => {
+            format!("{:08X}:{:04X}", u32::from_le_bytes(v4.ip().octets()), v4.port())
+        }
+        SocketAddr::V6(_) => String::new(),
+    }
+}
+
+/// Forwards connections from `listen` to `target`, which is the host with the last octet `host`, each
+/// byte `delay` later. The opening of a connection takes a round trip as well.
+pub fn start(listen: SocketAddr, target: SocketAddr, host: u8, delay: Duration, cuts: &Arc<Cuts>) {
     let listener = TcpListener::bind(listen).expect("the address of a proxy is free");
+    let cuts = Arc::clone(cuts);
     thread::spawn(move || {
         for near in listener.incoming().flatten() {
+            let cuts = Arc::clone(&cuts);
             thread::spawn(move || {
+                let peer = near.peer_addr().expect("a connection has a peer");
+                let link = (cuts.source(peer, listen), host);
                 sleep(delay * 2);
+                cuts.wait_while_cut(link);
                 let Ok(far) = TcpStream::connect_timeout(&target, Duration::from_secs(1)) else {
                     let _ = near.shutdown(Shutdown::Both);
                     return;
                 };
-                pipe(&near, &far, delay);
-                pipe(&far, &near, delay);
+                pipe(&near, &far, delay, link, &cuts);
+                pipe(&far, &near, delay, link, &cuts);
             });
         }
     });
 }
 
 /// Forwards one direction of a connection.
-fn pipe(from: &TcpStream, to: &TcpStream, delay: Duration) {
+fn pipe(from: &TcpStream, to: &TcpStream, delay: Duration, link: (u32, u8), cuts: &Arc<Cuts>) {
     let (Ok(mut from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
     let _ = to.set_nodelay(true);
     let (sender, receiver) = channel();
-    thread::spawn(move || forward(&receiver, to));
+    let cuts = Arc::clone(cuts);
+    thread::spawn(move || forward(&receiver, to, link, &cuts));
     thread::spawn(move || {
         let mut chunk = [0; 32 * 1024];
         while let Ok(count) = from.read(&mut chunk) {
@@ -44,9 +115,15 @@
     });
 }
 
-fn forward(receiver: &Receiver<(Instant, Vec<u8>)>, mut to: TcpStream) {
+fn forward(
+    receiver: &Receiver<(Instant, Vec<u8>)>,
+    mut to: TcpStream,
+    link: (u32, u8),
+    cuts: &Cuts,
+) {
     while let Ok((due, bytes)) = receiver.recv() {
         sleep(due.saturating_duration_since(Instant::now()));
+        cuts.wait_while_cut(link);
         if bytes.is_empty() {
             let _ = to.shutdown(Shutdown::Write);
             return;
@@ -55,5 +132,6 @@
             return;
         }
     }
+    cuts.wait_while_cut(link);
     let _ = to.shutdown(Shutdown::Both);
 }
--- a/review/harness/race.rs
+++ b/review/harness/race.rs
@@ -32,7 +32,13 @@
 
 pub fn run(folder: &Path, trouble: bool) -> Verdict {
     let record = Record::create(&folder.join("record.txt"));
-    let shape = Shape { keepers: 3, entries_per_zone: 2, drain_ms: 4_000, link_delay: LINK_DELAY };
+    let shape = Shape {
+        keepers: 3,
+        entries_per_zone: 2,
+        drain_ms: 4_000,
+        losses_max: 1,
+        link_delay: Some(LINK_DELAY),
+    };
     let mut tier = Tier::prepare(&shape);
     let runs: Arc<Runs> = Arc::default();
     let keepers: Vec<_> = tier.keepers().iter().map(|node| tier.control_of(*node)).collect();
--- a/review/harness/servers.rs
+++ b/review/harness/servers.rs
@@ -8,7 +8,7 @@
         Arc, Mutex,
     },
     thread::{self, sleep},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -22,6 +22,7 @@
     pub request: String,
     pub service: String,
     pub server: String,
+    pub at: Instant,
 }
 
 /// What all searchers have run.
@@ -51,6 +52,8 @@
     pub seq: AtomicU64,
     /// Stops the heartbeats.
     pub silent: AtomicBool,
+    /// Leaves single runs out of the record.
+    pub quiet: AtomicBool,
     running: AtomicU32,
     runs: Arc<Runs>,
     record: Arc<Record>,
@@ -79,6 +82,7 @@
             born_ms: unix_ms(),
             seq: AtomicU64::new(0),
             silent: AtomicBool::new(false),
+            quiet: AtomicBool::new(false),
             running: AtomicU32::new(0),
             runs: Arc::clone(runs),
             record: Arc::clone(record),
@@ -168,8 +172,12 @@
             request: id.to_owned(),
             service: self.service.clone(),
             server: self.id.clone(),
+            at: Instant::now(),
         };
-        self.record.line(&format!("run {id} service={} server={} path={path}", self.service, self.id));
+        if !self.quiet.load(SeqCst) {
+            let (service, server) = (&self.service, &self.id);
+            self.record.line(&format!("run {id} service={service} server={server} path={path}"));
+        }
         self.runs.list.lock().unwrap().push(run);
         sleep(self.work);
         self.running.fetch_sub(1, SeqCst);
--- a/review/harness/tier.rs
+++ b/review/harness/tier.rs
@@ -5,11 +5,15 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Arc,
     thread::sleep,
     time::{Duration, Instant},
 };
 
-use crate::{http, proxy};
+use crate::{
+    http,
+    proxy::{self, Cuts},
+};
 
 pub const CALLERS: u16 = 8226;
 pub const READY: u16 = 8227;
@@ -38,6 +42,8 @@
     net: [u8; 2],
     _claim: TcpListener,
     pub nodes: Vec<Node>,
+    /// The links to keepers that are cut.
+    pub cuts: Arc<Cuts>,
     root: PathBuf,
 }
 
@@ -46,8 +52,11 @@
     pub keepers: u8,
     pub entries_per_zone: u8,
     pub drain_ms: u64,
-    /// Delay in each direction of what other processes send to a keeper.
-    pub link_delay: Duration,
+    /// Machines of the core that may be lost at once.
+    pub losses_max: u8,
+    /// Delay in each direction of what other processes send to a keeper, whose links can be cut then;
+    /// `None` for direct links.
+    pub link_delay: Option<Duration>,
 }
 
 impl Tier {
@@ -65,9 +74,9 @@
         let folder = std::env::temp_dir().join(format!("fulmarweir-review-{id}"));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let root = std::env::current_dir().expect("the repository's root");
-        let mut tier = Tier { folder, net, _claim: claim, nodes: Vec::new(), root };
-        // With a delay, other processes reach a keeper through a proxy at an address of its own.
-        let seed_host = if shape.link_delay.is_zero() { 1 } else { PROXY };
+        let mut tier = Tier { folder, net, _claim: claim, nodes: Vec::new(), cuts: Arc::default(), root };
+        // With proxies, other processes reach a keeper through a proxy at an address of its own.
+        let seed_host = if shape.link_delay.is_some() { PROXY } else { 1 };
         let seeds: Vec<String> = (0..shape.keepers.min(3))
             .map(|index| format!("{}:{CONTROL}", ip(net, seed_host + index)))
             .collect();
@@ -99,17 +108,17 @@
         } else {
             text += &format!("callers = {address}:{CALLERS}\nready = {address}:{READY}\n");
         }
-        if keeper && !shape.link_delay.is_zero() {
+        if let Some(delay) = shape.link_delay.filter(|_| keeper) {
             let advertised = SocketAddr::new(ip(self.net, host - 1 + PROXY), PEERS);
-            proxy::start(advertised, SocketAddr::new(address, PEERS), shape.link_delay);
+            proxy::start(advertised, SocketAddr::new(address, PEERS), host, delay, &self.cuts);
             text += &format!("advertise-peers = {advertised}\n");
         }
         text += &format!(
             "peers = {address}:{PEERS}\nmetrics = {address}:9464\n\n[peers]\nseeds = {seeds}\n\
-             first-start = true\nlosses-max = 1\n\n[bounds]\nannounce-ms = 1200\n\
+             first-start = true\nlosses-max = {}\n\n[bounds]\nannounce-ms = 1200\n\
              drain-ms = {}\nstop-grace-s = 6\ncatch-up-s = 4\n\n\
              [extra]\nshare = 0.2\nburst = 58\nwindow-s = 10\n\n[regions]\n",
-            shape.drain_ms
+            shape.losses_max, shape.drain_ms
         );
         for (zone, region) in ZONES.iter().zip(REGIONS) {
             text += &format!("{zone} = {region}\n");
@@ -155,7 +164,10 @@
             .stderr(errors)
             .spawn();
         match child {
-            Ok(child) => node.child = Some(child),
+            Ok(child) => {
+                self.cuts.processes.lock().unwrap().push(child.id());
+                node.child = Some(child);
+            }
             Err(error) => {
                 eprintln!("the program does not start: {error}");
                 std::process::exit(2);
@@ -209,6 +221,15 @@
         let _ = fs::remove_dir_all(folder);
     }
 
+    /// Cuts a keeper off from all other keepers. Entry VMs reach it.
+    pub fn cut_from_core(&self, node: usize) {
+        let (own, host) = (self.id(node), self.nodes[node].host);
+        for other in self.keepers().into_iter().filter(|other| *other != node) {
+            self.cuts.cut(self.id(other), host);
+            self.cuts.cut(own, self.nodes[other].host);
+        }
+    }
+
     pub fn is_ready(&self, node: usize) -> bool {
         let address = self.address(self.nodes[node].host, READY);
         let limit = Duration::from_secs(1);
