--- a/review/harness/servers.rs
+++ b/review/harness/servers.rs
@@ -52,6 +52,8 @@
     pub seq: AtomicU64,
     /// Stops the heartbeats.
     pub silent: AtomicBool,
+    /// Says in all answers that the searcher leaves.
+    pub leaving: AtomicBool,
     /// Leaves single runs out of the record.
     pub quiet: AtomicBool,
     running: AtomicU32,
@@ -82,6 +84,7 @@
             born_ms: unix_ms(),
             seq: AtomicU64::new(0),
             silent: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             quiet: AtomicBool::new(false),
             running: AtomicU32::new(0),
             runs: Arc::clone(runs),
@@ -132,6 +135,15 @@
         answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
     }
 
+    /// Tells a keeper that this searcher leaves; returns whether that was acknowledged.
+    pub fn withdraw(&self, keeper: SocketAddr) -> bool {
+        self.leaving.store(true, SeqCst);
+        let path = format!("/fulmarweir/instances/{}", self.id);
+        let limit = Duration::from_secs(1);
+        let answer = http::call(keeper, "DELETE", &path, &[("host", "control")], &[], limit);
+        answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
+    }
+
     fn serve_connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
@@ -145,6 +157,16 @@
     }
 
     fn answer(&self, request: &Message) -> Vec<u8> {
+        let answer = self.answer_plain(request);
+        if !self.leaving.load(SeqCst) {
+            return answer;
+        }
+        // The header goes right after the status line.
+        let line_end = answer.windows(2).position(|w| w == b"\r\n").map_or(0, |at| at + 2);
+        [&answer[..line_end], b"server-leaving: 1\r\n", &answer[line_end..]].concat()
+    }
+
+    fn answer_plain(&self, request: &Message) -> Vec<u8> {
         let load = format!("{},0,{}", self.running.load(SeqCst), self.slots);
         let (_, path) = request.target();
         if path == "/health" {
--- a/review/harness/tier.rs
+++ b/review/harness/tier.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     http,
-    proxy::{self, Cuts},
+    proxy::{self, Cuts, Link, Source},
 };
 
 pub const CALLERS: u16 = 8226;
@@ -22,6 +22,8 @@
 pub const TARGETS: u16 = 8080;
 /// Last octet of the first keeper's proxy.
 const PROXY: u8 = 51;
+/// One way within a zone.
+const NEAR_DELAY: Duration = Duration::from_micros(200);
 
 /// Zones of the deployment, each in a region of its own.
 pub const ZONES: [&str; 3] = ["capital-z1", "paysandu-z1", "punta-z1"];
@@ -54,7 +56,7 @@
     pub drain_ms: u64,
     /// Machines of the core that may be lost at once.
     pub losses_max: u8,
-    /// Delay in each direction of what other processes send to a keeper, whose links can be cut then;
+    /// One-way delay of what processes in other regions send to a keeper, whose links can be cut then;
     /// `None` for direct links.
     pub link_delay: Option<Duration>,
 }
@@ -110,7 +112,8 @@
         }
         if let Some(delay) = shape.link_delay.filter(|_| keeper) {
             let advertised = SocketAddr::new(ip(self.net, host - 1 + PROXY), PEERS);
-            proxy::start(advertised, SocketAddr::new(address, PEERS), host, delay, &self.cuts);
+            let link = Link { host, zone, near: NEAR_DELAY.min(delay), far: delay };
+            proxy::start(advertised, SocketAddr::new(address, PEERS), link, &self.cuts);
             text += &format!("advertise-peers = {advertised}\n");
         }
         text += &format!(
@@ -165,12 +168,13 @@
             .spawn();
         match child {
             Ok(child) => {
-                self.cuts.processes.lock().unwrap().push(child.id());
+                let source = Source { process: child.id(), zone: node.zone };
+                self.cuts.sources.lock().unwrap().push(source);
                 node.child = Some(child);
             }
             Err(error) => {
-                eprintln!("the program does not start: {error}");
-                std::process::exit(2);
+                // The processes that run are ended as the tier is dropped.
+                panic!("the program does not start: {error}");
             }
         }
     }
