--- a/review/harness/leave.rs
+++ b/review/harness/leave.rs
@@ -46,7 +46,7 @@
     let record = Record::create(&folder.join("record.txt"));
     let shape = Shape {
         keepers: 4,
-        entries_per_zone: 2,
+        entries_per_zone: 3,
         drain_ms: 4_000,
         losses_max: 1,
         link_delay: Some(Duration::from_millis(20)),
