--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, reason = "each case uses a part of the stand-ins")]
 
+mod cold;
 mod first_start;
 mod http;
 mod leave;
@@ -32,6 +33,7 @@
     let folder = PathBuf::from(folder);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = std::panic::catch_unwind(|| match case.as_str() {
+        "cold" => cold::run(&folder, trouble),
         "first-start" => first_start::run(&folder, trouble),
         "leave" => leave::run(&folder, trouble),
         "quota" => quota::run(&folder, trouble),
--- a/review/harness/servers.rs
+++ b/review/harness/servers.rs
@@ -52,6 +52,8 @@
     pub seq: AtomicU64,
     /// Stops the heartbeats.
     pub silent: AtomicBool,
+    /// Until when the searcher is cold.
+    cold_until: Mutex<Option<Instant>>,
     /// Says in all answers that the searcher leaves.
     pub leaving: AtomicBool,
     /// Leaves single runs out of the record.
@@ -84,6 +86,7 @@
             born_ms: unix_ms(),
             seq: AtomicU64::new(0),
             silent: AtomicBool::new(false),
+            cold_until: Mutex::new(None),
             leaving: AtomicBool::new(false),
             quiet: AtomicBool::new(false),
             running: AtomicU32::new(0),
@@ -125,8 +128,8 @@
         let seq = self.seq.fetch_add(1, SeqCst) + 1;
         let body = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"slots\":{},\"state\":\"{state}\",\"warmupLeftMs\":0,\"seq\":{seq},\"born\":{}}}",
-            self.service, self.address, self.zone, self.slots, self.born_ms
+             \"slots\":{},\"state\":\"{state}\",\"warmupLeftMs\":{},\"seq\":{seq},\"born\":{}}}",
+            self.service, self.address, self.zone, self.slots, self.cold_ms(), self.born_ms
         );
         let path = format!("/fulmarweir/instances/{}", self.id);
         let headers = [("host", "control"), ("content-type", "application/json")];
@@ -135,6 +138,16 @@
         answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
     }
 
+    /// Makes the searcher cold for a time.
+    pub fn turn_cold(&self, time: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
+    fn cold_ms(&self) -> u128 {
+        let until = *self.cold_until.lock().unwrap();
+        until.map_or(0, |until| until.saturating_duration_since(Instant::now()).as_millis())
+    }
+
     /// Tells a keeper that this searcher leaves; returns whether that was acknowledged.
     pub fn withdraw(&self, keeper: SocketAddr) -> bool {
         self.leaving.store(true, SeqCst);
@@ -170,9 +183,11 @@
         let load = format!("{},0,{}", self.running.load(SeqCst), self.slots);
         let (_, path) = request.target();
         if path == "/health" {
+            let cold = self.cold_ms().to_string();
             let headers = [
                 ("x-fulmarweir-instance", self.id.as_str()),
                 ("x-fulmarweir-server-load", load.as_str()),
+                ("x-fulmarweir-cold-ms", cold.as_str()),
             ];
             return response_bytes("200 OK", &headers, b"");
         }
