--- a/review/harness/cold.rs
+++ b/review/harness/cold.rs
@@ -29,8 +29,8 @@
 /// Requests in a second at which a cold searcher crashes: twice what the rule allows.
 const CRASHES_ABOVE: u32 = 25;
 /// Requests per second at each front machine.
-const ASKED_PER_S: f64 = 80.0;
-const CALLERS_PER_ENTRY: usize = 16;
+const ASKED_PER_S: f64 = 160.0;
+const CALLERS_PER_ENTRY: usize = 24;
 
 pub fn run(folder: &Path, trouble: bool) -> Verdict {
     let record = Record::create(&folder.join("record.txt"));
--- a/review/harness/proxy.rs
+++ b/review/harness/proxy.rs
@@ -22,6 +22,9 @@
     pub zone: usize,
 }
 
+/// How often the source of a connection is looked for.
+const LOOKUPS: usize = 20;
+
 /// Which links are cut: pairs of a process that connects, by its id, and the host that it connects
 /// to, by its last octet.
 #[derive(Default)]
@@ -54,8 +57,20 @@
         }
     }
 
-    /// Returns which process has opened the connection from `peer` to `own`, and its zone.
+    /// Returns which process has opened the connection from `peer` to `own`, and its zone. A process
+    /// that was just started may not be known yet.
     fn source(&self, peer: SocketAddr, own: SocketAddr) -> (u32, usize) {
+        for _ in 0..LOOKUPS {
+            let found = self.look_up(peer, own);
+            if found.0 != 0 {
+                return found;
+            }
+            sleep(CUT_POLL);
+        }
+        (0, usize::MAX)
+    }
+
+    fn look_up(&self, peer: SocketAddr, own: SocketAddr) -> (u32, usize) {
         let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
         let (local, remote) = (hex(peer), hex(own));
         let inode = table.lines().find_map(|line| {
