Announce the configuration that the voters hold, not the one that was submitted

What callers saw: after two operators had submitted different content under one version number, entry VMs of one data centre obeyed the content that was read back nowhere, until the next version (CONFIG).

Cause: set_config_if_newer returned only the version that the register holds. If another operator's content had won under the same number, the number was the same, and the keeper stored and announced the content of its own operator as decided. Keepers and entry VMs compare versions only, so nothing corrected it.

Change: the call returns the state of the register, and the keeper announces that. The log line config-decided tells whether it is the submitted content (own_content), config_changes_total counts the other case as superseded.

A keeper now has no other source for what it announces than the register.

--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -134,11 +134,13 @@
         .await;
     match submitted {
         Ok(held) => {
-            count_config_change(node, "decided");
-            info!(node.log, "config-decided"; "version" => version, "held" => held,
-                "voter_epoch" => node.quorum.voters().epoch);
-            if held == version && confirm_before_config(node).await {
-                node.store_config(version, &document, "operator");
+            // Another operator may have submitted other content under the same version.
+            let is_own = held.version == version && held.text == document;
+            count_config_change(node, if is_own { "decided" } else { "superseded" });
+            info!(node.log, "config-decided"; "version" => version, "held" => held.version,
+                "own_content" => is_own, "voter_epoch" => node.quorum.voters().epoch);
+            if confirm_before_config(node).await {
+                node.apply_decided_config(held.version, &held.text, "operator");
             }
             json(StatusCode::OK, "{}")
         }
--- a/crates/quorum/src/client/calls.rs
+++ b/crates/quorum/src/client/calls.rs
@@ -56,8 +56,8 @@
 
     /// Replaces the configuration by `text` if `version` is higher than the current version.
     ///
-    /// Returns the version that the register holds afterwards. Repeating the call with the same
-    /// version changes nothing, so a call that timed out may be repeated.
+    /// Returns what the register holds afterwards. Under the same version, that may be the text of
+    /// another submitter. Repeating the call changes nothing, so a call that timed out may be repeated.
     ///
     /// # Errors
     /// [`crate::QuorumError::Timeout`] when the change is undecided or certainly not made; the
@@ -67,7 +67,7 @@
         version: u64,
         text: Arc<str>,
         timeout: Duration,
-    ) -> Result<u64> {
+    ) -> Result<ConfigState> {
         let config = VersionedConfig { version, text };
         self.run_change(RegisterKey::Config, timeout, |value| config.apply(value))
             .await
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -124,18 +124,18 @@
 impl VersionedConfig {
     /// Writes the configuration unless the register holds the same or a higher version.
     ///
-    /// The outcome is the version that the register holds afterwards.
-    pub(crate) fn apply(&self, value: Option<&RegisterValue>) -> RegisterChange<u64> {
-        let held = config_state(value).version;
-        if self.version <= held {
-            return RegisterChange::Keep(held);
+    /// The outcome is the state that the register holds afterwards.
+    pub(crate) fn apply(&self, value: Option<&RegisterValue>) -> RegisterChange<ConfigState> {
+        let held = config_state(value);
+        if self.version <= held.version {
+            return RegisterChange::Keep(held.clone());
         }
         let state = ConfigState {
             version: self.version,
             text: Arc::clone(&self.text),
             outcomes: VecDeque::new(),
         };
-        RegisterChange::Write(RegisterValue::Config(state), self.version)
+        RegisterChange::Write(RegisterValue::Config(state.clone()), state)
     }
 }
 
--- a/crates/quorum/tests/versioned_config.rs
+++ b/crates/quorum/tests/versioned_config.rs
@@ -19,14 +19,17 @@
         let net = SimNet::new(seed, 3, 3, RETENTION);
         let (first, second) = (net.client(1), net.client(2));
         let higher = first.set_config_if_newer(7, text(7), CALL_TIMEOUT).await;
-        assert_eq!(higher.unwrap(), 7);
+        let higher = higher.unwrap();
+        assert_eq!((higher.version, higher.text), (7, text(7)));
         let other: Arc<str> = "other content".into();
         let same = second
             .set_config_if_newer(7, Arc::clone(&other), CALL_TIMEOUT)
             .await;
-        assert_eq!(same.unwrap(), 7);
+        // The submitter of other content under the same version learns which content is held.
+        let same = same.unwrap();
+        assert_eq!((same.version, same.text), (7, text(7)));
         let lower = second.set_config_if_newer(3, other, CALL_TIMEOUT).await;
-        assert_eq!(lower.unwrap(), 7);
+        assert_eq!(lower.unwrap().version, 7);
         let state = second.read_config(CALL_TIMEOUT).await.unwrap();
         assert_eq!((state.version, state.text), (7, text(7)));
     });
@@ -103,7 +106,8 @@
             let acknowledged = client
                 .set_config_if_newer(version, text(version), CALL_TIMEOUT)
                 .await
-                .unwrap();
+                .unwrap()
+                .version;
             let first_lost = u16::try_from(net.random_below(voters.into())).unwrap();
             for number in 0..voters {
                 net.crash(number);
