Put the accepted text in force when a change ID is used for two texts

What operators could see: two operators use one change ID for different texts at two daemons. Both are told that the version is accepted, and the daemon of the second one puts its own text in force under that version.

Cause: submit_config returned only the first outcome, and the daemon took its own text for the accepted one if the version fitted.

Change: submit_config also returns the text under the accepted version, and the daemon puts its own text in force only if it is that one. Otherwise it learns the version like every other daemon.

Evidence: a_change_whose_id_was_used_before_is_told_the_accepted_text covers the register (the field is new, so it can't run on the code before).

--- a/crates/daemon/src/config_change.rs
+++ b/crates/daemon/src/config_change.rs
@@ -64,18 +64,18 @@
         .quorum
         .submit_config(request.expected_version, change_id, request.text, timeout)
         .await;
-    match submitted {
-        Ok(SubmitOutcome::Accepted { version }) => {
+    match submitted.map(|reply| (reply.outcome, reply.text)) {
+        Ok((SubmitOutcome::Accepted { version }, text)) => {
             info!(node.log, "change-accepted"; "version" => version,
                 "change_id" => %request.change_id);
             // A resent change gets the outcome of its first submission; a later version may be in
-            // force by now.
-            if version == compiled.version {
+            // force by now, and the first submission may have had another text.
+            if version == compiled.version && text.is_some_and(|text| *text == *compiled.text) {
                 apply_config(node, compiled);
             }
             ConfigChangeOutcome::Accepted { version }
         }
-        Ok(SubmitOutcome::Conflict { current }) => ConfigChangeOutcome::Conflict { current },
+        Ok((SubmitOutcome::Conflict { current }, _)) => ConfigChangeOutcome::Conflict { current },
         Err(report) => ConfigChangeOutcome::NoQuorum(report.current_context().verdict()),
     }
 }
--- a/crates/quorum/src/client/calls.rs
+++ b/crates/quorum/src/client/calls.rs
@@ -8,7 +8,7 @@
         record_act, release_act,
     },
     client::{CallProgress, QuorumClient},
-    config::{ConfigChange, ConfigState, SubmitOutcome, VersionedConfig, read_config},
+    config::{ConfigChange, ConfigState, SubmitReply, VersionedConfig, read_config},
     error::Result,
     evacuation::{EvacuationOrder, EvacuationSet, evacuation_set, read_evacuations},
     key::{ActKey, RegisterKey},
@@ -44,7 +44,7 @@
         change_id: Arc<str>,
         text: Arc<str>,
         timeout: Duration,
-    ) -> Result<SubmitOutcome> {
+    ) -> Result<SubmitReply> {
         let change = ConfigChange {
             expected_version,
             change_id,
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -44,6 +44,17 @@
     },
 }
 
+/// The reply to a submitted change of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SubmitReply {
+    /// The outcome of the change.
+    pub outcome: SubmitOutcome,
+    /// The text under the accepted version, `None` if the register holds a later version by now.
+    ///
+    /// It is not the submitted text if an earlier change with the same ID had another text.
+    pub text: Option<Arc<str>>,
+}
+
 /// A change of the configuration, conditional on its current version.
 #[derive(Clone, Debug)]
 pub(crate) struct ConfigChange {
@@ -56,14 +67,14 @@
     /// Applies the change to the register's value, or refuses it.
     ///
     /// A change that the register has already decided keeps its outcome.
-    pub(crate) fn apply(&self, value: Option<&RegisterValue>) -> RegisterChange<SubmitOutcome> {
+    pub(crate) fn apply(&self, value: Option<&RegisterValue>) -> RegisterChange<SubmitReply> {
         let state = config_state(value);
         let known = state
             .outcomes
             .iter()
             .find(|known| known.change == self.change_id);
         if let Some(known) = known {
-            return RegisterChange::Keep(known.outcome);
+            return RegisterChange::Keep(state.reply(known.outcome));
         }
         let current = state.version;
         if self.expected_version == current {
@@ -76,7 +87,7 @@
         if self.expected_version < current {
             // Versions only increase, so this change cannot be accepted later either, and its
             // outcome need not be recorded.
-            return RegisterChange::Keep(outcome);
+            return RegisterChange::Keep(state.reply(outcome));
         }
         let text = Arc::clone(&state.text);
         self.write(state, current, text, outcome)
@@ -88,7 +99,7 @@
         version: u64,
         text: Arc<str>,
         outcome: SubmitOutcome,
-    ) -> RegisterChange<SubmitOutcome> {
+    ) -> RegisterChange<SubmitReply> {
         let mut outcomes = state.outcomes.clone();
         while outcomes.len() >= CONFIG_OUTCOMES_MAX {
             outcomes.pop_front();
@@ -102,7 +113,22 @@
             text,
             outcomes,
         };
-        RegisterChange::Write(RegisterValue::Config(state), outcome)
+        let reply = state.reply(outcome);
+        RegisterChange::Write(RegisterValue::Config(state), reply)
+    }
+}
+
+impl ConfigState {
+    /// Returns the reply to a change with this outcome.
+    fn reply(&self, outcome: SubmitOutcome) -> SubmitReply {
+        let is_held = outcome
+            == SubmitOutcome::Accepted {
+                version: self.version,
+            };
+        SubmitReply {
+            outcome,
+            text: is_held.then(|| Arc::clone(&self.text)),
+        }
     }
 }
 
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -68,7 +68,7 @@
 pub use act::{ActClaim, ActOutcome, ActState, BodyDigest, ClaimOutcome, SettleOutcome};
 pub use ballot::{Ballot, ProposerId};
 pub use client::{ClientSettings, QuorumClient, VoterHealth, VoterSetOutcome, VoterTransport};
-pub use config::{CONFIG_OUTCOMES_MAX, ChangeRecord, ConfigState, SubmitOutcome};
+pub use config::{CONFIG_OUTCOMES_MAX, ChangeRecord, ConfigState, SubmitOutcome, SubmitReply};
 pub use error::{QuorumError, Result};
 pub use evacuation::{EvacuationOrder, EvacuationSet};
 pub use key::{ActKey, REGISTER_SHARDS, RegisterKey};
--- a/crates/quorum/tests/chaos.rs
+++ b/crates/quorum/tests/chaos.rs
@@ -141,9 +141,9 @@
                 .client
                 .submit_config(expected_version, change.clone(), text, CALL_TIMEOUT)
                 .await;
-            if let Ok(outcome) = result {
+            if let Ok(reply) = result {
                 let mut history = self.history.borrow_mut();
-                history.submitted(known, &change, outcome);
+                history.submitted(known, &change, reply.outcome);
                 history.finished_calls += 1;
             }
         }
--- a/crates/quorum/tests/registers.rs
+++ b/crates/quorum/tests/registers.rs
@@ -48,6 +48,7 @@
                         .submit_config(expected_version, change, "text".into(), CALL_TIMEOUT)
                         .await
                         .unwrap()
+                        .outcome
                 }
             };
         let accepted = SubmitOutcome::Accepted { version: 1 };
@@ -198,11 +199,33 @@
             .submit_config(1, "b".into(), "two".into(), CALL_TIMEOUT)
             .await
             .unwrap();
-        assert_eq!(repeated, SubmitOutcome::Accepted { version: 2 });
+        assert_eq!(repeated.outcome, SubmitOutcome::Accepted { version: 2 });
         assert_eq!(first.read_config(CALL_TIMEOUT).await.unwrap().version, 2);
     });
 }
 
+/// Guards against a submitter that takes its own text for the accepted one, although an earlier change
+/// with the same ID had another text.
+#[test]
+fn a_change_whose_id_was_used_before_is_told_the_accepted_text() {
+    for_seeds(2, |seed| async move {
+        let net = SimNet::new(seed, 3, 3, RETENTION);
+        let (first, second) = (net.client(1), net.client(2));
+        let own = first.submit_config(0, "a".into(), "one".into(), CALL_TIMEOUT);
+        assert_eq!(own.await.unwrap().text, Some("one".into()));
+        let other = second.submit_config(0, "a".into(), "two".into(), CALL_TIMEOUT);
+        let other = other.await.unwrap();
+        assert_eq!(other.outcome, SubmitOutcome::Accepted { version: 1 });
+        assert_eq!(other.text, Some("one".into()));
+        let later = first.submit_config(1, "b".into(), "three".into(), CALL_TIMEOUT);
+        later.await.unwrap();
+        let late = second.submit_config(0, "a".into(), "two".into(), CALL_TIMEOUT);
+        let late = late.await.unwrap();
+        assert_eq!(late.outcome, SubmitOutcome::Accepted { version: 1 });
+        assert_eq!(late.text, None);
+    });
+}
+
 #[test]
 fn initial_voters_must_all_answer_once() {
     for_seeds(1, |seed| async move {
--- a/crates/quorum/tests/voters.rs
+++ b/crates/quorum/tests/voters.rs
@@ -17,7 +17,7 @@
     let change: Arc<str> = format!("change-{expected_version}").into();
     let submitted =
         client.submit_config(expected_version, Arc::clone(&change), change, CALL_TIMEOUT);
-    submitted.await.unwrap()
+    submitted.await.unwrap().outcome
 }
 
 fn act(number: u64) -> ActKey {
--- a/tests/tests/state_config.rs
+++ b/tests/tests/state_config.rs
@@ -13,6 +13,8 @@
 /// Time in which a daemon must have the newest version once its links are healed.
 const CATCH_UP_MAX: Duration = Duration::from_secs(5);
 const POLL_PAUSE: Duration = Duration::from_millis(20);
+/// Delay between daemons, one way, where a test needs one.
+const LINK_DELAY: Duration = Duration::from_millis(20);
 
 fn operator_addresses(tier: &Tier) -> Vec<SocketAddr> {
     let daemons = tier.daemons().iter();
@@ -92,6 +94,39 @@
     tier.stop().await.unwrap();
 }
 
+/// Guards against a daemon that puts its own operator's text in force under a version for which another
+/// text was accepted, because both operators used the same change ID.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_texts_with_one_change_id_the_accepted_one_is_in_force_everywhere() {
+    let tier = Tier::start(&single_centre_settings(3)).await.unwrap();
+    let addresses = operator_addresses(&tier);
+    let operator = TestOperator::default();
+    // The second operator's change is decided before its daemon hears of the first one.
+    for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+        tier.set_link(one, other, LinkState::delayed(LINK_DELAY));
+    }
+    for at in 0..6 {
+        let id = format!("shared-{at}");
+        let submissions = addresses[..2].iter().enumerate().map(|(index, address)| {
+            let (operator, id) = (&operator, &id);
+            async move {
+                sleep(LINK_DELAY * u32::try_from(index).unwrap()).await;
+                let text = numbered_config(at * 10 + index as u64);
+                let outcome = submit_until_decided(operator, &[*address], at, id, &text).await;
+                assert_eq!(outcome, SubmitOutcome::Accepted(at + 1));
+            }
+        });
+        join_all(submissions).await;
+        tier.wait_config(at + 1).await.unwrap();
+        let mut texts = Vec::new();
+        for address in &addresses {
+            texts.push(operator.text(*address).await.unwrap());
+        }
+        assert!(texts.iter().all(|text| *text == texts[0]), "{texts:?}");
+    }
+    tier.stop().await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_resent_change_gets_its_first_outcome() {
     let mut tier = Tier::start(&single_centre_settings(3)).await.unwrap();
