Acknowledge departures and blocks of requests once enough keepers have stored them

What callers saw: after a core machine was lost right after it had acknowledged that a target leaves, entry VMs sent requests to the target for up to 9 s (DRAIN). After a loss of power everywhere, a target that had left was used again from the keepers' disks.

Cause: a keeper acknowledged DELETE and state=draining from its memory. The list on its disk followed within 0.5 s, other keepers never heard of it, and an entry VM between two polls missed it. Entry VMs keep the targets of a silent keeper for 9 s, and a target that has sent its DELETE announces nothing more. The same held for an operator's block or release of a request (/v1/quarantine).

Change: the keeper sends the departure or the entry to the other voters' VMs (request Replicate). Each writes it to its disk, with the list of targets or the quarantine, before it replies. The keeper answers 200 once losses-max + 1 disks have it, its own counted if it has it too, and else 503 after 0.7 s at most, so that the target calls another keeper. The departure is in force at once in any case. Holders of a copy tell it to entry VMs when a poll returns, within 1.5 s, but do not wake waiting polls for it. Older builds refuse the request; then all that can store it must.

Why it works: whichever losses-max keepers are lost, a disk with the departure is left, and whoever reads it passes it on.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -43,6 +43,7 @@
 #[cfg(test)]
 mod recorded_frames;
 mod reload;
+mod replicate;
 mod request_account;
 mod request_log;
 mod response;
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fulmarweir_fleet::AnnounceOutcome;
+use fulmarweir_fleet::{AnnounceOutcome, AnnouncedState};
 use fulmarweir_quorum::EvacuationOrder;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
@@ -29,6 +29,8 @@
 const READ_TIMEOUT_MS: u64 = 900;
 /// `Retry-After` of responses to operators after a failure, in milliseconds.
 const UNAVAILABLE_RETRY_MS: u64 = 200;
+/// Why a departure or an order is not acknowledged yet.
+pub(super) const NOT_REPLICATED: &str = "too few keepers have stored it";
 
 /// Handles one request.
 pub(crate) async fn handle_control(
@@ -37,7 +39,7 @@
 ) -> RelayResponse {
     let (head, body) = request.into_parts();
     if let Some(call) = quarantine_call(&head.method, &head.uri) {
-        return answer_quarantine_call(&node, call);
+        return answer_quarantine_call(&node, call).await;
     }
     let call = (node.adapter.control_call)(&head.method, head.uri.path());
     let limit = match call {
@@ -48,10 +50,14 @@
         return text(StatusCode::PAYLOAD_TOO_LARGE, "body too large or cut short");
     };
     match call {
-        Some(ControlCall::Announce(id)) => announce(&node, &id, &body),
+        Some(ControlCall::Announce(id)) => announce(&node, &id, &body).await,
         Some(ControlCall::Withdraw(id)) => {
             node.withdraw(&id);
-            json(StatusCode::OK, "{}")
+            if node.replicate_departure(&id).await {
+                json(StatusCode::OK, "{}")
+            } else {
+                unavailable(NOT_REPLICATED)
+            }
         }
         Some(ControlCall::ReadConfig) => read_config(&node).await,
         Some(ControlCall::WriteConfig) => write_config(&node, &body).await,
@@ -65,10 +71,14 @@
     }
 }
 
-fn announce(node: &KeeperNode, id: &Arc<str>, body: &[u8]) -> RelayResponse {
+async fn announce(node: &Arc<KeeperNode>, id: &Arc<str>, body: &[u8]) -> RelayResponse {
     match (node.adapter.decode_announcement)(id, body) {
         Ok(announcement) => {
             let (outcome, keeper) = node.announce(&announcement);
+            let is_departure = announcement.state != AnnouncedState::Serving;
+            if is_departure && !node.replicate_departure(id).await {
+                return unavailable(NOT_REPLICATED);
+            }
             let keeper = (outcome != AnnounceOutcome::Stale).then_some(keeper);
             json(StatusCode::OK, (node.adapter.announcement_reply)(keeper))
         }
@@ -159,6 +169,6 @@
     node.metrics.config_changes.get_or_create(&label).inc();
 }
 
-fn unavailable(reason: &'static str) -> RelayResponse {
+pub(super) fn unavailable(reason: &'static str) -> RelayResponse {
     retry_later(reason, Duration::from_millis(UNAVAILABLE_RETRY_MS))
 }
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -17,6 +17,7 @@
 };
 use slog::{Logger, error, info};
 use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
 use super::{
     adapter::ProtocolAdapter,
@@ -24,6 +25,7 @@
     keeper_poll::{DirectoryOwner, KeeperDirectory, RelayPeers, vm_list_digest},
     metrics::{RelayMetrics, set_count},
     rate_grants::RateGrants,
+    state_file::StateFile,
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
     },
@@ -64,10 +66,14 @@
     pub(crate) metrics: RelayMetrics,
     pub(crate) directory: KeeperDirectory,
     pub(crate) quorum: Arc<QuorumClient>,
-    peers: RelayPeers,
+    pub(super) peers: RelayPeers,
     /// The voter of this VM; `None` while its storage cannot be opened.
     pub(crate) voter: Arc<Mutex<Option<Arc<VoterService>>>>,
-    registry: Mutex<TargetRegistry>,
+    pub(super) registry: Mutex<TargetRegistry>,
+    pub(super) target_file: StateFile,
+    pub(super) quarantine_file: StateFile,
+    /// Calls that bring copies to other keepers.
+    pub(super) copy_tasks: TaskTracker,
     config: Mutex<DecidedConfig>,
     entries: Mutex<BTreeMap<EntryContact, MonoTime>>,
     /// Entry VMs that have lost their links to targets, and when they last said so.
@@ -104,6 +110,9 @@
             directory: KeeperDirectory::new(&settings.seeds),
             metrics: RelayMetrics::new(),
             registry: Mutex::new(registry),
+            target_file: StateFile::default(),
+            quarantine_file: StateFile::default(),
+            copy_tasks: TaskTracker::new(),
             config: Mutex::default(),
             entries: Mutex::default(),
             stranded: Mutex::default(),
@@ -374,6 +383,13 @@
                 let (grantors, now) = (self.permit_grantors(), self.timer.now());
                 VmReply::Rates(self.rates.grant(vm, &asks, grantors, now))
             }
+            VmRequest::Replicate(news) => {
+                if self.store_copy(&news).await {
+                    VmReply::Noted
+                } else {
+                    VmReply::NotKept
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/relay/listen.rs
+++ b/crates/daemon/src/relay/listen.rs
@@ -137,7 +137,8 @@
         | VmRequest::Permits(..)
         | VmRequest::EntryVms(..)
         | VmRequest::Crashes(_)
-        | VmRequest::Rates(..) => VmReply::NotKept,
+        | VmRequest::Rates(..)
+        | VmRequest::Replicate(_) => VmReply::NotKept,
     }
 }
 
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -54,6 +54,8 @@
     pub(crate) announcements: Family<OutcomeLabel, Counter>,
     pub(crate) config_changes: Family<OutcomeLabel, Counter>,
     pub(crate) evacuation_orders: Family<OutcomeLabel, Counter>,
+    /// Departures and orders that were not acknowledged, since too few keepers had stored them.
+    pub(crate) unreplicated: Counter,
     pub(crate) log_lines_dropped: Counter,
     pub(crate) config_version: CountGauge,
     pub(crate) targets: CountGauge,
@@ -106,6 +108,7 @@
             announcements: Family::default(),
             config_changes: Family::default(),
             evacuation_orders: Family::default(),
+            unreplicated: Counter::default(),
             log_lines_dropped: Counter::default(),
             config_version: Gauge::default(),
             targets: Gauge::default(),
@@ -239,6 +242,11 @@
             "Orders to begin or end the evacuation of a data centre, by outcome",
             self.evacuation_orders.clone(),
         );
+        registry.register(
+            "unreplicated",
+            "Departures and orders not acknowledged, as too few keepers had stored them",
+            self.unreplicated.clone(),
+        );
     }
 
     fn register_gauges(&mut self) {
--- a/crates/daemon/src/relay/quarantine_api.rs
+++ b/crates/daemon/src/relay/quarantine_api.rs
@@ -1,6 +1,6 @@
 //! The operators' view of requests that end targets: list them, block one, release one.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::lock;
 use fulmarweir_route::{QuarantineEntry, RequestFingerprint};
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use super::{
+    control::{NOT_REPLICATED, unavailable},
     keeper::KeeperNode,
     response::{RelayResponse, json as json_response, text},
 };
@@ -59,8 +60,12 @@
     (1..=BLOCK_MAX_S).contains(&seconds).then_some(seconds)
 }
 
-/// Carries out the call of an operator. A change is in force on all VMs in touch within a poll.
-pub(super) fn answer_quarantine_call(node: &KeeperNode, call: QuarantineCall) -> RelayResponse {
+/// Carries out the call of an operator. A change is in force on all VMs in touch within a poll, and is
+/// acknowledged once enough keepers have stored it.
+pub(super) async fn answer_quarantine_call(
+    node: &Arc<KeeperNode>,
+    call: QuarantineCall,
+) -> RelayResponse {
     let now = node.timer.now();
     let (fingerprint, blocked_for) = match call {
         QuarantineCall::List => {
@@ -75,6 +80,9 @@
     };
     let entry = lock(&node.tally).set_by_operator(fingerprint, blocked_for, now);
     node.publish_quarantine(std::slice::from_ref(&entry), "operator");
+    if !node.replicate_quarantine(&entry).await {
+        return unavailable(NOT_REPLICATED);
+    }
     json_response(StatusCode::OK, entry_json(&entry).to_string())
 }
 
--- a/crates/daemon/src/relay/recorded_frames.rs
+++ b/crates/daemon/src/relay/recorded_frames.rs
@@ -20,13 +20,14 @@
 };
 
 use super::vm_message::{
-    EntryContact, HandoverReply, HandoverRequest, KeeperContact, NoticeMessage, PollReply,
-    PollRequest, PollSource, QuarantineReport, RepeatMessage, TargetProbe, TargetReplyMessage,
-    VmReply, VmRequest,
+    EntryContact, HandoverReply, HandoverRequest, KeeperContact, KeeperNews, NoticeMessage,
+    PollReply, PollRequest, PollSource, QuarantineReport, RepeatMessage, TargetProbe,
+    TargetReplyMessage, VmReply, VmRequest,
 };
-
 /// One line for each frame: its name, and its bytes in hexadecimal digits.
 const RECORDED: &str = include_str!("../../tests/fixtures/version_8_frames.txt");
+/// Frames of kinds that only version 9 has, recorded from the build that added them.
+const RECORDED_9: &str = include_str!("../../tests/fixtures/version_9_frames.txt");
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([10, 1, 2, 3], port))
@@ -370,7 +371,8 @@
 
 /// Returns the recorded bytes of one frame.
 fn recorded(name: &str) -> Vec<u8> {
-    let lines = RECORDED.lines().filter_map(|line| line.split_once(' '));
+    let lines = RECORDED.lines().chain(RECORDED_9.lines());
+    let lines = lines.filter_map(|line| line.split_once(' '));
     let (_, digits) = lines.into_iter().find(|(known, _)| *known == name).unwrap();
     let pairs = digits.as_bytes().chunks(2);
     let byte = |pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
@@ -422,3 +424,21 @@
     assert_eq!(entries, quarantine());
     assert_eq!(encode_message(&entries).unwrap(), bytes);
 }
+
+/// Guards against a change of a message that another build of version 9 then refuses.
+#[test]
+fn recorded_requests_of_version_9_are_read_and_written_unchanged() {
+    let news = KeeperNews {
+        departures: vec![announcement(2), announcement(3)],
+        quarantine: vec![quarantine_entry(3, QuarantineState::Blocked)],
+    };
+    let sample = VmRequest::Replicate(Box::new(news));
+    let frame = recorded("request-replicate");
+    let decoded: VmRequest = decode_peer_message(&frame, PeerVersion::V9).unwrap();
+    assert_eq!(decoded, sample);
+    assert_eq!(
+        encode_peer_message(&sample, PeerVersion::V9).unwrap(),
+        frame
+    );
+    assert!(encode_peer_message(&sample, PeerVersion::V8).is_err());
+}
--- a/crates/daemon/src/relay/state_file.rs
+++ b/crates/daemon/src/relay/state_file.rs
@@ -1,7 +1,8 @@
 //! Stores what a keeper has learnt on its disk, so that it knows it right after a restart.
 //!
-//! The files may lack the latest changes. Restored targets that do not announce themselves again
-//! are removed soon; what is missing of the quarantine, VMs and other keepers tell again.
+//! The files may lack the latest changes, except for those that were waited for with
+//! [`StateFile::wait_written`]. Restored targets that do not announce themselves again are removed soon;
+//! what is missing of the quarantine, VMs and other keepers tell again.
 
 use std::{
     fs::File,
@@ -16,6 +17,7 @@
 use fulmarweir_wire::{decode_message, encode_message};
 use serde::{Serialize, de::DeserializeOwned};
 use slog::{info, warn};
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::{keeper::KeeperNode, vm_message::EvacuationState};
@@ -23,9 +25,28 @@
 const TARGETS_FILE: &str = "targets";
 const QUARANTINE_FILE: &str = "quarantine";
 const EVACUATIONS_FILE: &str = "evacuations";
-/// Period of the checks for changes, in milliseconds.
+/// Period of the checks for changes that nobody waits for, in milliseconds.
 const WRITE_PERIOD_MS: u64 = 500;
 
+/// Lets other tasks wait until a change is on the disk.
+#[derive(Debug, Default)]
+pub(super) struct StateFile {
+    /// Wakes the task that writes the file.
+    is_awaited: Notify,
+    /// Revision of the state on the disk.
+    written: watch::Sender<u64>,
+}
+
+impl StateFile {
+    /// Waits until a state of at least this revision is on the disk.
+    pub(super) async fn wait_written(&self, revision: u64) {
+        self.is_awaited.notify_one();
+        let mut written = self.written.subscribe();
+        // The sender lives as long as `self`.
+        let _ = written.wait_for(|written| *written >= revision).await;
+    }
+}
+
 /// Restores the targets of an earlier run, then writes changes until stopped.
 pub(crate) async fn run_target_file(node: Arc<KeeperNode>, stop: CancellationToken) {
     let restored: Option<Vec<TargetAnnouncement>> = read_state(&node, TARGETS_FILE);
@@ -33,7 +54,7 @@
         node.restore_targets(announcements);
     }
     let changed = |revision| node.changed_targets(revision);
-    write_changes(&node, TARGETS_FILE, stop, changed).await;
+    write_changes(&node, (TARGETS_FILE, &node.target_file), stop, changed).await;
 }
 
 /// Restores the requests that an earlier run held back, then writes changes until stopped.
@@ -44,7 +65,13 @@
         node.merge_quarantine(&entries, "disk");
     }
     let changed = |revision| node.changed_quarantine(revision);
-    write_changes(&node, QUARANTINE_FILE, stop, changed).await;
+    write_changes(
+        &node,
+        (QUARANTINE_FILE, &node.quarantine_file),
+        stop,
+        changed,
+    )
+    .await;
 }
 
 /// Restores the evacuations that an earlier run knew to be decided, then writes changes until stopped.
@@ -57,13 +84,19 @@
         node.learn_evacuations(&state, "disk");
     }
     let changed = |version| node.changed_evacuations(version);
-    write_changes(&node, EVACUATIONS_FILE, stop, changed).await;
+    write_changes(
+        &node,
+        (EVACUATIONS_FILE, &StateFile::default()),
+        stop,
+        changed,
+    )
+    .await;
 }
 
 /// Writes a state to a file whenever its revision has changed, until stopped.
 async fn write_changes<T: Serialize + Send + 'static>(
     node: &KeeperNode,
-    name: &'static str,
+    (name, file): (&'static str, &StateFile),
     stop: CancellationToken,
     changed: impl Fn(u64) -> Option<(u64, T)>,
 ) {
@@ -76,6 +109,7 @@
         tokio::select! {
             () = stop.cancelled() => return,
             () = tokio::time::sleep(Duration::from_millis(WRITE_PERIOD_MS)) => {}
+            () = file.is_awaited.notified(), if !failing => {}
         }
         let Some((revision, state)) = changed(written) else {
             continue;
@@ -87,6 +121,7 @@
         let fault = match result {
             Ok(Ok(())) => {
                 written = revision;
+                file.written.send_replace(revision);
                 None
             }
             Ok(Err(error)) => Some(error.to_string()),
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use fulmarweir_fleet::{RegistryCursor, RegistryDelta};
+use fulmarweir_fleet::{RegistryCursor, RegistryDelta, TargetAnnouncement};
 use fulmarweir_permits::{RateAsk, RateGrant};
 use fulmarweir_quorum::{VoterReply, VoterRequest, VoterSet};
 use fulmarweir_route::{
@@ -236,6 +236,18 @@
     /// The entry VM with this address asks a keeper for permits of rates that hold for all VMs
     /// together.
     Rates(SocketAddr, Vec<RateAsk>),
+    /// Has a keeper store what another one is about to acknowledge. The reply is [`VmReply::Noted`] once
+    /// it is on the disk. Builds of version 9 from before this request refuse it as unreadable.
+    Replicate(Box<KeeperNews>),
+}
+
+/// What a keeper acknowledges to targets and operators only once other keepers have it too.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct KeeperNews {
+    /// Targets that drain or have left.
+    pub(crate) departures: Vec<TargetAnnouncement>,
+    /// Changes of the quarantine by operators.
+    pub(crate) quarantine: Vec<QuarantineEntry>,
 }
 
 /// The reply to a [`VmRequest`].
@@ -283,7 +295,7 @@
 impl PeerMessage for VmRequest {
     fn version_min(&self) -> PeerVersion {
         match self {
-            Self::Rates(..) => PeerVersion::V9,
+            Self::Rates(..) | Self::Replicate(_) => PeerVersion::V9,
             Self::Voter(request) if request.names_evacuations() => PeerVersion::V9,
             // A broker that was replaced by an older build meanwhile must not get it in that version.
             Self::Search(request) if request.has_homes => PeerVersion::V9,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -71,6 +71,8 @@
     revision: u64,
     /// Until when the target is cold, as readers know it.
     told_cold_until: MonoTime,
+    /// Whether other keepers have stored this departure too. Always false while the target serves.
+    is_replicated: bool,
 }
 
 impl HeldAnnouncement {
@@ -203,6 +205,40 @@
         AnnounceOutcome::Changed
     }
 
+    /// Returns the announcement of a target that drains or has left, unless
+    /// [`TargetRegistry::record_replicated`] was called for it.
+    #[must_use]
+    pub fn unreplicated_departure(&self, id: &str) -> Option<TargetAnnouncement> {
+        let held = self.held.get(id)?;
+        let is_departure = held.announcement.state != AnnouncedState::Serving;
+        (is_departure && !held.is_replicated).then(|| held.announcement.clone())
+    }
+
+    /// Records that other keepers have stored a departure.
+    pub fn record_replicated(&mut self, departure: &TargetAnnouncement) {
+        if let Some(held) = self.held.get_mut(&departure.id) {
+            let known = &held.announcement;
+            held.is_replicated |=
+                (known.state, known.born_ms) == (departure.state, departure.born_ms);
+        }
+    }
+
+    /// Applies a departure that another keeper was told. It has effect until a later announcement, or as
+    /// long as any tombstone.
+    pub fn adopt_departure(
+        &mut self,
+        departure: TargetAnnouncement,
+        now: MonoTime,
+    ) -> AnnounceOutcome {
+        let held = self.held.get(&departure.id);
+        let is_known = held.is_some_and(|held| departure.rank() <= held.announcement.rank());
+        if departure.state == AnnouncedState::Serving || is_known {
+            return AnnounceOutcome::Stale;
+        }
+        self.store(departure, now);
+        AnnounceOutcome::Changed
+    }
+
     /// Removes targets whose lease has lapsed, and returns them.
     ///
     /// One that was draining leaves a tombstone, so that an announcement from before its drain that
@@ -290,6 +326,7 @@
             lapses_at: now + retention,
             revision: self.revision,
             told_cold_until: now + Duration::from_millis(announcement.warm_up_ms.into()),
+            is_replicated: false,
             announcement,
         };
         self.held.insert(Arc::clone(&held.announcement.id), held);
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -313,3 +313,79 @@
         AnnounceOutcome::Renewed
     );
 }
+
+/// Guards against a departure that only the lost keeper which was told of it could pass on.
+#[test]
+fn a_departure_that_another_keeper_was_told_counts_without_that_keeper() {
+    for departure in [
+        draining(announcement("a", 1, 100, 8)),
+        TargetAnnouncement {
+            state: AnnouncedState::Gone,
+            ..announcement("a", 1, 100, 7)
+        },
+    ] {
+        let mut survivor = TargetRegistry::new(2, PERIOD, at(0));
+        let mut merged = MergedRegistry::default();
+        // A keeper that missed the departure still lists the target.
+        let mut unaware = TargetRegistry::new(3, PERIOD, at(0));
+        unaware.announce(announcement("a", 1, 100, 7), at(100));
+        read(&unaware, &mut merged, keeper(3), at(100));
+        assert_eq!(serving(&merged), ["a"]);
+        let adopted = survivor.adopt_departure(departure.clone(), at(200));
+        assert_eq!(adopted, AnnounceOutcome::Changed);
+        assert!(survivor.has_changes(merged.cursor(keeper(2))));
+        read(&survivor, &mut merged, keeper(2), at(300));
+        assert!(serving(&merged).is_empty(), "{departure:?}");
+        // Delayed announcements from before the departure change nothing, also after the lease.
+        survivor.expire(at(8_000));
+        let late = survivor.announce(announcement("a", 1, 100, 6), at(8_100));
+        assert_eq!(late, AnnounceOutcome::Stale);
+        // The next incarnation is used.
+        survivor.announce(announcement("a", 1, 200, 1), at(8_200));
+        read(&survivor, &mut merged, keeper(2), at(8_300));
+        assert_eq!(serving(&merged), ["a"]);
+    }
+}
+
+/// Guards against a copy that undoes what this keeper knows better.
+#[test]
+fn only_departures_that_are_later_than_the_known_announcement_are_adopted() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(announcement("a", 1, 200, 5), at(100));
+    let earlier = TargetAnnouncement {
+        state: AnnouncedState::Gone,
+        ..announcement("a", 1, 100, 9)
+    };
+    let serving = announcement("a", 1, 300, 1);
+    let repeated = draining(announcement("a", 1, 200, 5));
+    for ignored in [earlier, serving, repeated] {
+        let outcome = registry.adopt_departure(ignored, at(200));
+        assert_eq!(outcome, AnnounceOutcome::Stale);
+    }
+    assert_eq!(registry.targets().count(), 1);
+}
+
+/// Guards against a resent departure that is acknowledged although the first call could not be
+/// replicated, and against one that is replicated again and again.
+#[test]
+fn a_departure_is_to_be_replicated_until_it_was() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(announcement("a", 1, 100, 1), at(0));
+    assert_eq!(registry.unreplicated_departure("a"), None);
+    registry.announce(draining(announcement("a", 1, 100, 2)), at(100));
+    let first = registry.unreplicated_departure("a").unwrap();
+    assert_eq!(registry.unreplicated_departure("a"), Some(first.clone()));
+    registry.record_replicated(&first);
+    assert_eq!(registry.unreplicated_departure("a"), None);
+    // A repeated announcement is no further departure, the withdrawal is.
+    registry.announce(draining(announcement("a", 1, 100, 3)), at(200));
+    assert_eq!(registry.unreplicated_departure("a"), None);
+    registry.withdraw(&"a".into(), 1_000, at(300));
+    let withdrawn = registry.unreplicated_departure("a").unwrap();
+    assert_eq!(withdrawn.state, AnnouncedState::Gone);
+    registry.withdraw(&"a".into(), 1_000, at(400));
+    assert!(registry.unreplicated_departure("a").is_some());
+    registry.record_replicated(&withdrawn);
+    registry.withdraw(&"a".into(), 1_000, at(500));
+    assert_eq!(registry.unreplicated_departure("a"), None);
+}
