Tell a configuration with version 0 from none

What operators saw: a first configuration with version 0 was acknowledged with 200 and read back nowhere (CONFIG).

Cause: 0 stood for "no configuration" in the register, in keepers, in entry VMs and in polls.

Change: versions held are optional. The register holds a configuration if its text is not empty. Polls carry version 0 with an extension field, which builds without it skip: they treat it as none, as before.

--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -101,7 +101,7 @@
 async fn read_config(node: &KeeperNode) -> RelayResponse {
     let timeout = Duration::from_millis(READ_TIMEOUT_MS);
     match node.quorum.read_config(timeout).await {
-        Ok(state) if state.version > 0 => {
+        Ok(state) if state.submitted_version().is_some() => {
             if confirm_before_config(node).await {
                 node.apply_decided_config(state.version, &state.text, "read");
             }
@@ -129,7 +129,7 @@
         }
     };
     let version = table.version;
-    if version <= node.config_version() {
+    if Some(version) <= node.config_version() {
         count_config_change(node, "known");
         return json(StatusCode::OK, "{}");
     }
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -277,7 +277,7 @@
     pub(crate) fn apply_poll_reply(&self, keeper: SocketAddr, reply: &PollReply) {
         let now = self.timer.now();
         let settled = reply.delta.as_ref().is_some_and(|delta| delta.settled);
-        lock(&self.config_assurance).record(reply.config_version, now);
+        lock(&self.config_assurance).record(reply.held_version(), now);
         let mut changed = false;
         // Before the targets, so that none of an evacuated data centre is in use for a moment.
         if let Some(evacuations) = &reply.evacuations {
@@ -464,7 +464,7 @@
     }
 
     /// Decides whether to fetch a keeper's configuration, given its version.
-    pub(crate) fn config_fetch(&self, keeper: SocketAddr, version: u64) -> ConfigFetch {
+    pub(crate) fn config_fetch(&self, keeper: SocketAddr, version: Option<u64>) -> ConfigFetch {
         let held = self.config_version();
         if version <= held {
             return ConfigFetch::No;
@@ -474,7 +474,7 @@
         let centre = self.directory.centre_of(keeper);
         let is_near = centre.is_some_and(|centre| region(&centre) == own);
         // Without a configuration this VM rejects all requests, so it does not wait.
-        if is_near || held == 0 {
+        if is_near || held.is_none() {
             ConfigFetch::Now
         } else {
             ConfigFetch::Later
@@ -486,9 +486,9 @@
         lock(&self.config_assurance).is_sure_of(version, self.timer.now())
     }
 
-    /// Returns the configuration version in force, 0 for none.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.table().map_or(0, |table| table.version)
+    /// Returns the configuration version in force, `None` if there is none.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        self.table().map(|table| table.version)
     }
 
     /// Periodic work: removes silent keepers, closes unusable connections and updates gauges.
@@ -530,7 +530,7 @@
         }
         if lost {
             warn!(self.log, "keepers-lost"; "silence_ms" => silence.as_millis(),
-                "config_version" => self.config_version());
+                "config_version" => self.config_version().unwrap_or_default());
         } else {
             info!(self.log, "keepers-regained"; "keepers" => heard);
         }
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -43,13 +43,20 @@
 /// Most brokers of one data centre that a poll reply lists. This limits the size of replies.
 const BROKERS_PER_CENTRE_MAX: usize = 32;
 
-/// The newest configuration that this keeper knows to be decided, as it was submitted.
+/// The newest configuration that this keeper knows to be decided, as it was submitted. The text is empty
+/// if there is none.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DecidedConfig {
     pub(crate) version: u64,
     pub(crate) text: Arc<str>,
 }
 
+impl DecidedConfig {
+    fn held_version(&self) -> Option<u64> {
+        (!self.text.is_empty()).then_some(self.version)
+    }
+}
+
 /// Lists of VMs for a poll reply; `None` for a list that the poller already has.
 struct ChangedLists {
     brokers: Option<Vec<EntryContact>>,
@@ -146,16 +153,16 @@
         lock(&self.config).clone()
     }
 
-    /// Returns the version of [`KeeperNode::config`], 0 for none.
-    pub(crate) fn config_version(&self) -> u64 {
-        lock(&self.config).version
+    /// Returns the version of [`KeeperNode::config`], `None` if there is none.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        lock(&self.config).held_version()
     }
 
     /// Stores a decided configuration if it is newer; returns whether it was.
     pub(crate) fn store_config(&self, version: u64, text: &Arc<str>, source: &str) -> bool {
         {
             let mut config = lock(&self.config);
-            if version <= config.version {
+            if Some(version) <= config.held_version() {
                 return false;
             }
             info!(self.log, "config-kept"; "version" => version, "before" => config.version,
@@ -492,7 +499,7 @@
             || lists.contacts.is_some()
             || self.has_other_limits(request)
             || lock(&self.tally).revision() != request.quarantine_revision
-            || self.config_version() > request.config_version
+            || self.config_version() > request.held_version()
             || self.evacuations.is_news_for(request.evacuations_version)
     }
 
@@ -505,10 +512,12 @@
         let is_entry = matches!(request.source, PollSource::Entry(_));
         let voters = self.quorum.voters();
         let has_other_limits = self.has_other_limits(request);
+        let config_version = self.config_version();
         let permits = lock(&self.permits);
         PollReply {
             delta: is_entry.then(|| lock(&self.registry).changes_since(request.cursor)),
-            config_version: self.config_version(),
+            config_version: config_version.unwrap_or_default(),
+            holds_version_0: config_version == Some(0),
             voters: (!is_entry && voters.epoch > request.voter_epoch).then_some(voters),
             contacts: lists.contacts,
             contacts_digest: lists.contacts_digest,
@@ -528,7 +537,8 @@
     /// Only valid documents are submitted, so an invalid one here is a bug. It is logged and
     /// not stored.
     pub(crate) fn apply_decided_config(&self, version: u64, text: &Arc<str>, source: &str) {
-        if version <= self.config_version() {
+        // The register is empty before the first configuration.
+        if text.is_empty() || Some(version) <= self.config_version() {
             return;
         }
         match (self.adapter.decode_config)(text.as_bytes()) {
--- a/crates/daemon/src/relay/links.rs
+++ b/crates/daemon/src/relay/links.rs
@@ -118,7 +118,7 @@
         LinkState::Lost | LinkState::TargetsDown => {
             warn!(node.log, "target-links-lost"; "state" => change.after.as_str(),
                 "before" => change.before.as_str(), "since_ms" => lasted_ms,
-                "config_version" => node.config_version());
+                "config_version" => node.config_version().unwrap_or_default());
             let now = node.timer.now();
             lock(&node.brokers).require_new_probes(&others.reaching, now);
             node.link_losses.send_modify(|count| *count += 1);
--- a/crates/daemon/src/relay/recorded_frames.rs
+++ b/crates/daemon/src/relay/recorded_frames.rs
@@ -117,6 +117,7 @@
         limits_revision: 14,
         quarantine_revision: 15,
         wait_ms: 1_500,
+        holds_version_0: false,
         evacuations_version: None,
     }
 }
@@ -156,6 +157,7 @@
             digest: 27,
             entries: Some(quarantine()),
         },
+        holds_version_0: false,
         evacuations: None,
     }
 }
@@ -172,6 +174,7 @@
         limits: None,
         limits_revision: 0,
         quarantine: QuarantineReport::default(),
+        holds_version_0: false,
         evacuations: None,
     }
 }
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -195,7 +195,7 @@
         request: request.unwrap_or("none"),
         route: early.route,
         tenant: tenant_label(early.tenant),
-        config_version: node.config_version(),
+        config_version: node.config_version().unwrap_or_default(),
         outcome: reason,
         status: response.status().as_u16(),
         verdict: RunVerdict::NotRun.as_str(),
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -128,7 +128,8 @@
                 centre: Arc::clone(&request_node.settings.centre),
             }),
             cursor: request_node.cursor(keeper),
-            config_version: request_node.config_version(),
+            config_version: request_node.config_version().unwrap_or_default(),
+            holds_version_0: request_node.config_version() == Some(0),
             voter_epoch: 0,
             contacts_digest,
             brokers_digest: request_node.brokers_digest(keeper),
@@ -139,10 +140,10 @@
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_poll_reply(keeper, reply);
-            reply_node.config_fetch(keeper, reply.config_version)
+            reply_node.config_fetch(keeper, reply.held_version())
         }),
         config: Box::new(move |keeper, version, document| {
-            if version <= config_node.config_version() {
+            if Some(version) <= config_node.config_version() {
                 return;
             }
             match (config_node.adapter.decode_config)(document.as_bytes()) {
@@ -206,7 +207,8 @@
         request: Box::new(move |keeper, contacts_digest, wait_ms| PollRequest {
             source: PollSource::Keeper(request_node.contact()),
             cursor: None,
-            config_version: request_node.config_version(),
+            config_version: request_node.config_version().unwrap_or_default(),
+            holds_version_0: request_node.config_version() == Some(0),
             voter_epoch: request_node.quorum.voters().epoch,
             contacts_digest,
             brokers_digest: None,
@@ -223,7 +225,7 @@
             if let Some(voters) = &reply.voters {
                 reply_node.quorum.learn_voters(voters);
             }
-            if reply.config_version > reply_node.config_version() {
+            if reply.held_version() > reply_node.config_version() {
                 ConfigFetch::Now
             } else {
                 ConfigFetch::No
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -55,6 +55,9 @@
     pub(crate) quarantine_revision: u64,
     /// Longest time until the reply, in milliseconds.
     pub(crate) wait_ms: u32,
+    /// Whether `config_version` is 0 for a configuration with version 0, not for none.
+    #[serde(skip)]
+    pub(crate) holds_version_0: bool,
     /// Version of the evacuations that the poller holds, 0 for none; `None` if the poller speaks version
     /// 8 and cannot read them.
     #[serde(skip)]
@@ -82,6 +85,9 @@
     pub(crate) limits: Option<Vec<LimitReport>>,
     pub(crate) limits_revision: u64,
     pub(crate) quarantine: QuarantineReport,
+    /// Whether `config_version` is 0 for a configuration with version 0, not for none.
+    #[serde(skip)]
+    pub(crate) holds_version_0: bool,
     /// The evacuations, if their version is higher than the poller's.
     #[serde(skip)]
     pub(crate) evacuations: Option<EvacuationState>,
@@ -283,6 +289,8 @@
     pub(super) const EVACUATIONS_VERSION: u32 = 1;
     /// The evacuations in force.
     pub(super) const EVACUATIONS: u32 = 2;
+    /// Present in requests and replies if the configuration held has version 0.
+    pub(super) const HOLDS_VERSION_0: u32 = 3;
 }
 
 /// The data centres whose targets must get no new requests. The highest version counts.
@@ -292,6 +300,30 @@
     pub(crate) centres: Vec<Arc<str>>,
 }
 
+impl PollRequest {
+    /// Returns the version of the configuration that the poller holds.
+    pub(crate) fn held_version(&self) -> Option<u64> {
+        held_version(self.config_version, self.holds_version_0)
+    }
+}
+
+impl PollReply {
+    /// Returns the version of the configuration that the keeper knows to be decided.
+    pub(crate) fn held_version(&self) -> Option<u64> {
+        held_version(self.config_version, self.holds_version_0)
+    }
+}
+
+fn held_version(config_version: u64, holds_version_0: bool) -> Option<u64> {
+    (config_version > 0 || holds_version_0).then_some(config_version)
+}
+
+fn put_version_0(fields: &mut ExtensionFields, holds_version_0: bool) {
+    if holds_version_0 {
+        fields.put(field::HOLDS_VERSION_0, &true);
+    }
+}
+
 impl PeerMessage for VmRequest {
     fn version_min(&self) -> PeerVersion {
         match self {
@@ -305,10 +337,11 @@
 
     fn extension(&self) -> ExtensionFields {
         let mut fields = ExtensionFields::default();
-        if let Self::Poll(request) = self
-            && let Some(version) = &request.evacuations_version
-        {
-            fields.put(field::EVACUATIONS_VERSION, version);
+        if let Self::Poll(request) = self {
+            if let Some(version) = &request.evacuations_version {
+                fields.put(field::EVACUATIONS_VERSION, version);
+            }
+            put_version_0(&mut fields, request.holds_version_0);
         }
         fields
     }
@@ -316,6 +349,7 @@
     fn set_extension(&mut self, fields: &ExtensionFields) {
         if let Self::Poll(request) = self {
             request.evacuations_version = fields.get(field::EVACUATIONS_VERSION);
+            request.holds_version_0 = fields.get(field::HOLDS_VERSION_0).unwrap_or_default();
         }
     }
 }
@@ -330,10 +364,11 @@
 
     fn extension(&self) -> ExtensionFields {
         let mut fields = ExtensionFields::default();
-        if let Self::Poll(reply) = self
-            && let Some(evacuations) = &reply.evacuations
-        {
-            fields.put(field::EVACUATIONS, evacuations);
+        if let Self::Poll(reply) = self {
+            if let Some(evacuations) = &reply.evacuations {
+                fields.put(field::EVACUATIONS, evacuations);
+            }
+            put_version_0(&mut fields, reply.holds_version_0);
         }
         fields
     }
@@ -341,6 +376,7 @@
     fn set_extension(&mut self, fields: &ExtensionFields) {
         if let Self::Poll(reply) = self {
             reply.evacuations = fields.get(field::EVACUATIONS);
+            reply.holds_version_0 = fields.get(field::HOLDS_VERSION_0).unwrap_or_default();
         }
     }
 }
--- a/crates/daemon/src/relay/voters.rs
+++ b/crates/daemon/src/relay/voters.rs
@@ -189,15 +189,15 @@
 /// accepted a newer one without learning whether it was decided.
 async fn confirm_config(node: &KeeperNode, voter: &VoterService) {
     let current = node.config_version();
-    if current > 0 && voter.accepted_config_version() <= current {
+    if current.is_some() && voter.accepted_config_version() <= current {
         return;
     }
     let timeout = Duration::from_millis(READ_TIMEOUT_MS);
     match node.quorum.read_config(timeout).await {
         Ok(state) => node.apply_decided_config(state.version, &state.text, "voters"),
         Err(report) => {
-            warn!(node.log, "config-unconfirmed"; "held" => current,
-                "accepted" => voter.accepted_config_version(),
+            warn!(node.log, "config-unconfirmed"; "held" => current.unwrap_or_default(),
+                "accepted" => voter.accepted_config_version().unwrap_or_default(),
                 "fault" => %report.current_context());
         }
     }
--- a/crates/fleet/src/config_assurance.rs
+++ b/crates/fleet/src/config_assurance.rs
@@ -16,16 +16,16 @@
 /// What keepers have told about the configuration in force since the start of this process.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ConfigAssurance {
-    /// The highest version that a keeper has told, 0 for none.
-    told: u64,
+    /// The highest version that a keeper has told.
+    told: Option<u64>,
     /// When a keeper last told this version.
     told_at: MonoTime,
 }
 
 impl ConfigAssurance {
-    /// Records the version that a keeper has told. A keeper that knows no configuration yet tells 0.
-    pub const fn record(&mut self, version: u64, now: MonoTime) {
-        if version > 0 && version >= self.told {
+    /// Records the version that a keeper has told. A keeper that knows no configuration yet tells none.
+    pub fn record(&mut self, version: Option<u64>, now: MonoTime) {
+        if version.is_some() && version >= self.told {
             self.told = version;
             self.told_at = now;
         }
@@ -35,6 +35,6 @@
     #[must_use]
     pub fn is_sure_of(&self, held: u64, now: MonoTime) -> bool {
         let ttl = Duration::from_millis(CONFIRMATION_TTL_MS);
-        self.told > 0 && held >= self.told && now.since(self.told_at) <= ttl
+        self.told.is_some_and(|told| held >= told) && now.since(self.told_at) <= ttl
     }
 }
--- a/crates/fleet/tests/config_assurance.rs
+++ b/crates/fleet/tests/config_assurance.rs
@@ -14,9 +14,9 @@
     assert!(!assurance.is_sure_of(0, at(0)));
     assert!(!assurance.is_sure_of(7, at(0)));
     // A keeper that has just started knows no configuration.
-    assurance.record(0, at(10));
+    assurance.record(None, at(10));
     assert!(!assurance.is_sure_of(7, at(10)));
-    assurance.record(7, at(20));
+    assurance.record(Some(7), at(20));
     assert!(assurance.is_sure_of(7, at(20)));
 }
 
@@ -24,11 +24,11 @@
 #[test]
 fn a_vm_is_not_sure_while_a_keeper_knows_a_newer_version() {
     let mut assurance = ConfigAssurance::default();
-    assurance.record(7, at(0));
-    assurance.record(8, at(10));
+    assurance.record(Some(7), at(0));
+    assurance.record(Some(8), at(10));
     assert!(!assurance.is_sure_of(7, at(10)));
     // A keeper that lags behind confirms nothing.
-    assurance.record(7, at(20));
+    assurance.record(Some(7), at(20));
     assert!(!assurance.is_sure_of(7, at(20)));
     assert!(assurance.is_sure_of(8, at(20)));
 }
@@ -37,12 +37,24 @@
 #[test]
 fn a_vm_without_keepers_does_not_stay_sure() {
     let mut assurance = ConfigAssurance::default();
-    assurance.record(7, at(0));
+    assurance.record(Some(7), at(0));
     assert!(assurance.is_sure_of(7, at(1_500)));
     assert!(!assurance.is_sure_of(7, at(4_000)));
     // Keepers that have restarted know nothing yet.
-    assurance.record(0, at(4_000));
+    assurance.record(None, at(4_000));
     assert!(!assurance.is_sure_of(7, at(4_000)));
-    assurance.record(7, at(4_100));
+    assurance.record(Some(7), at(4_100));
     assert!(assurance.is_sure_of(7, at(4_100)));
 }
+
+/// Guards against a configuration with version 0 that is taken for none.
+#[test]
+fn a_vm_is_sure_of_version_0_once_a_keeper_has_told_it() {
+    let mut assurance = ConfigAssurance::default();
+    assurance.record(None, at(0));
+    assert!(!assurance.is_sure_of(0, at(0)));
+    assurance.record(Some(0), at(10));
+    assert!(assurance.is_sure_of(0, at(10)));
+    assurance.record(Some(3), at(20));
+    assert!(!assurance.is_sure_of(0, at(20)));
+}
--- a/crates/quorum/src/acceptor.rs
+++ b/crates/quorum/src/acceptor.rs
@@ -79,13 +79,13 @@
             .sum()
     }
 
-    /// Returns the version of the configuration that the voter accepted, or 0 if it accepted none.
-    pub(crate) fn accepted_config_version(&self) -> u64 {
+    /// Returns the version of the configuration that the voter accepted, or `None` if it accepted none.
+    pub(crate) fn accepted_config_version(&self) -> Option<u64> {
         let key = RegisterKey::Config;
         let accepted = self.shard(key.shard()).accepted(&key);
         match accepted.as_ref().map(|accepted| &*accepted.value) {
-            Some(RegisterValue::Config(state)) => state.version,
-            _ => 0,
+            Some(RegisterValue::Config(state)) => state.submitted_version(),
+            _ => None,
         }
     }
 
--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -9,7 +9,10 @@
 /// Number of outcomes of changes that the register keeps.
 pub const CONFIG_OUTCOMES_MAX: usize = 512;
 
-/// The value of the configuration register. The text of version 0 is empty.
+/// The value of the configuration register.
+///
+/// Before the first change, the version is 0 and the text is empty. An operator who assigns versions may
+/// give version 0 to a text too.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigState {
     /// Version number.
@@ -119,6 +122,12 @@
 }
 
 impl ConfigState {
+    /// Returns the version if a configuration was submitted by an operator who assigns versions.
+    #[must_use]
+    pub fn submitted_version(&self) -> Option<u64> {
+        (!self.text.is_empty()).then_some(self.version)
+    }
+
     /// Returns the reply to a change with this outcome.
     fn reply(&self, outcome: SubmitOutcome) -> SubmitReply {
         let is_held = outcome
@@ -148,12 +157,12 @@
 }
 
 impl VersionedConfig {
-    /// Writes the configuration unless the register holds the same or a higher version.
+    /// Writes the configuration unless the register holds one with the same or a higher version.
     ///
     /// The outcome is the state that the register holds afterwards.
     pub(crate) fn apply(&self, value: Option<&RegisterValue>) -> RegisterChange<ConfigState> {
         let held = config_state(value);
-        if self.version <= held.version {
+        if Some(self.version) <= held.submitted_version() {
             return RegisterChange::Keep(held.clone());
         }
         let state = ConfigState {
--- a/crates/quorum/src/service.rs
+++ b/crates/quorum/src/service.rs
@@ -139,11 +139,11 @@
         self.acceptor.register_count()
     }
 
-    /// Returns the version of the configuration that this voter accepted, or 0 if it accepted none.
+    /// Returns the version of the configuration that this voter accepted, or `None` if it accepted none.
     ///
     /// That version is not necessarily accepted by a quorum.
     #[must_use]
-    pub fn accepted_config_version(&self) -> u64 {
+    pub fn accepted_config_version(&self) -> Option<u64> {
         self.acceptor.accepted_config_version()
     }
 
--- a/crates/quorum/tests/recorded.rs
+++ b/crates/quorum/tests/recorded.rs
@@ -353,7 +353,7 @@
     let to = voter.identity();
     let set = log_set(to);
     assert_eq!(voter.epoch_state(), EpochState::settled(set));
-    assert_eq!(voter.accepted_config_version(), 12);
+    assert_eq!(voter.accepted_config_version(), Some(12));
     assert_eq!(voter.register_count(), 2);
     for (key, value) in [
         (RegisterKey::Config, RegisterValue::Config(config_state())),
