Answer each request that a stopping VM has passed on

What callers saw: in a planned stop of an entry VM, requests that came on open connections 3.0 to 3.3 s after SIGTERM were sent to targets, and the process ended at 5.6 s of a grace of 6 s without an answer to them, acts included (LOST). The same happened to every request whose target was still silent then, and to calls in flight at a keeper, which ends after 0.4 s.

Cause: after the first half of the grace period, connections stay open for 0.3 s more, so that requests that cross the close are read. They were taken like any other. At the end of the grace period, the process dropped what was in flight.

Change: a StopPlan fixes the phases of the stop. From its second half on, a request is taken only if its deadline is before the end; else it gets 503 vm-stopping, not run. Requests in flight 0.15 s before the exit end as at their deadline: with the parts of a search that are in, or 504, or 503 if nothing was sent. A keeper answers calls in flight 503 after 0.3 s.

Nothing is passed on that can outlast the answer, and the answer comes before the exit.

--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -106,6 +106,15 @@
     let placement = PlacementRule::of(&rule, tenant.as_deref());
     node.wait_during_startup(startup_wait, |node| has_targets(node, &rule, &placement))
         .await;
+    if !node.stop_admits(times.deadline) {
+        let routed = EarlyRequest {
+            route: &rule.name,
+            tenant: tenant.as_deref(),
+            ..unrouted
+        };
+        let response = retry_later("vm-stopping", Duration::ZERO);
+        return Err(refuse_early(node, &routed, "vm-stopping", response));
+    }
     let priority = priority_of(&rule, tenant.as_deref());
     let in_flight = node.in_flight.load(Relaxed);
     let refusal = lock(&node.lag).overload_pause(priority, in_flight);
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -32,11 +32,21 @@
 /// Why a departure or an order is not acknowledged yet.
 pub(super) const NOT_REPLICATED: &str = "too few keepers have stored it";
 
-/// Handles one request.
+/// Handles one request. A call that is still in flight when the process is about to exit is answered
+/// 503, which leaves its outcome open: targets and operators repeat it at another keeper.
 pub(crate) async fn handle_control(
     node: Arc<KeeperNode>,
     request: Request<Incoming>,
 ) -> RelayResponse {
+    let exiting = node.exiting.clone();
+    tokio::select! {
+        biased;
+        response = answer_control(node, request) => response,
+        () = exiting.cancelled() => unavailable("the keeper stops"),
+    }
+}
+
+async fn answer_control(node: Arc<KeeperNode>, request: Request<Incoming>) -> RelayResponse {
     let (head, body) = request.into_parts();
     if let Some(call) = quarantine_call(&head.method, &head.uri) {
         return answer_quarantine_call(&node, call).await;
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -257,6 +257,7 @@
     /// Drives the request until it has an outcome.
     pub(super) async fn run_to_outcome(&mut self, mut actions: Vec<RelayAction>) -> RelayOutcome {
         let mut wake_at = self.message.deadline;
+        let exiting = self.node.exiting.clone();
         loop {
             for action in actions {
                 match action {
@@ -285,6 +286,11 @@
                     let run = &mut self.run;
                     self.node.with_selector(|selector| run.on_wake(selector, now))
                 }
+                () = exiting.cancelled() => {
+                    let now = self.node.timer.now();
+                    let run = &mut self.run;
+                    self.node.with_selector(|selector| run.end(selector, now))
+                }
             };
         }
     }
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed},
     },
     time::Duration,
@@ -16,12 +16,12 @@
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
     BrokerEndpoint, BrokerSelector, LatencyTable, LinkState, Locality, PlacementRule, RelayTarget,
-    ShardGroup, TargetSelector,
+    ShardGroup, StopPlan, TargetSelector,
 };
 use fulmarweir_wire::PeerVersion;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
-use tokio_util::task::TaskTracker;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
     adapter::ProtocolAdapter,
@@ -111,7 +111,10 @@
     merged_registry: Mutex<MergedRegistry>,
     entry_counts: Mutex<HashMap<SocketAddr, EntryCount>>,
     entry_vm_count: AtomicU32,
-    stopping: AtomicBool,
+    /// The phases of a planned stop, once one was requested.
+    stop_plan: OnceLock<StopPlan>,
+    /// Cancelled when requests in flight must be answered, as the process is about to exit.
+    pub(crate) exiting: CancellationToken,
     keepers_lost: AtomicBool,
     /// Whether a keeper that knows all targets has told them.
     knows_targets: AtomicBool,
@@ -175,7 +178,8 @@
             merged_registry: Mutex::default(),
             entry_counts: Mutex::default(),
             entry_vm_count: AtomicU32::new(1),
-            stopping: AtomicBool::new(false),
+            stop_plan: OnceLock::new(),
+            exiting: CancellationToken::new(),
             keepers_lost: AtomicBool::new(false),
             knows_targets: AtomicBool::new(false),
             budget_log: Mutex::default(),
@@ -260,12 +264,23 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Relaxed)
+        self.stop_plan.get().is_some()
     }
 
     /// Makes the readiness check fail and closes connections of callers after their next response.
-    pub(crate) fn begin_shutdown(&self) {
-        self.stopping.store(true, Relaxed);
+    /// Returns the phases of the stop.
+    pub(crate) fn begin_shutdown(&self) -> StopPlan {
+        let grace = self.settings.bounds.stop_grace;
+        *self
+            .stop_plan
+            .get_or_init(|| StopPlan::new(self.timer.now(), grace))
+    }
+
+    /// Whether a request that arrives now and ends at `deadline` is taken, as far as a planned stop
+    /// allows it.
+    pub(crate) fn stop_admits(&self, deadline: MonoTime) -> bool {
+        let plan = self.stop_plan.get();
+        plan.is_none_or(|plan| plan.admits(self.timer.now(), deadline))
     }
 
     /// Returns this VM's position in the registry of a keeper.
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -17,7 +17,7 @@
 };
 use slog::{Logger, error, info};
 use tokio::sync::watch;
-use tokio_util::task::TaskTracker;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
     adapter::ProtocolAdapter,
@@ -81,6 +81,8 @@
     pub(super) quarantine_file: StateFile,
     /// Calls that bring copies to other keepers.
     pub(super) copy_tasks: TaskTracker,
+    /// Cancelled when calls in flight must be answered, as the process is about to exit.
+    pub(super) exiting: CancellationToken,
     config: Mutex<DecidedConfig>,
     entries: Mutex<BTreeMap<EntryContact, MonoTime>>,
     /// Entry VMs that have lost their links to targets, and when they last said so.
@@ -120,6 +122,7 @@
             target_file: StateFile::default(),
             quarantine_file: StateFile::default(),
             copy_tasks: TaskTracker::new(),
+            exiting: CancellationToken::new(),
             config: Mutex::default(),
             entries: Mutex::default(),
             stranded: Mutex::default(),
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -1,17 +1,23 @@
 //! Starts an entry VM or a keeper, waits for a stop signal and shuts it down gracefully.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    pin::pin,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use error_stack::ResultExt;
-use fulmarweir_base::lock;
+use fulmarweir_base::{MonoTime, lock};
 use fulmarweir_conf::{RelayRole, RelaySettings};
 use fulmarweir_quorum::{ClientSettings, QuorumClient, VoterService, VoterTransport};
 use fulmarweir_wire::TrafficClass;
 use futures::FutureExt;
-use slog::{Logger, error, info};
+use slog::{Logger, error, info, warn};
 use tokio::{
     signal::unix::{SignalKind, signal},
-    time::{sleep, timeout},
+    time::timeout,
 };
 
 use super::{
@@ -31,11 +37,9 @@
 };
 use crate::error::{DaemonError, Result};
 
-/// Fraction of the stop grace period during which an entry VM still accepts connections.
-const DRAIN_DELAY_SHARE: f64 = 0.5;
-/// The process exits this long before the end of the stop grace period, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 400;
-/// Time limit for requests in flight when a keeper stops, in milliseconds.
+/// Time after which a keeper that stops answers calls that are still in flight, in milliseconds.
+const KEEPER_ANSWER_MS: u64 = 300;
+/// Time limit of the stop of a keeper, in milliseconds.
 const KEEPER_DRAIN_MS: u64 = 400;
 /// Time limit of a request to the voter of another VM, in milliseconds.
 const VOTER_TIMEOUT_MS: u64 = 800;
@@ -99,21 +103,26 @@
     wait_for_stop_signal().await?;
     let grace = node.settings.bounds.stop_grace;
     info!(node.log, "stopping"; "grace_ms" => grace.as_millis());
-    node.begin_shutdown();
-    // The load balancer needs time to notice, and callers still use open connections.
-    sleep(grace.mul_f64(DRAIN_DELAY_SHARE)).await;
-    let remaining = grace
-        .mul_f64(1.0 - DRAIN_DELAY_SHARE)
-        .saturating_sub(Duration::from_millis(EXIT_MARGIN_MS));
-    let shutdown = async {
+    let plan = node.begin_shutdown();
+    node.timer.sleep_until(plan.accept_until).await;
+    let timer = node.timer.clone();
+    let mut shutdown = pin!(async {
         tasks.shut_down().await;
         node.detached_tasks.close();
         node.detached_tasks.wait().await;
         node.pool.close().await;
         peers.close().await;
         node.timer.close().await;
-    };
-    let finished = timeout(remaining, shutdown).await.is_ok();
+    });
+    let until = |at: MonoTime| at.since(timer.now());
+    let finished = timeout(until(plan.answer_by), &mut shutdown).await.is_ok();
+    if !finished {
+        info!(node.log, "requests-ended"; "in_flight" => node.in_flight.load(Relaxed));
+        node.exiting.cancel();
+        if timeout(until(plan.exit_by), shutdown).await.is_err() {
+            warn!(node.log, "stop-cut-short"; "in_flight" => node.in_flight.load(Relaxed));
+        }
+    }
     info!(node.log, "stopped"; "all_requests_finished" => finished);
     Ok(())
 }
@@ -194,8 +203,16 @@
     ]);
     wait_for_stop_signal().await?;
     info!(node.log, "stopping");
-    let drain = Duration::from_millis(KEEPER_DRAIN_MS);
-    let finished = timeout(drain, tasks.shut_down()).await.is_ok();
+    let mut shutdown = pin!(tasks.shut_down());
+    let answer_after = Duration::from_millis(KEEPER_ANSWER_MS);
+    let finished = timeout(answer_after, &mut shutdown).await.is_ok();
+    if !finished {
+        node.exiting.cancel();
+        let rest = Duration::from_millis(KEEPER_DRAIN_MS).saturating_sub(answer_after);
+        if timeout(rest, shutdown).await.is_err() {
+            warn!(node.log, "stop-cut-short"; "drain_ms" => KEEPER_DRAIN_MS);
+        }
+    }
     info!(node.log, "stopped"; "all_calls_finished" => finished);
     Ok(())
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -62,8 +62,8 @@
     QuarantineState, QuarantineTable, RECORD_BYTES, RelayAction, RelayAttempt, RelayAttemptOutcome,
     RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget, RepeatedSubRequest,
     RequestFingerprint, RequestOrigin, RequestRank, SendPermit, SendRule, ShardGroup, StatedLimit,
-    TargetChoice, TargetNotice, TargetPick, TargetSelector, TargetSnapshot, UnclearSubRequest,
-    WarmUpReport, merge_records,
+    StopPlan, TargetChoice, TargetNotice, TargetPick, TargetSelector, TargetSnapshot,
+    UnclearSubRequest, WarmUpReport, merge_records,
 };
 pub use search::{RunStats, SearchAction, SearchAnswer, SearchOutcome, SearchParams, SearchRun};
 pub use service::{
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -25,6 +25,7 @@
 mod run;
 mod selector;
 mod shard_group;
+mod stop_plan;
 mod sub_request;
 mod target_tracker;
 
@@ -60,5 +61,6 @@
         TargetSnapshot,
     },
     shard_group::ShardGroup,
+    stop_plan::StopPlan,
     target_tracker::{AttemptSignal, Locality},
 };
--- a/crates/route/src/relay/run/finish.rs
+++ b/crates/route/src/relay/run/finish.rs
@@ -168,6 +168,17 @@
         }
     }
 
+    /// Ends the request now, as at its deadline, since this VM is about to exit.
+    pub fn end(&mut self, selector: &mut TargetSelector, now: MonoTime) -> Vec<RelayAction> {
+        let mut actions = Vec::new();
+        if !self.finished {
+            self.params.soft_deadline = self.params.soft_deadline.min(now);
+            self.params.deadline = self.params.deadline.min(now);
+            self.finish_or_wake(selector, now, &mut actions);
+        }
+        actions
+    }
+
     /// Whether all services have answered, or enough of them by the soft deadline.
     pub(super) fn can_answer(&self, now: MonoTime) -> bool {
         let is_complete = self.answered == self.sub_requests.len();
