Answer requests in flight before fulmarweird ends in a planned stop

What callers saw: an act or a search whose target was silent for longer than drain-max-ms got no answer; its connection ended with the process.

Change: 0.15 s before the end, requests in flight are answered 504 undecided, may-have-run. The claim of an act is kept.

--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -34,15 +34,29 @@
 }
 
 async fn handle_search(State(node): State<Arc<NodeState>>, raw_request: RawRequest) -> Response {
-    let result = search_service(&node, raw_request).await;
+    let result = answer_before_exit(&node, search_service(&node, raw_request)).await;
     respond(&node, result.map(|answer| answer_response(&answer)))
 }
 
 async fn handle_act(State(node): State<Arc<NodeState>>, raw_request: RawRequest) -> Response {
-    let result = act_service(&node, raw_request).await;
+    let result = answer_before_exit(&node, act_service(&node, raw_request)).await;
     respond(&node, result)
 }
 
+/// Waits for the result of a request, or refuses it as undecided once the process is about to exit.
+///
+/// Load pattern: targets are still silent when the time for a planned stop is up.
+async fn answer_before_exit<T>(
+    node: &NodeState,
+    result: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    tokio::select! {
+        biased;
+        result = result => result,
+        () = node.exiting.cancelled() => Err(refusal_error(&UNDECIDED_REFUSAL)),
+    }
+}
+
 fn respond(node: &NodeState, result: Result<Response>) -> Response {
     result.unwrap_or_else(|error| {
         node.metrics.count_refusal(error.reason);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -52,6 +52,8 @@
     pub(crate) metrics: MetricSet,
     pub(crate) meter: Arc<TrafficMeter>,
     pub(crate) lifecycle: Lifecycle,
+    /// Cancelled when requests in flight must be answered, as the process is about to exit.
+    pub(crate) exiting: CancellationToken,
     pub(crate) config: ActiveConfig,
     pub(crate) config_store: ConfigStore,
     pub(crate) fleet: Mutex<FleetState>,
@@ -97,6 +99,7 @@
             metrics: MetricSet::new(),
             meter,
             lifecycle: Lifecycle::new(),
+            exiting: CancellationToken::new(),
             config: ActiveConfig::new(config),
             config_store,
             fleet: Mutex::new(fleet),
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, lock};
-use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable};
+use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, TenantRule};
 use fulmarweir_route::PlacementRule;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
@@ -106,27 +106,14 @@
     let placement = PlacementRule::of(&rule, tenant.as_deref());
     node.wait_during_startup(startup_wait, |node| has_targets(node, &rule, &placement))
         .await;
-    if !node.stop_admits(times.deadline) {
+    check_room(node, &rule, tenant.as_deref(), times).map_err(|(reason, pause)| {
         let routed = EarlyRequest {
             route: &rule.name,
             tenant: tenant.as_deref(),
             ..unrouted
         };
-        let response = retry_later("vm-stopping", Duration::ZERO);
-        return Err(refuse_early(node, &routed, "vm-stopping", response));
-    }
-    let priority = priority_of(&rule, tenant.as_deref());
-    let in_flight = node.in_flight.load(Relaxed);
-    let refusal = lock(&node.lag).overload_pause(priority, in_flight);
-    if let Some(pause) = refusal {
-        let response = retry_later("vm-overloaded", pause);
-        let routed = EarlyRequest {
-            route: &rule.name,
-            tenant: tenant.as_deref(),
-            ..unrouted
-        };
-        return Err(refuse_early(node, &routed, "vm-overloaded", response));
-    }
+        refuse_early(node, &routed, reason, retry_later(reason, pause))
+    })?;
     let subject = (&request_id, rule.latency_objective);
     let admitted = admit_within_quota(node, &table, tenant.as_deref(), subject).await;
     let permit = admitted.map_err(|refusal| {
@@ -163,6 +150,23 @@
     Ok(run_routed(node, routed, permit).await)
 }
 
+/// Checks whether this VM takes one more request. If not, returns the reason and when to retry.
+fn check_room(
+    node: &EntryNode,
+    rule: &RouteRule,
+    tenant: Option<&TenantRule>,
+    times: RequestTimes,
+) -> Result<(), (&'static str, Duration)> {
+    if !node.stop_admits(times.deadline) {
+        // Another VM can run it at once.
+        return Err(("vm-stopping", Duration::ZERO));
+    }
+    let priority = priority_of(rule, tenant);
+    let in_flight = node.in_flight.load(Relaxed);
+    let pause = lock(&node.lag).overload_pause(priority, in_flight);
+    pause.map_or(Ok(()), |pause| Err(("vm-overloaded", pause)))
+}
+
 /// Reads a request body of at most `limit` bytes. Rejects it unread if `Content-Length` exceeds
 /// the limit.
 async fn read_request_body(
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts the tasks of the daemon, waits for a signal and stops the tasks in order.
 
-use std::{process, sync::Arc};
+use std::{pin::pin, process, sync::Arc, time::Duration};
 
 use error_stack::ResultExt;
 use fulmarweir_base::TimerService;
@@ -32,6 +32,8 @@
 };
 
 const EXIT_SECOND_SIGNAL: i32 = 130;
+/// Requests in flight are answered this long before the end of the drain, in milliseconds.
+const ANSWER_MARGIN_MS: u64 = 150;
 
 /// Runs the daemon until SIGTERM or SIGINT.
 ///
@@ -130,10 +132,17 @@
     info!(node.log, "settling"; "settle_ms" => limits.settle.as_millis());
     sleep(limits.settle).await;
     node.lifecycle.handle(&LifecycleEvent::Settled);
-    let finish = finish_tasks(node, tasks);
-    if timeout(limits.drain_max, finish).await.is_err() {
+    let mut finish = pin!(finish_tasks(node, tasks));
+    let margin = Duration::from_millis(ANSWER_MARGIN_MS).min(limits.drain_max);
+    if timeout(limits.drain_max.saturating_sub(margin), &mut finish)
+        .await
+        .is_err()
+    {
         warn!(node.log, "drain-cut-short"; "drain_max_ms" => limits.drain_max.as_millis());
-        node.halt.cancel();
+        node.exiting.cancel();
+        if timeout(margin, finish).await.is_err() {
+            node.halt.cancel();
+        }
     }
     info!(node.log, "stopped");
 }
