Do not acknowledge a departure alone while no other keeper is known

Found on reading the change of departures again: a keeper that has just replaced a lost one and is cut off knows no voters, asked nobody for a copy, and took its own for enough. It now counts on as many holders as losses-max asks for. A refused copy counts as unsupported only if the peer has not run the call.

--- a/crates/daemon/src/relay/replicate.rs
+++ b/crates/daemon/src/relay/replicate.rs
@@ -6,10 +6,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fulmarweir_base::lock;
+use fulmarweir_base::{RunVerdict, lock};
 use fulmarweir_fleet::{AnnounceOutcome, TargetAnnouncement};
 use fulmarweir_route::QuarantineEntry;
-use fulmarweir_wire::{TrafficClass, WireFault};
+use fulmarweir_wire::{TrafficClass, WireError, WireFault};
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
@@ -47,8 +47,8 @@
 struct CopyCount {
     stored: usize,
     unsupported: usize,
-    /// How many keepers were asked, this one included.
-    asked: usize,
+    /// How many keepers hold copies once all voters are known, at least.
+    holders: usize,
     losses_max: usize,
 }
 
@@ -61,10 +61,15 @@
         }
     }
 
-    /// Whether at least one copy is left whichever keepers are lost, as far as older builds allow it.
+    /// Returns how many copies must be stored, so that one is left whichever keepers are lost, as far as
+    /// older builds allow it.
+    fn needed(&self) -> usize {
+        let able = self.holders.saturating_sub(self.unsupported).max(1);
+        able.min(self.losses_max + 1)
+    }
+
     fn is_enough(&self) -> bool {
-        let able = self.asked - self.unsupported;
-        self.stored >= (self.losses_max + 1).min(able.max(1))
+        self.stored >= self.needed()
     }
 }
 
@@ -119,10 +124,11 @@
         let mut count = CopyCount {
             stored: 0,
             unsupported: 0,
-            asked: others.len() + 1,
+            // A keeper that does not know the voters yet must not take itself for the only one.
+            holders: (others.len() + 1).max(self.settings.voters_wanted()),
             losses_max: self.settings.losses_max as usize,
         };
-        let (sender, mut outcomes) = mpsc::channel(count.asked);
+        let (sender, mut outcomes) = mpsc::channel(count.holders);
         let call = VmRequest::Replicate(Box::new(news.clone()));
         for other in others {
             let (node, sender, call) = (Arc::clone(self), sender.clone(), call.clone());
@@ -172,9 +178,7 @@
         let class = TrafficClass::Control;
         match self.peers.call(holder, class, call, time_limit).await {
             Ok(VmReply::Noted) => CopyOutcome::Stored,
-            Err(error) if matches!(error.fault, WireFault::Codec | WireFault::Protocol) => {
-                CopyOutcome::Unsupported
-            }
+            Err(error) if is_refused_by_older_build(error) => CopyOutcome::Unsupported,
             Ok(_) | Err(_) => CopyOutcome::Failed,
         }
     }
@@ -205,7 +209,7 @@
         let fingerprint = news.quarantine.first().map(|entry| entry.fingerprint);
         let fingerprint = fingerprint.map(|known| known.to_string());
         let subject = subject.or(fingerprint.as_deref()).unwrap_or_default();
-        let needed = count.losses_max + 1;
+        let needed = count.needed();
         if count.is_enough() {
             info!(self.log, "news-replicated"; "subject" => subject, "stored" => count.stored,
                 "needed" => needed, "unsupported" => count.unsupported,
@@ -213,12 +217,18 @@
         } else {
             self.metrics.unreplicated.inc();
             warn!(self.log, "news-not-replicated"; "subject" => subject, "stored" => count.stored,
-                "needed" => needed, "unsupported" => count.unsupported, "asked" => count.asked,
+                "needed" => needed, "unsupported" => count.unsupported, "holders" => count.holders,
                 "took_ms" => took.as_millis());
         }
     }
 }
 
+/// Builds of version 9 from before the request cannot decode it, those of version 8 do not have it.
+fn is_refused_by_older_build(error: WireError) -> bool {
+    let is_unknown = matches!(error.fault, WireFault::Codec | WireFault::Protocol);
+    is_unknown && error.verdict == RunVerdict::NotRun
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -227,7 +237,7 @@
         let mut count = CopyCount {
             stored: 0,
             unsupported: 0,
-            asked: outcomes.len(),
+            holders: outcomes.len().max(2 * losses_max + 1),
             losses_max,
         };
         for outcome in outcomes {
@@ -248,6 +258,10 @@
         assert!(!is_enough(&[Stored, Failed, Failed], 1));
         assert!(is_enough(&[Stored, Stored, Stored, Failed, Failed], 2));
         assert!(!is_enough(&[Stored, Stored, Failed, Failed, Failed], 2));
+        // The voters are not known yet.
+        assert!(!is_enough(&[Stored], 1));
+        assert!(is_enough(&[Stored, Stored], 1));
+        assert!(!is_enough(&[Stored, Stored], 2));
         // Older builds: one of three can't store copies, then two of three.
         assert!(is_enough(&[Stored, Stored, Unsupported], 1));
         assert!(!is_enough(&[Stored, Failed, Unsupported], 1));
