Let the caller of the stand-in's test leave after its act has begun

Cause: the caller left 20 ms after it had begun to connect; on a busy machine the act had not reached the target by then, and the test waited for its end without a limit.

--- a/crates/bench/tests/stand_in.rs
+++ b/crates/bench/tests/stand_in.rs
@@ -129,19 +129,30 @@
     assert_eq!(target.stop().await.cancels_in_time, 1);
 }
 
+/// The caller leaves once the target has begun to run the act.
 #[tokio::test]
 async fn an_act_runs_on_when_its_caller_leaves() {
-    let target = StandIn::start(with_service_ms(40.0)).await.unwrap();
-    let mut call = query(&target, "a-1", "act", 42);
-    call.timeout = Duration::from_millis(20);
-    assert!(HttpClient::new().send(call).await.is_err());
-    while target.counters().finished == 0 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let target = StandIn::start(with_service_ms(1_000.0)).await.unwrap();
+    let call = query(&target, "a-1", "act", 42);
+    let sending = tokio::spawn(async move { HttpClient::new().send(call).await });
+    wait_until(|| target.counters().runs == 1).await;
+    sending.abort();
+    assert!(sending.await.unwrap_err().is_cancelled());
+    wait_until(|| target.counters().finished == 1).await;
     assert_eq!(target.runs()[0].runs, 1);
     target.stop().await;
 }
 
+async fn wait_until(mut condition: impl FnMut() -> bool) {
+    let poll = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), poll).await;
+    waited.expect("the condition holds in time");
+}
+
 #[tokio::test]
 async fn versions_are_added_and_dropped() {
     let target = StandIn::start(settings()).await.unwrap();
