--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -36,11 +36,11 @@
 //! };
 //! let client = QuorumClient::new(ClientSettings::new(first_set), transport, timer);
 //! let timeout = Duration::from_secs(2);
-//! let outcome = client
+//! let reply = client
 //!     .submit_config(0, "change-1".into(), "[service a]".into(), timeout)
 //!     .await
 //!     .unwrap();
-//! assert_eq!(outcome, SubmitOutcome::Accepted { version: 1 });
+//! assert_eq!(reply.outcome, SubmitOutcome::Accepted { version: 1 });
 //! assert_eq!(client.read_config(timeout).await.unwrap().version, 1);
 //! client.close().await;
 //! # drop((client, voter));
