--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod operator_api;
 mod peer_api;
 mod peer_message;
+mod planned_stop;
 mod program;
 mod relay;
 mod remote_centre;
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -15,7 +15,7 @@
     evacuations::{answer_order, confirm_before_config},
     keeper::KeeperNode,
     quarantine_api::{answer_quarantine_call, quarantine_call},
-    response::{RelayResponse, json, retry_later, text},
+    response::{RelayResponse, json, text, unavailable},
 };
 use crate::metrics::OutcomeLabel;
 
@@ -27,8 +27,6 @@
 const SUBMIT_TIMEOUT_MS: u64 = 3_000;
 /// Time limit for the voters to confirm the configuration for a read, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 900;
-/// `Retry-After` of responses to operators after a failure, in milliseconds.
-const UNAVAILABLE_RETRY_MS: u64 = 200;
 /// Why a departure or an order is not acknowledged yet.
 pub(super) const NOT_REPLICATED: &str = "too few keepers have stored it";
 
@@ -178,7 +176,3 @@
     let label = OutcomeLabel { outcome };
     node.metrics.config_changes.get_or_create(&label).inc();
 }
-
-pub(super) fn unavailable(reason: &'static str) -> RelayResponse {
-    retry_later(reason, Duration::from_millis(UNAVAILABLE_RETRY_MS))
-}
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -3,6 +3,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering::Relaxed},
@@ -257,7 +258,8 @@
     /// Drives the request until it has an outcome.
     pub(super) async fn run_to_outcome(&mut self, mut actions: Vec<RelayAction>) -> RelayOutcome {
         let mut wake_at = self.message.deadline;
-        let exiting = self.node.exiting.clone();
+        let mut exiting = pin!(self.node.exiting.clone().cancelled_owned());
+        let mut is_ended = false;
         loop {
             for action in actions {
                 match action {
@@ -286,7 +288,8 @@
                     let run = &mut self.run;
                     self.node.with_selector(|selector| run.on_wake(selector, now))
                 }
-                () = exiting.cancelled() => {
+                () = &mut exiting, if !is_ended => {
+                    is_ended = true;
                     let now = self.node.timer.now();
                     let run = &mut self.run;
                     self.node.with_selector(|selector| run.end(selector, now))
--- a/crates/daemon/src/relay/evacuations.rs
+++ b/crates/daemon/src/relay/evacuations.rs
@@ -18,7 +18,7 @@
     entry::EntryNode,
     keeper::KeeperNode,
     metrics::set_count,
-    response::{RelayResponse, json, retry_later, text},
+    response::{RelayResponse, json, text, unavailable},
     vm_message::EvacuationState,
 };
 
@@ -26,8 +26,6 @@
 const ORDER_TIMEOUT_MS: u64 = 3_000;
 /// Time limit of reading the register from the voters, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 1_000;
-/// `Retry-After` of responses to operators after a failure, in milliseconds.
-const UNAVAILABLE_RETRY_MS: u64 = 200;
 
 /// Longest name of an unknown data centre in the log, in characters.
 const NAME_LOGGED_MAX: usize = 64;
@@ -222,7 +220,3 @@
 fn count_order(node: &KeeperNode, outcome: &'static str) {
     node.metrics.count_evacuation_order(outcome);
 }
-
-fn unavailable(reason: &'static str) -> RelayResponse {
-    retry_later(reason, Duration::from_millis(UNAVAILABLE_RETRY_MS))
-}
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -28,6 +28,7 @@
     state_file::StateFile,
     vm_message::{
         EntryContact, KeeperContact, PollReply, PollRequest, PollSource, VmReply, VmRequest,
+        wire_version,
     },
     voters::speak_newest,
 };
@@ -515,12 +516,12 @@
         let is_entry = matches!(request.source, PollSource::Entry(_));
         let voters = self.quorum.voters();
         let has_other_limits = self.has_other_limits(request);
-        let config_version = self.config_version();
+        let (config_version, holds_version_0) = wire_version(self.config_version());
         let permits = lock(&self.permits);
         PollReply {
             delta: is_entry.then(|| lock(&self.registry).changes_since(request.cursor)),
-            config_version: config_version.unwrap_or_default(),
-            holds_version_0: config_version == Some(0),
+            config_version,
+            holds_version_0,
             voters: (!is_entry && voters.epoch > request.voter_epoch).then_some(voters),
             contacts: lists.contacts,
             contacts_digest: lists.contacts_digest,
--- a/crates/daemon/src/relay/quarantine_api.rs
+++ b/crates/daemon/src/relay/quarantine_api.rs
@@ -8,9 +8,9 @@
 use serde_json::{Value, json};
 
 use super::{
-    control::{NOT_REPLICATED, unavailable},
+    control::NOT_REPLICATED,
     keeper::KeeperNode,
-    response::{RelayResponse, json as json_response, text},
+    response::{RelayResponse, json as json_response, text, unavailable},
 };
 
 const PATH: &str = "/v1/quarantine";
--- a/crates/daemon/src/relay/replicate.rs
+++ b/crates/daemon/src/relay/replicate.rs
@@ -7,7 +7,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fulmarweir_base::{RunVerdict, lock};
-use fulmarweir_fleet::{AnnounceOutcome, TargetAnnouncement};
+use fulmarweir_fleet::AnnounceOutcome;
 use fulmarweir_route::QuarantineEntry;
 use fulmarweir_wire::{TrafficClass, WireError, WireFault};
 use slog::{info, warn};
@@ -109,7 +109,8 @@
             // Waiting polls are not woken: the keeper that was told does that. If it is lost, entry VMs
             // learn of the departure when their polls return.
             if outcome == AnnounceOutcome::Changed {
-                self.log_copy(departure);
+                info!(self.log, "departure-copied"; "target" => &*departure.id,
+                    "state" => ?departure.state, "born_ms" => departure.born_ms);
             }
         }
         self.merge_quarantine(&news.quarantine, "keeper");
@@ -199,11 +200,6 @@
         true
     }
 
-    fn log_copy(&self, departure: &TargetAnnouncement) {
-        info!(self.log, "departure-copied"; "target" => &*departure.id,
-            "state" => ?departure.state, "born_ms" => departure.born_ms);
-    }
-
     fn log_replicated(&self, news: &KeeperNews, count: CopyCount, took: Duration) {
         let subject = news.departures.first().map(|departure| &*departure.id);
         let fingerprint = news.quarantine.first().map(|entry| entry.fingerprint);
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -6,6 +6,9 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 
+/// `Retry-After` of responses to targets and operators after a failure, in milliseconds.
+const UNAVAILABLE_RETRY_MS: u64 = 200;
+
 /// A response with a complete body.
 pub(crate) type RelayResponse = Response<Full<Bytes>>;
 
@@ -31,6 +34,11 @@
     retry_with_status(StatusCode::SERVICE_UNAVAILABLE, reason, pause)
 }
 
+/// Returns a 503 response to a target or an operator whose call failed, or whose outcome is open.
+pub(crate) fn unavailable(reason: &'static str) -> RelayResponse {
+    retry_later(reason, Duration::from_millis(UNAVAILABLE_RETRY_MS))
+}
+
 /// Returns a response to a request that has not run, with `pause` as `Retry-After` in seconds.
 pub(crate) fn retry_with_status(
     status: StatusCode,
--- a/crates/daemon/src/relay/rest_table.rs
+++ b/crates/daemon/src/relay/rest_table.rs
@@ -70,11 +70,13 @@
         let before = RestTable::default();
         let numbers: Vec<u64> = (0..100).map(|_| before.add().0).collect();
         let after = RestTable::default();
-        let senders: Vec<_> = (0..100).map(|_| after.add()).collect();
+        for _ in 0..100 {
+            // Without its sender, a rest is answered at once, with another reason.
+            drop(after.add());
+        }
         for number in numbers {
             let reply = after.fetch(number).await;
             assert_eq!(reply, VmReply::NotTaken("unknown-rest".into()));
         }
-        drop(senders);
     }
 }
--- a/crates/daemon/src/relay/start.rs
+++ b/crates/daemon/src/relay/start.rs
@@ -3,22 +3,18 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    pin::pin,
     sync::{Arc, atomic::Ordering::Relaxed},
     time::Duration,
 };
 
 use error_stack::ResultExt;
-use fulmarweir_base::{MonoTime, lock};
+use fulmarweir_base::lock;
 use fulmarweir_conf::{RelayRole, RelaySettings};
 use fulmarweir_quorum::{ClientSettings, QuorumClient, VoterService, VoterTransport};
 use fulmarweir_wire::TrafficClass;
 use futures::FutureExt;
 use slog::{Logger, error, info, warn};
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    time::timeout,
-};
+use tokio::signal::unix::{SignalKind, signal};
 
 use super::{
     adapter::ProtocolAdapter,
@@ -32,10 +28,13 @@
     permits::run_permits,
     state_file::{run_evacuations_file, run_quarantine_file, run_target_file},
     tasks::{RelayContext, RelayTasks, run_lag_probe},
-    vm_message::{EntryContact, PollRequest, PollSource, VmReply, VmRequest},
+    vm_message::{EntryContact, PollRequest, PollSource, VmReply, VmRequest, wire_version},
     voters::{first_voters, open_voter, run_voters},
 };
-use crate::error::{DaemonError, Result};
+use crate::{
+    error::{DaemonError, Result},
+    planned_stop::{StopEnd, finish_in_time},
+};
 
 /// Time after which a keeper that stops answers calls that are still in flight, in milliseconds.
 const KEEPER_ANSWER_MS: u64 = 300;
@@ -105,25 +104,25 @@
     info!(node.log, "stopping"; "grace_ms" => grace.as_millis());
     let plan = node.begin_shutdown();
     node.timer.sleep_until(plan.accept_until).await;
-    let timer = node.timer.clone();
-    let mut shutdown = pin!(async {
+    let shutdown = async {
         tasks.shut_down().await;
         node.detached_tasks.close();
         node.detached_tasks.wait().await;
         node.pool.close().await;
         peers.close().await;
         node.timer.close().await;
-    });
-    let until = |at: MonoTime| at.since(timer.now());
-    let finished = timeout(until(plan.answer_by), &mut shutdown).await.is_ok();
-    if !finished {
+    };
+    let answer_after = plan.answer_by.since(node.timer.now());
+    let margin = plan.exit_by.since(plan.answer_by);
+    let end = finish_in_time(shutdown, answer_after, margin, || {
         info!(node.log, "requests-ended"; "in_flight" => node.in_flight.load(Relaxed));
         node.exiting.cancel();
-        if timeout(until(plan.exit_by), shutdown).await.is_err() {
-            warn!(node.log, "stop-cut-short"; "in_flight" => node.in_flight.load(Relaxed));
-        }
+    })
+    .await;
+    if end == StopEnd::CutShort {
+        warn!(node.log, "stop-cut-short"; "in_flight" => node.in_flight.load(Relaxed));
     }
-    info!(node.log, "stopped"; "all_requests_finished" => finished);
+    info!(node.log, "stopped"; "all_requests_finished" => end == StopEnd::Finished);
     Ok(())
 }
 
@@ -131,21 +130,24 @@
     let (request_node, reply_node, config_node) =
         (Arc::clone(node), Arc::clone(node), Arc::clone(node));
     PollHooks {
-        request: Box::new(move |keeper, contacts_digest, wait_ms| PollRequest {
-            source: PollSource::Entry(EntryContact {
-                peers: request_node.settings.peer_address(),
-                centre: Arc::clone(&request_node.settings.centre),
-            }),
-            cursor: request_node.cursor(keeper),
-            config_version: request_node.config_version().unwrap_or_default(),
-            holds_version_0: request_node.config_version() == Some(0),
-            voter_epoch: 0,
-            contacts_digest,
-            brokers_digest: request_node.brokers_digest(keeper),
-            limits_revision: request_node.limits_revision(keeper),
-            quarantine_revision: request_node.quarantine_revision(keeper),
-            wait_ms,
-            evacuations_version: Some(request_node.evacuations.version()),
+        request: Box::new(move |keeper, contacts_digest, wait_ms| {
+            let (config_version, holds_version_0) = wire_version(request_node.config_version());
+            PollRequest {
+                source: PollSource::Entry(EntryContact {
+                    peers: request_node.settings.peer_address(),
+                    centre: Arc::clone(&request_node.settings.centre),
+                }),
+                cursor: request_node.cursor(keeper),
+                config_version,
+                holds_version_0,
+                voter_epoch: 0,
+                contacts_digest,
+                brokers_digest: request_node.brokers_digest(keeper),
+                limits_revision: request_node.limits_revision(keeper),
+                quarantine_revision: request_node.quarantine_revision(keeper),
+                wait_ms,
+                evacuations_version: Some(request_node.evacuations.version()),
+            }
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_poll_reply(keeper, reply);
@@ -203,17 +205,18 @@
     ]);
     wait_for_stop_signal().await?;
     info!(node.log, "stopping");
-    let mut shutdown = pin!(tasks.shut_down());
+    let shutdown = async {
+        tasks.shut_down().await;
+        node.copy_tasks.close();
+        node.copy_tasks.wait().await;
+    };
     let answer_after = Duration::from_millis(KEEPER_ANSWER_MS);
-    let finished = timeout(answer_after, &mut shutdown).await.is_ok();
-    if !finished {
-        node.exiting.cancel();
-        let rest = Duration::from_millis(KEEPER_DRAIN_MS).saturating_sub(answer_after);
-        if timeout(rest, shutdown).await.is_err() {
-            warn!(node.log, "stop-cut-short"; "drain_ms" => KEEPER_DRAIN_MS);
-        }
+    let margin = Duration::from_millis(KEEPER_DRAIN_MS).saturating_sub(answer_after);
+    let end = finish_in_time(shutdown, answer_after, margin, || node.exiting.cancel()).await;
+    if end == StopEnd::CutShort {
+        warn!(node.log, "stop-cut-short"; "drain_ms" => KEEPER_DRAIN_MS);
     }
-    info!(node.log, "stopped"; "all_calls_finished" => finished);
+    info!(node.log, "stopped"; "all_calls_finished" => end == StopEnd::Finished);
     Ok(())
 }
 
@@ -221,18 +224,21 @@
     let (request_node, reply_node, config_node) =
         (Arc::clone(node), Arc::clone(node), Arc::clone(node));
     PollHooks {
-        request: Box::new(move |keeper, contacts_digest, wait_ms| PollRequest {
-            source: PollSource::Keeper(request_node.contact()),
-            cursor: None,
-            config_version: request_node.config_version().unwrap_or_default(),
-            holds_version_0: request_node.config_version() == Some(0),
-            voter_epoch: request_node.quorum.voters().epoch,
-            contacts_digest,
-            brokers_digest: None,
-            limits_revision: 0,
-            quarantine_revision: request_node.quarantine_revision(keeper),
-            wait_ms,
-            evacuations_version: Some(request_node.evacuations.version()),
+        request: Box::new(move |keeper, contacts_digest, wait_ms| {
+            let (config_version, holds_version_0) = wire_version(request_node.config_version());
+            PollRequest {
+                source: PollSource::Keeper(request_node.contact()),
+                cursor: None,
+                config_version,
+                holds_version_0,
+                voter_epoch: request_node.quorum.voters().epoch,
+                contacts_digest,
+                brokers_digest: None,
+                limits_revision: 0,
+                quarantine_revision: request_node.quarantine_revision(keeper),
+                wait_ms,
+                evacuations_version: Some(request_node.evacuations.version()),
+            }
         }),
         reply: Box::new(move |keeper, reply| {
             reply_node.apply_quarantine(keeper, &reply.quarantine);
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -314,6 +314,12 @@
     }
 }
 
+/// Returns the fields by which polls tell the version of a configuration that is held.
+pub(crate) fn wire_version(held: Option<u64>) -> (u64, bool) {
+    (held.unwrap_or_default(), held == Some(0))
+}
+
+/// The reverse of [`wire_version`].
 fn held_version(config_version: u64, holds_version_0: bool) -> Option<u64> {
     (config_version > 0 || holds_version_0).then_some(config_version)
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts the tasks of the daemon, waits for a signal and stops the tasks in order.
 
-use std::{pin::pin, process, sync::Arc, time::Duration};
+use std::{process, sync::Arc, time::Duration};
 
 use error_stack::ResultExt;
 use fulmarweir_base::TimerService;
@@ -11,7 +11,7 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -28,6 +28,7 @@
     node::NodeState,
     operator_api::operator_router,
     peer_api::handle_peer,
+    planned_stop::{StopEnd, finish_in_time},
     voter_repair::run_voter_repair,
 };
 
@@ -132,17 +133,15 @@
     info!(node.log, "settling"; "settle_ms" => limits.settle.as_millis());
     sleep(limits.settle).await;
     node.lifecycle.handle(&LifecycleEvent::Settled);
-    let mut finish = pin!(finish_tasks(node, tasks));
     let margin = Duration::from_millis(ANSWER_MARGIN_MS).min(limits.drain_max);
-    if timeout(limits.drain_max.saturating_sub(margin), &mut finish)
-        .await
-        .is_err()
-    {
+    let answer_after = limits.drain_max.saturating_sub(margin);
+    let answer_rest = || {
         warn!(node.log, "drain-cut-short"; "drain_max_ms" => limits.drain_max.as_millis());
         node.exiting.cancel();
-        if timeout(margin, finish).await.is_err() {
-            node.halt.cancel();
-        }
+    };
+    let finish = finish_tasks(node, tasks);
+    if finish_in_time(finish, answer_after, margin, answer_rest).await == StopEnd::CutShort {
+        node.halt.cancel();
     }
     info!(node.log, "stopped");
 }
--- a/tests/tests/state_config.rs
+++ b/tests/tests/state_config.rs
@@ -15,6 +15,17 @@
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 /// Delay between daemons, one way, where a test needs one.
 const LINK_DELAY: Duration = Duration::from_millis(20);
+/// How much later than another one a change is submitted.
+const CHANGE_OFFSETS: [Duration; 8] = [
+    Duration::from_millis(20),
+    Duration::from_millis(40),
+    Duration::from_millis(55),
+    Duration::from_millis(65),
+    Duration::from_millis(75),
+    Duration::from_millis(85),
+    Duration::from_millis(95),
+    Duration::from_millis(110),
+];
 
 fn operator_addresses(tier: &Tier) -> Vec<SocketAddr> {
     let daemons = tier.daemons().iter();
@@ -98,19 +109,21 @@
 /// text was accepted, because both operators used the same change ID.
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_texts_with_one_change_id_the_accepted_one_is_in_force_everywhere() {
-    let tier = Tier::start(&single_centre_settings(3)).await.unwrap();
+    let mut settings = single_centre_settings(3);
+    settings.proxy_peers = true;
+    let tier = Tier::start(&settings).await.unwrap();
     let addresses = operator_addresses(&tier);
     let operator = TestOperator::default();
-    // The second operator's change is decided before its daemon hears of the first one.
     for (one, other) in [(0, 1), (0, 2), (1, 2)] {
         tier.set_link(one, other, LinkState::delayed(LINK_DELAY));
     }
-    for at in 0..6 {
+    // With one of the offsets, the second change is decided before its daemon hears of the first one.
+    for (at, offset) in (0..).zip(CHANGE_OFFSETS) {
         let id = format!("shared-{at}");
         let submissions = addresses[..2].iter().enumerate().map(|(index, address)| {
             let (operator, id) = (&operator, &id);
             async move {
-                sleep(LINK_DELAY * u32::try_from(index).unwrap()).await;
+                sleep(offset * u32::try_from(index).unwrap()).await;
                 let text = numbered_config(at * 10 + index as u64);
                 let outcome = submit_until_decided(operator, &[*address], at, id, &text).await;
                 assert_eq!(outcome, SubmitOutcome::Accepted(at + 1));
