--- a/crates/pool/tests/connection_pool.rs
+++ b/crates/pool/tests/connection_pool.rs
@@ -18,10 +18,20 @@
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
+    task::JoinSet,
     time::sleep,
 };
 use tokio_util::task::TaskTracker;
 
+/// How the end of a reply is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    Length,
+    Chunks,
+    /// The body ends with the connection.
+    Close,
+}
+
 /// What a scripted target does with one request.
 #[derive(Clone, Debug)]
 enum Script {
@@ -30,6 +40,8 @@
     EchoOtherAttempt,
     AnswerTwice,
     Truncate,
+    /// Sends this many bytes of a reply that is framed so, and closes the connection.
+    Cut(Framing, usize),
     CloseWithoutReply,
     /// Replies with a status, and states that the request has not run if the flag is set.
     Status(u16, bool),
@@ -127,6 +139,25 @@
     reply(200, &headers, &format!("{{\"for\":\"{}\"}}", head.attempt))
 }
 
+/// Returns the answer to a request with its body framed so.
+fn framed_answer(head: &RequestHead, framing: Framing) -> String {
+    let complete = answer(head, &head.attempt);
+    let (fields, body) = complete.split_once("\r\n\r\n").unwrap();
+    let (fields, _) = fields.rsplit_once("\r\n").unwrap();
+    match framing {
+        Framing::Length => complete,
+        Framing::Chunks => {
+            let (first, second) = body.split_at(4);
+            let second_len = second.len();
+            format!(
+                "{fields}\r\ntransfer-encoding: chunked\r\n\r\n\
+                 4\r\n{first}\r\n{second_len:x}\r\n{second}\r\n0\r\n\r\n"
+            )
+        }
+        Framing::Close => format!("{fields}\r\nconnection: close\r\n\r\n{body}"),
+    }
+}
+
 async fn serve(
     stream: TcpStream,
     counters: &TargetCounters,
@@ -167,6 +198,10 @@
         Script::EchoOtherAttempt => Some((answer(head, "other"), true)),
         Script::AnswerTwice => Some((complete_reply.clone() + &complete_reply, true)),
         Script::Truncate => Some((complete_reply[..complete_reply.len() - 3].to_owned(), false)),
+        Script::Cut(framing, sent) => {
+            let framed = framed_answer(head, *framing);
+            Some((framed[..*sent].to_owned(), false))
+        }
         Script::CloseWithoutReply => None,
         Script::Status(status, not_run) => {
             let headers = if *not_run {
@@ -206,7 +241,7 @@
             service: "s".parse().unwrap(),
             kind,
             request: "r".into(),
-            attempt: format!("r-{number}").into(),
+            attempt: format!("r-{number:03}").into(),
             version: 42,
             shard: 0,
             of: 3,
@@ -280,6 +315,44 @@
     }
 }
 
+/// Cuts an answer at each byte; checks that none of the cut ones is taken for an answer.
+async fn cut_at_each_byte(framing: Framing, kind: RequestKind) {
+    let model = RequestHead {
+        path: "/query".into(),
+        attempt: "r-000".into(),
+        shard: "0/3".into(),
+        version: "42".into(),
+    };
+    let cuts = framed_answer(&model, framing).len();
+    let scripts = (0..=cuts).map(|sent| Script::Cut(framing, sent)).collect();
+    let target = start_target(scripts, "{}").await;
+    let client = TestClient::new(target.address, 2, 1);
+    for sent in 0..cuts {
+        let error = client.pool.send(client.request(kind, TIME_LIMIT_MS)).await;
+        let error = error.expect_err(&format!("{framing:?} {kind:?} {sent}"));
+        assert_eq!(error.fault, TargetFault::Broken, "{framing:?} {sent}");
+        assert_eq!(error.verdict, RunVerdict::MayHaveRun);
+    }
+    let answer = client.pool.send(client.request(kind, TIME_LIMIT_MS)).await;
+    // A body without a length could have broken off, so none is accepted.
+    let is_accepted = framing != Framing::Close;
+    assert_eq!(answer.is_ok(), is_accepted, "{framing:?} {kind:?}");
+}
+
+/// Guards against an answer that ends in its head or body and is taken for a whole one.
+#[tokio::test]
+async fn an_answer_that_breaks_off_at_any_byte_is_none() {
+    let mut tasks = JoinSet::new();
+    for framing in [Framing::Length, Framing::Chunks, Framing::Close] {
+        for kind in [RequestKind::Search, RequestKind::Act] {
+            tasks.spawn(cut_at_each_byte(framing, kind));
+        }
+    }
+    while let Some(ended) = tasks.join_next().await {
+        ended.unwrap();
+    }
+}
+
 #[tokio::test]
 async fn a_refusal_is_not_run_only_if_the_target_states_it() {
     let scripts = vec![
