--- a/crates/daemon/src/relay/voters.rs
+++ b/crates/daemon/src/relay/voters.rs
@@ -17,8 +17,9 @@
 const VOTER_FOLDER: &str = "voter";
 /// Period of the checks of the voter set, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 400;
-/// Fraction of the `replacement_max` bound after which another keeper replaces an unreachable voter.
-/// The rest of the bound is left for copying the registers and one retry.
+/// Fraction of the `replacement_max` bound after which another keeper replaces an unreachable voter, and
+/// the first voters are elected without those that do not answer. The rest of the bound is left for
+/// copying the registers and one retry.
 const REPLACE_AFTER_SHARE: f64 = 0.35;
 /// Upper limit of each keeper's random delay, in milliseconds. It makes it unlikely that two
 /// keepers change the voter set at the same time.
--- a/crates/quorum/src/client/settings.rs
+++ b/crates/quorum/src/client/settings.rs
@@ -47,7 +47,8 @@
     /// that it does not reach, if it reaches a majority of them. `None` means that all must be up.
     ///
     /// This must be `None` if a voter that has lost its log could take part in epoch 0 again: it may have
-    /// forgotten what it accepted. All clients of the voters must agree on whether it is `None`.
+    /// forgotten what it accepted. Clients with and without it may elect together, since all voters have
+    /// a voter in common with each majority.
     pub first_majority_after: Option<Duration>,
     /// Seed of the random delays.
     pub seed: u64,
