--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod copies;
+mod groups;
 mod http;
 mod operator;
 mod proxy;
@@ -33,6 +34,7 @@
     let case = case.clone();
     let own_record = Arc::clone(&record);
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
+        "groups" => groups::run(&program, &own_record, has_trouble),
         "copies" => copies::run(&program, &own_record, has_trouble),
         _ => Verdict::NotRun("no such case"),
     }));
