--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -9,6 +9,7 @@
 mod proxy;
 mod record;
 mod searcher;
+mod stall;
 mod tier;
 
 use std::{path::PathBuf, process::exit, sync::Arc};
@@ -35,6 +36,7 @@
     let own_record = Arc::clone(&record);
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "groups" => groups::run(&program, &own_record, has_trouble),
+        "stall" => stall::run(&program, &own_record, has_trouble),
         "copies" => copies::run(&program, &own_record, has_trouble),
         _ => Verdict::NotRun("no such case"),
     }));
