Send no second attempt of a request on a connection that has refused it

What callers saw: an act ran twice, or was refused as not run and ran (TWICE, REFUSED).

Cause: the connection of a refusal was free for the next attempt of the same request. All attempts have one id, so a late copy of the refusal was taken for the reply to that attempt, which the target had begun to run. The pool returned connections as soon as a reply was complete, before it was judged, and did not know what they had carried.

Change: the pool returns a reply with its connection, which is closed unless the caller keeps it. A kept connection remembers the requests that it left unanswered until their deadlines, and takes no attempt of them. Other requests use it as before, since they tell the copy by its id. It remembers at most 128 requests and is closed beyond that.

Ruled out: reopening for every retry, which also closes connections that other requests can use; a pause before the retry, which leaves later copies.

--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
-use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayReply};
+use fulmarweir_pool::{ConnectionReuse, ConnectionTerms, RelayFault, RelayReply, RequestEnd};
 use fulmarweir_route::{
     GroupOutcome, PlacementRule, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
     RelayParams, RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, StatedLimit,
@@ -511,17 +511,21 @@
         is_sent.store(may_send, Relaxed);
         may_send
     };
-    let exchange = node
-        .pool
-        .exchange(address, request, reuse, attempt.idle_timeout, &may_send);
+    let terms = ConnectionTerms {
+        reuse,
+        idle_timeout: attempt.idle_timeout,
+        request_id: message.request_id.as_bytes(),
+        deadline: message.deadline,
+    };
+    let exchange = node.pool.exchange(address, request, terms, &may_send);
     let reply = tokio::select! {
         biased;
         reply = exchange => reply,
         // What waits for a connection will not get one.
         () = node.links_lost_unless(&is_sent) => Err(RelayFault::Connect),
     };
-    let reply = match reply {
-        Ok(reply) => reply,
+    let (reply, connection) = match reply {
+        Ok(exchanged) => exchanged,
         Err(fault) => {
             if fault == RelayFault::Broken {
                 node.pool.close_idle(address);
@@ -544,6 +548,17 @@
         }
     };
     let class = (node.adapter.classify)(&reply, message.request_id.as_bytes());
+    match class {
+        ReplyClass::Answer { .. } => node.pool.keep(connection, RequestEnd::Answered),
+        ReplyClass::Refused | ReplyClass::Moved | ReplyClass::Failure => {
+            node.pool.keep(connection, RequestEnd::Unanswered);
+        }
+        // Later replies on this connection would belong to other requests as well.
+        ReplyClass::Invalid => {
+            drop(connection);
+            node.pool.close_idle(address);
+        }
+    }
     // Any other reply may come from another target than this one.
     if !matches!(class, ReplyClass::Moved | ReplyClass::Invalid) {
         let is_answer = matches!(class, ReplyClass::Answer { .. });
@@ -571,12 +586,7 @@
             let outcome = RelayAttemptOutcome::FailureReply;
             finished(outcome, Some(reply), Some("failure"), notice)
         }
-        ReplyClass::Invalid => {
-            // Later replies on this connection would belong to other requests as well, so the
-            // connection must not be reused.
-            node.pool.close_idle(address);
-            finished(RelayAttemptOutcome::Broken, None, Some("garbage"), notice)
-        }
+        ReplyClass::Invalid => finished(RelayAttemptOutcome::Broken, None, Some("garbage"), notice),
     }
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -27,7 +27,8 @@
 
 pub use connection_pool::{ConnectionPool, PoolUsage, TargetShare};
 pub use relay_pool::{
-    AddressProbe, ConnectionReuse, RelayFault, RelayPool, RelayReply, RequestProbe,
+    AddressProbe, ConnectionReuse, ConnectionTerms, RelayFault, RelayPool, RelayReply,
+    ReplyConnection, RequestEnd, RequestProbe,
 };
 pub use request::{
     ReportedLoad, RequestKind, TargetAnswer, TargetError, TargetFault, TargetRequest,
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    hash::{BuildHasher, RandomState},
     io::ErrorKind,
     net::{IpAddr, SocketAddr},
     sync::{
@@ -42,6 +43,8 @@
 /// Longest idle time of a connection that may carry a request which must not run twice, in
 /// milliseconds.
 const RECENT_IDLE_MAX_MS: u64 = 250;
+/// Most unanswered requests that a connection remembers. One that has carried more is closed.
+const REMEMBERED_REQUESTS_MAX: usize = 128;
 
 /// A complete reply of a target.
 #[derive(Clone, Debug)]
@@ -151,6 +154,71 @@
 /// round trip, in milliseconds.
 const REJECT_DELAY_MAX_MS: u64 = 2;
 
+/// How a request may use connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionTerms<'a> {
+    /// Which open connections the request may reuse.
+    pub reuse: ConnectionReuse,
+    /// Longest time for which its connection is kept idle afterwards.
+    pub idle_timeout: Duration,
+    /// Identifies the request in replies. All its attempts have the same one.
+    pub request_id: &'a [u8],
+    /// Time after which the request is not sent any more.
+    pub deadline: MonoTime,
+}
+
+/// What is known of a request once its reply was judged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestEnd {
+    /// It was answered and is not sent again.
+    Answered,
+    /// It was refused or has failed, and may be sent again.
+    Unanswered,
+}
+
+/// The connection of a complete reply. Dropping it closes the connection; see [`RelayPool::keep`].
+#[derive(Debug)]
+pub struct ReplyConnection {
+    sender: BoundedSender,
+    address: SocketAddr,
+    history: ConnectionHistory,
+    /// The request of the reply.
+    request: CarriedRequest,
+    /// How long the connection may stay idle; zero if the target closes it.
+    usable_for: Duration,
+}
+
+/// A request that a connection has carried.
+#[derive(Clone, Copy, Debug)]
+struct CarriedRequest {
+    id_hash: u64,
+    deadline: MonoTime,
+}
+
+/// The unanswered requests that a connection has carried.
+///
+/// Targets may send a reply twice. The second copy bears the id of its request, so only an attempt of
+/// that request would take it for its own reply.
+#[derive(Debug, Default)]
+struct ConnectionHistory {
+    unanswered: Vec<CarriedRequest>,
+}
+
+impl ConnectionHistory {
+    fn contains(&self, id_hash: u64) -> bool {
+        self.unanswered
+            .iter()
+            .any(|carried| carried.id_hash == id_hash)
+    }
+
+    /// Adds a request. Returns false if the connection has carried too many to be kept.
+    fn record(&mut self, request: CarriedRequest, now: MonoTime) -> bool {
+        self.unanswered.retain(|carried| carried.deadline > now);
+        self.unanswered.push(request);
+        self.unanswered.len() <= REMEMBERED_REQUESTS_MAX
+    }
+}
+
 /// A connection that was just opened.
 struct NewConnection {
     sender: BoundedSender,
@@ -163,6 +231,7 @@
     sender: BoundedSender,
     response: Response<Incoming>,
     on_reused_connection: bool,
+    history: ConnectionHistory,
 }
 
 /// Which open connections a request may reuse.
@@ -180,6 +249,7 @@
 /// An open connection that carries no request.
 struct IdleConnection {
     sender: BoundedSender,
+    history: ConnectionHistory,
     idle_since: MonoTime,
     usable_until: MonoTime,
 }
@@ -207,6 +277,7 @@
     /// Address of this VM that connections come from; `None` lets the system choose.
     source: Option<IpAddr>,
     started_at: MonoTime,
+    id_hasher: RandomState,
 }
 
 impl RelayPool {
@@ -221,6 +292,7 @@
             stop: CancellationToken::new(),
             opened: AtomicU64::new(0),
             source: None,
+            id_hasher: RandomState::new(),
         }
     }
 
@@ -231,8 +303,8 @@
         self
     }
 
-    /// Sends one request and reads the whole reply. The connection is then kept idle for at most
-    /// `idle_timeout`.
+    /// Sends one request and reads the whole reply. The connection is closed unless the caller passes it
+    /// to [`Self::keep`].
     ///
     /// `may_send` is asked when a connection is ready. If it returns false, nothing is sent.
     ///
@@ -245,14 +317,19 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        reuse: ConnectionReuse,
-        idle_timeout: Duration,
+        terms: ConnectionTerms<'_>,
         may_send: &(dyn Fn() -> bool + Sync),
-    ) -> Result<RelayReply, RelayFault> {
+    ) -> Result<(RelayReply, ReplyConnection), RelayFault> {
+        let carried = CarriedRequest {
+            id_hash: self.id_hasher.hash_one(terms.request_id),
+            deadline: terms.deadline,
+        };
+        let reuse = (terms.reuse, carried.id_hash);
         let SentRequest {
             sender,
             response,
             on_reused_connection,
+            history,
         } = self.send(address, request, reuse, may_send).await?;
         let (head, incoming) = response.into_parts();
         let body = read_reply_body(incoming)
@@ -262,13 +339,45 @@
                 BodyFault::TooLarge => RelayFault::TooLarge,
             })?;
         self.record_answer(address);
-        self.return_connection(address, sender, &head.headers, idle_timeout);
-        Ok(RelayReply {
+        let connection = ReplyConnection {
+            sender,
+            address,
+            history,
+            request: carried,
+            usable_for: idle_time(&head.headers).min(terms.idle_timeout),
+        };
+        let reply = RelayReply {
             status: head.status,
             headers: head.headers,
             body,
             on_reused_connection,
-        })
+        };
+        Ok((reply, connection))
+    }
+
+    /// Keeps the connection of a reply for other requests, and for later attempts of its own request if
+    /// that was answered.
+    pub fn keep(&self, connection: ReplyConnection, end: RequestEnd) {
+        let ReplyConnection {
+            sender,
+            address,
+            mut history,
+            request,
+            usable_for,
+        } = connection;
+        let now = self.timer.now();
+        let is_full = end == RequestEnd::Unanswered && !history.record(request, now);
+        if is_full || usable_for.is_zero() || sender.is_closed() {
+            return;
+        }
+        let idle = IdleConnection {
+            sender,
+            history,
+            idle_since: now,
+            usable_until: now + usable_for,
+        };
+        let mut addresses = lock(&self.addresses);
+        addresses.entry(address).or_default().idle.push(idle);
     }
 
     /// Sends a request on an idle connection, or on a new one if none may be reused or the idle one
@@ -277,10 +386,10 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        reuse: ConnectionReuse,
+        (reuse, id_hash): (ConnectionReuse, u64),
         may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<SentRequest, RelayFault> {
-        if let Some(mut sender) = self.pop_idle(address, reuse)
+        if let Some((mut sender, history)) = self.pop_idle(address, reuse, id_hash)
             && sender.is_usable().await
         {
             if !may_send() {
@@ -292,6 +401,7 @@
                         sender,
                         response,
                         on_reused_connection: true,
+                        history,
                     });
                 }
                 // Hyper hands the request back only if nothing of it was written.
@@ -323,6 +433,7 @@
                 sender,
                 response,
                 on_reused_connection: false,
+                history: ConnectionHistory::default(),
             }),
             // The target did not reset the connection, however soon this was.
             Err(_) if sender.is_used_up() => Err(RelayFault::TooLarge),
@@ -459,22 +570,36 @@
         self.tasks.wait().await;
     }
 
-    fn pop_idle(&self, address: SocketAddr, reuse: ConnectionReuse) -> Option<BoundedSender> {
+    /// Takes the idle connection that is the least likely to have been closed by the target: the most
+    /// recently used one that the request may reuse. If there is none, another idle connection is closed,
+    /// as a new one takes its place at the target.
+    fn pop_idle(
+        &self,
+        address: SocketAddr,
+        reuse: ConnectionReuse,
+        id_hash: u64,
+    ) -> Option<(BoundedSender, ConnectionHistory)> {
         let now = self.timer.now();
+        let recent = Duration::from_millis(RECENT_IDLE_MAX_MS);
         let mut addresses = lock(&self.addresses);
         let state = addresses.get_mut(&address)?;
         state
             .idle
             .retain(|idle| idle.usable_until > now && !idle.sender.is_closed());
-        // The most recently used connection is the least likely to have been closed by the target.
-        let idle = state.idle.pop()?;
-        let is_recent = now.since(idle.idle_since) <= Duration::from_millis(RECENT_IDLE_MAX_MS);
-        match reuse {
-            ConnectionReuse::Any => Some(idle.sender),
-            ConnectionReuse::Recent if is_recent => Some(idle.sender),
-            // The idle connection is closed, as the new one takes its place at the target.
-            ConnectionReuse::Recent | ConnectionReuse::Never => None,
-        }
+        let is_allowed = |idle: &IdleConnection| {
+            let is_allowed = match reuse {
+                ConnectionReuse::Any => true,
+                ConnectionReuse::Recent => now.since(idle.idle_since) <= recent,
+                ConnectionReuse::Never => false,
+            };
+            is_allowed && !idle.history.contains(id_hash)
+        };
+        let Some(index) = state.idle.iter().rposition(is_allowed) else {
+            state.idle.pop();
+            return None;
+        };
+        let idle = state.idle.remove(index);
+        Some((idle.sender, idle.history))
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<NewConnection, RelayFault> {
@@ -540,36 +665,6 @@
             Err(_) => AddressProbe::Closing,
         }
     }
-
-    fn return_connection(
-        &self,
-        address: SocketAddr,
-        sender: BoundedSender,
-        headers: &HeaderMap,
-        idle_timeout: Duration,
-    ) {
-        if sender.is_closed() || has_connection_close(headers) {
-            return;
-        }
-        let idle_max =
-            keep_alive_timeout(headers).unwrap_or(Duration::from_millis(IDLE_TIMEOUT_DEFAULT_MS));
-        let usable_for = idle_max.saturating_sub(Duration::from_millis(IDLE_TIMEOUT_MARGIN_MS));
-        let usable_for = usable_for.min(idle_timeout);
-        if usable_for.is_zero() {
-            return;
-        }
-        let now = self.timer.now();
-        let idle = IdleConnection {
-            sender,
-            idle_since: now,
-            usable_until: now + usable_for,
-        };
-        lock(&self.addresses)
-            .entry(address)
-            .or_default()
-            .idle
-            .push(idle);
-    }
 }
 
 fn has_reset_recently(state: &AddressState, now: MonoTime) -> bool {
@@ -585,6 +680,16 @@
     })
 }
 
+/// Returns how long a connection may stay idle after a reply with these headers.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    if has_connection_close(headers) {
+        return Duration::ZERO;
+    }
+    let idle_max =
+        keep_alive_timeout(headers).unwrap_or(Duration::from_millis(IDLE_TIMEOUT_DEFAULT_MS));
+    idle_max.saturating_sub(Duration::from_millis(IDLE_TIMEOUT_MARGIN_MS))
+}
+
 /// Returns the idle timeout that a target states in `Keep-Alive: timeout=SECONDS`.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/pool/tests/endless_replies.rs
+++ b/crates/pool/tests/endless_replies.rs
@@ -10,8 +10,10 @@
 };
 
 use bytes::Bytes;
-use fulmarweir_base::TimerService;
-use fulmarweir_pool::{ConnectionReuse, RelayFault, RelayPool, RelayReply};
+use fulmarweir_base::{MonoTime, TimerService};
+use fulmarweir_pool::{
+    ConnectionReuse, ConnectionTerms, RelayFault, RelayPool, RelayReply, RequestEnd,
+};
 use http::Request;
 use http_body_util::Full;
 use tokio::{
@@ -123,15 +125,15 @@
         .header("host", "shard.example")
         .body(Full::<Bytes>::default())
         .unwrap();
-    let idle_timeout = Duration::from_secs(4);
-    pool.exchange(
-        address,
-        request,
-        ConnectionReuse::Any,
-        idle_timeout,
-        &|| true,
-    )
-    .await
+    let terms = ConnectionTerms {
+        reuse: ConnectionReuse::Any,
+        idle_timeout: Duration::from_secs(4),
+        request_id: b"r-1",
+        deadline: MonoTime::from_millis(60_000),
+    };
+    let (reply, connection) = pool.exchange(address, request, terms, &|| true).await?;
+    pool.keep(connection, RequestEnd::Answered);
+    Ok(reply)
 }
 
 /// Asserts that the pool gives up a target that sends as fast as it can, before long and before it
--- a/crates/pool/tests/relay_pool.rs
+++ b/crates/pool/tests/relay_pool.rs
@@ -10,8 +10,10 @@
 };
 
 use bytes::Bytes;
-use fulmarweir_base::TimerService;
-use fulmarweir_pool::{AddressProbe, ConnectionReuse, RelayFault, RelayPool, RelayReply};
+use fulmarweir_base::{MonoTime, TimerService};
+use fulmarweir_pool::{
+    AddressProbe, ConnectionReuse, ConnectionTerms, RelayFault, RelayPool, RelayReply, RequestEnd,
+};
 use http::Request;
 use http_body_util::Full;
 use tokio::{
@@ -81,14 +83,31 @@
     target: &RawTarget,
     reuse: ConnectionReuse,
 ) -> Result<RelayReply, RelayFault> {
-    let exchange = pool.exchange(
-        target.address,
-        request("/q?a=1"),
+    send(pool, target, terms(reuse), RequestEnd::Answered).await
+}
+
+/// Sends one request, and keeps the connection of its reply.
+async fn send(
+    pool: &RelayPool,
+    target: &RawTarget,
+    terms: ConnectionTerms<'_>,
+    end: RequestEnd,
+) -> Result<RelayReply, RelayFault> {
+    let exchange = pool.exchange(target.address, request("/q?a=1"), terms, &|| true);
+    let exchange = timeout(Duration::from_secs(5), exchange);
+    let (reply, connection) = exchange.await.unwrap()?;
+    pool.keep(connection, end);
+    Ok(reply)
+}
+
+/// Returns the terms of a request that no connection has carried before.
+fn terms(reuse: ConnectionReuse) -> ConnectionTerms<'static> {
+    ConnectionTerms {
         reuse,
-        IDLE_TIMEOUT,
-        &|| true,
-    );
-    timeout(Duration::from_secs(5), exchange).await.unwrap()
+        idle_timeout: IDLE_TIMEOUT,
+        request_id: b"r-1",
+        deadline: MonoTime::from_millis(60_000),
+    }
 }
 
 fn new_pool() -> RelayPool {
@@ -222,13 +241,7 @@
     let address = listener.local_addr().unwrap();
     drop(listener);
     let pool = new_pool();
-    let exchange = pool.exchange(
-        address,
-        request("/"),
-        ConnectionReuse::Any,
-        IDLE_TIMEOUT,
-        &|| true,
-    );
+    let exchange = pool.exchange(address, request("/"), terms(ConnectionReuse::Any), &|| true);
     assert_eq!(exchange.await.unwrap_err(), RelayFault::ConnectRefused);
 }
 
@@ -250,13 +263,8 @@
     })
     .await;
     let pool = new_pool();
-    let exchange = pool.exchange(
-        target.address,
-        request("/"),
-        ConnectionReuse::Any,
-        IDLE_TIMEOUT,
-        &|| true,
-    );
+    let any = terms(ConnectionReuse::Any);
+    let exchange = pool.exchange(target.address, request("/"), any, &|| true);
     assert!(timeout(Duration::from_millis(50), exchange).await.is_err());
     let ended = timeout(Duration::from_millis(400), ended_receiver.recv()).await;
     assert_eq!(ended.unwrap(), Some(true));
@@ -339,16 +347,14 @@
     })
     .await;
     let pool = new_pool();
-    let short = Duration::from_millis(30);
+    let short = ConnectionTerms {
+        idle_timeout: Duration::from_millis(30),
+        ..terms(ConnectionReuse::Any)
+    };
     for _ in 0..2 {
-        let exchange = pool.exchange(
-            target.address,
-            request("/"),
-            ConnectionReuse::Any,
-            short,
-            &|| true,
-        );
-        exchange.await.unwrap();
+        send(&pool, &target, short, RequestEnd::Answered)
+            .await
+            .unwrap();
         sleep(Duration::from_millis(60)).await;
     }
     assert_eq!(target.connections.load(SeqCst), 2);
@@ -374,7 +380,7 @@
     .await;
     let pool = new_pool();
     let withhold = async |reuse| {
-        let exchange = pool.exchange(target.address, request("/"), reuse, IDLE_TIMEOUT, &|| false);
+        let exchange = pool.exchange(target.address, request("/"), terms(reuse), &|| false);
         exchange.await.unwrap_err()
     };
     for reuse in [ConnectionReuse::Any, ConnectionReuse::Never] {
@@ -413,3 +419,77 @@
         "a target over its limit is not pressed"
     );
 }
+
+/// Guards against the late copy of a refusal that is taken for the reply to the next attempt of the same
+/// request. Other requests can tell it by its id.
+#[tokio::test]
+async fn a_connection_carries_no_second_attempt_of_an_unanswered_request() {
+    let target = start_target(|_, mut stream| async move {
+        while read_head(&mut stream).await.is_some() {
+            answer(&mut stream, "", "part").await;
+        }
+    })
+    .await;
+    let pool = new_pool();
+    let of = |request_id, reuse| ConnectionTerms {
+        request_id,
+        ..terms(reuse)
+    };
+    let (first, second): (&[u8], &[u8]) = (b"r-1", b"r-2");
+    let exchange = async |request_id, reuse, end| {
+        send(&pool, &target, of(request_id, reuse), end)
+            .await
+            .unwrap();
+        target.connections.load(SeqCst)
+    };
+    let (unanswered, answered) = (RequestEnd::Unanswered, RequestEnd::Answered);
+    let recent = ConnectionReuse::Recent;
+    assert_eq!(exchange(first, recent, unanswered).await, 1);
+    assert_eq!(exchange(second, recent, unanswered).await, 1, "reused");
+    // Both requests were on the only connection, whose place the new one takes.
+    assert_eq!(exchange(first, ConnectionReuse::Any, unanswered).await, 2);
+    assert_eq!(pool.idle_count(), 1);
+    assert_eq!(exchange(second, recent, answered).await, 2, "reused");
+    assert_eq!(exchange(second, recent, answered).await, 2, "reused");
+}
+
+/// Guards against a connection that is reused before its reply was judged.
+#[tokio::test]
+async fn a_connection_is_closed_unless_it_is_kept() {
+    let target = start_target(|_, mut stream| async move {
+        while read_head(&mut stream).await.is_some() {
+            answer(&mut stream, "", "part").await;
+        }
+    })
+    .await;
+    let pool = new_pool();
+    for connections in 1..=3 {
+        let any = terms(ConnectionReuse::Any);
+        let exchange = pool.exchange(target.address, request("/"), any, &|| true);
+        drop(exchange.await.unwrap());
+        assert_eq!(pool.idle_count(), 0);
+        assert_eq!(target.connections.load(SeqCst), connections);
+    }
+}
+
+/// Guards against a connection that remembers requests without end.
+#[tokio::test]
+async fn a_connection_that_has_carried_too_many_refused_requests_is_closed() {
+    let target = start_target(|_, mut stream| async move {
+        while read_head(&mut stream).await.is_some() {
+            answer(&mut stream, "", "part").await;
+        }
+    })
+    .await;
+    let pool = new_pool();
+    for number in 0..200 {
+        let id = format!("r-{number}");
+        let terms = ConnectionTerms {
+            request_id: id.as_bytes(),
+            ..terms(ConnectionReuse::Any)
+        };
+        let end = RequestEnd::Unanswered;
+        send(&pool, &target, terms, end).await.unwrap();
+    }
+    assert_eq!(target.connections.load(SeqCst), 2);
+}
