Trust refusals and cancellations without an attempt on new connections only

What callers of fulmarweird could see: an act is answered as not run although it ran, or runs.

A target's refusal that names no attempt was taken for the refusal of the present one, and the reply to a cancellation, which names none, for the reply to the present one, also on connections that had carried other requests. A late copy of either makes "not run" untrue.

Change: a connection knows whether it has carried a request. A refusal without an attempt proves nothing on such a one. An act is cancelled on a connection of its own, for which a slot was reserved already. Searches, whose cancellation proves nothing to anybody, use any connection as before.

--- a/crates/pool/src/connection.rs
+++ b/crates/pool/src/connection.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     pub(crate) sender: BoundedSender,
+    /// Whether it has carried a request. The late copy of a reply to that may still arrive.
+    is_used: bool,
 }
 
 impl TargetConnection {
@@ -34,7 +36,15 @@
             sleep(Duration::from_millis(CLOSE_SETTLE_MS)).await;
             drop(slot);
         });
-        Some(Self { sender })
+        Some(Self {
+            sender,
+            is_used: false,
+        })
+    }
+
+    /// Marks the connection as used, and returns whether it was before.
+    pub(crate) fn mark_used(&mut self) -> bool {
+        std::mem::replace(&mut self.is_used, true)
     }
 
     pub(crate) fn is_reusable(&self) -> bool {
--- a/crates/pool/src/connection_pool.rs
+++ b/crates/pool/src/connection_pool.rs
@@ -248,7 +248,7 @@
             self.cancel(&request.attempt).await;
             return;
         }
-        let error = if self.cancel(&request.attempt).await {
+        let error = if self.cancel_for_proof(&request.attempt).await {
             TargetError::not_run(fault)
         } else {
             unconfirmed
@@ -256,8 +256,8 @@
         let _ = sender.send(Err(error));
     }
 
-    async fn cancel(&self, attempt: &str) -> bool {
-        let time_limit = Duration::from_millis(CANCEL_TIMEOUT_MS);
+    /// Cancels an attempt, whatever the target replies.
+    async fn cancel(&self, attempt: &str) {
         let cancellation = async {
             let idle = lock(&self.idle).pop().filter(TargetConnection::is_reusable);
             let mut connection = match idle {
@@ -265,10 +265,23 @@
                 // May take the connection slot that is reserved for cancellation.
                 None => self.try_open(0).await?,
             };
-            let not_run = cancel_attempt(&mut connection, attempt).await;
+            cancel_attempt(&mut connection, attempt).await;
             self.return_connection(connection);
-            Some(not_run)
+            Some(())
         };
+        // After the time limit, the end of the attempt's connection tells the target.
+        let _ = timeout(Duration::from_millis(CANCEL_TIMEOUT_MS), cancellation).await;
+    }
+
+    /// Cancels an attempt and returns whether the target confirms that it has not run and will not run.
+    ///
+    /// The reply names no attempt, so it counts only on a connection that has carried nothing else.
+    async fn cancel_for_proof(&self, attempt: &str) -> bool {
+        let cancellation = async {
+            let mut connection = self.try_open(0).await?;
+            Some(cancel_attempt(&mut connection, attempt).await)
+        };
+        let time_limit = Duration::from_millis(CANCEL_TIMEOUT_MS);
         matches!(timeout(time_limit, cancellation).await, Ok(Some(true)))
     }
 
--- a/crates/pool/src/exchange.rs
+++ b/crates/pool/src/exchange.rs
@@ -23,11 +23,12 @@
     now: MonoTime,
 ) -> Result<TargetAnswer> {
     let message = build_request(request, now)?;
+    let is_reused = connection.mark_used();
     let response = match connection.sender.send(message).await {
         Ok(response) => response,
         Err(mut error) => return Err(send_error(error.take_message().is_some())),
     };
-    read_reply(request, response).await
+    read_reply(request, response, is_reused).await
 }
 
 /// Returns the error of a failed send.
@@ -62,7 +63,11 @@
         .map_err(|_| TargetError::not_run(TargetFault::BadStatus))
 }
 
-async fn read_reply(request: &TargetRequest, response: Response<Incoming>) -> Result<TargetAnswer> {
+async fn read_reply(
+    request: &TargetRequest,
+    response: Response<Incoming>,
+    is_reused: bool,
+) -> Result<TargetAnswer> {
     let (head, body) = response.into_parts();
     if !has_framing(&head.headers) {
         // A body without framing ends with its connection, so a truncated one would look complete.
@@ -77,7 +82,12 @@
     if head.status == StatusCode::OK {
         return validate_answer(request, &head.headers, body);
     }
-    Err(refusal_error(request, head.status, &head.headers))
+    Err(refusal_error(
+        request,
+        head.status,
+        &head.headers,
+        is_reused,
+    ))
 }
 
 /// Whether the headers delimit the body, by its length or by chunks.
@@ -107,21 +117,27 @@
 
 /// Returns the error of a reply with a status other than 200.
 ///
-/// A refusal that names another attempt says nothing about this one. The verdict is not-run only
+/// A refusal that names another attempt says nothing about this one. One that names none may be the late
+/// copy of an earlier refusal if the connection was reused. The verdict is not-run only
 /// for a status 410, 429 or 503 whose headers state that the request has not run.
-fn refusal_error(request: &TargetRequest, status: StatusCode, headers: &HeaderMap) -> TargetError {
-    let other_attempt = text_header(headers, "fulmarweir-attempt")
-        .is_some_and(|attempt| attempt != &*request.attempt);
-    if other_attempt {
+fn refusal_error(
+    request: &TargetRequest,
+    status: StatusCode,
+    headers: &HeaderMap,
+    is_reused: bool,
+) -> TargetError {
+    let named = text_header(headers, "fulmarweir-attempt");
+    if named.is_some_and(|attempt| attempt != &*request.attempt) {
         return TargetError::may_have_run(TargetFault::BadEcho);
     }
+    let is_own = named.is_some() || !is_reused;
     let is_marked_not_run = text_header(headers, "fulmarweir-not-run") == Some("true");
     let fault = match status {
         StatusCode::GONE => TargetFault::VersionGone,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => TargetFault::Shed,
         _ => TargetFault::BadStatus,
     };
-    if !is_marked_not_run || fault == TargetFault::BadStatus {
+    if !is_own || !is_marked_not_run || fault == TargetFault::BadStatus {
         return TargetError::may_have_run(TargetFault::BadStatus);
     }
     TargetError {
--- a/crates/pool/tests/connection_pool.rs
+++ b/crates/pool/tests/connection_pool.rs
@@ -45,12 +45,16 @@
     CloseWithoutReply,
     /// Replies with a status, and states that the request has not run if the flag is set.
     Status(u16, bool),
+    /// Sends a refusal first, as the late copy of an earlier one, and then answers.
+    RefusalThenAnswer,
 }
 
 #[derive(Default)]
 struct TargetCounters {
     queries: AtomicUsize,
     cancels: AtomicUsize,
+    /// Cancellations on connections that had carried another request.
+    reused_for_cancel: AtomicUsize,
     open: AtomicUsize,
     open_max: AtomicUsize,
     running: AtomicUsize,
@@ -124,6 +128,9 @@
     Some(head)
 }
 
+/// Headers of a refusal.
+const NOT_RUN: &str = "fulmarweir-not-run: true\r\nretry-after: 2\r\n";
+
 fn reply(status: u16, headers: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status} X\r\n{headers}content-length: {}\r\n\r\n{body}",
@@ -165,9 +172,14 @@
     cancel_reply: &str,
 ) -> Option<()> {
     let mut reader = BufReader::new(stream);
+    let mut carried = 0;
     while let Some(head) = read_request(&mut reader).await {
+        carried += 1;
         if head.path == "/cancel" {
             counters.cancels.fetch_add(1, SeqCst);
+            counters
+                .reused_for_cancel
+                .fetch_add(usize::from(carried > 1), SeqCst);
             let text = reply(200, "", cancel_reply);
             reader.get_mut().write_all(text.as_bytes()).await.ok()?;
             continue;
@@ -204,13 +216,10 @@
         }
         Script::CloseWithoutReply => None,
         Script::Status(status, not_run) => {
-            let headers = if *not_run {
-                "fulmarweir-not-run: true\r\nretry-after: 2\r\n"
-            } else {
-                ""
-            };
+            let headers = if *not_run { NOT_RUN } else { "" };
             Some((reply(*status, headers, "{}"), true))
         }
+        Script::RefusalThenAnswer => Some((reply(503, NOT_RUN, "{}") + &complete_reply, false)),
     }
 }
 
@@ -467,3 +476,36 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Guards against an act that is told not to have run, as the late copy of a refusal that names no attempt
+/// is taken for its own.
+#[tokio::test]
+async fn a_refusal_without_an_attempt_counts_only_on_a_new_connection() {
+    let scripts = vec![Script::Status(503, true), Script::RefusalThenAnswer];
+    let target = start_target(scripts, "garbage").await;
+    let client = TestClient::new(target.address, 2, 1);
+    for verdict in [RunVerdict::NotRun, RunVerdict::MayHaveRun] {
+        let request = client.request(RequestKind::Act, TIME_LIMIT_MS);
+        let error = client.pool.send(request).await.unwrap_err();
+        assert_eq!(error.verdict, verdict);
+    }
+}
+
+/// Guards against an act that is told not to have run, as the late copy of the reply to another
+/// cancellation is taken for the reply to its own.
+#[tokio::test]
+async fn an_act_is_cancelled_on_a_connection_that_has_carried_nothing_else() {
+    let delays = [20, 20, 2_000];
+    let scripts = delays.map(Script::AnswerAfterMs).to_vec();
+    let target = start_target(scripts, "{\"ran\":false}").await;
+    let client = TestClient::new(target.address, 3, 2);
+    // Both connections for requests are used, and one of them is idle while the act runs.
+    let (first, second) = tokio::join!(client.search(TIME_LIMIT_MS), client.search(TIME_LIMIT_MS));
+    assert!(first.is_ok() && second.is_ok());
+    let request = client.request(RequestKind::Act, 50);
+    let error = client.pool.send(request).await.unwrap_err();
+    assert_eq!(error.verdict, RunVerdict::NotRun);
+    let counters = &target.counters;
+    assert_eq!(counters.cancels.load(SeqCst), 1);
+    assert_eq!(counters.reused_for_cancel.load(SeqCst), 0);
+}
