Keep shard groups apart by the version of the configuration

What callers saw: after a change to fewer shards, every search on the route was closed without an answer, for as long as nothing else changed (CONFIG).

Cause: a request keeps the table that it was admitted with while it waits for a permit of its quota. If a new one came into force meanwhile, the request stored the groups of its old shards in the emptied cache, under the name of the route. Each later search indexed the new list of shards with the old numbers, and the panic ended the task of its connection.

Nothing is read anew after the wait: a request is still handled by one version as a whole.

--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -52,9 +52,11 @@
 /// Longest time that a request waits for the first reply of a keeper, in milliseconds.
 const STARTUP_WAIT_MAX_MS: u64 = 500;
 
-/// A route, and the home regions of those of its requests that are handed over alike.
+/// A route of one version of the configuration, and the home regions of those of its requests that are
+/// handed over alike.
 #[derive(Debug, Eq, Hash, PartialEq)]
 struct GroupsKey {
+    config_version: u64,
     route: Arc<str>,
     placement: PlacementRule,
 }
@@ -105,8 +107,8 @@
     table: Mutex<Option<Arc<RouteTable>>>,
     config_assurance: Mutex<ConfigAssurance>,
     broker_directory: Mutex<BrokerDirectory>,
-    /// Shards of each route that may be handed over to brokers, computed on its first search within each
-    /// set of home regions.
+    /// Shards of each route in force that may be handed over to brokers, computed on its first search within
+    /// each set of home regions.
     shard_groups: Mutex<HashMap<GroupsKey, Arc<[ShardGroup]>>>,
     merged_registry: Mutex<MergedRegistry>,
     entry_counts: Mutex<HashMap<SocketAddr, EntryCount>>,
@@ -381,24 +383,35 @@
     }
 
     /// Returns the groups of shards of a route that are handed over to brokers, for requests that may run
-    /// in the regions of `placement`.
+    /// in the regions of `placement`. `shards` are those of the route in `config_version`, which may be older
+    /// than the version in force: a request keeps the version that it was admitted with.
     pub(crate) fn shard_groups(
         &self,
+        config_version: u64,
         route: &Arc<str>,
         placement: &PlacementRule,
         shards: &[Arc<str>],
     ) -> Arc<[ShardGroup]> {
         let now = self.timer.now();
-        let mut groups = lock(&self.shard_groups);
-        let known = groups.entry(GroupsKey {
+        let is_in_force = self.config_version() == Some(config_version);
+        let key = GroupsKey {
+            config_version,
             route: Arc::clone(route),
             placement: placement.clone(),
-        });
-        let known = known.or_insert_with(|| {
-            let selector = lock(&self.selector);
-            selector.shard_groups(shards, placement, now).into()
-        });
-        Arc::clone(known)
+        };
+        let mut known_groups = lock(&self.shard_groups);
+        if let Some(groups) = known_groups.get(&key) {
+            return Arc::clone(groups);
+        }
+        let groups: Arc<[ShardGroup]> = lock(&self.selector)
+            .shard_groups(shards, placement, now)
+            .into();
+        // The groups of an older version are of use to few requests, and would name data centres of brokers
+        // that no search needs any more.
+        if is_in_force {
+            known_groups.insert(key, Arc::clone(&groups));
+        }
+        groups
     }
 
     /// Has the groups of shards of all routes computed anew.
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -249,7 +249,8 @@
         return Vec::new();
     }
     let placement = &routed.message.placement;
-    let groups = node.shard_groups(&routed.rule.name, placement, services);
+    let version = routed.table.version;
+    let groups = node.shard_groups(version, &routed.rule.name, placement, services);
     let plan = |group: &ShardGroup| {
         let permit = BrokerPermit::acquire(node, group, placement)?;
         Some(plan_group(permit, routed, services, group, &[]))
