Add voters to the set that is in force when they join

A keeper read the voter set, waited for its random delay of up to 0.4 s, and then replaced whatever set was in force by the one it had read and itself.

Change: QuorumClient::add_voter reads the set in each round, so the change starts from the set that it replaces. It starts again if another change was decided first, and stops if the set is complete without it.

The call is new, so the test can't run on the code before.

--- a/crates/daemon/src/relay/voters.rs
+++ b/crates/daemon/src/relay/voters.rs
@@ -285,8 +285,9 @@
         info!(node.log, "voter-joining"; "by" => %own.name, "epoch" => set.epoch,
             "voters" => set.members.len(), "wanted" => node.settings.voters_wanted());
         tokio::time::sleep(jitter).await;
-        let members = set.members.iter().cloned().chain([own]).collect();
-        node.quorum.change_voters(members, timeout).await
+        // Another keeper may have joined meanwhile.
+        let wanted = node.settings.voters_wanted();
+        node.quorum.add_voter(own, wanted, timeout).await
     } else {
         return;
     };
--- a/crates/quorum/src/client/change.rs
+++ b/crates/quorum/src/client/change.rs
@@ -74,7 +74,41 @@
         }
     }
 
-    /// Replaces the voter set by `members`.
+    /// Adds a VM that does not vote yet to the voter set, whatever others have made of the set meanwhile.
+    ///
+    /// # Errors
+    /// [`QuorumError::ConflictingChange`] when the set has `voters_max` members without it, and the
+    /// errors of [`QuorumClient::replace_voter`].
+    pub async fn add_voter(
+        &self,
+        candidate: VoterMember,
+        voters_max: usize,
+        timeout: Duration,
+    ) -> Result<VoterSetOutcome> {
+        let mut call = self.start_call(timeout);
+        loop {
+            let set = self.elected_set(&mut call).await?;
+            let changed = if set.contains(candidate.identity) {
+                let finished = self.finish_until_caught_up(&mut call, None, set);
+                finished.await.map(Some)
+            } else if set.members.len() < voters_max {
+                let members = set.members.iter().cloned().chain([candidate.clone()]);
+                let members = members.collect();
+                self.decide_change(&mut call, set, members).await
+            } else {
+                return Err(Report::new(QuorumError::ConflictingChange));
+            };
+            match changed {
+                Ok(Some(outcome)) => return Ok(outcome),
+                Ok(None) => {}
+                // Another change was decided first; this one starts again from its set.
+                Err(report) if *report.current_context() == QuorumError::ConflictingChange => {}
+                Err(report) => return Err(report),
+            }
+        }
+    }
+
+    /// Replaces the voter set by `members`, whatever it is.
     ///
     /// # Errors
     /// [`QuorumError::InvalidVoterSet`] for an invalid set, and the errors of
--- a/crates/quorum/tests/voters.rs
+++ b/crates/quorum/tests/voters.rs
@@ -292,3 +292,30 @@
         assert!(elected.iter().all(|set| *set == elected[0]), "{elected:?}");
     });
 }
+
+/// Guards against a voter that has just joined and is taken out again by another one, which joins with the
+/// set that it has read before.
+#[test]
+fn voters_that_join_at_the_same_time_all_stay() {
+    for_seeds(20, |seed| async move {
+        let net = SimNet::new(seed, 6, 3, RETENTION);
+        submit(&net.client(1), 0).await;
+        let clients = [4, 5].map(|number| net.client(number));
+        let join = |number: u16| {
+            let candidate = net.member(number);
+            clients[usize::from(number) - 3].add_voter(candidate, 5, CALL_TIMEOUT)
+        };
+        let (fourth, fifth) = tokio::join!(join(3), join(4));
+        assert!(fourth.is_ok() && fifth.is_ok());
+        let client = net.client(1);
+        let surplus = client.add_voter(net.member(5), 5, CALL_TIMEOUT).await;
+        let fault = surplus.unwrap_err();
+        assert!(matches!(
+            fault.current_context(),
+            QuorumError::ConflictingChange
+        ));
+        let set = client.voters();
+        assert_eq!((set.epoch, set.members.len()), (3, 5));
+        assert!((0..5).all(|number| set.contains(net.member(number).identity)));
+    });
+}
