Ask keepers for permits however late their replies are expected

Cause: late replies lifted the average round trip of the keeper above the time for which a request is held. Then no permit was expected in time, nobody was asked, and only a reply could have lowered the average. One keeper that had stood still also kept the others from being asked once the nearest one had no permits left.

Change: a keeper that is expected too late is asked for no permits while others are in reach, and for all that are missing if none is. An average of more than twice the latest round trip is replaced by it.

Ruled out: letting the average age, which only shortens the outage; a cap on samples, which lets a few of them add up.

--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -27,6 +27,8 @@
 const FAR_ROUND_TRIP_MS: u64 = 45;
 /// Weight of the latest call in the moving average of a keeper's round trip.
 const ROUND_TRIP_WEIGHT: f64 = 0.2;
+/// An average that is more than this multiple of the latest round trip comes from a keeper that stood still.
+const ROUND_TRIP_RESET_FACTOR: u32 = 2;
 /// Number of keepers that are asked at once as long as there is time to ask others after them. More
 /// would take permits out of use that others need.
 const PARALLEL_ASKS: usize = 2;
@@ -144,11 +146,42 @@
 
     /// Returns which keepers to ask now, and for how many permits.
     /// `turn` selects the first of several keepers that are equally suitable.
+    ///
+    /// Only replies correct the expected round trips. So a keeper whose reply is expected too late for each
+    /// request that waits is asked for no permits, and for all of them if no other keeper is in reach.
     fn due_asks(
         &self,
         keepers: &[UsableKeeper],
         turn: usize,
         now: MonoTime,
+    ) -> Vec<(SocketAddr, u32)> {
+        let is_in_reach = |keeper: &UsableKeeper| self.queue.is_in_reach(keeper.round_trip, now);
+        let (in_reach, late): (Vec<UsableKeeper>, Vec<UsableKeeper>) =
+            keepers.iter().copied().partition(is_in_reach);
+        let mut asks = if in_reach.is_empty() {
+            let mut at_once = late.clone();
+            for keeper in &mut at_once {
+                keeper.round_trip = Duration::ZERO;
+            }
+            self.asks_for_permits(&at_once, turn, now)
+        } else {
+            self.asks_for_permits(&in_reach, turn, now)
+        };
+        for keeper in late {
+            let is_asked = asks.iter().any(|(asked, _)| *asked == keeper.address);
+            if !is_asked && self.may_ask(keeper.address, now) {
+                asks.push((keeper.address, 0));
+            }
+        }
+        asks
+    }
+
+    /// Returns which of these keepers to ask now, and for how many permits.
+    fn asks_for_permits(
+        &self,
+        keepers: &[UsableKeeper],
+        turn: usize,
+        now: MonoTime,
     ) -> Vec<(SocketAddr, u32)> {
         let Some((nearest, others)) = keepers.split_first() else {
             return Vec::new();
@@ -407,8 +440,11 @@
         self.failed.remove(&call.keeper);
         let latest = now.since(call.asked_at);
         let round_trip = self.round_trips.entry(call.keeper).or_insert(latest);
-        *round_trip =
-            round_trip.mul_f64(1.0 - ROUND_TRIP_WEIGHT) + latest.mul_f64(ROUND_TRIP_WEIGHT);
+        *round_trip = if *round_trip > latest * ROUND_TRIP_RESET_FACTOR {
+            latest
+        } else {
+            round_trip.mul_f64(1.0 - ROUND_TRIP_WEIGHT) + latest.mul_f64(ROUND_TRIP_WEIGHT)
+        };
         for (ask, grant) in call.asks.iter().zip(grants) {
             let Some(entry) = self.entries.get_mut(&ask.key) else {
                 continue;
--- a/crates/permits/src/queue.rs
+++ b/crates/permits/src/queue.rs
@@ -90,6 +90,7 @@
 #[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
     rank: RequestRank,
+    began_at: MonoTime,
     /// When it counts as gone.
     gone_at: MonoTime,
     /// Until when a permit is of use to it.
@@ -184,11 +185,15 @@
 
     /// Lets a request wait.
     pub fn wait(&mut self, rank: RequestRank, times: WaitTimes, now: MonoTime) {
+        let mut waits = self.waiting.iter();
+        let before = waits.find(|waiting| waiting.rank.ticket == rank.ticket);
+        let began_at = before.map_or(now, |before| before.began_at);
         let is_other =
             |waiting: &WaitingRequest| waiting.rank.ticket != rank.ticket && waiting.gone_at > now;
         self.waiting.retain(is_other);
         self.waiting.push(WaitingRequest {
             rank,
+            began_at,
             gone_at: times.retry_at + Duration::from_millis(WAITER_SLACK_MS),
             usable_until: times.usable_until,
         });
@@ -209,6 +214,13 @@
         needed.saturating_sub(self.held(now))
     }
 
+    /// Whether a keeper that replies after `round_trip` can serve a request that waits, if it is asked as
+    /// soon as the request begins to wait. Returns true if none waits.
+    pub(crate) fn is_in_reach(&self, round_trip: Duration, now: MonoTime) -> bool {
+        let mut waiting = self.waiting.iter().filter(|w| w.gone_at > now).peekable();
+        waiting.peek().is_none() || waiting.any(|w| w.usable_until >= w.began_at + round_trip)
+    }
+
     /// Returns how many permits to hold beyond those of the waiting requests.
     fn in_advance(&self, policy: &RatePolicy, now: MonoTime) -> u32 {
         let demand = self.demand.get(DEMAND_TIME_CONSTANT_MS, now);
--- a/crates/permits/tests/ledger.rs
+++ b/crates/permits/tests/ledger.rs
@@ -28,7 +28,11 @@
 
 /// Lets a request wait for up to 60 ms.
 fn wait(ledger: &mut RateLedger, ticket: u64, ms: u64) {
-    let deadline = at(ms + 60);
+    wait_until(ledger, ticket, ms, ms + 60);
+}
+
+fn wait_until(ledger: &mut RateLedger, ticket: u64, ms: u64, until_ms: u64) {
+    let deadline = at(until_ms);
     let rank = RequestRank {
         priority: 0,
         deadline,
@@ -171,3 +175,99 @@
     let taken = (0..10).filter(|_| ledger.try_take(&key(), at(15)).is_some());
     assert_eq!(taken.count(), 4);
 }
+
+/// Time in which keepers reply to the calls of these tests, in milliseconds.
+const REPLY_MS: u64 = 8;
+const REPLY_TIME: Duration = Duration::from_millis(REPLY_MS);
+
+/// Asks the keepers in `frozen`, whose replies take 350 ms, as after they stood still.
+fn freeze(ledger: &mut RateLedger, keepers: &[SocketAddr], frozen: &[SocketAddr]) {
+    ledger.due_calls(keepers, at(0));
+    wait_until(ledger, 1, 10, 400);
+    let mut late = Vec::new();
+    for ms in [10, 25, 40] {
+        let mut calls = ledger.due_calls(keepers, at(ms));
+        late.extend(calls.extract_if(.., |call| frozen.contains(&call.keeper)));
+        reply(ledger, &calls, 0, ms + 2);
+    }
+    assert_eq!(late.len(), frozen.len());
+    ledger.stop_waiting(&key(), 1);
+    reply(ledger, &late, 0, 360);
+}
+
+/// Lets one request wait from `ms` on, and returns after how many milliseconds it has a permit. Keepers
+/// reply to all calls after `REPLY_MS`, and grant what is asked for, except for those in `denying`.
+fn served_after(
+    ledger: &mut RateLedger,
+    keepers: &[SocketAddr],
+    denying: &[SocketAddr],
+    ms: u64,
+) -> u64 {
+    let ticket = ms;
+    wait(ledger, ticket, ms);
+    let mut calls = Vec::new();
+    for now in ms..ms + 60 {
+        calls.extend(ledger.due_calls(keepers, at(now)));
+        let is_due = |call: &mut RateCall| call.asked_at + REPLY_TIME <= at(now);
+        for call in calls.extract_if(.., is_due) {
+            let denies = denying.contains(&call.keeper);
+            let grant = |wanted| RateGrant {
+                granted: if denies { 0 } else { wanted },
+                ask_again_after: Duration::from_millis(200),
+            };
+            let grants = call.asks.iter().map(|ask| grant(ask.wanted));
+            let grants: Vec<RateGrant> = grants.collect();
+            ledger.apply_grants(&call, &grants, at(now));
+        }
+        if ledger.try_take(&key(), at(now)).is_some() {
+            ledger.stop_waiting(&key(), ticket);
+            return now - ms;
+        }
+    }
+    panic!("no permit from {ms} to {} ms", ms + 60);
+}
+
+/// Guards against requests that are refused for good after a keeper stood still: its replies were expected
+/// too late, so no keeper was asked, and no reply could correct that.
+#[test]
+fn permits_are_asked_for_after_the_nearest_keeper_stood_still() {
+    let mut ledger = RateLedger::default();
+    let keepers = &keepers()[..3];
+    freeze(&mut ledger, keepers, &keepers[..1]);
+    for number in 0..10 {
+        let after = served_after(&mut ledger, keepers, &[], 1_000 + 300 * number);
+        assert_eq!(after, REPLY_MS, "request {number}");
+    }
+    // The nearest keeper is the first one again, and no other is asked.
+    wait(&mut ledger, 20, 10_000);
+    let calls = ledger.due_calls(keepers, at(10_000));
+    assert_eq!(hosts(&calls), keepers[..1]);
+}
+
+/// The same for all keepers, and for the only one.
+#[test]
+fn permits_are_asked_for_after_all_keepers_stood_still() {
+    for count in [1, 3] {
+        let mut ledger = RateLedger::default();
+        let keepers = &keepers()[..count];
+        freeze(&mut ledger, keepers, keepers);
+        for number in 0..10 {
+            let after = served_after(&mut ledger, keepers, &[], 1_000 + 300 * number);
+            assert_eq!(after, REPLY_MS, "request {number} of {count} keepers");
+        }
+    }
+}
+
+/// Guards against requests that are refused while the nearest keeper has no permits left, since others
+/// stood still before.
+#[test]
+fn other_keepers_are_asked_after_they_stood_still() {
+    let mut ledger = RateLedger::default();
+    let keepers = &keepers()[..3];
+    freeze(&mut ledger, keepers, &keepers[1..]);
+    for number in 0..10 {
+        let ms = 1_000 + 300 * number;
+        let after = served_after(&mut ledger, keepers, &keepers[..1], ms);
+        assert!(after <= 3 * REPLY_MS, "request {number}: {after} ms");
+    }
+}
