Ask a shard again that was too slow for searches

What callers could see: after the targets of a shard paused once, searches that can do without a shard left it out for good.

The average latency of a service does not age, and only answers of its targets lower it. Once dozens of answers after a second had lifted it above what searches wait for, no first attempt was sent to the shard.

Change: a shard is left out only if its best target was measured within the last second, or an attempt is in flight there. So there is one attempt a second at least that corrects the estimate. It costs the search that sends it its time up to the soft deadline if the shard is still slow.

Evidence: a_shard_that_was_slow_is_asked_again failed on: 3 of 4 shards asked in each of 50 searches, 30 to 130 s after the pause. an_overloaded_shard_is_left_out_until_it_recovers holds unchanged.

--- a/crates/route/src/relay/selector/pick.rs
+++ b/crates/route/src/relay/selector/pick.rs
@@ -99,7 +99,7 @@
         /// How long a connection to the target may stay idle.
         idle_timeout: Duration,
     },
-    /// Every target is expected to answer too late for the answer to be useful.
+    /// Every target is expected to answer too late for the answer to be useful, by attempts of late.
     TooSlow,
     /// All connections of this VM to each remaining target are in use.
     AllBusy,
@@ -193,14 +193,15 @@
                 permits.record_demand(&best.tracker.target, now);
             }
         }
-        let is_too_slow = |lowest: f64| {
+        let is_too_slow = |best: &PickCandidate<'_>| {
             let limit_ms = criteria
                 .time_limit
                 .map(|limit| limit.as_secs_f64() * 1000.0);
-            limit_ms.is_some_and(|limit_ms| lowest > limit_ms * TOO_SLOW_FACTOR)
+            limit_ms.is_some_and(|limit_ms| best.score > limit_ms * TOO_SLOW_FACTOR)
+                && best.tracker.is_measured(now)
         };
         match (best, reopens_at) {
-            (Some(best), _) if is_too_slow(best.score) => TargetPick::TooSlow,
+            (Some(best), _) if is_too_slow(&best) => TargetPick::TooSlow,
             (Some(best), _) => TargetPick::Target {
                 target: Arc::clone(&best.tracker.target),
                 is_repeat: best.is_repeat,
--- a/crates/route/src/relay/target_tracker.rs
+++ b/crates/route/src/relay/target_tracker.rs
@@ -18,6 +18,9 @@
 /// Half-life of the weight that a target's average latency has against the expected latency while
 /// no new sample arrives.
 const LATENCY_HALF_LIFE_MS: f64 = 2_000.0;
+/// Age up to which a measured latency can keep requests from a target, in milliseconds. Only further
+/// attempts can correct it.
+const LATENCY_TRUSTED_MS: u64 = 1_000;
 /// Age at which the weight of a load report reaches zero.
 const REPORT_AGE_MAX_MS: f64 = 800.0;
 /// Expected latency of a target that has not answered yet, without the network round trip.
@@ -247,6 +250,12 @@
         score
     }
 
+    /// Whether the score rests on a recent attempt, or one in flight is about to correct it.
+    pub(crate) fn is_measured(&self, now: MonoTime) -> bool {
+        let trusted = Duration::from_millis(LATENCY_TRUSTED_MS);
+        self.in_flight() > 0 || now.since(self.latency_updated_at) < trusted
+    }
+
     /// Returns the penalty for a target whose oldest attempt in flight is overdue, else zero.
     fn overdue_cost_ms(&self, now: MonoTime) -> f64 {
         let Some(oldest) = self.sent_times.front() else {
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -695,6 +695,46 @@
     );
 }
 
+/// Load pattern: the only target of a shard pauses for a second while dozens of searches wait for it.
+///
+/// Guards against a shard that is left out for good: its average latency is above what searches wait for, and
+/// only their attempts can lower it.
+#[test]
+fn a_shard_that_was_slow_is_asked_again() {
+    let mut selector = TargetSelector::new(limits(), at(0));
+    let targets = (0..4).map(|shard| target(&format!("s{shard}"), "near", Locality::Centre));
+    selector.record_vm_count(1, at(0));
+    selector.sync(targets.collect(), |_| Some(100), at(0));
+    let start = |selector: &mut TargetSelector, now: u64| {
+        let mut request = params(4, true);
+        request.soft_deadline = at(now + 200);
+        request.deadline = at(now + 2_000);
+        let (run, actions) = RelayRun::start(request, selector, at(now));
+        (run, sends(&actions))
+    };
+    let paused: Vec<_> = (0..50).map(|now| start(&mut selector, now)).collect();
+    for (mut run, sent) in paused {
+        for send in &sent {
+            let end = at(if send.sub_request == 0 { 1_000 } else { 70 });
+            run.on_attempt_end(send.sub_request, send.attempt, ANSWER, &mut selector, end);
+        }
+    }
+    let mut search = |now: u64| {
+        let (mut run, sent) = start(&mut selector, now);
+        for send in &sent {
+            let end = at(now + 20);
+            run.on_attempt_end(send.sub_request, send.attempt, ANSWER, &mut selector, end);
+        }
+        sent.len()
+    };
+    // One search in 2 s, so that nothing but its own attempt tells of the target.
+    let sent: Vec<usize> = (0..50).map(|n| search(30_000 + 2_000 * n)).collect();
+    assert!(sent.iter().all(|attempts| *attempts == 4), "{sent:?}");
+    // Many searches at once keep the estimate up to date.
+    let sent: Vec<usize> = (0..50).map(|n| search(150_000 + 10 * n)).collect();
+    assert!(sent.iter().all(|attempts| *attempts == 4), "{sent:?}");
+}
+
 /// Returns a selector with the shards `s0` to `s3`. The nearest target of the last two is in
 /// another data centre of the region.
 fn regional_selector() -> TargetSelector {
