Bound the memory of all reply bodies together

What operators could see: targets that send without end make an entry VM grow beyond the memory of its process (471 MB of 260 MB), which ends it with the requests of other callers (LOST).

Cause: each reply was bounded, their sum was not.

Change: what reply bodies hold beyond 64 KB each is reserved from 48 MB for the process before it is allocated, and given back with the body. Read buffers are 128 KB at most, and 256 KB are read until a head is complete.

--- a/crates/pool/src/bounded_reply.rs
+++ b/crates/pool/src/bounded_reply.rs
@@ -13,7 +13,7 @@
     task::{Context, Poll, ready},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -31,12 +31,19 @@
 
 /// Largest accepted reply body in bytes.
 const REPLY_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of each reply body that are always kept. What goes beyond them shares [`LARGE_BODIES_MAX_BYTES`].
+const SMALL_BODY_BYTES: usize = 64 * 1024;
+/// Memory of this process for what all reply bodies hold beyond [`SMALL_BODY_BYTES`], in bytes. A body that
+/// finds none left is given up.
+const LARGE_BODIES_MAX_BYTES: usize = 48 * 1024 * 1024;
+/// Largest read buffer of a connection in bytes, and so the largest head of a reply.
+const READ_BUFFER_MAX_BYTES: usize = 128 * 1024;
 /// Most pieces of a reply body, so that a body of tiny chunks is given up long before its bytes are
 /// used up.
 const BODY_PIECES_MAX: usize = 65_536;
 /// Bytes that are read of a reply until its head is complete: interim answers, the head, and what has
 /// arrived with it.
-const HEAD_MAX_BYTES: usize = 512 * 1024;
+const HEAD_MAX_BYTES: usize = 2 * READ_BUFFER_MAX_BYTES;
 /// Bytes that are read after the head, with lengths of chunks and trailers.
 const BODY_MAX_BYTES: usize = REPLY_MAX_BYTES + 1024 * 1024;
 
@@ -113,7 +120,10 @@
             stream,
             allowance: Arc::clone(&allowance),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(bounded)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(bounded))
+            .await?;
         Ok((Self { sender, allowance }, connection))
     }
 
@@ -156,13 +166,61 @@
 pub(crate) enum BodyFault {
     /// The connection broke, or the body was not valid HTTP.
     Broken,
-    /// The body was larger than the limit, or in too many pieces.
+    /// The body was larger than the limit, or in too many pieces, or there was no memory left for it.
     TooLarge,
 }
 
+/// Memory that reply bodies of this process hold beyond [`SMALL_BODY_BYTES`] each, in bytes.
+static LARGE_BODIES_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+/// A reply body, and its part of the memory for large ones.
+#[derive(Debug, Default)]
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    reserved: usize,
+}
+
+impl BodyBuffer {
+    fn append(&mut self, data: &[u8]) -> Result<(), BodyFault> {
+        let length = self.bytes.len() + data.len();
+        if length > REPLY_MAX_BYTES {
+            return Err(BodyFault::TooLarge);
+        }
+        if length > self.bytes.capacity() {
+            let capacity = length.next_power_of_two();
+            self.reserve(capacity.saturating_sub(SMALL_BODY_BYTES))?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Raises the body's part of the memory for large ones.
+    fn reserve(&mut self, reserved: usize) -> Result<(), BodyFault> {
+        let more = reserved.saturating_sub(self.reserved);
+        let within_limit = |used: usize| Some(used + more).filter(|u| *u <= LARGE_BODIES_MAX_BYTES);
+        let is_reserved = LARGE_BODIES_BYTES.fetch_update(Relaxed, Relaxed, within_limit);
+        is_reserved.map_err(|_| BodyFault::TooLarge)?;
+        self.reserved += more;
+        Ok(())
+    }
+}
+
+impl AsRef<[u8]> for BodyBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for BodyBuffer {
+    fn drop(&mut self) {
+        LARGE_BODIES_BYTES.fetch_sub(self.reserved, Relaxed);
+    }
+}
+
 /// Reads a whole reply body.
 pub(crate) async fn read_reply_body(mut body: Incoming) -> Result<Bytes, BodyFault> {
-    let mut bytes = BytesMut::new();
+    let mut buffer = BodyBuffer::default();
     let mut pieces = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyFault::Broken)?;
@@ -170,10 +228,10 @@
             continue;
         };
         pieces += 1;
-        if bytes.len() + data.len() > REPLY_MAX_BYTES || pieces > BODY_PIECES_MAX {
+        if pieces > BODY_PIECES_MAX {
             return Err(BodyFault::TooLarge);
         }
-        bytes.extend_from_slice(&data);
+        buffer.append(&data)?;
     }
-    Ok(bytes.freeze())
+    Ok(Bytes::from_owner(buffer))
 }
