Sync a log when it is opened

What operators could see: a voter promises or accepts on the strength of a record that a loss of power then takes away.

Cause: a record whose write succeeds and whose sync fails, as on a disk that is full, stops the store, but stays in the file. The log was read again without a sync, so later replies relied on a record that was not durable.

Change: recovery syncs the file before the store is used, and fails if it can't. One sync per start of a voter.

Evidence: a_log_is_synced_before_its_records_are_relied_on failed before (no sync).

--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -171,6 +171,8 @@
             }
         }
         let mut file = reader.into_inner();
+        // An earlier process, or the writer of this one, may have failed between a write and its sync.
+        self.ops.sync(&file).change_context(StoreError::Io)?;
         file.seek(SeekFrom::Start(bytes))
             .change_context(StoreError::Io)?;
         Ok(LogFile {
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -207,6 +207,30 @@
 }
 
 /// Appends the records 0 to 5. Compacts after every second one and keeps all records.
+/// Guards against a record that is read from a log into which it was written but not synced, and that a loss
+/// of power takes away after the voter has relied on it.
+#[test]
+fn a_log_is_synced_before_its_records_are_relied_on() {
+    let folder = TempFolder::new();
+    append_numbers(&folder.0, 1);
+    let syncs_only = |is_failing: bool| {
+        let synced = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&synced);
+        let hook = move |operation| {
+            let is_sync = operation == FileOperation::SyncFile;
+            counter.fetch_add(usize::from(is_sync), Ordering::Relaxed);
+            (is_sync && is_failing).then_some(InjectedFault::Fail)
+        };
+        (FileOps::with_faults(Arc::new(hook)), synced)
+    };
+    let (ops, synced) = syncs_only(false);
+    let (store, replayed) = open(&folder.0, ops).unwrap();
+    assert_eq!((replayed, synced.load(Ordering::Relaxed)), (vec![0], 1));
+    drop(store);
+    let (ops, _) = syncs_only(true);
+    assert_eq!(open(&folder.0, ops).unwrap_err(), StoreError::Io);
+}
+
 fn run_script(path: &Path, ops: FileOps) -> ScriptRun {
     let mut run = ScriptRun {
         confirmed: vec![],
