Go on logging after a line could not be written

What operators could see: a keeper whose log goes to a disk that was full once logs nothing any more.

Cause: the thread that writes the log ended with a panic at the first failed write.

Change: a line that can't be written is lost.

Evidence: full_disks.rs, three tests on real keepers whose disks, with their logs, are full for 3 s each, one after the other and twice in turn, also within a record and beside spare keepers. Before, the writer's thread ended ("slog::Fuse Drain: File too large") and the line that the tests wait for did not come.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -23,7 +23,8 @@
 /// request.
 fn build(out: impl io::Write + Send + 'static, level: slog::Level, vm: &str) -> Logger {
     let lines = Logfmt::new(out).set_prefix(write_prefix).build();
-    let drain = Mutex::new(lines).map(slog::Fuse);
+    // A line that cannot be written, e.g. to a full disk, is lost. Later ones may succeed.
+    let drain = Mutex::new(lines).ignore_res();
     let drain = slog_async::Async::new(drain)
         .chan_size(LOG_QUEUE_LINES)
         .build();
