--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -527,23 +527,7 @@
     let (reply, connection) = match reply {
         Ok(exchanged) => exchanged,
         Err(fault) => {
-            if fault == RelayFault::Broken {
-                node.pool.close_idle(address);
-            }
-            let outcome = match fault {
-                RelayFault::Connect => RelayAttemptOutcome::Unreachable,
-                RelayFault::ConnectRefused => {
-                    record_refused_connection(&node, &attempt.target);
-                    RelayAttemptOutcome::Unreachable
-                }
-                RelayFault::NotSent => RelayAttemptOutcome::NoConnection,
-                RelayFault::OverLimit => RelayAttemptOutcome::OverLimit,
-                RelayFault::Withheld => RelayAttemptOutcome::Withheld,
-                RelayFault::TooLarge => RelayAttemptOutcome::Broken,
-                RelayFault::Rejected | RelayFault::Broken => {
-                    examine_loss(&node, &message, &attempt, fault, sent_at).await
-                }
-            };
+            let outcome = fault_outcome(&node, &message, &attempt, fault, sent_at).await;
             return finished(outcome, None, Some(fault.as_str()), notice);
         }
     };
@@ -590,6 +574,33 @@
     }
 }
 
+/// Returns the outcome of an attempt without a reply.
+async fn fault_outcome(
+    node: &Arc<EntryNode>,
+    message: &RelayMessage,
+    attempt: &RelayAttempt,
+    fault: RelayFault,
+    sent_at: MonoTime,
+) -> RelayAttemptOutcome {
+    if fault == RelayFault::Broken {
+        node.pool.close_idle(attempt.target.address);
+    }
+    match fault {
+        RelayFault::Connect => RelayAttemptOutcome::Unreachable,
+        RelayFault::ConnectRefused => {
+            record_refused_connection(node, &attempt.target);
+            RelayAttemptOutcome::Unreachable
+        }
+        RelayFault::NotSent => RelayAttemptOutcome::NoConnection,
+        RelayFault::OverLimit => RelayAttemptOutcome::OverLimit,
+        RelayFault::Withheld => RelayAttemptOutcome::Withheld,
+        RelayFault::TooLarge => RelayAttemptOutcome::Broken,
+        RelayFault::Rejected | RelayFault::Broken => {
+            examine_loss(node, message, attempt, fault, sent_at).await
+        }
+    }
+}
+
 /// Applies what the reply to an attempt says about its target; returns what other VMs should know.
 fn apply_reply_notice(
     node: &EntryNode,
