Ask keepers that are too far away once a second only

Now that is done once a second. a_keeper_that_is_far_away_is_asked_once_a_second: 4 calls in 4 s of ten requests a second.

Connections remember unanswered requests for a second longer than their deadline, since another VM that hands over the same one may count its time from a little later.

--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -29,6 +29,8 @@
 const ROUND_TRIP_WEIGHT: f64 = 0.2;
 /// An average that is more than this multiple of the latest round trip comes from a keeper that stood still.
 const ROUND_TRIP_RESET_FACTOR: u32 = 2;
+/// Period in which a keeper whose reply is expected too late is asked all the same, in milliseconds.
+const TRIAL_PERIOD_MS: u64 = 1_000;
 /// Number of keepers that are asked at once as long as there is time to ask others after them. More
 /// would take permits out of use that others need.
 const PARALLEL_ASKS: usize = 2;
@@ -87,6 +89,8 @@
 struct UsableKeeper {
     address: SocketAddr,
     round_trip: Duration,
+    /// Whether it may be asked to measure the round trip.
+    is_trial_due: bool,
 }
 
 /// A rate and this VM's permits of it.
@@ -148,7 +152,8 @@
     /// `turn` selects the first of several keepers that are equally suitable.
     ///
     /// Only replies correct the expected round trips. So a keeper whose reply is expected too late for each
-    /// request that waits is asked for no permits, and for all of them if no other keeper is in reach.
+    /// request that waits is asked for no permits from time to time, and for all of them if no other keeper
+    /// is in reach.
     fn due_asks(
         &self,
         keepers: &[UsableKeeper],
@@ -169,7 +174,7 @@
         };
         for keeper in late {
             let is_asked = asks.iter().any(|(asked, _)| *asked == keeper.address);
-            if !is_asked && self.may_ask(keeper.address, now) {
+            if !is_asked && keeper.is_trial_due && self.may_ask(keeper.address, now) {
                 asks.push((keeper.address, 0));
             }
         }
@@ -250,6 +255,8 @@
     failed: HashMap<SocketAddr, MonoTime>,
     /// Moving average of the time until each keeper replies.
     round_trips: HashMap<SocketAddr, Duration>,
+    /// When keepers whose replies are expected too late were last asked to measure that time.
+    tried_at: HashMap<SocketAddr, MonoTime>,
     swept_at: MonoTime,
     /// Counts the asks of other keepers than the nearest one.
     asked_far: usize,
@@ -404,6 +411,7 @@
             self.failed.retain(|keeper, _| keepers.contains(keeper));
             self.round_trips
                 .retain(|keeper, _| keepers.contains(keeper));
+            self.tried_at.retain(|keeper, _| keepers.contains(keeper));
         }
     }
 
@@ -538,9 +546,12 @@
                 FAR_ROUND_TRIP_MS
             };
             let known = self.round_trips.get(&address).copied();
+            let period = Duration::from_millis(TRIAL_PERIOD_MS);
+            let tried_at = self.tried_at.get(&address);
             UsableKeeper {
                 address,
                 round_trip: known.unwrap_or(Duration::from_millis(expected_ms)),
+                is_trial_due: tried_at.is_none_or(|at| now.since(*at) >= period),
             }
         };
         usable
@@ -568,6 +579,9 @@
             entry.returns.retain(|keeper, _| is_usable(*keeper));
         }
         let mut due = entry.due_asks(keepers, self.asked_far, now);
+        let trials = due.iter().filter(|(_, wanted)| *wanted == 0);
+        self.tried_at
+            .extend(trials.map(|(keeper, _)| (*keeper, now)));
         if is_sweep {
             for keeper in entry.returns.keys() {
                 let is_free = !entry.pending.contains_key(keeper);
--- a/crates/permits/tests/ledger.rs
+++ b/crates/permits/tests/ledger.rs
@@ -271,3 +271,25 @@
         assert!(after <= 3 * REPLY_MS, "request {number}: {after} ms");
     }
 }
+
+/// Guards against calls without end to a keeper that is too far away for the requests that wait.
+#[test]
+fn a_keeper_that_is_far_away_is_asked_once_a_second() {
+    let mut ledger = RateLedger::default();
+    let keepers = &keepers()[..2];
+    freeze(&mut ledger, keepers, &keepers[1..]);
+    let mut far = 0;
+    for number in 0..40 {
+        let ms = 1_000 + 100 * number;
+        wait(&mut ledger, 2 + number, ms);
+        let calls = ledger.due_calls(keepers, at(ms));
+        far += calls.iter().filter(|c| c.keeper == keepers[1]).count();
+        let (far_calls, near): (Vec<_>, Vec<_>) =
+            calls.into_iter().partition(|c| c.keeper == keepers[1]);
+        reply(&mut ledger, &near, 1, ms + 2);
+        assert!(ledger.try_take(&key(), at(ms + 2)).is_some());
+        ledger.stop_waiting(&key(), 2 + number);
+        reply(&mut ledger, &far_calls, 0, ms + 90);
+    }
+    assert_eq!(far, 4);
+}
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -43,6 +43,9 @@
 /// Longest idle time of a connection that may carry a request which must not run twice, in
 /// milliseconds.
 const RECENT_IDLE_MAX_MS: u64 = 250;
+/// Time after its deadline for which a connection remembers an unanswered request, in milliseconds. Another
+/// VM that hands over the same request may count its time from a little later.
+const REMEMBERED_AFTER_MS: u64 = 1_000;
 /// Most unanswered requests that a connection remembers. One that has carried more is closed.
 const REMEMBERED_REQUESTS_MAX: usize = 128;
 
@@ -192,7 +195,8 @@
 #[derive(Clone, Copy, Debug)]
 struct CarriedRequest {
     id_hash: u64,
-    deadline: MonoTime,
+    /// Time from which on no attempt of it can follow.
+    over_at: MonoTime,
 }
 
 /// The unanswered requests that a connection has carried.
@@ -213,7 +217,7 @@
 
     /// Adds a request. Returns false if the connection has carried too many to be kept.
     fn record(&mut self, request: CarriedRequest, now: MonoTime) -> bool {
-        self.unanswered.retain(|carried| carried.deadline > now);
+        self.unanswered.retain(|carried| carried.over_at > now);
         self.unanswered.push(request);
         self.unanswered.len() <= REMEMBERED_REQUESTS_MAX
     }
@@ -322,7 +326,7 @@
     ) -> Result<(RelayReply, ReplyConnection), RelayFault> {
         let carried = CarriedRequest {
             id_hash: self.id_hasher.hash_one(terms.request_id),
-            deadline: terms.deadline,
+            over_at: terms.deadline + Duration::from_millis(REMEMBERED_AFTER_MS),
         };
         let reuse = (terms.reuse, carried.id_hash);
         let SentRequest {
