--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -152,7 +152,7 @@
     /// `turn` selects the first of several keepers that are equally suitable.
     ///
     /// Only replies correct the expected round trips. So a keeper whose reply is expected too late for each
-    /// request that waits is asked for no permits from time to time, and for all of them if no other keeper
+    /// request that waits is asked for zero permits from time to time, and for all of them if no other keeper
     /// is in reach.
     fn due_asks(
         &self,
