Check the version in force under the lock of the cache, and sync a log once

Found on reading the whole change again.

Entry VMs run one thread, so nobody could tell the difference. - A log whose torn frame was cut off was synced twice as it was opened. - A test stood between run_script of the store's tests and its comment. - Two variables in pop_idle had one name.

No behaviour, bound or check changes.

--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -393,7 +393,6 @@
         shards: &[Arc<str>],
     ) -> Arc<[ShardGroup]> {
         let now = self.timer.now();
-        let is_in_force = self.config_version() == Some(config_version);
         let key = GroupsKey {
             config_version,
             route: Arc::clone(route),
@@ -408,7 +407,7 @@
             .into();
         // The groups of an older version are of use to few requests, and would name data centres of brokers
         // that no search needs any more.
-        if is_in_force {
+        if self.config_version() == Some(config_version) {
             known_groups.insert(key, Arc::clone(&groups));
         }
         groups
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -597,12 +597,12 @@
             .idle
             .retain(|idle| idle.usable_until > now && !idle.sender.is_closed());
         let is_allowed = |idle: &IdleConnection| {
-            let is_allowed = match reuse {
+            let is_recent_enough = match reuse {
                 ConnectionReuse::Any => true,
                 ConnectionReuse::Recent => now.since(idle.idle_since) <= recent,
                 ConnectionReuse::Never => false,
             };
-            is_allowed && !idle.history.contains(id_hash)
+            is_recent_enough && !idle.history.contains(id_hash)
         };
         let Some(index) = state.idle.iter().rposition(is_allowed) else {
             state.idle.pop();
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -171,7 +171,7 @@
             }
         }
         let mut file = reader.into_inner();
-        // An earlier process, or the writer of this one, may have failed between a write and its sync.
+        // A torn frame was cut off, or a writer has failed between a write and its sync.
         self.ops.sync(&file).change_context(StoreError::Io)?;
         file.seek(SeekFrom::Start(bytes))
             .change_context(StoreError::Io)?;
@@ -201,11 +201,9 @@
         if !is_torn_write(&rest, identity) {
             return Err(Report::new(StoreError::Damaged { offset }));
         }
-        let file = reader.get_ref();
         self.ops
-            .truncate(file, offset)
-            .change_context(StoreError::Io)?;
-        self.ops.sync(file).change_context(StoreError::Io)
+            .truncate(reader.get_ref(), offset)
+            .change_context(StoreError::Io)
     }
 
     fn log_path(&self, generation: u64) -> PathBuf {
--- a/crates/store/tests/log.rs
+++ b/crates/store/tests/log.rs
@@ -206,7 +206,6 @@
     attempted: Vec<u32>,
 }
 
-/// Appends the records 0 to 5. Compacts after every second one and keeps all records.
 /// Guards against a record that is read from a log into which it was written but not synced, and that a loss
 /// of power takes away after the voter has relied on it.
 #[test]
@@ -231,6 +230,7 @@
     assert_eq!(open(&folder.0, ops).unwrap_err(), StoreError::Io);
 }
 
+/// Appends the records 0 to 5. Compacts after every second one and keeps all records.
 fn run_script(path: &Path, ops: FileOps) -> ScriptRun {
     let mut run = ScriptRun {
         confirmed: vec![],
