Let a connection to a target note itself that it is used

Found on reading the whole change again: each caller had to mark the connection before it sends, which a third one could forget. TargetConnection::send does it now. The comments on final statuses and on shards that are too slow say what they mean, and the ledger's load pattern names keepers that stood still.

No behaviour changes.

--- a/crates/permits/src/ledger.rs
+++ b/crates/permits/src/ledger.rs
@@ -3,7 +3,7 @@
 //! Load pattern: most requests find the nearest keeper's part of a rate unused, and cost one call to
 //! it. Where one data centre sends more than that part, the VM asks the other keepers, all at once:
 //! a request is held for little more than one round trip between data centres. Permits that turn out
-//! not to be needed are given back.
+//! not to be needed are given back. A keeper that stood still replies late once, and is asked again.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
--- a/crates/pool/src/cancel.rs
+++ b/crates/pool/src/cancel.rs
@@ -33,8 +33,7 @@
     let Ok(message) = message else {
         return false;
     };
-    connection.mark_used();
-    let Ok(response) = connection.sender.send(message).await else {
+    let Ok(response) = connection.send(message).await else {
         return false;
     };
     if response.status() != StatusCode::OK {
--- a/crates/pool/src/connection.rs
+++ b/crates/pool/src/connection.rs
@@ -2,6 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::TrySendError};
 use tokio::{net::TcpStream, time::sleep};
 use tokio_util::task::TaskTracker;
 
@@ -16,7 +20,7 @@
 /// An open connection; dropping it closes it.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    pub(crate) sender: BoundedSender,
+    sender: BoundedSender,
     /// Whether it has carried a request. The late copy of a reply to that may still arrive.
     is_used: bool,
 }
@@ -42,9 +46,25 @@
         })
     }
 
-    /// Marks the connection as used, and returns whether it was before.
-    pub(crate) fn mark_used(&mut self) -> bool {
-        std::mem::replace(&mut self.is_used, true)
+    /// Sends a request and returns its reply once the head is complete.
+    ///
+    /// # Errors
+    ///
+    /// The error holds the request if nothing of it was written.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.is_used = true;
+        self.sender.send(request).await
+    }
+
+    pub(crate) fn is_used(&self) -> bool {
+        self.is_used
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
     }
 
     pub(crate) fn is_reusable(&self) -> bool {
--- a/crates/pool/src/connection_pool.rs
+++ b/crates/pool/src/connection_pool.rs
@@ -298,7 +298,7 @@
     }
 
     fn return_connection(&self, connection: TargetConnection) {
-        if !connection.sender.is_closed() && !self.slots.is_over_limit() {
+        if !connection.is_closed() && !self.slots.is_over_limit() {
             lock(&self.idle).push(connection);
         }
     }
--- a/crates/pool/src/exchange.rs
+++ b/crates/pool/src/exchange.rs
@@ -23,8 +23,8 @@
     now: MonoTime,
 ) -> Result<TargetAnswer> {
     let message = build_request(request, now)?;
-    let is_reused = connection.mark_used();
-    let response = match connection.sender.send(message).await {
+    let is_reused = connection.is_used();
+    let response = match connection.send(message).await {
         Ok(response) => response,
         Err(mut error) => return Err(send_error(error.take_message().is_some())),
     };
--- a/crates/pool/src/relay_pool.rs
+++ b/crates/pool/src/relay_pool.rs
@@ -677,8 +677,8 @@
     }
 }
 
-/// Whether HTTP allows a final reply to have this status. Clients take other ones for any number of things,
-/// and a switch of protocols was not asked for.
+/// Whether HTTP allows a final reply to have this status. It allows none from 600 on; those below 200 are
+/// interim ones, or agree to a switch of protocols that was not asked for.
 #[must_use]
 pub fn is_final_status(status: StatusCode) -> bool {
     (200..=599).contains(&status.as_u16())
--- a/crates/route/src/relay/selector/pick.rs
+++ b/crates/route/src/relay/selector/pick.rs
@@ -99,7 +99,7 @@
         /// How long a connection to the target may stay idle.
         idle_timeout: Duration,
     },
-    /// Every target is expected to answer too late for the answer to be useful, by attempts of late.
+    /// Every target is expected to answer too late for the answer to be useful, judging by recent attempts.
     TooSlow,
     /// All connections of this VM to each remaining target are in use.
     AllBusy,
