--- a/crates/bench/src/tier/process.rs
+++ b/crates/bench/src/tier/process.rs
@@ -24,13 +24,15 @@
 /// Time limit for a daemon to exit after SIGTERM.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// CPU time and memory of a process.
+/// CPU time, memory and descriptors of a process.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ProcessUsage {
     /// User and system time since the start of the process, in seconds.
     pub cpu_secs: f64,
     /// Resident memory in KiB.
     pub rss_kib: u64,
+    /// Open file descriptors.
+    pub descriptors: usize,
 }
 
 /// A daemon process, which may be running, frozen or exited.
@@ -82,6 +84,12 @@
         self.plan.operators()
     }
 
+    /// Returns the address for calls of other daemons.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.plan.peers()
+    }
+
     /// Whether the VM is a member of the initial voter set.
     #[must_use]
     pub fn votes(&self) -> bool {
@@ -263,5 +271,6 @@
     Some(ProcessUsage {
         cpu_secs: (ticks(STAT_UTIME)? + ticks(STAT_STIME)?) / ticks_per_sec,
         rss_kib: rss.trim().strip_suffix(" kB")?.parse().ok()?,
+        descriptors: fs::read_dir(format!("/proc/{process}/fd")).ok()?.count(),
     })
 }
