Lease the memory of all reply bodies

Cause: only what a reply holds beyond 64 KB counted, so many replies of less were not bounded together, and a reply that did not go on kept the memory from others.

Change: replies lease all they hold from one budget of 48 MB.

--- a/crates/pool/src/bounded_reply.rs
+++ b/crates/pool/src/bounded_reply.rs
@@ -7,13 +7,14 @@
     io,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, LazyLock,
         atomic::{AtomicUsize, Ordering::Relaxed},
     },
     task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
+use fulmarweir_bounds::{LeasedBuffer, MemoryBudget};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -31,11 +32,10 @@
 
 /// Largest accepted reply body in bytes.
 const REPLY_MAX_BYTES: usize = 4 * 1024 * 1024;
-/// Bytes of each reply body that are always kept. What goes beyond them shares [`LARGE_BODIES_MAX_BYTES`].
+/// Largest reply body that may use all of [`REPLIES_MAX_BYTES`], of which larger ones leave a part free.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
-/// Memory of this process for what all reply bodies hold beyond [`SMALL_BODY_BYTES`], in bytes. A body that
-/// finds none left is given up.
-const LARGE_BODIES_MAX_BYTES: usize = 48 * 1024 * 1024;
+/// Memory of this process for all reply bodies, in bytes. A body that finds none left is given up.
+const REPLIES_MAX_BYTES: usize = 48 * 1024 * 1024;
 /// Largest read buffer of a connection in bytes, and so the largest head of a reply.
 const READ_BUFFER_MAX_BYTES: usize = 128 * 1024;
 /// Most pieces of a reply body, so that a body of tiny chunks is given up long before its bytes are
@@ -166,63 +166,34 @@
 pub(crate) enum BodyFault {
     /// The connection broke, or the body was not valid HTTP.
     Broken,
-    /// The body was larger than the limit, or in too many pieces, or there was no memory left for it.
+    /// The body was larger than the limit, or in too many pieces, or there was no memory left for it, or it was
+    /// slow while others needed the memory.
     TooLarge,
 }
 
-/// Memory that reply bodies of this process hold beyond [`SMALL_BODY_BYTES`] each, in bytes.
-static LARGE_BODIES_BYTES: AtomicUsize = AtomicUsize::new(0);
+/// Memory of the reply bodies of this process.
+static REPLY_MEMORY: LazyLock<MemoryBudget> =
+    LazyLock::new(|| MemoryBudget::new(REPLIES_MAX_BYTES, SMALL_BODY_BYTES));
 
-/// A reply body, and its part of the memory for large ones.
-#[derive(Debug, Default)]
-struct BodyBuffer {
-    bytes: Vec<u8>,
-    reserved: usize,
-}
-
-impl BodyBuffer {
-    fn append(&mut self, data: &[u8]) -> Result<(), BodyFault> {
-        let length = self.bytes.len() + data.len();
-        if length > REPLY_MAX_BYTES {
-            return Err(BodyFault::TooLarge);
-        }
-        if length > self.bytes.capacity() {
-            let capacity = length.next_power_of_two();
-            self.reserve(capacity.saturating_sub(SMALL_BODY_BYTES))?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(data);
-        Ok(())
-    }
-
-    /// Raises the body's part of the memory for large ones.
-    fn reserve(&mut self, reserved: usize) -> Result<(), BodyFault> {
-        let more = reserved.saturating_sub(self.reserved);
-        let within_limit = |used: usize| Some(used + more).filter(|u| *u <= LARGE_BODIES_MAX_BYTES);
-        let is_reserved = LARGE_BODIES_BYTES.fetch_update(Relaxed, Relaxed, within_limit);
-        is_reserved.map_err(|_| BodyFault::TooLarge)?;
-        self.reserved += more;
-        Ok(())
-    }
-}
-
-impl AsRef<[u8]> for BodyBuffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl Drop for BodyBuffer {
-    fn drop(&mut self) {
-        LARGE_BODIES_BYTES.fetch_sub(self.reserved, Relaxed);
-    }
+/// Returns the memory of the reply bodies of this process.
+#[must_use]
+pub fn reply_memory() -> &'static MemoryBudget {
+    &REPLY_MEMORY
 }
 
 /// Reads a whole reply body.
 pub(crate) async fn read_reply_body(mut body: Incoming) -> Result<Bytes, BodyFault> {
-    let mut buffer = BodyBuffer::default();
+    let mut buffer = LeasedBuffer::new(REPLY_MEMORY.start_transfer());
     let mut pieces = 0;
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = buffer.transfer().cancelled() => return Err(BodyFault::TooLarge),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            return Ok(buffer.freeze());
+        };
         let frame = frame.map_err(|_| BodyFault::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
@@ -231,7 +202,10 @@
         if pieces > BODY_PIECES_MAX {
             return Err(BodyFault::TooLarge);
         }
-        buffer.append(&data)?;
+        if buffer.len() + data.len() > REPLY_MAX_BYTES {
+            return Err(BodyFault::TooLarge);
+        }
+        let appended = buffer.append(&data);
+        appended.map_err(|_| BodyFault::TooLarge)?;
     }
-    Ok(Bytes::from_owner(buffer))
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -25,6 +25,7 @@
 mod slots;
 mod table;
 
+pub use bounded_reply::reply_memory;
 pub use connection_pool::{ConnectionPool, PoolUsage, TargetShare};
 pub use relay_pool::{
     AddressProbe, ConnectionReuse, ConnectionTerms, RelayFault, RelayPool, RelayReply,
