Bound the memory and the connections of calls between VMs

Symptom: calls of 8 MB that stop short take an entry VM to 397 MB, where the platform ends it at 160 MB.

Cause: a message is bounded to 8 MB, the messages of a server are not. They had no time limit, and any number of connections was accepted.

Change: messages that a server or a client receives or sends lease their memory from 24 MB. A call whose message finds none, or does not arrive in 10 s, is refused with 503, which callers take for not run. Connections take at most a quarter of the descriptors.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -1,23 +1,54 @@
 //! Reads and writes whole bodies on HTTP/2 streams.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use fulmarweir_bounds::{LeasedBuffer, MemoryBudget};
 use futures::future::poll_fn;
 use h2::{RecvStream, SendStream};
 
 use crate::codec::MESSAGE_MAX_BYTES;
 
-/// Reads a whole body; `None` if the stream breaks or the body exceeds [`MESSAGE_MAX_BYTES`].
-pub(crate) async fn read_body(stream: &mut RecvStream) -> Option<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = stream.data().await {
-        let chunk = chunk.ok()?;
-        stream.flow_control().release_capacity(chunk.len()).ok()?;
-        if body.len() + chunk.len() > MESSAGE_MAX_BYTES {
-            return None;
+/// Memory of the messages that a server or a client receives or sends, in bytes.
+const MESSAGES_MAX_BYTES: usize = 24 * 1024 * 1024;
+/// Largest message that may use all of it, in bytes; larger ones leave a part free.
+const SMALL_MESSAGE_BYTES: usize = 64 * 1024;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyFault {
+    /// The stream broke, or the body exceeds [`MESSAGE_MAX_BYTES`].
+    Broken,
+    /// There is no memory left for it, or it was slow while others needed the memory.
+    NoMemory,
+}
+
+/// Returns the memory that the messages of a server or a client share.
+pub(crate) fn message_memory() -> MemoryBudget {
+    MemoryBudget::new(MESSAGES_MAX_BYTES, SMALL_MESSAGE_BYTES)
+}
+
+/// Reads a whole body.
+pub(crate) async fn read_body(
+    stream: &mut RecvStream,
+    memory: &MemoryBudget,
+) -> Result<Bytes, BodyFault> {
+    let mut body = LeasedBuffer::new(memory.start_transfer());
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            () = body.transfer().cancelled() => return Err(BodyFault::NoMemory),
+            chunk = stream.data() => chunk,
+        };
+        let Some(chunk) = chunk else {
+            return Ok(body.freeze());
+        };
+        let chunk = chunk.map_err(|_| BodyFault::Broken)?;
+        let released = stream.flow_control().release_capacity(chunk.len());
+        if released.is_err() || body.len() + chunk.len() > MESSAGE_MAX_BYTES {
+            return Err(BodyFault::Broken);
         }
-        body.extend_from_slice(&chunk);
+        let appended = body.append(&chunk);
+        appended.map_err(|_| BodyFault::NoMemory)?;
     }
-    Some(body.freeze())
 }
 
 /// Sends a body as the flow-control window allows and ends the stream; `None` if it breaks.
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -13,13 +13,14 @@
 
 use bytes::Bytes;
 use fulmarweir_base::lock;
+use fulmarweir_bounds::MemoryBudget;
 use h2::client::{ResponseFuture, SendRequest};
 use http::{Request, StatusCode};
 use tokio::{net::TcpStream, sync::Mutex, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    body::{read_body, write_body},
+    body::{BodyFault, message_memory, read_body, write_body},
     error::{Result, WireError, WireFault},
     message::{PeerMessage, PeerVersion, decode_peer_message, encode_peer_message},
     peer_versions::PeerVersionTable,
@@ -79,6 +80,8 @@
     versions: PeerVersionTable,
     connection_count: AtomicU64,
     meter: Arc<TrafficMeter>,
+    /// Memory of the messages in flight.
+    memory: MemoryBudget,
     tasks: TaskTracker,
     stop: CancellationToken,
 }
@@ -102,6 +105,7 @@
             versions: PeerVersionTable::default(),
             connection_count: AtomicU64::default(),
             meter,
+            memory: message_memory(),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
         };
@@ -202,6 +206,10 @@
     ) -> Result<R> {
         let body = Bytes::from(encode_peer_message(request, version)?);
         let request_bytes = body.len();
+        let mut lease = self.shared.memory.lease();
+        if lease.grow_to(request_bytes).is_err() {
+            return Err(WireError::not_run(WireFault::Refused));
+        }
         let Ok(mut request_sender) = connection.request_sender.clone().ready().await else {
             self.shared.retire_connection(address, connection).await;
             return Err(WireError::not_run(WireFault::Broken));
@@ -211,9 +219,9 @@
             .map_err(|_| WireError::not_run(WireFault::Broken))?;
         *sent_on = Some((connection.clone(), connection.reply_count.load(Relaxed)));
         if write_body(&mut stream, body).await.is_none() {
-            return Err(write_error(response).await);
+            return Err(write_error(response, &self.shared.memory).await);
         }
-        let reply = read_reply(response).await?;
+        let reply = read_reply(response, &self.shared.memory).await?;
         connection.reply_count.fetch_add(1, Relaxed);
         let (number, now) = (connection.number, Instant::now());
         self.shared.versions.record(address, number, version, now);
@@ -316,16 +324,16 @@
 }
 
 /// Returns the error of a call whose request body could not be sent in full.
-async fn write_error(response: ResponseFuture) -> WireError {
+async fn write_error(response: ResponseFuture, memory: &MemoryBudget) -> WireError {
     // A peer that refuses a call does not read its body, so the refusal may come before the end of
     // a large one.
-    match read_reply(response).await {
+    match read_reply(response, memory).await {
         Ok(_) => WireError::may_have_run(WireFault::Broken),
         Err(error) => error,
     }
 }
 
-async fn read_reply(response: ResponseFuture) -> Result<Bytes> {
+async fn read_reply(response: ResponseFuture, memory: &MemoryBudget) -> Result<Bytes> {
     let response = response.await.map_err(|error| stream_error(&error))?;
     match response.status() {
         StatusCode::OK => {}
@@ -335,9 +343,11 @@
         // The peer could not encode its reply, after it ran the call.
         _ => return Err(WireError::may_have_run(WireFault::Codec)),
     }
-    read_body(&mut response.into_body())
+    read_body(&mut response.into_body(), memory)
         .await
-        .ok_or(WireError::may_have_run(WireFault::Broken))
+        .map_err(|fault| match fault {
+            BodyFault::Broken | BodyFault::NoMemory => WireError::may_have_run(WireFault::Broken),
+        })
 }
 
 /// Returns the error of a failed stream. A refused stream never reached the peer's handler.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,19 +1,23 @@
 //! Serves calls of other daemons.
 
-use std::{future::Future, marker::PhantomData, net::SocketAddr, sync::Arc};
+use std::{future::Future, marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use fulmarweir_bounds::{
+    ConnectionTable, MemoryBudget, TrackedConnection, TrackedStream, TransferChannel,
+    descriptors_max,
+};
 use futures::future::poll_fn;
 use h2::{
     RecvStream,
     server::{Connection, SendResponse},
 };
 use http::{Request, Response, StatusCode};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{net::TcpListener, task::yield_now, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    body::{read_body, write_body},
+    body::{BodyFault, message_memory, read_body, write_body},
     message::{PeerMessage, PeerVersion, decode_peer_message, encode_peer_message},
     traffic::{TrafficClass, TrafficMeter},
 };
@@ -21,6 +25,12 @@
 const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
 const CONCURRENT_STREAMS_MAX: u32 = 4096;
+/// Share of the descriptors of a process for connections of other daemons: one in this many.
+const CONNECTIONS_DIVISOR: usize = 4;
+/// Time limit for the message of a call, in milliseconds.
+const MESSAGE_TIMEOUT_MS: u64 = 10_000;
+/// Pause after a failed accept, in milliseconds. Accepting fails when the process runs out of file descriptors.
+const ACCEPT_PAUSE_MS: u64 = 20;
 
 /// Serves requests `Q` of other daemons and replies with `R`.
 pub struct PeerServer<Q, R, H> {
@@ -31,6 +41,9 @@
 struct ServerShared<H> {
     handler: H,
     meter: Arc<TrafficMeter>,
+    /// Memory of the messages in flight.
+    memory: MemoryBudget,
+    connections: ConnectionTable,
     tasks: TaskTracker,
     stop: CancellationToken,
 }
@@ -49,6 +62,8 @@
         let shared = ServerShared {
             handler,
             meter,
+            memory: message_memory(),
+            connections: ConnectionTable::new((descriptors_max() / CONNECTIONS_DIVISOR).max(1)),
             tasks: TaskTracker::new(),
             stop,
         };
@@ -66,12 +81,22 @@
                 accepted = listener.accept() => accepted,
             };
             let Ok((stream, address)) = accepted else {
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
                 continue;
             };
-            let shared = Arc::clone(&self.shared);
-            self.shared
-                .tasks
-                .spawn(serve_connection::<Q, R, H, F>(shared, stream, address));
+            let _ = stream.set_nodelay(true);
+            let connections = &self.shared.connections;
+            let was_full = connections.is_full();
+            if let Some(stream) = connections.admit(stream) {
+                let shared = Arc::clone(&self.shared);
+                self.shared
+                    .tasks
+                    .spawn(serve_connection::<Q, R, H, F>(shared, stream, address));
+            }
+            if was_full {
+                // Lets the connection that made way close its descriptor.
+                yield_now().await;
+            }
         }
         self.shared.tasks.close();
         self.shared.tasks.wait().await;
@@ -80,7 +105,7 @@
 
 async fn serve_connection<Q, R, H, F>(
     shared: Arc<ServerShared<H>>,
-    stream: TcpStream,
+    stream: TrackedStream,
     address: SocketAddr,
 ) where
     Q: PeerMessage + Send + 'static,
@@ -88,14 +113,15 @@
     H: Fn(SocketAddr, Q) -> (TrafficClass, F) + Send + Sync + 'static,
     F: Future<Output = R> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
+    let tracked = stream.connection();
     let handshake = h2::server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(CONCURRENT_STREAMS_MAX)
         .handshake(stream);
-    let mut connection: Connection<TcpStream, Bytes> = tokio::select! {
+    let mut connection: Connection<TrackedStream, Bytes> = tokio::select! {
         () = shared.stop.cancelled() => return,
+        () = tracked.closed().cancelled() => return,
         done = handshake => match done {
             Ok(connection) => connection,
             Err(_) => return,
@@ -109,19 +135,21 @@
                 connection.graceful_shutdown();
                 continue;
             }
+            () = tracked.closed().cancelled() => return,
             accepted = connection.accept() => accepted,
         };
         let Some(Ok((request, respond))) = accepted else {
             return;
         };
-        let call = serve_call::<Q, R, H, F>(Arc::clone(&shared), address, request, respond);
+        let origin = (address, Arc::clone(&tracked));
+        let call = serve_call::<Q, R, H, F>(Arc::clone(&shared), origin, request, respond);
         shared.tasks.spawn(call);
     }
 }
 
 async fn serve_call<Q, R, H, F>(
     shared: Arc<ServerShared<H>>,
-    address: SocketAddr,
+    (address, connection): (SocketAddr, Arc<TrackedConnection>),
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) where
@@ -135,9 +163,16 @@
         shared.meter.served().record_unknown(address, path);
         return refuse_call(&mut respond, StatusCode::NOT_FOUND);
     };
-    let Some(body) = read_body(&mut request.into_body()).await else {
-        return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
+    let mut body = request.into_body();
+    let time_limit = Duration::from_millis(MESSAGE_TIMEOUT_MS);
+    let body = match timeout(time_limit, read_body(&mut body, &shared.memory)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyFault::Broken)) => return refuse_call(&mut respond, StatusCode::BAD_REQUEST),
+        Ok(Err(BodyFault::NoMemory)) | Err(_) => {
+            return refuse_call(&mut respond, StatusCode::SERVICE_UNAVAILABLE);
+        }
     };
+    let _run = connection.begin_run();
     let Ok(message) = decode_peer_message::<Q>(&body, version) else {
         return refuse_call(&mut respond, StatusCode::BAD_REQUEST);
     };
@@ -156,8 +191,15 @@
     };
     shared.meter.record_call(class, body.len(), reply.len());
     let head = Response::new(());
+    let channel = TransferChannel::default();
+    let mut transfer = shared.memory.start_transfer_on(channel);
+    transfer.grow_beyond_limit(reply.len());
     if let Ok(mut stream) = respond.send_response(head, false) {
-        let _ = write_body(&mut stream, Bytes::from(reply)).await;
+        tokio::select! {
+            _ = write_body(&mut stream, Bytes::from(reply)) => {}
+            // Dropping the stream resets it.
+            () = transfer.cancelled() => {}
+        }
     }
 }
 
