Bound the connections of listeners, and answers that are not read

Symptom: connections without a request take all descriptors of a process, so that no other caller, VM, target or operator gets one. Callers that do not read large answers keep the memory for replies, so that all other large replies are given up and their callers get 502.

Cause: both are held for as long as the other end stays. A listener accepted any number of connections, and an answer that waits to be written kept its lease without a bound.

Change: listeners of callers, and of targets and operators, take at most half of the descriptors, those of readiness checks and metrics a sixteenth each. A full listener closes the connection without progress for the longest time, unless a request of it runs. Answers that are not written yet take at most 32 MB; the slowest readers are disconnected once others need the memory, and those that read nothing for 30 s in any case. Receive buffers of connections have 32 KB, since the platform counts what has arrived unread.

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -1,15 +1,33 @@
 //! HTTP listeners that stop gracefully.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use axum::Router;
+use axum::{
+    Extension, Router,
+    body::Body,
+    extract::{Request, State},
+    middleware::{Next, from_fn_with_state},
+    response::Response,
+};
 use error_stack::ResultExt;
+use fulmarweir_bounds::{
+    AnswerMemory, ConnectionTable, TrackedConnection, TrackedStream, descriptors_max,
+};
+use http_body_util::BodyExt;
+use hyper::{
+    body::Incoming,
+    service::{Service, service_fn},
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
     service::TowerToHyperService,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::yield_now,
+    time::{MissedTickBehavior, interval},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::error::{DaemonError, Result};
@@ -23,22 +41,75 @@
 /// request that was sent before its caller could learn of the stop is read.
 const LAST_REQUESTS_MS: u64 = 300;
 
+/// Receive buffer of a connection, in bytes. What has arrived and was not read counts as memory of the process.
+const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
+/// Connections that wait to be accepted.
+const ACCEPT_QUEUE: u32 = 1024;
+/// Period of the check for answers that are not read, in milliseconds.
+const UNREAD_CHECK_MS: u64 = 5_000;
+/// Most connections of callers, or of targets and operators.
+const CONNECTIONS_MAX: usize = 2_048;
+/// Share of the descriptors of a process that each listener for callers, or for targets and operators, may use:
+/// one in this many.
+const MAIN_DIVISOR: usize = 2;
+/// The same for listeners of readiness checks and metrics.
+const SIDE_DIVISOR: usize = 16;
+/// Most connections for readiness checks, or for metrics.
+const SIDE_CONNECTIONS_MAX: usize = 64;
+
+/// Returns a table for the connections of callers, or of targets and operators.
+pub(crate) fn main_connections() -> ConnectionTable {
+    share_of_connections(MAIN_DIVISOR)
+}
+
+/// Returns a table for one in `divisor` of the descriptors of this process.
+pub(crate) fn share_of_connections(divisor: usize) -> ConnectionTable {
+    let share = descriptors_max() / divisor;
+    ConnectionTable::new(share.clamp(1, CONNECTIONS_MAX))
+}
+
+/// Returns a table for the connections of readiness checks, or for metrics.
+pub(crate) fn side_connections() -> ConnectionTable {
+    let share = descriptors_max() / SIDE_DIVISOR;
+    ConnectionTable::new(share.clamp(1, SIDE_CONNECTIONS_MAX))
+}
+
 /// Binds a listener to `address` and returns it with the bound address.
 pub(crate) async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(address)
-        .await
+    let listener = listen(address)
         .change_context(DaemonError::Listen)
         .attach_with(|| address.to_string())?;
     let bound = listener.local_addr().change_context(DaemonError::Listen)?;
     Ok((listener, bound))
 }
 
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it. A system that does not know it has its own bounds.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Serves `router` until `stop` is cancelled, then finishes the requests in flight.
-pub(crate) async fn serve_http(listener: TcpListener, router: Router, stop: CancellationToken) {
-    let serve = move |stream, graceful: &GracefulShutdown, tasks: &TaskTracker| {
+///
+/// What answers hold until they were written counts in `answers`.
+pub(crate) async fn serve_http(
+    listener: TcpListener,
+    connections: ConnectionTable,
+    answers: AnswerMemory,
+    router: Router,
+    stop: CancellationToken,
+) {
+    let router = router.layer(from_fn_with_state(answers, track_answer));
+    let serve = move |stream: TrackedStream, graceful: &GracefulShutdown, tasks: &TaskTracker| {
         serve_connection(stream, router.clone(), graceful, tasks);
     };
-    accept_until(listener, serve, stop).await;
+    accept_until(listener, connections, serve, stop).await;
 }
 
 /// Passes accepted connections to `serve` until `stop` is cancelled, then finishes the requests in
@@ -48,15 +119,22 @@
 /// this process are served as well, and have time to send their request.
 pub(crate) async fn accept_until(
     listener: TcpListener,
-    serve: impl Fn(TcpStream, &GracefulShutdown, &TaskTracker),
+    connections: ConnectionTable,
+    serve: impl Fn(TrackedStream, &GracefulShutdown, &TaskTracker),
     stop: CancellationToken,
 ) {
     let graceful = GracefulShutdown::new();
     let tasks = TaskTracker::new();
+    let mut unread_checks = interval(Duration::from_millis(UNREAD_CHECK_MS));
+    unread_checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
+            _ = unread_checks.tick() => {
+                connections.close_unread();
+                continue;
+            }
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -64,11 +142,20 @@
         };
         // If this fails, small responses are only delayed.
         let _ = stream.set_nodelay(true);
-        serve(stream, &graceful, &tasks);
+        let was_full = connections.is_full();
+        if let Some(stream) = connections.admit(stream) {
+            serve(stream, &graceful, &tasks);
+        }
+        if was_full {
+            // Lets the connection that made way close its descriptor.
+            yield_now().await;
+        }
     }
     for stream in queued_connections(listener) {
         let _ = stream.set_nodelay(true);
-        serve(stream, &graceful, &tasks);
+        if let Some(stream) = connections.admit(stream) {
+            serve(stream, &graceful, &tasks);
+        }
     }
     tokio::time::sleep(Duration::from_millis(LAST_REQUESTS_MS)).await;
     graceful.shutdown().await;
@@ -94,8 +181,24 @@
     streams
 }
 
+/// Has the body of an answer count in `answers` until it was written.
+async fn track_answer(
+    State(answers): State<AnswerMemory>,
+    Extension(connection): Extension<Arc<TrackedConnection>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let (head, body) = next.run(request).await.into_parts();
+    // Answers are in memory, so this does not wait and does not fail.
+    let Ok(body) = body.collect().await else {
+        return Response::from_parts(head, Body::empty());
+    };
+    let body = connection.track_answer(body.to_bytes(), &answers);
+    Response::from_parts(head, Body::from(body))
+}
+
 fn serve_connection(
-    stream: TcpStream,
+    stream: TrackedStream,
     router: Router,
     graceful: &GracefulShutdown,
     tasks: &TaskTracker,
@@ -106,12 +209,21 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S));
     builder.http2().timer(TokioTimer::new());
-    let service = TowerToHyperService::new(router);
+    let connection = stream.connection();
+    let closed = connection.closed().clone();
+    let router = TowerToHyperService::new(router);
+    let service = service_fn(move |mut request: hyper::Request<Incoming>| {
+        request.extensions_mut().insert(Arc::clone(&connection));
+        router.call(request)
+    });
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
     let watched = graceful.watch(connection);
     tasks.spawn(async move {
-        let _ = watched.await;
+        tokio::select! {
+            _ = watched => {}
+            () = closed.cancelled() => {}
+        }
     });
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,6 +12,7 @@
 
 use error_stack::ResultExt;
 use fulmarweir_base::TimerService;
+use fulmarweir_bounds::MemoryBudget;
 use fulmarweir_conf::{PolicySwitches, VmSettings};
 use fulmarweir_fleet::{ConfigStamp, FleetSettings, FleetState, VmIdentity};
 use fulmarweir_pool::PoolTable;
@@ -36,6 +37,8 @@
 };
 
 const VOTER_FOLDER: &str = "voter";
+/// Memory of all answers that were not written yet, in bytes.
+const ANSWERS_MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Timeout of a call to a voter over the network, in milliseconds.
 const VOTER_TIMEOUT_MS: u64 = 1000;
 
@@ -62,6 +65,8 @@
     pub(crate) sync_lock: Mutex<()>,
     pub(crate) pools: PoolTable,
     pub(crate) admission_queues: AdmissionTable,
+    /// Memory of answers that were not written yet.
+    pub(crate) answer_memory: MemoryBudget,
     pub(crate) peers: DaemonPeers,
     pub(crate) quorum: QuorumClient,
     /// The voter of this VM, if it has a data folder.
@@ -107,6 +112,7 @@
             sync_lock: Mutex::default(),
             pools: PoolTable::new(timer.clone()),
             admission_queues: AdmissionTable::new(route_policy(&settings.policy)),
+            answer_memory: MemoryBudget::new(ANSWERS_MAX_BYTES, 0),
             peers,
             quorum,
             voter,
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -6,7 +6,6 @@
 use fulmarweir_pool::RelayReply;
 use fulmarweir_route::{AnswerSource, RefusalReason, RelayOutcome, RelayRefusal, merge_records};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
-use http_body_util::Full;
 
 use super::{
     driver::RelayResult,
@@ -78,7 +77,7 @@
     let Some(reply) = reply else {
         return text(StatusCode::BAD_GATEWAY, "no answer");
     };
-    let mut response = Response::new(Full::new(reply.body));
+    let mut response = Response::new(reply.body);
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
     strip_hop_by_hop_headers(response.headers_mut());
@@ -96,7 +95,7 @@
     let missing = parts.iter().filter(|part| part.is_none()).count();
     let merged = merge_parts(node, parts, result, top_k);
     let signatures = merged.signatures.join(&b", "[..]);
-    let mut response = Response::new(Full::new(Bytes::from(merged.records)));
+    let mut response = Response::new(Bytes::from(merged.records));
     let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_bytes(&signatures) {
         headers.insert(names.part_signatures.clone(), value);
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -9,8 +9,7 @@
 use fulmarweir_base::{MonoTime, lock};
 use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, TenantRule};
 use fulmarweir_route::PlacementRule;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
-use http_body_util::Full;
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri, header};
 use hyper::body::{Body, Incoming};
 
 use super::{
@@ -45,7 +44,7 @@
 pub(crate) async fn handle_caller(
     node: Arc<EntryNode>,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> RelayResponse {
     let _guard = node.track_request();
     let processed = process_request(&node, request).await;
     let mut response = processed.unwrap_or_else(|early| *early);
--- a/crates/daemon/src/relay/listen.rs
+++ b/crates/daemon/src/relay/listen.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use fulmarweir_bounds::{AnswerMemory, MemoryBudget};
+use fulmarweir_pool::reply_memory;
 use fulmarweir_wire::{PeerServer, TrafficClass, TrafficMeter};
 use http::StatusCode;
 
@@ -13,15 +15,22 @@
     keeper::KeeperNode,
     links::probe_for_other,
     response::{retry_later, text},
-    serve::{ConnectionBounds, serve_http},
+    serve::{ConnectionBounds, ListenerBounds, serve_http},
     tasks::RelayTasks,
     vm_message::{VmReply, VmRequest},
 };
-use crate::{error::Result, listener::bind};
+use crate::{
+    error::Result,
+    listener::{bind, main_connections, side_connections},
+};
 
 /// Added to the idle timeout that callers are told, in milliseconds, so that a connection is not
 /// closed while a caller sends a request on it.
 const CALLER_IDLE_SLACK_MS: u64 = 1_000;
+/// Memory of the answers of a listener that were not written yet, in bytes.
+const ANSWERS_MAX_BYTES: usize = 32 * 1024 * 1024;
+/// The same for readiness checks and metrics.
+const SIDE_ANSWERS_MAX_BYTES: usize = 4 * 1024 * 1024;
 /// Limits of connections of callers while there is no configuration, and of all other connections.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
 const IDLE_TIMEOUT_MS: u64 = 30_000;
@@ -41,7 +50,13 @@
         let handler = move |request| handle_caller(Arc::clone(&shared), request);
         let bounds_node = Arc::clone(node);
         let bounds = move || caller_bounds(&bounds_node);
-        let serve = serve_http(listener, handler, bounds, tasks.stop_listeners.clone());
+        let serve = serve_http(
+            listener,
+            handler,
+            main_bounds(),
+            bounds,
+            tasks.stop_listeners.clone(),
+        );
         tasks.listeners.push(tokio::spawn(serve));
     }
     if let Some(address) = node.settings.ready {
@@ -59,7 +74,13 @@
             }
         };
         // Stopped with the loops, so that readiness checks are answered until the end.
-        let serve = serve_http(listener, handler, default_bounds, tasks.stop.clone());
+        let serve = serve_http(
+            listener,
+            handler,
+            side_bounds(),
+            default_bounds,
+            tasks.stop.clone(),
+        );
         tasks.loops.push(tokio::spawn(serve));
     }
     if let Some(address) = node.settings.metrics {
@@ -85,6 +106,7 @@
         let serve = serve_http(
             listener,
             handler,
+            main_bounds(),
             default_bounds,
             tasks.stop_listeners.clone(),
         );
@@ -154,6 +176,28 @@
     }
 }
 
+/// Returns what connections of callers, or of targets and operators, may hold.
+fn main_bounds() -> ListenerBounds {
+    ListenerBounds {
+        connections: main_connections(),
+        answers: AnswerMemory {
+            answers: MemoryBudget::new(ANSWERS_MAX_BYTES, 0),
+            replies: Some(reply_memory().clone()),
+        },
+    }
+}
+
+/// Returns what connections of readiness checks, or of readers of metrics, may hold.
+fn side_bounds() -> ListenerBounds {
+    ListenerBounds {
+        connections: side_connections(),
+        answers: AnswerMemory {
+            answers: MemoryBudget::new(SIDE_ANSWERS_MAX_BYTES, 0),
+            replies: None,
+        },
+    }
+}
+
 fn default_bounds() -> ConnectionBounds {
     ConnectionBounds {
         head_max_bytes: HEAD_MAX_BYTES,
@@ -174,6 +218,7 @@
     let serve = serve_http(
         listener,
         handler,
+        side_bounds(),
         default_bounds,
         tasks.stop_listeners.clone(),
     );
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -4,17 +4,16 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
-use http_body_util::Full;
 
 /// `Retry-After` of responses to targets and operators after a failure, in milliseconds.
 const UNAVAILABLE_RETRY_MS: u64 = 200;
 
 /// A response with a complete body.
-pub(crate) type RelayResponse = Response<Full<Bytes>>;
+pub(crate) type RelayResponse = Response<Bytes>;
 
 /// Returns a response with a text body.
 pub(crate) fn text(status: StatusCode, body: impl Into<Bytes>) -> RelayResponse {
-    let mut response = Response::new(Full::new(body.into()));
+    let mut response = Response::new(body.into());
     *response.status_mut() = status;
     response
 }
--- a/crates/daemon/src/relay/serve.rs
+++ b/crates/daemon/src/relay/serve.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use fulmarweir_bounds::{AnswerMemory, ConnectionTable, TrackedStream};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -10,7 +11,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::listener::accept_until;
@@ -27,39 +28,62 @@
     pub(crate) idle_timeout: Duration,
 }
 
-/// Serves the requests of all connections to `listener` until `stop`.
+/// What the connections to a listener may hold.
+pub(crate) struct ListenerBounds {
+    pub(crate) connections: ConnectionTable,
+    /// Memory of answers until they were written.
+    pub(crate) answers: AnswerMemory,
+}
+
+/// Serves the requests of all connections to `listener` until `stop`. Each request has its
+/// [`fulmarweir_bounds::TrackedConnection`] as an extension.
 ///
 /// Then requests in flight are finished with `Connection: close`, and idle connections are closed.
 /// `bounds` is called for each new connection.
 pub(crate) async fn serve_http<H, F>(
     listener: TcpListener,
     handler: H,
+    listener_bounds: ListenerBounds,
     bounds: impl Fn() -> ConnectionBounds,
     stop: CancellationToken,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    F: Future<Output = Response<Bytes>> + Send + 'static,
 {
     let handler = Arc::new(handler);
-    let serve = |stream, graceful: &GracefulShutdown, tasks: &TaskTracker| {
-        serve_connection(stream, Arc::clone(&handler), bounds(), graceful, tasks);
+    let ListenerBounds {
+        connections,
+        answers,
+    } = listener_bounds;
+    let serve = |stream: TrackedStream, graceful: &GracefulShutdown, tasks: &TaskTracker| {
+        let (handler, answers) = (Arc::clone(&handler), answers.clone());
+        serve_connection(stream, handler, answers, bounds(), graceful, tasks);
     };
-    accept_until(listener, serve, stop).await;
+    accept_until(listener, connections, serve, stop).await;
 }
 
 fn serve_connection<H, F>(
-    stream: TcpStream,
+    stream: TrackedStream,
     handler: Arc<H>,
+    answers: AnswerMemory,
     bounds: ConnectionBounds,
     graceful: &GracefulShutdown,
     tasks: &TaskTracker,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
-    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    F: Future<Output = Response<Bytes>> + Send + 'static,
 {
-    let service = service_fn(move |request| {
+    let tracked = stream.connection();
+    let closed = tracked.closed().clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Arc::clone(&tracked));
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let (tracked, answers) = (Arc::clone(&tracked), answers.clone());
+        async move {
+            let answer = answer.await;
+            let body = |body| Full::new(tracked.track_answer(body, &answers));
+            Ok::<_, Infallible>(answer.map(body))
+        }
     });
     // The timeout for reading a request head also runs while the connection is idle.
     let connection = http1::Builder::new()
@@ -69,7 +93,10 @@
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
     tasks.spawn(async move {
-        // A caller that closed its connection cannot be told of an error.
-        let _ = watched.await;
+        tokio::select! {
+            // A caller that closed its connection cannot be told of an error.
+            _ = watched => {}
+            () = closed.cancelled() => {}
+        }
     });
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,6 +4,7 @@
 
 use error_stack::ResultExt;
 use fulmarweir_base::TimerService;
+use fulmarweir_bounds::AnswerMemory;
 use fulmarweir_conf::VmSettings;
 use fulmarweir_wire::PeerServer;
 use slog::{info, warn};
@@ -23,7 +24,7 @@
     error::{DaemonError, Result},
     fleet_driver::{leave_fleet, run_fleet},
     lifecycle::LifecycleEvent,
-    listener::{bind, serve_http},
+    listener::{bind, main_connections, serve_http, share_of_connections, side_connections},
     logging::build_logger,
     node::NodeState,
     operator_api::operator_router,
@@ -33,6 +34,8 @@
 };
 
 const EXIT_SECOND_SIGNAL: i32 = 130;
+/// Share of the descriptors for connections of targets: one in this many.
+const TARGETS_DIVISOR: usize = 8;
 /// Requests in flight are answered this long before the end of the drain, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 150;
 
@@ -77,11 +80,35 @@
 
     let node = NodeState::new(settings, log, TimerService::new())?;
     let stop = CancellationToken::new();
-    let serve = |listener, router| tokio::spawn(serve_http(listener, router, stop.clone()));
+    let serve = |listener, connections, router| {
+        let answers = AnswerMemory {
+            answers: node.answer_memory.clone(),
+            replies: None,
+        };
+        tokio::spawn(serve_http(
+            listener,
+            connections,
+            answers,
+            router,
+            stop.clone(),
+        ))
+    };
     let listeners = vec![
-        serve(callers, caller_router(Arc::clone(&node))),
-        serve(targets, announce_router(Arc::clone(&node))),
-        serve(operators, operator_router(Arc::clone(&node))),
+        serve(
+            callers,
+            main_connections(),
+            caller_router(Arc::clone(&node)),
+        ),
+        serve(
+            targets,
+            share_of_connections(TARGETS_DIVISOR),
+            announce_router(Arc::clone(&node)),
+        ),
+        serve(
+            operators,
+            side_connections(),
+            operator_router(Arc::clone(&node)),
+        ),
     ];
     let stop_peers = CancellationToken::new();
     let peers = tokio::spawn(serve_peers(Arc::clone(&node), peers, stop_peers.clone()));
