Share the body of a request with its handovers

Cause: each handover copied the body of its request, and each VM that took one copied it again. None of these copies counted as memory of the request.

Change: handovers hold a reference to the body. Their bytes are the same; the recorded frames cover them.

--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use fulmarweir_base::lock;
 use fulmarweir_conf::{RouteDestination, RouteRule};
 use fulmarweir_pool::{RelayReply, is_final_status};
@@ -66,7 +65,7 @@
         method: message.method.as_str().to_owned(),
         uri: message.uri.to_string(),
         headers: encode_headers(&message.headers),
-        body: message.body.to_vec(),
+        body: message.body.clone(),
         answer_in_ms: millis(answer_in),
         time_left_ms: millis(routed.times.deadline.since(now)),
         has_homes: !message.placement.is_unrestricted(),
@@ -120,7 +119,7 @@
         method: Method::from_bytes(request.method.as_bytes()).ok()?,
         uri: request.uri.parse().ok()?,
         headers,
-        body: Bytes::copy_from_slice(&request.body),
+        body: request.body.clone(),
         request_id,
         route: Arc::clone(&rule.name),
         idempotent: rule.idempotent,
@@ -202,7 +201,7 @@
     Some(TargetReplyMessage {
         status: reply.status.as_u16(),
         headers: encode_headers(&reply.headers),
-        body: reply.body.to_vec(),
+        body: reply.body.clone(),
         is_failure,
     })
 }
@@ -213,7 +212,7 @@
         // A VM of a build before may have taken any status for a reply.
         status: status.filter(|status| is_final_status(*status))?,
         headers: decode_headers(&message.headers)?,
-        body: message.body.into(),
+        body: message.body,
         on_reused_connection: false,
     })
 }
--- a/crates/daemon/src/relay/recorded_frames.rs
+++ b/crates/daemon/src/relay/recorded_frames.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use fulmarweir_fleet::{AnnouncedState, RegistryCursor, RegistryDelta, TargetAnnouncement};
 use fulmarweir_quorum::{
     Ballot, ConfigState, ProposerId, RegisterKey, RegisterValue, RequestBody, VoterIdentity,
@@ -205,7 +206,7 @@
         method: "POST".to_owned(),
         uri: "/find?x=1".to_owned(),
         headers: vec![("x-a".to_owned(), b"b".to_vec())],
-        body: b"request body".to_vec(),
+        body: Bytes::from_static(b"request body"),
         answer_in_ms: 800,
         time_left_ms: 1_950,
     }
@@ -224,7 +225,7 @@
         reply: Some(TargetReplyMessage {
             status: 207,
             headers: vec![("x-c".to_owned(), b"d".to_vec())],
-            body: b"reply body".to_vec(),
+            body: Bytes::from_static(b"reply body"),
             is_failure: true,
         }),
         links_lost: true,
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use bytes::Bytes;
 use fulmarweir_fleet::{RegistryCursor, RegistryDelta, TargetAnnouncement};
 use fulmarweir_permits::{RateAsk, RateGrant};
 use fulmarweir_quorum::{VoterReply, VoterRequest, VoterSet};
@@ -131,7 +132,7 @@
     pub(crate) method: String,
     pub(crate) uri: String,
     pub(crate) headers: Vec<(String, Vec<u8>)>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Bytes,
     /// Time until the broker replies with the answers that it has by then, in milliseconds.
     pub(crate) answer_in_ms: u64,
     /// Time until the caller's deadline, in milliseconds.
@@ -157,7 +158,7 @@
 pub(crate) struct TargetReplyMessage {
     pub(crate) status: u16,
     pub(crate) headers: Vec<(String, Vec<u8>)>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Bytes,
     /// Whether it is a failure of the target.
     pub(crate) is_failure: bool,
 }
@@ -405,7 +406,7 @@
             method: "GET".to_owned(),
             uri: "/find/a".to_owned(),
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Bytes::new(),
             answer_in_ms: 100,
             time_left_ms: 1_000,
             has_homes,
