Bound the memory of request bodies of all connections together

Symptom: 600 callers whose bodies stop short of the end shut all others out of an entry VM (503), as requests count as in flight before they were read; their bodies take up to 392 MB. Configurations that stop short take a keeper to 378 MB, where 256 MB are allowed.

Cause: a body is bounded to 256 KiB (6 MiB for a configuration), the bodies of all connections are not, and reading one had no time limit.

Change: bodies lease their memory before it is allocated, 24 MB on an entry VM (more if the configuration allows bodies that would not fit twice) and 64 MB on a keeper, until the last attempt has dropped them. A body that finds none is refused with 503 and Retry-After, one that does not arrive by the deadline of its request with 408. Neither has run. The rest of a refused body is read and dropped for a second at most, so that a caller that is still sending reads the refusal. Requests count as in flight when their bodies are there. Whether a route exists, and whether this VM is overloaded, is checked before a body is read. Decoding and deciding a configuration leases three times its length.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod active_config;
 mod admission;
 mod announce_api;
+mod body;
 mod caller_api;
 mod caller_error;
 mod caller_request;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -9,7 +9,6 @@
 mod adapter;
 mod answer;
 mod attempt_loss;
-mod body;
 mod broker;
 mod broker_directory;
 mod budget_log;
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -7,22 +7,23 @@
 
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, lock};
+use fulmarweir_bounds::TrackedConnection;
 use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, TenantRule};
 use fulmarweir_route::PlacementRule;
-use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri, header, request};
 use hyper::body::{Body, Incoming};
 
 use super::{
     answer::strip_hop_by_hop_headers,
-    body::{BodyFault, read_body},
     driver::RelayMessage,
     entry::EntryNode,
     identify::{identify_caller, identity_refusal, priority_of, set_tenant_headers},
     quota::admit_within_quota,
     request_account::{EarlyRequest, RequestTimes, refuse_early, refuse_for_quota},
-    response::{RelayResponse, retry_later, text},
+    response::{RelayResponse, retry_later, retry_with_status, text},
     routed::{RoutedRequest, run_routed},
 };
+use crate::body::{BodyBounds, BodyFault, drop_rest, read_body};
 
 /// Time reserved for building the response and sending it to the caller, in milliseconds.
 const RESPONSE_MARGIN_MS: u64 = 18;
@@ -37,6 +38,14 @@
 /// `Retry-After` of responses while this VM has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 300;
 
+/// `Retry-After` of responses while there is no memory for a body, in milliseconds.
+const NO_MEMORY_RETRY_MS: u64 = 100;
+/// The most urgent priority.
+const PRIORITY_HIGHEST: u32 = 0;
+
+/// Why a body was not read, and the response.
+type BodyRefusal = (&'static str, EarlyResponse);
+
 /// A response to a request that is not relayed.
 type EarlyResponse = Box<RelayResponse>;
 
@@ -45,7 +54,6 @@
     node: Arc<EntryNode>,
     request: Request<Incoming>,
 ) -> RelayResponse {
-    let _guard = node.track_request();
     let processed = process_request(&node, request).await;
     let mut response = processed.unwrap_or_else(|early| *early);
     if node.is_stopping() {
@@ -80,14 +88,17 @@
             retry_later("no configuration yet", pause),
         ));
     };
-    let body = read_request_body(body, &head.headers, table.limits.body_max_bytes)
+    let body = read_request_body(node, &table, &head, arrived_at, body)
         .await
-        .map_err(|response| early("bad-body", response))?;
+        .map_err(|(reason, response)| early(reason, *response))?;
+    // A request whose body has not arrived takes no place from others.
+    let _in_flight = node.track_request();
+    let connection = head.extensions.get::<Arc<TrackedConnection>>();
+    let _run = connection.map(TrackedConnection::begin_run);
     // A slow body may have taken longer than a change of the configuration.
     let table = node.table().unwrap_or(table);
     let Some(rule) = find_rule(&table, &head.uri, &head.headers) else {
-        let response = text(StatusCode::NOT_FOUND, "no route for this host and path");
-        return Err(early("no-route", response));
+        return Err(early("no-route", no_route()));
     };
     let Some(request_id) = request_id.clone() else {
         let response = text(StatusCode::BAD_REQUEST, "no request id");
@@ -166,28 +177,90 @@
     pause.map_or(Ok(()), |pause| Err(("vm-overloaded", pause)))
 }
 
-/// Reads a request body of at most `limit` bytes. Rejects it unread if `Content-Length` exceeds
-/// the limit.
+/// Reads the body of a request. Returns the reason and the response if it is refused; it has not run then.
 async fn read_request_body(
+    node: &EntryNode,
+    table: &RouteTable,
+    head: &request::Parts,
+    arrived_at: MonoTime,
     body: Incoming,
-    headers: &HeaderMap,
-    limit: usize,
-) -> Result<Bytes, RelayResponse> {
+) -> Result<Bytes, BodyRefusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let too_large = || text(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
-    let stated = headers.get(header::CONTENT_LENGTH);
+    let bounds = match body_bounds(node, table, head, arrived_at) {
+        Ok(bounds) => bounds,
+        Err(refusal) => {
+            // A caller that waits for a leave to send the body gets the refusal instead.
+            if !head.headers.contains_key(header::EXPECT) {
+                drop_rest(body, &node.detached_tasks);
+            }
+            return Err(refusal);
+        }
+    };
+    read_body(body, &bounds)
+        .await
+        .map_err(|fault| body_refusal(node, fault))
+}
+
+/// Returns what bounds the body of a request, or a refusal that needs no body.
+fn body_bounds<'a>(
+    node: &'a EntryNode,
+    table: &RouteTable,
+    head: &request::Parts,
+    arrived_at: MonoTime,
+) -> Result<BodyBounds<'a>, BodyRefusal> {
+    let max_bytes = table.limits.body_max_bytes;
+    let stated = head.headers.get(header::CONTENT_LENGTH);
     let stated = stated.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if stated.is_some_and(|length| length > limit) {
-        return Err(too_large());
+    if stated.is_some_and(|length| length > max_bytes) {
+        return Err(body_refusal(node, BodyFault::TooLarge));
     }
-    read_body(body, limit).await.map_err(|fault| match fault {
-        BodyFault::TooLarge => too_large(),
-        BodyFault::Broken => text(StatusCode::BAD_REQUEST, "request body broke off"),
+    let Some(rule) = find_rule(table, &head.uri, &head.headers) else {
+        return Err(("no-route", Box::new(no_route())));
+    };
+    let in_flight = node.in_flight.load(Relaxed);
+    // The tenant may have the highest priority.
+    if let Some(pause) = lock(&node.lag).overload_pause(PRIORITY_HIGHEST, in_flight) {
+        let reason = "vm-overloaded";
+        return Err((reason, Box::new(retry_later(reason, pause))));
+    }
+    let times = request_times(node, &rule, &head.headers, arrived_at);
+    Ok(BodyBounds {
+        max_bytes,
+        timeout: times.deadline.since(node.timer.now()),
+        memory: &node.request_memory,
+        tasks: &node.detached_tasks,
     })
 }
 
+fn body_refusal(node: &EntryNode, fault: BodyFault) -> BodyRefusal {
+    let (reason, response) = match fault {
+        BodyFault::TooLarge => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            ("bad-body", text(status, "request body too large"))
+        }
+        BodyFault::Broken => {
+            let status = StatusCode::BAD_REQUEST;
+            ("bad-body", text(status, "request body broke off"))
+        }
+        BodyFault::TimedOut => {
+            let (status, pause) = (StatusCode::REQUEST_TIMEOUT, Duration::ZERO);
+            let response = retry_with_status(status, "request body too late", pause);
+            ("late-body", response)
+        }
+        BodyFault::NoMemory => {
+            let pause = Duration::from_millis(NO_MEMORY_RETRY_MS) + lock(&node.lag).lag();
+            ("no-memory", retry_later("no memory for the body", pause))
+        }
+    };
+    (reason, Box::new(response))
+}
+
+fn no_route() -> RelayResponse {
+    text(StatusCode::NOT_FOUND, "no route for this host and path")
+}
+
 fn find_rule(table: &RouteTable, uri: &Uri, headers: &HeaderMap) -> Option<Arc<RouteRule>> {
     let named = headers
         .get(header::HOST)
--- a/crates/daemon/src/relay/control.rs
+++ b/crates/daemon/src/relay/control.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use fulmarweir_bounds::TrackedConnection;
 use fulmarweir_fleet::{AnnounceOutcome, AnnouncedState};
 use fulmarweir_quorum::EvacuationOrder;
 use http::{Request, StatusCode};
@@ -11,22 +12,30 @@
 
 use super::{
     adapter::ControlCall,
-    body::read_body,
     evacuations::{answer_order, confirm_before_config},
     keeper::KeeperNode,
     quarantine_api::{answer_quarantine_call, quarantine_call},
     response::{RelayResponse, json, text, unavailable},
 };
-use crate::metrics::OutcomeLabel;
+use crate::{
+    body::{BodyBounds, BodyFault, read_body},
+    metrics::OutcomeLabel,
+};
 
 /// Largest configuration document, in bytes.
 const DOCUMENT_MAX_BYTES: usize = 6 * 1024 * 1024;
 /// Largest announcement, in bytes.
 const ANNOUNCEMENT_MAX_BYTES: usize = 64 * 1024;
+/// Time limit for the body of a call, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 10_000;
+/// Memory that is needed to decode a configuration and to send it to the voters, as a multiple of its length.
+const DOCUMENT_WORK_FACTOR: usize = 3;
 /// Time limit for the voters to decide a configuration, in milliseconds.
 const SUBMIT_TIMEOUT_MS: u64 = 3_000;
 /// Time limit for the voters to confirm the configuration for a read, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 900;
+/// Why a call is refused while others use the memory for calls.
+const NO_MEMORY: &str = "no memory for the body";
 /// Why a departure or an order is not acknowledged yet.
 pub(super) const NOT_REPLICATED: &str = "too few keepers have stored it";
 
@@ -54,9 +63,22 @@
         Some(ControlCall::WriteConfig) => DOCUMENT_MAX_BYTES,
         _ => ANNOUNCEMENT_MAX_BYTES,
     };
-    let Ok(body) = read_body(body, limit).await else {
-        return text(StatusCode::PAYLOAD_TOO_LARGE, "body too large or cut short");
+    let bounds = BodyBounds {
+        max_bytes: limit,
+        timeout: Duration::from_millis(BODY_TIMEOUT_MS),
+        memory: &node.call_memory,
+        tasks: &node.copy_tasks,
+    };
+    let body = match read_body(body, &bounds).await {
+        Ok(body) => body,
+        Err(BodyFault::NoMemory) => return unavailable(NO_MEMORY),
+        Err(BodyFault::TimedOut) => return text(StatusCode::REQUEST_TIMEOUT, "body too late"),
+        Err(BodyFault::TooLarge | BodyFault::Broken) => {
+            return text(StatusCode::PAYLOAD_TOO_LARGE, "body too large or cut short");
+        }
     };
+    let connection = head.extensions.get::<Arc<TrackedConnection>>();
+    let _run = connection.map(TrackedConnection::begin_run);
     match call {
         Some(ControlCall::Announce(id)) => announce(&node, &id, &body).await,
         Some(ControlCall::Withdraw(id)) => {
@@ -128,6 +150,10 @@
 }
 
 async fn write_config(node: &KeeperNode, body: &[u8]) -> RelayResponse {
+    let mut work = node.call_memory.lease();
+    if work.grow_to(body.len() * DOCUMENT_WORK_FACTOR).is_err() {
+        return unavailable(NO_MEMORY);
+    }
     let table = match (node.adapter.decode_config)(body) {
         Ok(table) => table,
         Err(fault) => {
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -11,6 +11,7 @@
 };
 
 use fulmarweir_base::{MonoTime, TimerService, lock};
+use fulmarweir_bounds::MemoryBudget;
 use fulmarweir_conf::{RelaySettings, RouteTable};
 use fulmarweir_fleet::{ConfigAssurance, MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
@@ -41,6 +42,11 @@
     vm_message::PollReply,
 };
 
+/// Memory of the bodies of all requests, in bytes.
+const REQUESTS_MAX_BYTES: usize = 24 * 1024 * 1024;
+/// Largest body that may use all of it, in bytes; larger ones leave a part free.
+const SMALL_BODY_BYTES: usize = 16 * 1024;
+
 /// How long a keeper's count of entry VMs is used, in milliseconds.
 const ENTRY_COUNT_TTL_MS: u64 = 6_000;
 /// Time without an answer of any keeper after which `keepers-lost` is logged, in milliseconds.
@@ -104,6 +110,8 @@
     /// Attempts that continue after their request was answered, and probes of brokers.
     pub(crate) detached_tasks: TaskTracker,
     pub(crate) in_flight: AtomicU64,
+    /// Memory of the bodies of requests.
+    pub(crate) request_memory: MemoryBudget,
     table: Mutex<Option<Arc<RouteTable>>>,
     config_assurance: Mutex<ConfigAssurance>,
     broker_directory: Mutex<BrokerDirectory>,
@@ -173,6 +181,7 @@
             evacuations: EvacuationView::default(),
             detached_tasks: TaskTracker::new(),
             in_flight: AtomicU64::new(0),
+            request_memory: MemoryBudget::new(REQUESTS_MAX_BYTES, SMALL_BODY_BYTES),
             table: Mutex::default(),
             config_assurance: Mutex::default(),
             broker_directory: Mutex::default(),
@@ -482,6 +491,8 @@
             let names: HashSet<Arc<str>> =
                 table.routes().map(|rule| Arc::clone(&rule.name)).collect();
             lock(&self.latency_table).retain(|route| names.contains(route));
+            let body_max = table.limits.body_max_bytes.next_power_of_two();
+            self.request_memory.make_room_for(body_max);
             *held = Some(Arc::new(table));
         }
         self.metrics.config_version.set(version);
--- a/crates/daemon/src/relay/keeper.rs
+++ b/crates/daemon/src/relay/keeper.rs
@@ -9,6 +9,7 @@
 };
 
 use fulmarweir_base::{MonoTime, TimerService, lock, rendezvous_weight};
+use fulmarweir_bounds::MemoryBudget;
 use fulmarweir_conf::RelaySettings;
 use fulmarweir_fleet::{AnnounceOutcome, TargetAnnouncement, TargetRegistry};
 use fulmarweir_quorum::{QuorumClient, VoterService};
@@ -34,6 +35,11 @@
 };
 use crate::metrics::OutcomeLabel;
 
+/// Memory of the bodies of all calls of targets and operators, in bytes.
+const CALLS_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// Largest body that may use all of it, in bytes; larger ones leave a part free.
+const SMALL_BODY_BYTES: usize = 64 * 1024;
+
 /// How long an entry VM counts as alive after its last poll, in milliseconds.
 const ENTRY_TTL_MS: u64 = 4_500;
 
@@ -80,6 +86,8 @@
     pub(super) registry: Mutex<TargetRegistry>,
     pub(super) target_file: StateFile,
     pub(super) quarantine_file: StateFile,
+    /// Memory of the bodies of calls of targets and operators.
+    pub(super) call_memory: MemoryBudget,
     /// Calls that bring copies to other keepers.
     pub(super) copy_tasks: TaskTracker,
     /// Cancelled when calls in flight must be answered, as the process is about to exit.
@@ -122,6 +130,7 @@
             registry: Mutex::new(registry),
             target_file: StateFile::default(),
             quarantine_file: StateFile::default(),
+            call_memory: MemoryBudget::new(CALLS_MAX_BYTES, SMALL_BODY_BYTES),
             copy_tasks: TaskTracker::new(),
             exiting: CancellationToken::new(),
             config: Mutex::default(),
