Bound the memory of request bodies of a daemon

Symptom: 300 callers or operators whose bodies of 1 MiB stop short take fulmarweird to 177 to 231 MB, 300 streams on six connections to 320 MB. No end is in sight, since nothing bounds their sum or their time.

Cause: as on entry VMs: each body has a limit, all of them together have none.

Change: bodies of callers, targets and operators are read within 32 MB that they share (more if the settings allow bodies that would not fit twice) before a handler runs, with the refusals of entry VMs. The time limit is that of the caller, or 60 s.

--- a/crates/daemon/src/announce_api.rs
+++ b/crates/daemon/src/announce_api.rs
@@ -19,6 +19,7 @@
     fleet_driver::apply_announcement,
     metrics::OutcomeLabel,
     node::NodeState,
+    request_body::with_bodies,
 };
 
 /// Maximum size of an announcement, in bytes.
@@ -26,9 +27,9 @@
 
 /// Returns the router of the targets' listener.
 pub(crate) fn announce_router(node: Arc<NodeState>) -> Router {
-    Router::new()
-        .route("/v1/announce", post(handle_announcement))
-        .layer(DefaultBodyLimit::max(ANNOUNCEMENT_MAX_BYTES))
+    let router = Router::new().route("/v1/announce", post(handle_announcement));
+    with_bodies(router, &node, ANNOUNCEMENT_MAX_BYTES)
+        .layer(DefaultBodyLimit::disable())
         .with_state(node)
 }
 
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/caller_api.rs
@@ -21,15 +21,17 @@
     caller_error::{CallerError, Result},
     caller_request::{CallerRequest, RawRequest},
     node::NodeState,
+    request_body::with_bodies,
     search::run_search,
 };
 
 /// Returns the router of the callers' listener.
 pub(crate) fn caller_router(node: Arc<NodeState>) -> Router {
-    Router::new()
+    let router = Router::new()
         .route("/v1/search/{*service}", post(handle_search))
-        .route("/v1/act/{*service}", post(handle_act))
-        .layer(DefaultBodyLimit::max(node.settings.body_max_bytes))
+        .route("/v1/act/{*service}", post(handle_act));
+    with_bodies(router, &node, node.settings.body_max_bytes)
+        .layer(DefaultBodyLimit::disable())
         .with_state(node)
 }
 
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -25,6 +25,9 @@
 /// Maximum length of a key, an idempotency key or a request id, in bytes.
 const TOKEN_MAX_BYTES: usize = 256;
 
+/// Header with the time that the caller waits, in milliseconds.
+const DEADLINE_HEADER: &str = "fulmarweir-deadline-ms";
+
 /// Query parameters of a request.
 #[derive(Debug, Deserialize)]
 pub(crate) struct QueryParams {
@@ -108,7 +111,7 @@
             let status = StatusCode::BAD_REQUEST;
             return Err(CallerError::refused(status, "wrong-kind", message));
         }
-        let time_limit = number_header(headers, "fulmarweir-deadline-ms")?;
+        let time_limit = number_header(headers, DEADLINE_HEADER)?;
         let now = node.timer.now();
         Ok(Self {
             nested: check_dependency(node, &service_config, headers)?,
@@ -195,6 +198,12 @@
     number.map(Some).ok_or_else(fault)
 }
 
+/// Returns the time limit that a request states, if it is valid.
+pub(crate) fn stated_time_limit(headers: &HeaderMap) -> Option<Duration> {
+    let millis = number_header(headers, DEADLINE_HEADER).ok()??;
+    Some(Duration::from_millis(millis))
+}
+
 fn token_header(headers: &HeaderMap, name: &'static str) -> Result<Option<Arc<str>>> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod program;
 mod relay;
 mod remote_centre;
+mod request_body;
 mod run;
 mod run_driver;
 mod search;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -37,6 +37,10 @@
 };
 
 const VOTER_FOLDER: &str = "voter";
+/// Memory of the bodies of all requests, in bytes; more if that is less than two of the largest ones.
+const REQUESTS_MAX_BYTES: usize = 32 * 1024 * 1024;
+/// Largest body that may use all of it, in bytes; larger ones leave a part free.
+const SMALL_BODY_BYTES: usize = 16 * 1024;
 /// Memory of all answers that were not written yet, in bytes.
 const ANSWERS_MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Timeout of a call to a voter over the network, in milliseconds.
@@ -65,8 +69,12 @@
     pub(crate) sync_lock: Mutex<()>,
     pub(crate) pools: PoolTable,
     pub(crate) admission_queues: AdmissionTable,
+    /// Memory of the bodies of requests.
+    pub(crate) request_memory: MemoryBudget,
     /// Memory of answers that were not written yet.
     pub(crate) answer_memory: MemoryBudget,
+    /// What reads the rest of refused bodies.
+    pub(crate) body_tasks: TaskTracker,
     pub(crate) peers: DaemonPeers,
     pub(crate) quorum: QuorumClient,
     /// The voter of this VM, if it has a data folder.
@@ -112,7 +120,9 @@
             sync_lock: Mutex::default(),
             pools: PoolTable::new(timer.clone()),
             admission_queues: AdmissionTable::new(route_policy(&settings.policy)),
+            request_memory: MemoryBudget::new(REQUESTS_MAX_BYTES, SMALL_BODY_BYTES),
             answer_memory: MemoryBudget::new(ANSWERS_MAX_BYTES, 0),
+            body_tasks: TaskTracker::new(),
             peers,
             quorum,
             voter,
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -19,6 +19,7 @@
     config_change::{ChangeRequest, ConfigChangeOutcome, read_changes, submit_change},
     lifecycle::LifecyclePhase,
     node::NodeState,
+    request_body::with_bodies,
     status::{status_report, target_report, update_gauges},
 };
 
@@ -31,17 +32,16 @@
         .route("/v1/config", get(show_config).put(handle_change))
         .route("/v1/config/history", get(show_history))
         .route("/v1/status", get(show_status))
-        .route("/v1/targets", get(show_targets))
-        .layer(middleware::from_fn_with_state(
-            Arc::clone(&node),
-            check_bearer_token,
-        ));
+        .route("/v1/targets", get(show_targets));
+    let protected = with_bodies(protected, &node, TEXT_MAX_BYTES + 1).layer(
+        middleware::from_fn_with_state(Arc::clone(&node), check_bearer_token),
+    );
     Router::new()
         .merge(protected)
         .route("/metrics", get(show_metrics))
         .route("/healthz", get(async || "ok\n"))
         .route("/readyz", get(show_readiness))
-        .layer(DefaultBodyLimit::max(TEXT_MAX_BYTES + 1))
+        .layer(DefaultBodyLimit::disable())
         .with_state(node)
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -178,6 +178,8 @@
     for listener in tasks.listeners {
         let _ = listener.await;
     }
+    node.body_tasks.close();
+    node.body_tasks.wait().await;
     node.act_tasks.close();
     node.act_tasks.wait().await;
     // From here on new attempts of peers are refused, so that the peers use other brokers.
