Bound the heads of requests to a daemon

Cause: the HTTP library keeps up to 400 KB of a head that does not end, for each connection.

Change: heads have at most 16 KB, and targets at most 512 connections.

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -35,6 +35,10 @@
 
 /// Timeout for receiving a request head, in seconds.
 const HEADER_TIMEOUT_S: u64 = 10;
+/// Largest request head, in bytes. A larger one is answered with status 431.
+const HEAD_MAX_BYTES: usize = 16 * 1024;
+/// The same over HTTP/2, as the protocol counts it.
+const HEAD_LIST_MAX_BYTES: u32 = 16 * 1024;
 /// Pause after a failed accept, in milliseconds. Accepting fails when the process runs out of file
 /// descriptors.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -63,19 +67,18 @@
 
 /// Returns a table for the connections of callers, or of targets and operators.
 pub(crate) fn main_connections() -> ConnectionTable {
-    share_of_connections(MAIN_DIVISOR)
+    share_of_connections(MAIN_DIVISOR, CONNECTIONS_MAX)
 }
 
-/// Returns a table for one in `divisor` of the descriptors of this process.
-pub(crate) fn share_of_connections(divisor: usize) -> ConnectionTable {
+/// Returns a table for one in `divisor` of the descriptors of this process, at most `connections_max`.
+pub(crate) fn share_of_connections(divisor: usize, connections_max: usize) -> ConnectionTable {
     let share = descriptors_max() / divisor;
-    ConnectionTable::new(share.clamp(1, CONNECTIONS_MAX))
+    ConnectionTable::new(share.clamp(1, connections_max))
 }
 
 /// Returns a table for the connections of readiness checks, or for metrics.
 pub(crate) fn side_connections() -> ConnectionTable {
-    let share = descriptors_max() / SIDE_DIVISOR;
-    ConnectionTable::new(share.clamp(1, SIDE_CONNECTIONS_MAX))
+    share_of_connections(SIDE_DIVISOR, SIDE_CONNECTIONS_MAX)
 }
 
 /// Binds a listener to `address` and returns it with the bound address. Its connections have a receive buffer of
@@ -232,8 +235,12 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S));
-    builder.http2().timer(TokioTimer::new());
+        .header_read_timeout(Duration::from_secs(HEADER_TIMEOUT_S))
+        .max_buf_size(HEAD_MAX_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(HEAD_LIST_MAX_BYTES);
     let connection = stream.connection();
     let closed = connection.closed().clone();
     let router = TowerToHyperService::new(router);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,6 +39,8 @@
 const EXIT_SECOND_SIGNAL: i32 = 130;
 /// Share of the descriptors for connections of targets: one in this many.
 const TARGETS_DIVISOR: usize = 8;
+/// Most connections of targets.
+const TARGETS_MAX: usize = 512;
 /// Requests in flight are answered this long before the end of the drain, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 150;
 
@@ -107,7 +109,7 @@
         serve(
             "targets",
             targets,
-            share_of_connections(TARGETS_DIVISOR),
+            share_of_connections(TARGETS_DIVISOR, TARGETS_MAX),
             announce_router(Arc::clone(&node)),
         ),
         serve(
--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -162,6 +162,21 @@
     daemon.tier.stop().await.unwrap();
 }
 
+/// Guards against heads that are kept for as long as they do not end.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_that_do_not_end_do_not_use_up_a_daemon() {
+    const CALLERS: usize = 600;
+    const HEAD_BYTES: usize = 390_000;
+    let daemon = CrowdedDaemon::start(None).await;
+    let callers = daemon.tier.daemons()[0].callers();
+    let mut request = b"GET / HTTP/1.1\r\nhost: t\r\nx-fill: ".to_vec();
+    request.resize(HEAD_BYTES, b'a');
+    daemon
+        .withstand(open_crowd(callers, CALLERS, request))
+        .await;
+    daemon.tier.stop().await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn acts_that_stop_short_do_not_use_up_a_daemon() {
     let daemon = CrowdedDaemon::start(None).await;
