Fit all budgets of a process into its memory together

Cause: the budgets of an entry VM, 24, 48, 24, 24, 32 and 8 MB, were 160 MB together, as much as its machine has: a bound on each and none on the sum once more.

A configuration raises the budget of bodies to 48 MB at most. Heads of calls between VMs have at most 16 KB instead of 16 MB.

Evidence: odd_entries passes.

--- a/crates/bounds/src/memory.rs
+++ b/crates/bounds/src/memory.rs
@@ -75,9 +75,10 @@
         Self(Arc::new(state))
     }
 
-    /// Raises the limit so that at least one lease of `bytes` fits.
-    pub fn make_room_for(&self, bytes: usize) {
-        let limit = bytes.saturating_mul(2);
+    /// Raises the limit so that a buffer of `bytes` fits, but not beyond `limit_max`.
+    pub fn make_room_for(&self, bytes: usize, limit_max: usize) {
+        let capacity = bytes.checked_next_power_of_two().unwrap_or(usize::MAX);
+        let limit = capacity.saturating_mul(2).min(limit_max);
         self.0.limit.fetch_max(limit, Relaxed);
     }
 
--- a/crates/bounds/tests/memory.rs
+++ b/crates/bounds/tests/memory.rs
@@ -25,8 +25,11 @@
 #[test]
 fn a_budget_has_room_for_a_body_of_the_largest_size() {
     let budget = MemoryBudget::new(LIMIT, SMALL);
-    budget.make_room_for(4 * LIMIT);
+    budget.make_room_for(4 * LIMIT, 8 * LIMIT);
     assert_eq!(budget.lease().grow_to(4 * LIMIT), Ok(()));
+    // A size that does not fit the memory of any machine.
+    budget.make_room_for(usize::MAX, 16 * LIMIT);
+    assert_eq!(budget.lease().grow_to(16 * LIMIT), Err(BudgetExhausted));
 }
 
 /// Load pattern: most transfers stop, one goes on.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -42,7 +42,7 @@
 /// Largest body that may use all of it, in bytes; larger ones leave a part free.
 const SMALL_BODY_BYTES: usize = 16 * 1024;
 /// Memory of all answers that were not written yet, in bytes.
-const ANSWERS_MAX_BYTES: usize = 32 * 1024 * 1024;
+const ANSWERS_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Timeout of a call to a voter over the network, in milliseconds.
 const VOTER_TIMEOUT_MS: u64 = 1000;
 
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -43,7 +43,9 @@
 };
 
 /// Memory of the bodies of all requests, in bytes.
-const REQUESTS_MAX_BYTES: usize = 24 * 1024 * 1024;
+const REQUESTS_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// The same if the configuration allows bodies that would not fit twice.
+const REQUESTS_CEILING_BYTES: usize = 48 * 1024 * 1024;
 /// Largest body that may use all of it, in bytes; larger ones leave a part free.
 const SMALL_BODY_BYTES: usize = 16 * 1024;
 
@@ -491,8 +493,9 @@
             let names: HashSet<Arc<str>> =
                 table.routes().map(|rule| Arc::clone(&rule.name)).collect();
             lock(&self.latency_table).retain(|route| names.contains(route));
-            let body_max = table.limits.body_max_bytes.next_power_of_two();
-            self.request_memory.make_room_for(body_max);
+            let body_max = table.limits.body_max_bytes;
+            let memory = &self.request_memory;
+            memory.make_room_for(body_max, REQUESTS_CEILING_BYTES);
             *held = Some(Arc::new(table));
         }
         self.metrics.config_version.set(version);
--- a/crates/daemon/src/relay/listen.rs
+++ b/crates/daemon/src/relay/listen.rs
@@ -32,9 +32,9 @@
 /// closed while a caller sends a request on it.
 const CALLER_IDLE_SLACK_MS: u64 = 1_000;
 /// Memory of the answers of a listener that were not written yet, in bytes.
-const ANSWERS_MAX_BYTES: usize = 32 * 1024 * 1024;
+const ANSWERS_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// The same for readiness checks and metrics.
-const SIDE_ANSWERS_MAX_BYTES: usize = 4 * 1024 * 1024;
+const SIDE_ANSWERS_MAX_BYTES: usize = 2 * 1024 * 1024;
 /// Limits of connections of callers while there is no configuration, and of all other connections.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
 const IDLE_TIMEOUT_MS: u64 = 30_000;
--- a/crates/daemon/src/request_body.rs
+++ b/crates/daemon/src/request_body.rs
@@ -20,6 +20,8 @@
     node::NodeState,
 };
 
+/// Most memory of the bodies of requests, in bytes: two of the largest that the settings can allow.
+const REQUESTS_CEILING_BYTES: usize = 128 * 1024 * 1024;
 /// Time limit for a body whose request states none, in seconds.
 const BODY_TIMEOUT_S: u64 = 60;
 /// `Retry-After` of requests whose bodies find no memory, in seconds.
@@ -38,7 +40,7 @@
     max_bytes: usize,
 ) -> Router<Arc<NodeState>> {
     node.request_memory
-        .make_room_for(max_bytes.next_power_of_two());
+        .make_room_for(max_bytes, REQUESTS_CEILING_BYTES);
     let reader = BodyReader {
         node: Arc::clone(node),
         max_bytes,
--- a/crates/pool/src/bounded_reply.rs
+++ b/crates/pool/src/bounded_reply.rs
@@ -35,7 +35,7 @@
 /// Largest reply body that may use all of [`REPLIES_MAX_BYTES`], of which larger ones leave a part free.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Memory of this process for all reply bodies, in bytes. A body that finds none left is given up.
-const REPLIES_MAX_BYTES: usize = 48 * 1024 * 1024;
+const REPLIES_MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Largest read buffer of a connection in bytes, and so the largest head of a reply.
 const READ_BUFFER_MAX_BYTES: usize = 128 * 1024;
 /// Most pieces of a reply body, so that a body of tiny chunks is given up long before its bytes are
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -1,5 +1,7 @@
 //! Reads and writes whole bodies on HTTP/2 streams.
 
+use std::sync::LazyLock;
+
 use bytes::Bytes;
 use fulmarweir_bounds::{LeasedBuffer, MemoryBudget};
 use futures::future::poll_fn;
@@ -7,8 +9,8 @@
 
 use crate::codec::MESSAGE_MAX_BYTES;
 
-/// Memory of the messages that a server or a client receives or sends, in bytes.
-const MESSAGES_MAX_BYTES: usize = 24 * 1024 * 1024;
+/// Memory of all messages that this process receives or sends, in bytes.
+const MESSAGES_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Largest message that may use all of it, in bytes; larger ones leave a part free.
 const SMALL_MESSAGE_BYTES: usize = 64 * 1024;
 
@@ -21,9 +23,12 @@
     NoMemory,
 }
 
-/// Returns the memory that the messages of a server or a client share.
-pub(crate) fn message_memory() -> MemoryBudget {
-    MemoryBudget::new(MESSAGES_MAX_BYTES, SMALL_MESSAGE_BYTES)
+static MESSAGE_MEMORY: LazyLock<MemoryBudget> =
+    LazyLock::new(|| MemoryBudget::new(MESSAGES_MAX_BYTES, SMALL_MESSAGE_BYTES));
+
+/// Returns the memory that the messages of all servers and clients of this process share.
+pub(crate) fn message_memory() -> &'static MemoryBudget {
+    &MESSAGE_MEMORY
 }
 
 /// Reads a whole body.
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -105,7 +105,7 @@
             versions: PeerVersionTable::default(),
             connection_count: AtomicU64::default(),
             meter,
-            memory: message_memory(),
+            memory: message_memory().clone(),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
         };
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -25,6 +25,8 @@
 const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
 const CONCURRENT_STREAMS_MAX: u32 = 4096;
+/// Largest head of a call, as the protocol counts it, in bytes.
+const HEAD_LIST_MAX_BYTES: u32 = 16 * 1024;
 /// Share of the descriptors of a process for connections of other daemons: one in this many.
 const CONNECTIONS_DIVISOR: usize = 4;
 /// Time limit for the message of a call, in milliseconds.
@@ -64,7 +66,7 @@
         let shared = ServerShared {
             handler,
             meter,
-            memory: message_memory(),
+            memory: message_memory().clone(),
             connections: ConnectionTable::new((descriptors_max() / CONNECTIONS_DIVISOR).max(1)),
             tasks: TaskTracker::new(),
             stop,
@@ -120,6 +122,7 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(CONCURRENT_STREAMS_MAX)
+        .max_header_list_size(HEAD_LIST_MAX_BYTES)
         .handshake(stream);
     let mut connection: Connection<TrackedStream, Bytes> = tokio::select! {
         () = shared.stop.cancelled() => return,
