--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -9,8 +9,9 @@
 
 use crate::codec::MESSAGE_MAX_BYTES;
 
-/// Memory of all messages that this process receives or sends, in bytes.
-const MESSAGES_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Memory of all messages that this process receives or sends, in bytes. A call and its reply of the largest size fit
+/// together.
+const MESSAGES_MAX_BYTES: usize = 24 * 1024 * 1024;
 /// Largest message that may use all of it, in bytes; larger ones leave a part free.
 const SMALL_MESSAGE_BYTES: usize = 64 * 1024;
 
