--- a/review/harness-3/cases/forgotten_keeper.rs
+++ b/review/harness-3/cases/forgotten_keeper.rs
@@ -16,7 +16,14 @@
 const SEEDS: [Host; 3] = [1, 2, 3];
 /// Entry VM in the zone of keeper 4.
 const ENTRY: Host = 14;
-const ZONES: [(&str, &str); 6] = [("z1", "r1"), ("z2", "r2"), ("z3", "r3"), ("z4", "r1"), ("z5", "r2"), ("z6", "r3")];
+const ZONES: [(&str, &str); 6] = [
+    ("z1", "r1"),
+    ("z2", "r2"),
+    ("z3", "r3"),
+    ("z4", "r1"),
+    ("z5", "r2"),
+    ("z6", "r3"),
+];
 
 const CUT_FOR: Duration = Duration::from_secs(36);
 /// `stableWindowMs` and `configApplyMs` of the deployments with six keepers, the longer ones.
@@ -25,7 +32,11 @@
 const REQUESTS: usize = 40;
 
 pub fn play(record: Record, has_trouble: bool) -> Verdict {
-    let settings = TierSettings { losses_max: 2, catch_up_s: 6, zones: ZONES.to_vec() };
+    let settings = TierSettings {
+        losses_max: 2,
+        catch_up_s: 6,
+        zones: ZONES.to_vec(),
+    };
     let mut tier = Tier::new(settings, record);
     for (keeper, (zone, _)) in KEEPERS.into_iter().zip(ZONES) {
         tier.start_keeper(keeper, zone, &SEEDS, true);
@@ -40,7 +51,10 @@
     }
     let services = ["counter", "ledger"];
     let first = document(1, &[route("counter", "counter")], &services, "");
-    if !tier.submit(&KEEPERS, 1, &first) || !tier.wait_ready(&[ENTRY]) || !wait_served(&tier, ENTRY, "counter") {
+    if !tier.submit(&KEEPERS, 1, &first)
+        || !tier.wait_ready(&[ENTRY])
+        || !wait_served(&tier, ENTRY, "counter")
+    {
         return Verdict::CouldNotRun("the tier did not start");
     }
     // Keepers join as voters, and servers report to the keeper of their zone.
@@ -49,7 +63,8 @@
         for host in [4, ENTRY] {
             tier.links.cut(host, 6);
         }
-        tier.record.line("cut: keeper 4 and entry 14 (z4) from keeper 6 (z6)");
+        tier.record
+            .line("cut: keeper 4 and entry 14 (z4) from keeper 6 (z6)");
     }
     sleep(CUT_FOR);
     tier.links.heal();
@@ -63,10 +78,16 @@
     sleep(CONFIG_APPLY + Duration::from_secs(1));
     let on_first = send_requests(&tier, ENTRY, "counter", "after", REQUESTS);
     let on_later = send_requests(&tier, ENTRY, "ledger", "after", REQUESTS);
-    tier.record.line(format!("served of {REQUESTS} on the first route: {on_first}, on the later one: {on_later}"));
+    tier.record.line(format!(
+        "served of {REQUESTS} on the first route: {on_first}, on the later one: {on_later}"
+    ));
     if !tier.all_run() || on_first < REQUESTS / 2 {
         return Verdict::CouldNotRun("the first route is not served, or a process ended");
     }
     // Less than a quarter as often as on the first route.
-    if on_later * 4 < on_first { Verdict::Broken } else { Verdict::Held }
+    if on_later * 4 < on_first {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/harness-3/cases/mod.rs
+++ b/review/harness-3/cases/mod.rs
@@ -3,8 +3,8 @@
 pub mod forgotten_keeper;
 pub mod promised_failure;
 pub mod repeated_id;
-pub mod replaced_grantor;
 pub mod same_name;
+pub mod split_burst;
 
 use std::{
     net::SocketAddr,
@@ -24,7 +24,9 @@
 
 /// Returns a configuration. `more` holds further fields, each followed by a comma.
 pub fn document(version: u64, routes: &[String], services: &[&str], more: &str) -> String {
-    let service = |name: &&str| format!("{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":100}}");
+    let service = |name: &&str| {
+        format!("{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":100}}")
+    };
     let services: Vec<String> = services.iter().map(service).collect();
     format!(
         "{{\"version\":{version},{more}\"routes\":[{}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\
@@ -43,7 +45,14 @@
         ("X-Fulmarweir-Deadline-Ms", "2000"),
     ];
     let path = format!("/{name}/{id}");
-    let answer = call_once(callers, "GET", &path, &headers, b"", Duration::from_millis(2_500));
+    let answer = call_once(
+        callers,
+        "GET",
+        &path,
+        &headers,
+        b"",
+        Duration::from_millis(2_500),
+    );
     answer.map_or(0, |answer| answer.status)
 }
 
@@ -53,7 +62,8 @@
     for number in 0..count {
         let id = format!("{label}-{vm}-{name}-{number}");
         let status = send_request(tier.callers(vm), name, &id);
-        tier.record.line(format!("request {id} on route {name} to vm {vm}: {status}"));
+        tier.record
+            .line(format!("request {id} on route {name} to vm {vm}: {status}"));
         served += usize::from(status / 100 == 2);
         sleep(Duration::from_millis(50));
     }
--- a/review/harness-3/cases/repeated_id.rs
+++ b/review/harness-3/cases/repeated_id.rs
@@ -31,7 +31,11 @@
 const REQUEST_PERIOD: Duration = Duration::from_millis(40);
 
 pub fn play(record: Record, has_trouble: bool) -> Verdict {
-    let settings = TierSettings { losses_max: 1, catch_up_s: 4, zones: ZONES.to_vec() };
+    let settings = TierSettings {
+        losses_max: 1,
+        catch_up_s: 4,
+        zones: ZONES.to_vec(),
+    };
     let mut tier = Tier::new(settings, record);
     for (keeper, (zone, _)) in KEEPERS.into_iter().zip(ZONES) {
         tier.start_keeper(keeper, zone, &KEEPERS, true);
@@ -41,27 +45,43 @@
     }
     // The service has no other server, so that all requests for it go to this one.
     let first = tier.start_silent_server(31, "i-31", "counter", "z1");
-    if !tier.submit(&KEEPERS, 1, &document(1, &[route("counter", "counter")], &["counter"], "")) {
+    if !tier.submit(
+        &KEEPERS,
+        1,
+        &document(1, &[route("counter", "counter")], &["counter"], ""),
+    ) {
         return Verdict::CouldNotRun("the configuration was not acknowledged");
     }
     let near = tier.control(KEEPERS[0]);
     for sequence in 1..=6 {
-        if first.send_heartbeat(near, &first.heartbeat(sequence)).is_none() {
+        if first
+            .send_heartbeat(near, &first.heartbeat(sequence))
+            .is_none()
+        {
             return Verdict::CouldNotRun("a heartbeat was not acknowledged");
         }
         sleep(HEARTBEAT_PERIOD);
     }
-    if !ENTRIES.iter().all(|entry| wait_served(&tier, *entry, "counter")) {
+    if !ENTRIES
+        .iter()
+        .all(|entry| wait_served(&tier, *entry, "counter"))
+    {
         return Verdict::CouldNotRun("the tier does not serve");
     }
     let has_left = first.send_departure(near);
-    tier.record.line(format!("server i-31 left at keeper {}, acknowledged: {has_left}", KEEPERS[0]));
+    tier.record.line(format!(
+        "server i-31 left at keeper {}, acknowledged: {has_left}",
+        KEEPERS[0]
+    ));
     sleep(DRAIN + AWAY_FOR);
     let id = if has_trouble { "i-31" } else { "i-32" };
     let again = tier.start_silent_server(32, id, "counter", "z1");
     // It knows nothing of before, and picks another keeper first.
     let named = again.send_heartbeat(tier.control(KEEPERS[1]), &again.heartbeat(1));
-    tier.record.line(format!("first heartbeat of {id} to keeper {}, told to go on at {named:?}", KEEPERS[1]));
+    tier.record.line(format!(
+        "first heartbeat of {id} to keeper {}, told to go on at {named:?}",
+        KEEPERS[1]
+    ));
     let Some(Some(named)) = named else {
         return Verdict::CouldNotRun("the first heartbeat was not acknowledged");
     };
@@ -82,7 +102,9 @@
     sleep(STAYS_FOR);
     let has_left = again.send_departure(named);
     let left_at = Instant::now();
-    tier.record.line(format!("server {id} left at {named}, acknowledged: {has_left}"));
+    tier.record.line(format!(
+        "server {id} left at {named}, acknowledged: {has_left}"
+    ));
     sleep(WATCHED_FOR);
     stop.store(true, Relaxed);
     for client in clients {
@@ -90,7 +112,9 @@
     }
     let runs = tier.runs.lock().unwrap();
     let at_server = runs.iter().filter(|run| run.address == again.address());
-    let delays: Vec<Duration> = at_server.map(|run| run.at.saturating_duration_since(left_at)).collect();
+    let delays: Vec<Duration> = at_server
+        .map(|run| run.at.saturating_duration_since(left_at))
+        .collect();
     drop(runs);
     let late = delays.iter().filter(|delay| **delay > DRAIN).count();
     let last = delays.iter().max().copied().unwrap_or_default();
@@ -101,7 +125,13 @@
         last.as_millis()
     ));
     if !has_left || delays.is_empty() || !tier.all_run() {
-        return Verdict::CouldNotRun("the server was not used, or its departure was not acknowledged");
+        return Verdict::CouldNotRun(
+            "the server was not used, or its departure was not acknowledged",
+        );
+    }
+    if late > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
     }
-    if late > 0 { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/harness-3/cases/same_name.rs
+++ b/review/harness-3/cases/same_name.rs
@@ -26,7 +26,9 @@
 const CONFIG_APPLY: Duration = Duration::from_millis(4_000);
 
 fn search(name: &str, host: &str, prefix: &str) -> String {
-    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("\"{prefix}{shard}\"")).collect();
+    let shards: Vec<String> = (0..SHARDS)
+        .map(|shard| format!("\"{prefix}{shard}\""))
+        .collect();
     format!(
         "{{\"name\":\"{name}\",\"host\":\"{host}\",\"pathPrefix\":\"/search/\",\"type\":\"idempotent\",\
          \"timeoutMs\":2000,\"sloMs\":500,\"priority\":1,\"gather\":[{}],\"maxAttempts\":2,\"topK\":5,\
@@ -36,7 +38,11 @@
 }
 
 pub fn play(record: Record, has_trouble: bool) -> Verdict {
-    let settings = TierSettings { losses_max: 1, catch_up_s: 4, zones: ZONES.to_vec() };
+    let settings = TierSettings {
+        losses_max: 1,
+        catch_up_s: 4,
+        zones: ZONES.to_vec(),
+    };
     let mut tier = Tier::new(settings, record);
     for (keeper, (zone, _)) in KEEPERS.into_iter().zip(ZONES) {
         tier.start_keeper(keeper, zone, &KEEPERS, true);
@@ -45,8 +51,10 @@
     for entry in NEAR_ENTRIES {
         tier.start_entry(entry, "z1", &KEEPERS);
     }
-    let names: Vec<String> =
-        ["a", "b"].iter().flat_map(|prefix| (0..SHARDS).map(move |shard| format!("{prefix}{shard}"))).collect();
+    let names: Vec<String> = ["a", "b"]
+        .iter()
+        .flat_map(|prefix| (0..SHARDS).map(move |shard| format!("{prefix}{shard}")))
+        .collect();
     for (number, service) in (31..).zip(&names) {
         tier.start_server(number, service, "z1", &KEEPERS);
     }
@@ -61,11 +69,22 @@
     if served == 0 {
         return Verdict::CouldNotRun("no search was served at first");
     }
-    let added = if has_trouble { "search" } else { "other-search" };
+    let added = if has_trouble {
+        "search"
+    } else {
+        "other-search"
+    };
     let mut wrong_answers = HashSet::new();
     for version in VERSIONS {
-        let routes = [search("search", "alpha.example", "a"), search(added, "beta.example", "b")];
-        if !tier.submit(&KEEPERS, version, &document(version, &routes, &services, "")) {
+        let routes = [
+            search("search", "alpha.example", "a"),
+            search(added, "beta.example", "b"),
+        ];
+        if !tier.submit(
+            &KEEPERS,
+            version,
+            &document(version, &routes, &services, ""),
+        ) {
             return Verdict::CouldNotRun("a version was not acknowledged");
         }
         sleep(CONFIG_APPLY + Duration::from_millis(500));
@@ -73,7 +92,10 @@
     }
     let runs = tier.runs.lock().unwrap();
     // All requests were sent to the host whose search has the shards a0 to a4.
-    let foreign: Vec<_> = runs.iter().filter(|run| run.service.starts_with('b')).collect();
+    let foreign: Vec<_> = runs
+        .iter()
+        .filter(|run| run.service.starts_with('b'))
+        .collect();
     for run in foreign.iter().take(20) {
         tier.record.line(format!(
             "service {} (server {}) ran request {} for host {}, which no configuration sends there",
@@ -86,11 +108,21 @@
         wrong_answers.len()
     ));
     drop(runs);
-    let runs = tier.runs.lock().unwrap().iter().filter(|run| run.service.starts_with('b')).count();
+    let runs = tier
+        .runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|run| run.service.starts_with('b'))
+        .count();
     if !tier.all_run() {
         return Verdict::CouldNotRun("a process ended");
     }
-    if runs > 0 || !wrong_answers.is_empty() { Verdict::Broken } else { Verdict::Held }
+    if runs > 0 || !wrong_answers.is_empty() {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 /// Sends searches to the host alpha.example. Returns how many were served, and adds those whose answer
@@ -105,16 +137,33 @@
             ("X-Fulmarweir-Deadline-Ms", "2000"),
         ];
         let path = format!("/search/{id}");
-        let answer = call_once(tier.callers(ENTRY), "GET", &path, &headers, b"", Duration::from_millis(2_500));
+        let answer = call_once(
+            tier.callers(ENTRY),
+            "GET",
+            &path,
+            &headers,
+            b"",
+            Duration::from_millis(2_500),
+        );
         let (status, stamps) = answer.map_or((0, String::new()), |answer| {
-            let stamps = answer.header("x-fulmarweir-part-stamps").unwrap_or_default().to_owned();
+            let stamps = answer
+                .header("x-fulmarweir-part-stamps")
+                .unwrap_or_default()
+                .to_owned();
             (answer.status, stamps)
         });
-        tier.record.line(format!("search {id} to vm {ENTRY}: {status}, parts {stamps}"));
+        tier.record.line(format!(
+            "search {id} to vm {ENTRY}: {status}, parts {stamps}"
+        ));
         if status == 200 {
             served += 1;
             // Servers i-31 to i-35 are those of the services a0 to a4.
-            let is_foreign = |stamp: &str| !matches!(stamp.trim().split('.').next(), Some("i-31" | "i-32" | "i-33" | "i-34" | "i-35"));
+            let is_foreign = |stamp: &str| {
+                !matches!(
+                    stamp.trim().split('.').next(),
+                    Some("i-31" | "i-32" | "i-33" | "i-34" | "i-35")
+                )
+            };
             if stamps.split(',').any(is_foreign) {
                 wrong.insert(id);
             }
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -52,10 +52,18 @@
         stream.set_read_timeout(Some(timeout))?;
         stream.set_write_timeout(Some(timeout))?;
         stream.set_nodelay(true)?;
-        Ok(Self { reader: BufReader::new(stream) })
+        Ok(Self {
+            reader: BufReader::new(stream),
+        })
     }
 
-    pub fn call(&mut self, method: &str, path: &str, headers: Headers<'_>, body: &[u8]) -> io::Result<Answer> {
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: Headers<'_>,
+        body: &[u8],
+    ) -> io::Result<Answer> {
         let mut head = format!("{method} {path} HTTP/1.1\r\n");
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
@@ -65,10 +73,17 @@
         message.extend_from_slice(body);
         self.reader.get_mut().write_all(&message)?;
         let (first, headers) = read_head(&mut self.reader)?;
-        let status = first.split(' ').nth(1).and_then(|status| status.parse().ok());
+        let status = first
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
         let status = status.ok_or_else(|| io::Error::other("no status"))?;
         let body = read_body(&mut self.reader, &headers)?;
-        Ok(Answer { status, headers, body })
+        Ok(Answer {
+            status,
+            headers,
+            body,
+        })
     }
 }
 
@@ -106,7 +121,9 @@
         lines.push(line);
     }
     let mut lines = lines.into_iter();
-    let first = lines.next().ok_or_else(|| io::Error::other("no first line"))?;
+    let first = lines
+        .next()
+        .ok_or_else(|| io::Error::other("no first line"))?;
     let pair = |line: String| {
         let (name, value) = line.split_once(':')?;
         Some((name.trim().to_ascii_lowercase(), value.trim().to_owned()))
--- a/review/harness-3/links.rs
+++ b/review/harness-3/links.rs
@@ -113,11 +113,17 @@
         let processes = self.0.lock().unwrap().processes.clone();
         let name = format!("socket:[{inode}]");
         let owns = |process: &u32| {
-            let files = fs::read_dir(format!("/proc/{process}/fd")).into_iter().flatten().flatten();
+            let files = fs::read_dir(format!("/proc/{process}/fd"))
+                .into_iter()
+                .flatten()
+                .flatten();
             let mut links = files.filter_map(|file| fs::read_link(file.path()).ok());
             links.any(|link| link.to_string_lossy() == name)
         };
-        processes.into_iter().find(|(process, _)| owns(process)).map(|(_, host)| host)
+        processes
+            .into_iter()
+            .find(|(process, _)| owns(process))
+            .map(|(_, host)| host)
     }
 }
 
@@ -132,7 +138,9 @@
     };
     let (own, other) = (hex(own), hex(other));
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let mut rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let mut rows = table
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
     let row = rows.find(|row| row.len() > 9 && row[1] == own && row[2] == other)?;
     row[9].parse().ok()
 }
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -31,9 +31,9 @@
     let play: fn(Record, bool) -> Verdict = match case.as_str() {
         "forgotten-keeper" => cases::forgotten_keeper::play,
         "promised-failure" => cases::promised_failure::play,
+        "split-burst" => cases::split_burst::play,
         "same-name" => cases::same_name::play,
         "repeated-id" => cases::repeated_id::play,
-        "replaced-grantor" => cases::replaced_grantor::play,
         _ => {
             eprintln!("no case named {case}");
             exit(2);
--- a/review/harness-3/targets.rs
+++ b/review/harness-3/targets.rs
@@ -22,7 +22,6 @@
     pub at: Instant,
     pub id: String,
     pub host: String,
-    pub tenant: String,
     pub service: String,
     pub server: String,
     pub address: SocketAddr,
@@ -39,9 +38,34 @@
     pub zone: String,
     pub address: SocketAddr,
     pub slots: u32,
-    /// The server fails one in this many of its requests after it has run them, none if 0. Its health check
-    /// stays good.
-    pub failing_one_in: u64,
+    pub failures: Arc<FailurePlan>,
+}
+
+/// Which requests servers fail after they have run them. Their health checks stay good.
+#[derive(Debug)]
+pub struct FailurePlan {
+    pub percent: AtomicU64,
+    /// Status line of the failures.
+    pub status: &'static str,
+}
+
+impl FailurePlan {
+    /// Returns a plan by which no request fails.
+    pub fn none() -> Arc<Self> {
+        Self::new(0, "500 Internal Server Error")
+    }
+
+    pub fn new(percent: u64, status: &'static str) -> Arc<Self> {
+        Arc::new(Self {
+            percent: AtomicU64::new(percent),
+            status,
+        })
+    }
+
+    /// Whether a server fails its request with this number. Failures are spread evenly.
+    fn fails(&self, number: u64) -> bool {
+        number * 37 % 100 < self.percent.load(Relaxed)
+    }
 }
 
 /// A running server.
@@ -103,10 +127,16 @@
                  X-Fulmarweir-Server-Load: {load}\r\nContent-Length: 0\r\n\r\n"
             );
         }
-        let request_id = request.header("x-fulmarweir-request-id").unwrap_or_default();
+        let request_id = request
+            .header("x-fulmarweir-request-id")
+            .unwrap_or_default();
         let expected = request.header("x-fulmarweir-expect-instance");
         if request_id.is_empty() || expected.is_some_and(|expected| expected != id) {
-            let status = if request_id.is_empty() { "400 Bad Request" } else { "421 Misdirected Request" };
+            let status = if request_id.is_empty() {
+                "400 Bad Request"
+            } else {
+                "421 Misdirected Request"
+            };
             return format!(
                 "HTTP/1.1 {status}\r\nX-Fulmarweir-Request-Id: {request_id}\r\n\
                  X-Fulmarweir-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -117,15 +147,15 @@
             at: Instant::now(),
             id: request_id.to_owned(),
             host: request.header("host").unwrap_or_default().to_owned(),
-            tenant: request.header("x-fulmarweir-tenant").unwrap_or_default().to_owned(),
             service: self.place.service.clone(),
             server: id.clone(),
             address: self.place.address,
         });
-        let one_in = self.place.failing_one_in;
-        if one_in > 0 && number % one_in == 0 {
+        let failures = &self.place.failures;
+        if failures.fails(number) {
+            let status = failures.status;
             return format!(
-                "HTTP/1.1 503 Service Unavailable\r\nX-Fulmarweir-Request-Id: {request_id}\r\n\
+                "HTTP/1.1 {status}\r\nX-Fulmarweir-Request-Id: {request_id}\r\n\
                  X-Fulmarweir-Server-Stamp: {id}.{number}\r\nX-Fulmarweir-Server-Load: {load}\r\n\
                  Content-Length: 0\r\n\r\n"
             );
@@ -142,7 +172,14 @@
 
     fn send_heartbeats(&self) {
         // Servers pick different keepers first.
-        let mut next = self.place.address.ip().to_string().bytes().map(usize::from).sum::<usize>();
+        let mut next = self
+            .place
+            .address
+            .ip()
+            .to_string()
+            .bytes()
+            .map(usize::from)
+            .sum::<usize>();
         let mut named: Option<SocketAddr> = None;
         let mut sequence = 0;
         while !self.is_stopped.load(Relaxed) {
@@ -180,8 +217,14 @@
     /// not acknowledged.
     pub fn send_heartbeat(&self, control: SocketAddr, body: &str) -> Option<Option<SocketAddr>> {
         let answer = self.call(control, "PUT", body.as_bytes())?;
-        let (_, rest) = answer.split_once("\"heartbeatAddr\":\"").unwrap_or_default();
-        Some(rest.split('"').next().and_then(|address| address.parse().ok()))
+        let (_, rest) = answer
+            .split_once("\"heartbeatAddr\":\"")
+            .unwrap_or_default();
+        Some(
+            rest.split('"')
+                .next()
+                .and_then(|address| address.parse().ok()),
+        )
     }
 
     /// Tells a keeper that the server is gone. Returns whether that was acknowledged.
--- a/review/harness-3/tier.rs
+++ b/review/harness-3/tier.rs
@@ -14,7 +14,7 @@
 use crate::{
     http::call_once,
     links::{Host, Links},
-    targets::{RunLog, Server, ServerPlace},
+    targets::{FailurePlan, RunLog, Server, ServerPlace},
 };
 
 const CALLERS_PORT: u16 = 8_226;
@@ -51,7 +51,10 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { file: Arc::new(Mutex::new(file)), started_at: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            started_at: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -77,7 +80,8 @@
 impl Tier {
     pub fn new(settings: TierSettings, record: Record) -> Self {
         let (octet, claim) = claim_octet();
-        let folder = std::env::temp_dir().join(format!("fulmarweir-review-3-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("fulmarweir-review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder can be created");
         Self {
             record,
@@ -93,7 +97,10 @@
     }
 
     fn address(&self, octet: u8, host: Host, port: u16) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.octet, octet, host)), port)
+        SocketAddr::new(
+            IpAddr::V4(Ipv4Addr::new(127, self.octet, octet, host)),
+            port,
+        )
     }
 
     pub fn callers(&self, host: Host) -> SocketAddr {
@@ -109,7 +116,10 @@
         let proxy = self.address(PROXY_OCTET, host, PEERS_PORT);
         let peers = self.address(VM_OCTET, host, PEERS_PORT);
         self.links.start_proxy(host, proxy, peers);
-        let listen = format!("control = {}\nadvertise-peers = {proxy}", self.control(host));
+        let listen = format!(
+            "control = {}\nadvertise-peers = {proxy}",
+            self.control(host)
+        );
         let data = self.folder.join(format!("data-{host}"));
         let vm = format!("role = keeper\ndata-folder = {}", data.display());
         self.start_vm(host, zone, &vm, &listen, seeds, is_first_start);
@@ -121,8 +131,18 @@
         self.start_vm(host, zone, "role = entry", &listen, seeds, true);
     }
 
-    fn start_vm(&mut self, host: Host, zone: &str, vm: &str, listen: &str, seeds: &[Host], is_first_start: bool) {
-        let seeds = seeds.iter().map(|seed| self.address(PROXY_OCTET, *seed, CONTROL_PORT).to_string());
+    fn start_vm(
+        &mut self,
+        host: Host,
+        zone: &str,
+        vm: &str,
+        listen: &str,
+        seeds: &[Host],
+        is_first_start: bool,
+    ) {
+        let seeds = seeds
+            .iter()
+            .map(|seed| self.address(PROXY_OCTET, *seed, CONTROL_PORT).to_string());
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let mut text = format!(
             "[vm]\nname = vm-{host}\ndata-centre = {zone}\n{vm}\n\n[listen]\n{listen}\npeers = {}\nmetrics = {}\n\n\
@@ -139,7 +159,8 @@
         }
         let path = self.folder.join(format!("vm-{host}.conf"));
         fs::write(&path, text).expect("the settings can be written");
-        let log = File::create(self.folder.join(format!("vm-{host}.log"))).expect("the log can be written");
+        let log = File::create(self.folder.join(format!("vm-{host}.log")))
+            .expect("the log can be written");
         let child = Command::new("target/release/fulmarweir-node")
             .arg("--settings")
             .arg(&path)
@@ -149,40 +170,62 @@
             .spawn()
             .expect("the program can be started");
         self.links.add_process(child.id(), host);
-        self.record.line(format!("vm {host} started in zone {zone} with seeds {seeds}"));
+        self.record.line(format!(
+            "vm {host} started in zone {zone} with seeds {seeds}"
+        ));
         self.vms.push(child);
     }
 
     pub fn start_server(&mut self, number: u8, service: &str, zone: &str, keepers: &[Host]) {
-        self.start_failing_server(number, service, zone, keepers, 0);
+        self.start_failing_server(number, service, zone, keepers, FailurePlan::none());
     }
 
-    /// Starts a server that fails one in `one_in` of its requests after it has run them, none if 0.
-    pub fn start_failing_server(&mut self, number: u8, service: &str, zone: &str, keepers: &[Host], one_in: u64) {
+    /// Starts a server that fails some of its requests after it has run them.
+    pub fn start_failing_server(
+        &mut self,
+        number: u8,
+        service: &str,
+        zone: &str,
+        keepers: &[Host],
+        failures: Arc<FailurePlan>,
+    ) {
         let place = ServerPlace {
             id: format!("i-{number}"),
             service: service.to_owned(),
             zone: zone.to_owned(),
             address: self.address(SERVER_OCTET, number, SERVER_PORT),
             slots: 6,
-            failing_one_in: one_in,
+            failures,
         };
         let controls = keepers.iter().map(|keeper| self.control(*keeper)).collect();
-        self.record.line(format!("server {} of {service} started in zone {zone}, fails one in {one_in}", place.id));
-        self.servers.push(Server::start(place, controls, &self.runs));
+        self.record.line(format!(
+            "server {} of {service} started in zone {zone}",
+            place.id
+        ));
+        self.servers
+            .push(Server::start(place, controls, &self.runs));
     }
 
     /// Starts a server with this id whose heartbeats the case sends.
-    pub fn start_silent_server(&mut self, number: u8, id: &str, service: &str, zone: &str) -> Arc<Server> {
+    pub fn start_silent_server(
+        &mut self,
+        number: u8,
+        id: &str,
+        service: &str,
+        zone: &str,
+    ) -> Arc<Server> {
         let place = ServerPlace {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
             address: self.address(SERVER_OCTET, number, SERVER_PORT),
             slots: 6,
-            failing_one_in: 0,
+            failures: FailurePlan::none(),
         };
-        self.record.line(format!("server {id} of {service} started in zone {zone} at {}", place.address));
+        self.record.line(format!(
+            "server {id} of {service} started in zone {zone} at {}",
+            place.address
+        ));
         Server::start(place, Vec::new(), &self.runs)
     }
 
@@ -193,9 +236,18 @@
             for keeper in keepers {
                 let headers = [("Host", "control"), ("Content-Type", "application/json")];
                 let address = self.control(*keeper);
-                let sent = call_once(address, "PUT", "/fulmarweir/config", &headers, document.as_bytes(), OPERATOR_TIMEOUT);
+                let sent = call_once(
+                    address,
+                    "PUT",
+                    "/fulmarweir/config",
+                    &headers,
+                    document.as_bytes(),
+                    OPERATOR_TIMEOUT,
+                );
                 let status = sent.map_or(0, |answer| answer.status);
-                self.record.line(format!("operator: version {version} to keeper {keeper}: {status}"));
+                self.record.line(format!(
+                    "operator: version {version} to keeper {keeper}: {status}"
+                ));
                 if status == 200 {
                     return true;
                 }
@@ -209,7 +261,14 @@
     pub fn is_ready(&self, host: Host) -> bool {
         let address = self.address(VM_OCTET, host, READY_PORT);
         let headers = [("Host", "ready")];
-        let answer = call_once(address, "GET", "/fulmarweir/ready", &headers, b"", Duration::from_secs(1));
+        let answer = call_once(
+            address,
+            "GET",
+            "/fulmarweir/ready",
+            &headers,
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
@@ -227,7 +286,9 @@
 
     /// Whether all processes that were started still run.
     pub fn all_run(&mut self) -> bool {
-        self.vms.iter_mut().all(|vm| matches!(vm.try_wait(), Ok(None)))
+        self.vms
+            .iter_mut()
+            .all(|vm| matches!(vm.try_wait(), Ok(None)))
     }
 }
 
