--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/review-3
 [ -x "$program" ] && [ -x target/release/fulmarweir-node ] || exit 2
-exec "$program" promised-failure review/15/record.txt
+exec "$program" promised-failure review/14/record.txt
