Find the route of a handover by its host and path, not by its name

Callers saw searches answered by the shards of another route (ROUTE, MIXED), and single requests of a VM without links refused, once a valid configuration held two routes of one name.

Cause: routes are told apart by host and prefix, and only inside one configuration. A broker took the first route with the name that the message told, in the order of a hash map. The cache of shard groups, the latencies behind second attempts, the latency histogram and the request lines were keyed by the name too.

Change: the broker finds the route as its origin did, by the host and the path of the request that it is handed. Everything else is keyed by host and prefix. The message keeps its form.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -43,8 +43,8 @@
 pub use ini::TEXT_MAX_BYTES;
 pub use relay_settings::{ExtraAttemptLimits, RelayBounds, RelayRole, RelaySettings};
 pub use route_table::{
-    CallerLimits, GatherRule, RouteDestination, RouteFault, RouteRule, RouteTable, ServiceRule,
-    WarmUpRule, WeightedService,
+    CallerLimits, GatherRule, RouteDestination, RouteFault, RouteKey, RouteRule, RouteTable,
+    ServiceRule, WarmUpRule, WeightedService,
 };
 pub use service_parse::SERVICES_MAX;
 pub use settings::{
--- a/crates/conf/src/route_table.rs
+++ b/crates/conf/src/route_table.rs
@@ -4,7 +4,12 @@
 //! decodes the operators' document into rules, and [`RouteTable::compile`] checks the rules
 //! together.
 
-use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::tenant_table::{TenantRule, TenantTable};
 
@@ -43,10 +48,19 @@
     Split(Vec<WeightedService>),
 }
 
+/// What tells a route apart from the others of its configuration. Several routes may have one name.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct RouteKey {
+    /// Host of the requests, in lower case.
+    pub host: Arc<str>,
+    /// Path prefix of the requests, which begins and ends with a slash.
+    pub prefix: Arc<str>,
+}
+
 /// Match criteria, limits and destination of a route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouteRule {
-    /// Name of the route in logs and metrics.
+    /// Name of the route in logs and metrics, which other routes may have too.
     pub name: Arc<str>,
     /// Host of the requests, in lower case.
     pub host: Arc<str>,
@@ -70,6 +84,17 @@
     pub destination: RouteDestination,
 }
 
+impl RouteRule {
+    /// Returns what tells the route apart from the others of its configuration.
+    #[must_use]
+    pub fn key(&self) -> RouteKey {
+        RouteKey {
+            host: Arc::clone(&self.host),
+            prefix: Arc::clone(&self.prefix),
+        }
+    }
+}
+
 /// The operators' configuration of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
@@ -202,6 +227,7 @@
     pub limits: CallerLimits,
     // The routes of each host, sorted by descending length of the prefix.
     hosts: HashMap<Arc<str>, Vec<Arc<RouteRule>>>,
+    route_names: RouteNames,
     services: HashMap<Arc<str>, ServiceRule>,
     // `None` if requests need no keys.
     tenants: Option<TenantTable>,
@@ -255,6 +281,7 @@
         Ok(Self {
             version,
             limits,
+            route_names: RouteNames::new(hosts.values().flatten()),
             hosts,
             services,
             tenants,
@@ -294,6 +321,14 @@
         rules.iter().find(|rule| path.starts_with(&*rule.prefix))
     }
 
+    /// Returns the name of a route if no other route has it, or else a text that is the name of no route.
+    #[must_use]
+    pub fn unshared_name(&self, route: &RouteRule) -> &Arc<str> {
+        let names = &self.route_names;
+        let unshared = names.unshared.get(&route.name);
+        unshared.unwrap_or(&names.unused)
+    }
+
     /// Returns the path at which targets of `service` say whether they are healthy, or `None` if the
     /// table does not contain the service.
     #[must_use]
@@ -314,6 +349,33 @@
     }
 }
 
+/// The names of the routes of a table.
+#[derive(Clone, Debug)]
+struct RouteNames {
+    /// Names that only one route has.
+    unshared: HashSet<Arc<str>>,
+    /// A text that is the name of no route.
+    unused: Arc<str>,
+}
+
+impl RouteNames {
+    fn new<'a>(routes: impl Iterator<Item = &'a Arc<RouteRule>>) -> Self {
+        let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
+        for route in routes {
+            *counts.entry(Arc::clone(&route.name)).or_default() += 1;
+        }
+        let mut unused = "-".to_owned();
+        while counts.contains_key(unused.as_str()) {
+            unused.push('-');
+        }
+        let unshared = counts.into_iter().filter(|(_, count)| *count == 1);
+        Self {
+            unshared: unshared.map(|(name, _)| name).collect(),
+            unused: unused.into(),
+        }
+    }
+}
+
 fn check_route(
     route: &RouteRule,
     services: &HashMap<Arc<str>, ServiceRule>,
--- a/crates/conf/tests/route_table.rs
+++ b/crates/conf/tests/route_table.rs
@@ -136,3 +136,23 @@
     });
     assert!(compile(warming, None).unwrap().has_rates());
 }
+
+/// Guards against a build that finds routes by their names and is told a name that several routes have.
+#[test]
+fn a_name_that_several_routes_have_is_not_told() {
+    let routes = [
+        ("find", "a.example"),
+        ("find", "b.example"),
+        ("look", "a.other"),
+        ("-", "b.other"),
+    ];
+    let routes = routes.map(|(name, host)| rule(name, host, "/", "a"));
+    let table = compile(routes.to_vec()).unwrap();
+    let told = |host| &**table.unshared_name(table.find(host, "/").unwrap());
+    assert_eq!(told("a.other"), "look");
+    assert_eq!(told("b.other"), "-");
+    for host in ["a.example", "b.example"] {
+        let name = told(host);
+        assert!(table.routes().all(|rule| *rule.name != *name), "{name}");
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -80,6 +80,15 @@
     pub(crate) service: String,
 }
 
+/// Route that a metric belongs to. Several routes may have one name.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RouteLabel {
+    /// Name of the route.
+    pub(crate) service: String,
+    pub(crate) host: String,
+    pub(crate) prefix: String,
+}
+
 /// The metrics that `/metrics` exposes.
 pub(crate) struct MetricSet {
     registry: Registry,
--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -15,11 +15,11 @@
 use super::{
     driver::{RelayDriver, RelayResult},
     entry::EntryNode,
-    handover_message::{decode_indexes, decode_repeats, decode_request, encode_reply},
+    handover_message::{decode_head, decode_indexes, decode_repeats, decode_request, encode_reply},
     home_bound::log_misplaced,
     identify::{identify_handover, priority_of},
     request_account::{LogContext, OtherVm, log_request},
-    routed::{RoutedRequest, relay_params},
+    routed::{RoutedRequest, find_rule, relay_params},
     vm_message::{HandoverReply, HandoverRequest, VmReply},
 };
 
@@ -61,7 +61,7 @@
     if !request.repeats.is_empty() {
         // It is late already, so a second attempt at once would gain nothing.
         let objective = routed.rule.latency_objective;
-        params.hedge_delay = lock(&node.latency_table).hedge_delay(&routed.rule.name, objective);
+        params.hedge_delay = lock(&node.latency_table).hedge_delay(&routed.rule.key(), objective);
     }
     let position = |index: &u16| request.sub_requests.iter().position(|i| i == index);
     params.lent_extra = request.lent_extra.iter().filter_map(position).collect();
@@ -175,11 +175,8 @@
     if table.version != request.config_version {
         return Err("other-config-version");
     }
-    let rule = table
-        .routes()
-        .find(|rule| rule.name == request.route)
-        .cloned()
-        .ok_or("no-route")?;
+    let (uri, headers) = decode_head(request).ok_or("unreadable")?;
+    let rule = find_rule(&table, &uri, &headers).ok_or("no-route")?;
     let tenant_header = &node.adapter.headers.tenant;
     let tenant = identify_handover(tenant_header, &table, &rule, &request.headers)?;
     if lock(&node.selector).links().are_unusable() {
@@ -196,10 +193,11 @@
     }
     let placement = PlacementRule::of(&rule, tenant.as_deref());
     if !node.is_within(&placement) {
-        log_misplaced(node, request, &placement);
+        log_misplaced(node, request, &rule, &placement);
         return Err(HOME_BOUND);
     }
-    let (message, times) = decode_request(node, request, &rule, placement).ok_or("unreadable")?;
+    let (message, times) =
+        decode_request(node, request, (uri, headers), &rule, placement).ok_or("unreadable")?;
     Ok(RoutedRequest {
         table,
         rule,
--- a/crates/daemon/src/relay/caller.rs
+++ b/crates/daemon/src/relay/caller.rs
@@ -21,7 +21,7 @@
     quota::admit_within_quota,
     request_account::{EarlyRequest, RequestTimes, refuse_early, refuse_for_quota},
     response::{RelayResponse, retry_later, retry_with_status, text},
-    routed::{RoutedRequest, run_routed},
+    routed::{RoutedRequest, find_rule, run_routed},
 };
 use crate::body::{BodyBounds, BodyFault, drop_rest, read_body};
 
@@ -77,7 +77,7 @@
     let unrouted = EarlyRequest {
         id: request_id.as_ref(),
         arrived_at,
-        route: "none",
+        route: None,
         tenant: None,
     };
     let early = |reason, response| refuse_early(node, &unrouted, reason, response);
@@ -106,7 +106,7 @@
     };
     let identity = identify_caller(node, &table, &rule, &head.headers).map_err(|reason| {
         let routed = EarlyRequest {
-            route: &rule.name,
+            route: Some(&rule),
             ..unrouted
         };
         refuse_early(node, &routed, reason, identity_refusal(reason))
@@ -118,7 +118,7 @@
         .await;
     check_room(node, &rule, tenant.as_deref(), times).map_err(|(reason, pause)| {
         let routed = EarlyRequest {
-            route: &rule.name,
+            route: Some(&rule),
             tenant: tenant.as_deref(),
             ..unrouted
         };
@@ -128,14 +128,13 @@
     let admitted = admit_within_quota(node, &table, tenant.as_deref(), subject).await;
     let permit = admitted.map_err(|refusal| {
         let routed = EarlyRequest {
-            route: &rule.name,
+            route: Some(&rule),
             tenant: tenant.as_deref(),
             ..unrouted
         };
         refuse_for_quota(node, &routed, refusal)
     })?;
-    let mut headers = head.headers;
-    strip_hop_by_hop_headers(&mut headers);
+    let mut headers = forwarded_headers(&head.uri, head.headers);
     set_tenant_headers(&names.tenant, &identity, &mut headers);
     let fingerprint = RelayMessage::fingerprint_of(&head.method, &head.uri, &headers, &body);
     let message = RelayMessage {
@@ -146,7 +145,7 @@
         headers,
         body,
         request_id,
-        route: Arc::clone(&rule.name),
+        route: rule.key(),
         idempotent: rule.idempotent,
         deadline: times.deadline,
     };
@@ -261,14 +260,6 @@
     text(StatusCode::NOT_FOUND, "no route for this host and path")
 }
 
-fn find_rule(table: &RouteTable, uri: &Uri, headers: &HeaderMap) -> Option<Arc<RouteRule>> {
-    let named = headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok());
-    let host = named.or_else(|| uri.authority().map(http::uri::Authority::as_str))?;
-    table.find(host, uri.path()).cloned()
-}
-
 fn request_times(
     node: &EntryNode,
     rule: &RouteRule,
@@ -319,6 +310,18 @@
     }
 }
 
+/// Returns the headers of a request without its hop-by-hop headers. They name the host by which the route
+/// was found, since the URI goes on without its authority.
+fn forwarded_headers(uri: &Uri, mut headers: HeaderMap) -> HeaderMap {
+    let named = headers.get(header::HOST).cloned();
+    let host = named.or_else(|| HeaderValue::from_str(uri.authority()?.as_str()).ok());
+    strip_hop_by_hop_headers(&mut headers);
+    if let Some(host) = host {
+        headers.entry(header::HOST).or_insert(host);
+    }
+    headers
+}
+
 /// Returns a request URI in origin form, without scheme and authority.
 fn origin_form(uri: &Uri) -> Uri {
     if uri.authority().is_none() {
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use fulmarweir_base::{MonoTime, RunVerdict, lock};
+use fulmarweir_conf::RouteKey;
 use fulmarweir_pool::{ConnectionReuse, ConnectionTerms, RelayFault, RelayReply, RequestEnd};
 use fulmarweir_route::{
     GroupOutcome, PlacementRule, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
@@ -64,7 +65,7 @@
     pub(crate) placement: PlacementRule,
     /// The caller's id of this request, which targets return in their replies.
     pub(crate) request_id: HeaderValue,
-    pub(crate) route: Arc<str>,
+    pub(crate) route: RouteKey,
     pub(crate) idempotent: bool,
     pub(crate) deadline: MonoTime,
 }
--- a/crates/daemon/src/relay/entry.rs
+++ b/crates/daemon/src/relay/entry.rs
@@ -12,7 +12,7 @@
 
 use fulmarweir_base::{MonoTime, TimerService, lock};
 use fulmarweir_bounds::MemoryBudget;
-use fulmarweir_conf::{RelaySettings, RouteTable};
+use fulmarweir_conf::{RelaySettings, RouteKey, RouteRule, RouteTable};
 use fulmarweir_fleet::{ConfigAssurance, MergedRegistry, TargetAnnouncement};
 use fulmarweir_pool::RelayPool;
 use fulmarweir_route::{
@@ -65,7 +65,7 @@
 #[derive(Debug, Eq, Hash, PartialEq)]
 struct GroupsKey {
     config_version: u64,
-    route: Arc<str>,
+    route: RouteKey,
     placement: PlacementRule,
 }
 
@@ -399,14 +399,14 @@
     pub(crate) fn shard_groups(
         &self,
         config_version: u64,
-        route: &Arc<str>,
+        route: &RouteRule,
         placement: &PlacementRule,
         shards: &[Arc<str>],
     ) -> Arc<[ShardGroup]> {
         let now = self.timer.now();
         let key = GroupsKey {
             config_version,
-            route: Arc::clone(route),
+            route: route.key(),
             placement: placement.clone(),
         };
         let mut known_groups = lock(&self.shard_groups);
@@ -490,9 +490,8 @@
             let before = held.as_ref().map_or(0, |held| held.version);
             info!(self.log, "config-in-force"; "version" => version, "before" => before,
                 "routes" => table.routes().count());
-            let names: HashSet<Arc<str>> =
-                table.routes().map(|rule| Arc::clone(&rule.name)).collect();
-            lock(&self.latency_table).retain(|route| names.contains(route));
+            let routes: HashSet<RouteKey> = table.routes().map(|rule| rule.key()).collect();
+            lock(&self.latency_table).retain(|route| routes.contains(route));
             let body_max = table.limits.body_max_bytes;
             let memory = &self.request_memory;
             memory.make_room_for(body_max, REQUESTS_CEILING_BYTES);
--- a/crates/daemon/src/relay/handover.rs
+++ b/crates/daemon/src/relay/handover.rs
@@ -250,7 +250,7 @@
     }
     let placement = &routed.message.placement;
     let version = routed.table.version;
-    let groups = node.shard_groups(version, &routed.rule.name, placement, services);
+    let groups = node.shard_groups(version, &routed.rule, placement, services);
     let plan = |group: &ShardGroup| {
         let permit = BrokerPermit::acquire(node, group, placement)?;
         Some(plan_group(permit, routed, services, group, &[]))
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -9,7 +9,7 @@
     AnswerSource, GroupOutcome, GroupRemainder, Locality, PlacementRule, RelayOutcome,
     RepeatedSubRequest, UnclearSubRequest,
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 
 use super::{
     answer::{find_reply, merge_parts},
@@ -55,7 +55,7 @@
     HandoverRequest {
         origin: Arc::clone(&node.settings.name),
         config_version: routed.table.version,
-        route: Arc::clone(&routed.rule.name),
+        route: Arc::clone(routed.table.unshared_name(&routed.rule)),
         sub_requests: encode_indexes(sub_requests),
         lent_extra: encode_indexes(lent_extra),
         service,
@@ -101,27 +101,33 @@
     request.repeats.iter().filter_map(decode).collect()
 }
 
+/// Decodes the URI and the headers of a handover. Returns `None` if they are malformed.
+pub(super) fn decode_head(request: &HandoverRequest) -> Option<(Uri, HeaderMap)> {
+    let uri = request.uri.parse().ok()?;
+    Some((uri, decode_headers(&request.headers)?))
+}
+
 /// Decodes a handover into the message for targets and its times. Returns `None` if the handover
 /// is malformed.
 pub(super) fn decode_request(
     node: &EntryNode,
     request: &HandoverRequest,
+    (uri, headers): (Uri, HeaderMap),
     rule: &RouteRule,
     placement: PlacementRule,
 ) -> Option<(RelayMessage, RequestTimes)> {
     let now = node.timer.now();
-    let headers = decode_headers(&request.headers)?;
     let request_id = headers.get(&node.adapter.headers.request_id)?.clone();
     let deadline = now + Duration::from_millis(request.time_left_ms);
     let message = RelayMessage {
         fingerprint: request.fingerprint,
         placement,
         method: Method::from_bytes(request.method.as_bytes()).ok()?,
-        uri: request.uri.parse().ok()?,
+        uri,
         headers,
         body: request.body.clone(),
         request_id,
-        route: Arc::clone(&rule.name),
+        route: rule.key(),
         idempotent: rule.idempotent,
         deadline,
     };
--- a/crates/daemon/src/relay/home_bound.rs
+++ b/crates/daemon/src/relay/home_bound.rs
@@ -1,5 +1,6 @@
 //! Counts and logs requests for which nothing in their home regions could be reached.
 
+use fulmarweir_conf::RouteRule;
 use fulmarweir_route::{PlacementRule, RefusalReason, RelayOutcome};
 use slog::{info, warn};
 
@@ -37,12 +38,13 @@
 pub(super) fn log_misplaced(
     node: &EntryNode,
     request: &HandoverRequest,
+    rule: &RouteRule,
     placement: &PlacementRule,
 ) {
     node.metrics.count_home_bound("misplaced");
     if node.request_log.acquire_degraded_line(node.timer.now()) {
         warn!(node.log, "handover-misplaced"; "origin" => &*request.origin,
-            "route" => &*request.route, "homes" => placement.label(),
+            "route" => &*rule.name, "homes" => placement.label(),
             "config_version" => request.config_version);
     } else {
         node.metrics.log_lines_dropped.inc();
--- a/crates/daemon/src/relay/metrics.rs
+++ b/crates/daemon/src/relay/metrics.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use fulmarweir_conf::RouteRule;
 use fulmarweir_route::{LinkChange, LinkState, QuarantineState};
 use fulmarweir_wire::{PeerVersion, ServedVersions, TrafficClass, TrafficMeter};
 use prometheus_client::{
@@ -21,7 +22,7 @@
 
 use crate::metrics::{
     ChargeLabel, DistanceLabel, KindLabel, OutcomeLabel, ProbeLabel, RateLabel, ReasonLabel,
-    ServiceLabel, StateLabel, VersionLabel, render_registry,
+    RouteLabel, StateLabel, VersionLabel, render_registry,
 };
 
 type CountGauge = Gauge<u64, AtomicU64>;
@@ -50,7 +51,7 @@
     pub(crate) target_notices: Family<KindLabel, Counter>,
     pub(crate) permits: Family<OutcomeLabel, Counter>,
     pub(crate) rate_permits: Family<RateLabel, Counter>,
-    pub(crate) latency: Family<ServiceLabel, Histogram>,
+    pub(crate) latency: Family<RouteLabel, Histogram>,
     pub(crate) announcements: Family<OutcomeLabel, Counter>,
     pub(crate) config_changes: Family<OutcomeLabel, Counter>,
     pub(crate) evacuation_orders: Family<OutcomeLabel, Counter>,
@@ -444,9 +445,13 @@
     }
 
     /// Records the time to a response on a route.
-    pub(crate) fn observe_latency(&self, route: &str, latency: Duration) {
-        let service = route.to_owned();
-        let histogram = self.latency.get_or_create(&ServiceLabel { service });
+    pub(crate) fn observe_latency(&self, route: &RouteRule, latency: Duration) {
+        let label = RouteLabel {
+            service: route.name.to_string(),
+            host: route.host.to_string(),
+            prefix: route.prefix.to_string(),
+        };
+        let histogram = self.latency.get_or_create(&label);
         histogram.observe(latency.as_secs_f64());
     }
 
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -25,7 +25,8 @@
 pub(super) struct EarlyRequest<'a> {
     pub(super) id: Option<&'a HeaderValue>,
     pub(super) arrived_at: MonoTime,
-    pub(super) route: &'a str,
+    /// `None` if the route is not known.
+    pub(super) route: Option<&'a RouteRule>,
     pub(super) tenant: Option<&'a TenantRule>,
 }
 
@@ -82,7 +83,7 @@
         node.metrics.count_request(outcome);
     }
     if response_status.is_success() && !is_handover {
-        node.metrics.observe_latency(&context.rule.name, took);
+        node.metrics.observe_latency(context.rule, took);
     }
     let is_incomplete = !response_status.is_success() || stats.missing > 0;
     let detail = if is_incomplete && node.request_log.can_write_degraded_line(now) {
@@ -92,7 +93,7 @@
     };
     let line = RequestLine {
         request: context.request_id.to_str().unwrap_or("unreadable"),
-        route: &context.rule.name,
+        route: Some(context.rule),
         tenant: tenant_label(context.tenant),
         config_version: context.table.version,
         outcome,
--- a/crates/daemon/src/relay/request_log.rs
+++ b/crates/daemon/src/relay/request_log.rs
@@ -4,6 +4,7 @@
 use std::{sync::Mutex, time::Duration};
 
 use fulmarweir_base::{MonoTime, lock};
+use fulmarweir_conf::RouteRule;
 use slog::{Logger, info, warn};
 
 use super::request_account::OtherVm;
@@ -20,7 +21,7 @@
 /// The content of the log line of a request.
 pub(crate) struct RequestLine<'a> {
     pub(crate) request: &'a str,
-    pub(crate) route: &'a str,
+    pub(crate) route: Option<&'a RouteRule>,
     /// Name of the tenant for which the request runs, `none` without one.
     pub(crate) tenant: &'a str,
     pub(crate) config_version: u64,
@@ -119,8 +120,11 @@
             return false;
         }
         drop(state);
-        info!(self.log, "request"; "request" => line.request, "route" => line.route,
-            "tenant" => line.tenant,
+        let (route, host, prefix) = line.route.map_or(("none", "none", "none"), |route| {
+            (&*route.name, &*route.host, &*route.prefix)
+        });
+        info!(self.log, "request"; "request" => line.request, "route" => route,
+            "host" => host, "prefix" => prefix, "tenant" => line.tenant,
             "config_version" => line.config_version, "outcome" => line.outcome,
             "status" => line.status, "run" => line.verdict,
             "took_ms" => line.took.as_millis(), "objective_ms" => line.latency_objective.as_millis(),
--- a/crates/daemon/src/relay/routed.rs
+++ b/crates/daemon/src/relay/routed.rs
@@ -5,6 +5,7 @@
 use fulmarweir_base::lock;
 use fulmarweir_conf::{RouteDestination, RouteRule, RouteTable, TenantRule, WeightedService};
 use fulmarweir_route::{RelayParams, RequestOrigin};
+use http::{HeaderMap, Uri, header, uri::Authority};
 
 use super::{
     answer::build_response,
@@ -29,6 +30,19 @@
     pub(super) times: RequestTimes,
 }
 
+/// Returns the route of a request, which its host and its path tell.
+pub(super) fn find_rule(
+    table: &RouteTable,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Option<Arc<RouteRule>> {
+    let named = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| uri.authority().map(Authority::as_str))?;
+    table.find(host, uri.path()).cloned()
+}
+
 /// Relays a request of a caller and returns the response. `permit` is the one of the tenant's quota.
 pub(super) async fn run_routed(
     node: &Arc<EntryNode>,
@@ -120,7 +134,7 @@
         is_handover: false,
         soft_deadline: times.soft_deadline,
         deadline: times.deadline,
-        hedge_delay: lock(&node.latency_table).hedge_delay(&rule.name, soft),
+        hedge_delay: lock(&node.latency_table).hedge_delay(&rule.key(), soft),
         handover_groups: Vec::new(),
         lent_extra: Vec::new(),
         reserved_centre: None,
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -114,7 +114,8 @@
     pub(crate) origin: Arc<str>,
     /// Configuration version at the origin. A broker with another version rejects the handover.
     pub(crate) config_version: u64,
-    /// Name of the route.
+    /// Name of the route, or a text that is the name of no route if others have it too. Only builds up to
+    /// 93e5007 find the route by it; others do so by the host and the path.
     pub(crate) route: Arc<str>,
     /// Indexes of the shards in the route's list of shards; only 0 if `service` is set.
     pub(crate) sub_requests: Vec<u16>,
--- a/crates/route/src/relay/latency_table.rs
+++ b/crates/route/src/relay/latency_table.rs
@@ -3,7 +3,9 @@
 //! Load pattern: targets pause for a moment, so that without hedges the slowest of many shards
 //! determines the latency of a search.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
+
+use fulmarweir_conf::RouteKey;
 
 /// Ratio of the bounds of two adjacent histogram buckets.
 const BUCKET_RATIO: f64 = 1.12;
@@ -92,15 +94,15 @@
 /// Latency histograms of attempts by route.
 #[derive(Debug, Default)]
 pub struct LatencyTable {
-    routes: HashMap<Arc<str>, LatencyHistogram>,
+    routes: HashMap<RouteKey, LatencyHistogram>,
 }
 
 impl LatencyTable {
     /// Records the latency of an answered attempt, or the age of one that was abandoned.
-    pub fn record(&mut self, route: &Arc<str>, latency: Duration) {
+    pub fn record(&mut self, route: &RouteKey, latency: Duration) {
         if !self.routes.contains_key(route) {
             self.routes
-                .insert(Arc::clone(route), LatencyHistogram::default());
+                .insert(route.clone(), LatencyHistogram::default());
         }
         if let Some(histogram) = self.routes.get_mut(route) {
             histogram.record(latency.as_secs_f64() * 1000.0);
@@ -111,7 +113,7 @@
     ///
     /// `soft` is the time from the arrival of the request to its soft deadline.
     #[must_use]
-    pub fn hedge_delay(&self, route: &str, soft: Duration) -> Duration {
+    pub fn hedge_delay(&self, route: &RouteKey, soft: Duration) -> Duration {
         let delay_max_ms = soft.as_secs_f64() * 1000.0 * SOFT_DEADLINE_SHARE_MAX;
         let measured = self
             .routes
@@ -125,7 +127,7 @@
     }
 
     /// Removes the routes for which `keep` returns false.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+    pub fn retain(&mut self, keep: impl Fn(&RouteKey) -> bool) {
         self.routes.retain(|route, _| keep(route));
     }
 }
--- a/crates/route/tests/relay_run.rs
+++ b/crates/route/tests/relay_run.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use fulmarweir_base::{MonoTime, RunVerdict};
-use fulmarweir_conf::ExtraAttemptLimits;
+use fulmarweir_conf::{ExtraAttemptLimits, RouteKey};
 use fulmarweir_route::{
     AnswerSource, AttemptCharge, AttemptKind, GroupOutcome, LatencyTable, Locality, PlacementRule,
     RefusalReason, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome, RelayParams,
@@ -460,7 +460,10 @@
 #[test]
 fn the_hedge_delay_follows_the_latencies() {
     let mut latency_table = LatencyTable::default();
-    let route: Arc<str> = "browse".into();
+    let route = RouteKey {
+        host: "pitches.example".into(),
+        prefix: "/browse/".into(),
+    };
     let soft = Duration::from_millis(400);
     assert_eq!(
         latency_table.hedge_delay(&route, soft),
@@ -472,6 +475,13 @@
     }
     let delay = latency_table.hedge_delay(&route, soft);
     assert!((20..=30).contains(&delay.as_millis()), "{delay:?}");
+    // A route of another host has latencies of its own, whatever its name.
+    let other = RouteKey {
+        host: "permits.example".into(),
+        ..route
+    };
+    let delay = latency_table.hedge_delay(&other, soft);
+    assert_eq!(delay, Duration::from_millis(180));
 }
 
 /// Guards against the refusal of a later attempt at the same target being taken as proof that an
