Answer 502 when a target fails with a status that promises "not run"

Callers saw a 503 (or 408, 421, 429) of a target that had run their act and failed, took it for this tier's promise that the act has not run (REFUSED), sent it again, and it ran twice.

Cause: the verdict on the request was right, but a forwarded reply of a target kept its status whatever the verdict.

Change: forward_reply, the only way by which a target's reply reaches a caller, lets none of the four statuses pass; the response is 502 without the target's signature. Request lines tell target_status.

--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -27,6 +27,14 @@
     header::UPGRADE,
 ];
 
+/// Statuses by which callers are promised that a request has not run and never will.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Builds the response to a finished request. A reply that is forwarded is moved out of `result`.
 pub(super) fn build_response(
     node: &EntryNode,
@@ -72,11 +80,21 @@
     }
 }
 
-/// Returns the reply of a target without its hop-by-hop headers.
+/// Whether callers may get a reply of a target with this status. A target that says that it has not run a
+/// request is not forwarded, so whatever is has run or may have run, and must not look like a promise.
+pub(super) fn is_forwarded(status: StatusCode) -> bool {
+    !NOT_RUN_STATUSES.contains(&status)
+}
+
+/// Returns the reply of a target without its hop-by-hop headers, or a response of this tier, without the
+/// target's signature, in place of one that callers must not get.
 fn forward_reply(reply: Option<RelayReply>) -> RelayResponse {
     let Some(reply) = reply else {
         return text(StatusCode::BAD_GATEWAY, "no answer");
     };
+    if !is_forwarded(reply.status) {
+        return text(StatusCode::BAD_GATEWAY, "target failure");
+    }
     let mut response = Response::new(reply.body);
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
--- a/crates/daemon/src/relay/driver.rs
+++ b/crates/daemon/src/relay/driver.rs
@@ -16,9 +16,9 @@
 use fulmarweir_conf::RouteKey;
 use fulmarweir_pool::{ConnectionReuse, ConnectionTerms, RelayFault, RelayReply, RequestEnd};
 use fulmarweir_route::{
-    GroupOutcome, PlacementRule, RelayAction, RelayAttempt, RelayAttemptOutcome, RelayOutcome,
-    RelayParams, RelayRefusal, RelayRun, RelayTarget, RequestFingerprint, StatedLimit,
-    TargetNotice,
+    AnswerSource, GroupOutcome, PlacementRule, RelayAction, RelayAttempt, RelayAttemptOutcome,
+    RelayOutcome, RelayParams, RelayRefusal, RelayRun, RelayTarget, RequestFingerprint,
+    StatedLimit, TargetNotice,
 };
 use futures::{
     FutureExt, StreamExt,
@@ -26,7 +26,7 @@
     stream::FuturesUnordered,
 };
 use http::{
-    HeaderMap, HeaderValue, Method, Request, Uri, header,
+    HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header,
     uri::{Authority, PathAndQuery},
 };
 use http_body_util::Full;
@@ -37,6 +37,7 @@
 
 use super::{
     adapter::{ReplyClass, ReplyNotice},
+    answer::find_reply,
     attempt_loss::{examine_loss, record_refused_connection},
     cold_targets::record_cold_reply,
     entry::EntryNode,
@@ -151,6 +152,8 @@
     pub(crate) missing_services: Vec<Arc<str>>,
     /// The last fault of an attempt.
     pub(crate) last_fault: Option<&'static str>,
+    /// Status of the failure reply that is the outcome.
+    pub(crate) failure_status: Option<StatusCode>,
     /// Services that were left out since nothing in the home regions could be reached.
     pub(crate) home_bound_services: Vec<Arc<str>>,
     /// Brokers to which groups of shards were handed over.
@@ -310,6 +313,7 @@
             verdict: self.run.verdict(),
             missing_services: self.run.missing_services().cloned().collect(),
             last_fault: self.last_fault,
+            failure_status: self.failure_status(&outcome),
             home_bound_services: self.run.home_bound_services().cloned().collect(),
             brokers: std::mem::take(&mut self.brokers),
         };
@@ -327,6 +331,22 @@
         }
     }
 
+    /// Returns the status of the target's failure reply, if that is the outcome.
+    fn failure_status(&self, outcome: &RelayOutcome) -> Option<StatusCode> {
+        let RelayOutcome::TargetFailure(source) = outcome else {
+            return None;
+        };
+        let reply = match source {
+            AnswerSource::Attempt(attempt) => find_reply(&self.replies, *attempt),
+            AnswerSource::Group(group) => {
+                let mut replies = self.group_replies.iter();
+                let found = replies.find(|(number, _)| number == group);
+                found.and_then(|(_, reply)| reply.target_reply.as_deref())
+            }
+        };
+        reply.map(|reply| reply.status)
+    }
+
     /// Ends the request. Unfinished attempts go on for a while in a task.
     pub(super) fn release(self) {
         let (hedges, wins) = self.run.hedges();
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 
 use super::{
-    answer::{find_reply, merge_parts},
+    answer::{find_reply, is_forwarded, merge_parts},
     driver::{RelayMessage, RelayResult},
     entry::EntryNode,
     request_account::RequestTimes,
@@ -204,7 +204,8 @@
         return None;
     };
     let reply = find_reply(&result.replies, *attempt)?;
-    Some(TargetReplyMessage {
+    // An origin of a build up to 93e5007 forwards whatever it gets.
+    is_forwarded(reply.status).then(|| TargetReplyMessage {
         status: reply.status.as_u16(),
         headers: encode_headers(&reply.headers),
         body: reply.body.clone(),
--- a/crates/daemon/src/relay/request_account.rs
+++ b/crates/daemon/src/relay/request_account.rs
@@ -133,6 +133,9 @@
     if let Some(fault) = stats.last_fault {
         let _ = write!(detail, "fault={fault} ");
     }
+    if let Some(status) = stats.failure_status {
+        let _ = write!(detail, "target_status={} ", status.as_u16());
+    }
     let selector = lock(&node.selector);
     if selector.is_held_back(stats.fingerprint, now) {
         let _ = write!(detail, "fingerprint={} ", stats.fingerprint);
