Have the soak add routes under names in use, and fail requests after a run

Most versions of the configuration hold a search with the name of the first one, another host and another shard in each place, and a route with the name of the act that may run more than once; the others remove them. A quarter of the targets at a time fail part of their requests after they have run them, with statuses that promise "not run" and with others; drawn by a generator of their own, so the other faults of a seed stay the same. Callers search on both routes.

Checked by what callers and targets see: parts are those of the route that was asked for, no service runs what no configuration sends there, 408 and 421 promise like 429 and 503, and a signed failure has its target's status.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -25,9 +25,11 @@
 pub(crate) const SEARCH_ROUTE: &str = "search";
 pub(crate) const LOOK_ROUTE: &str = "look";
 pub(crate) const PAY_ROUTE: &str = "pay";
+/// Host and path of the searches on a route that has the name of [`SEARCH_ROUTE`].
+pub(crate) const TWIN_HOST: &str = "twin";
 /// Timeout of a request, both in its route and in its header.
 pub(crate) const REQUEST_TIMEOUT_MS: u64 = 1_500;
-pub(crate) const CALLERS_PER_ENTRY: u64 = 6;
+pub(crate) const CALLERS_PER_ENTRY: u64 = 8;
 /// Time beyond [`REQUEST_TIMEOUT_MS`] after which an answer counts as missing.
 const ANSWER_SLACK_MS: u64 = 700;
 const REQUEST_PAUSE_MS: std::ops::Range<u64> = 5..60;
@@ -43,6 +45,7 @@
     let names = adapter().headers;
     let (route, method, body) = match kind {
         RequestKind::Search => (SEARCH_ROUTE, Method::GET, Bytes::new()),
+        RequestKind::Twin => (TWIN_HOST, Method::GET, Bytes::new()),
         RequestKind::Look => (LOOK_ROUTE, Method::GET, Bytes::new()),
         RequestKind::Pay => (PAY_ROUTE, Method::POST, Bytes::from_static(b"fee")),
     };
@@ -60,7 +63,7 @@
     let names = adapter().headers;
     let text = |name| answer.headers.get(name).and_then(|v| v.to_str().ok());
     let name = match kind {
-        RequestKind::Search => &names.part_signatures,
+        RequestKind::Search | RequestKind::Twin => &names.part_signatures,
         RequestKind::Look | RequestKind::Pay => &names.signature,
     };
     let signatures = text(name).unwrap_or_default().split(',');
@@ -97,9 +100,10 @@
     }
 
     pub(crate) async fn run(mut self, stop: CancellationToken) {
-        let kind = match self.number % 3 {
+        let kind = match self.number % 4 {
             0 => RequestKind::Search,
             1 => RequestKind::Look,
+            2 => RequestKind::Twin,
             _ => RequestKind::Pay,
         };
         while !stop.is_cancelled() {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use http::StatusCode;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
@@ -32,6 +33,22 @@
 const CUT_GAP_MS: std::ops::Range<u64> = 300..3_000;
 const CUT_MS: std::ops::Range<u64> = 500..4_000;
 
+/// Distinguishes the draws of failing targets from all others of a seed.
+const FAILURE_SEED: u64 = 57;
+/// Time between two changes of which targets fail after they have run a request.
+const FAILURE_MS: std::ops::Range<u64> = 500..3_000;
+/// Share of the targets that fail.
+const FAILING_SHARE: f64 = 0.25;
+/// Statuses of their failures. Of the first ones, callers take each for a promise that nothing has run.
+const FAILURES: [StatusCode; 6] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::INTERNAL_SERVER_ERROR,
+    StatusCode::BAD_GATEWAY,
+];
+
 /// How to undo a fault; holds the index of the node or target host.
 enum FaultUndo {
     Restart(usize),
@@ -50,6 +67,9 @@
     cut_generator: Pcg64Mcg,
     next_cut_change: Instant,
     is_cut: bool,
+    /// Draws the targets that fail, for the same reason.
+    failure_generator: Pcg64Mcg,
+    next_failure_change: Instant,
     wiped_keeper_restart: Option<Instant>,
 }
 
@@ -63,6 +83,8 @@
             cut_generator: Pcg64Mcg::seed_from_u64(seed ^ CUT_SEED),
             next_cut_change: Instant::now(),
             is_cut: false,
+            failure_generator: Pcg64Mcg::seed_from_u64(seed ^ FAILURE_SEED),
+            next_failure_change: Instant::now(),
             wiped_keeper_restart: None,
         }
     }
@@ -73,6 +95,11 @@
 
     fn log_fault(&mut self, text: &str) {
         self.ledger.record_fault();
+        self.log_change(text);
+    }
+
+    /// Logs a change during which all guarantees are checked.
+    fn log_change(&mut self, text: &str) {
         let at = self.started.elapsed().as_millis();
         self.log.push(format!("{at:>6} ms  {text}"));
     }
@@ -92,10 +119,12 @@
             while Instant::now() < until {
                 self.tick(tier).await;
                 self.change_cuts(tier);
+                self.change_failures(targets);
                 sleep(Duration::from_millis(20)).await;
             }
             self.inject_fault(tier, targets, operator, generator).await;
         }
+        targets.hosts.iter().for_each(|host| host.set_failure(None));
         // `Tier::undo_faults` undoes the remaining faults.
         self.pending_undos.clear();
     }
@@ -155,6 +184,26 @@
         self.log_fault(&format!("cut off from all targets: {}", cut.join(", ")));
     }
 
+    /// Makes other targets fail after they have run a request.
+    fn change_failures(&mut self, targets: &TargetSet) {
+        if Instant::now() < self.next_failure_change {
+            return;
+        }
+        let generator = &mut self.failure_generator;
+        let mut failing = Vec::new();
+        for (number, host) in targets.hosts.iter().enumerate() {
+            let status = FAILURES[generator.random_range(0..FAILURES.len())];
+            let fails = generator.random_bool(FAILING_SHARE);
+            host.set_failure(fails.then_some(status));
+            if fails {
+                failing.push(format!("{number} {}", status.as_u16()));
+            }
+        }
+        let span = Duration::from_millis(generator.random_range(FAILURE_MS));
+        self.next_failure_change = Instant::now() + span;
+        self.log_change(&format!("targets fail after runs: {}", failing.join(", ")));
+    }
+
     fn schedule_undo(&mut self, generator: &mut impl Rng, undo: FaultUndo) {
         let after = Duration::from_millis(generator.random_range(FAULT_MS));
         self.pending_undos.push((Instant::now() + after, undo));
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -22,10 +22,13 @@
 pub type Violation = String;
 
 /// Kind of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RequestKind {
     /// A search over shards.
     Search,
+    /// A search over other shards, on a route of the same name and another host that only some
+    /// configurations contain.
+    Twin,
     /// A request to one service that may be repeated.
     Look,
     /// A request to one service that must not run twice.
@@ -64,8 +67,11 @@
 struct LedgerState {
     runs: HashMap<String, Vec<RunSeen>>,
     refused: Vec<String>,
-    pay_requests: HashSet<String>,
-    shard_sets: Vec<Vec<String>>,
+    kinds: HashMap<String, RequestKind>,
+    /// The services that a configuration names for a kind of request.
+    service_sets: HashMap<RequestKind, Vec<Vec<String>>>,
+    /// Statuses with which targets failed a request after they had run it.
+    failures: HashMap<String, HashSet<u16>>,
     drained: HashMap<String, Instant>,
     /// Requests that reached targets while they named a limit, by target.
     limited_arrivals: HashMap<String, Vec<Instant>>,
@@ -112,10 +118,18 @@
         lock(&self.state).violations.push(violation);
     }
 
-    /// Records the shards of a search in a submitted configuration.
-    pub fn record_shard_set(&self, mut shards: Vec<String>) {
-        shards.sort();
-        lock(&self.state).shard_sets.push(shards);
+    /// Records the services of a kind of request in a submitted configuration.
+    pub fn record_services(&self, kind: RequestKind, mut services: Vec<String>) {
+        services.sort();
+        let mut state = lock(&self.state);
+        state.service_sets.entry(kind).or_default().push(services);
+    }
+
+    /// Records that a target fails a request with this status after it has run it.
+    pub fn record_failure(&self, request: &str, status: u16) {
+        let mut state = lock(&self.state);
+        let statuses = state.failures.entry(request.to_owned()).or_default();
+        statuses.insert(status);
     }
 
     /// Records a fault. Runs after a drain are checked only if the drain came more than
@@ -179,9 +193,7 @@
     pub fn record_request(&self, request: &str, kind: RequestKind) {
         let mut state = lock(&self.state);
         state.requests += 1;
-        if kind == RequestKind::Pay {
-            state.pay_requests.insert(request.to_owned());
-        }
+        state.kinds.insert(request.to_owned(), kind);
     }
 
     /// Counts an answer and checks it without regard to the recorded runs.
@@ -191,19 +203,34 @@
                 lock(&self.state).served += 1;
                 self.answer_violation(answer)
             }
-            429 | 503 => {
+            408 | 421 | 429 | 503 => {
                 let mut state = lock(&self.state);
                 state.refused.push(answer.request.clone());
                 None
             }
-            404 => Some("a route of every configuration is unknown".to_owned()),
+            404 if answer.kind != RequestKind::Twin => {
+                Some("a route of every configuration is unknown".to_owned())
+            }
             _ => None,
         };
+        let violation = violation.or_else(|| self.failure_violation(answer));
         if let Some(violation) = violation {
             self.record_violation(format!("{}: {violation}", answer.request));
         }
     }
 
+    /// Checks that a signed failure has the status of a target's failure.
+    fn failure_violation(&self, answer: &AnswerSeen) -> Option<String> {
+        if answer.status == 200 || answer.signatures.is_empty() {
+            return None;
+        }
+        let state = lock(&self.state);
+        let statuses = state.failures.get(&answer.request);
+        let is_known = statuses.is_some_and(|statuses| statuses.contains(&answer.status));
+        let status = answer.status;
+        (!is_known).then(|| format!("no target has failed with the signed status {status}"))
+    }
+
     fn answer_violation(&self, answer: &AnswerSeen) -> Option<String> {
         let mut services = HashSet::new();
         for signature in &answer.signatures {
@@ -216,7 +243,7 @@
                 return Some(format!("two parts of {service}"));
             }
         }
-        if answer.kind != RequestKind::Search {
+        if !matches!(answer.kind, RequestKind::Search | RequestKind::Twin) {
             let service = services.iter().next().map(String::as_str);
             let Some(service) = service else {
                 return Some("a success without a signature".to_owned());
@@ -233,7 +260,8 @@
             set.len() == services.len() + answer.missing
                 && services.iter().all(|service| set.contains(service))
         };
-        let Some(set) = state.shard_sets.iter().find(matches_answer) else {
+        let mut sets = state.service_sets.get(&answer.kind).into_iter().flatten();
+        let Some(set) = sets.find(matches_answer) else {
             return Some(format!(
                 "parts {services:?} and {} more are no set",
                 answer.missing
@@ -263,10 +291,20 @@
                 ));
             }
         }
-        for request in &state.pay_requests {
-            let runs = state.runs.get(request).map_or(0, Vec::len);
-            if runs > 1 {
-                found.push(format!("{request} must run once, and ran {runs} times"));
+        for (request, kind) in &state.kinds {
+            let runs = state.runs.get(request).map_or(&[][..], Vec::as_slice);
+            if *kind == RequestKind::Pay && runs.len() > 1 {
+                let count = runs.len();
+                found.push(format!("{request} must run once, and ran {count} times"));
+            }
+            let Some(sets) = state.service_sets.get(kind) else {
+                continue;
+            };
+            let is_foreign = |run: &&RunSeen| !sets.iter().flatten().any(|s| *s == run.service);
+            if let Some(run) = runs.iter().find(is_foreign) {
+                found.push(format!(
+                    "no configuration sends {kind:?} {request} there: {run:?}"
+                ));
             }
         }
         state.violations.append(&mut found);
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -9,19 +9,25 @@
 
 use bytes::Bytes;
 use fulmarweir_base::lock;
-use fulmarweir_platform::stand_in::{CONFIG_PATH, RouteDraft, document_body, document_version};
+use fulmarweir_platform::stand_in::{
+    CONFIG_PATH, NamedRoute, RouteDraft, document_version, named_document_body,
+};
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    callers::{LOOK_ROUTE, PAY_ROUTE, REQUEST_TIMEOUT_MS, SEARCH_ROUTE},
+    callers::{LOOK_ROUTE, PAY_ROUTE, REQUEST_TIMEOUT_MS, SEARCH_ROUTE, TWIN_HOST},
     http_client::KeepAliveClient,
-    ledger::{COVERAGE_MIN, Ledger, TOP_K},
+    ledger::{COVERAGE_MIN, Ledger, RequestKind, TOP_K},
     targets::{DESK_SERVICE, SHARDS},
 };
 
+/// Every so many versions, the search on the host [`TWIN_HOST`] is missing.
+const TWIN_ABSENT_EVERY: u64 = 3;
+/// Host of a route that has the name of [`PAY_ROUTE`] and may run more than once.
+const TWIN_LOOK_HOST: &str = "twin-look";
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_PAUSE_MS: u64 = 150;
 const READ_PAUSE_MS: u64 = 300;
@@ -55,6 +61,20 @@
     included.map(|(_, shard)| (*shard).to_owned()).collect()
 }
 
+/// Returns the shards of the search on the host [`TWIN_HOST`], if a version contains it: most versions do. In
+/// each place, the other search has another shard.
+fn twin_shards_of(version: u64) -> Option<Vec<String>> {
+    let others = shards_of(version);
+    let omitted = SHARDS
+        .iter()
+        .find(|shard| !others.iter().any(|o| o == *shard));
+    let shards = omitted
+        .into_iter()
+        .chain([&DESK_SERVICE, &SHARDS[0], &SHARDS[1]]);
+    let is_present = !version.is_multiple_of(TWIN_ABSENT_EVERY);
+    is_present.then(|| shards.map(|shard| (*shard).to_owned()).collect())
+}
+
 fn document(version: u64) -> String {
     let route = |name: &str, idempotent, services: Vec<String>, top_k| RouteDraft {
         name: name.to_owned(),
@@ -64,17 +84,24 @@
         top_k,
         coverage_min: COVERAGE_MIN,
     };
-    let routes = [
-        route(SEARCH_ROUTE, true, shards_of(version), Some(TOP_K)),
-        route(LOOK_ROUTE, true, vec![DESK_SERVICE.to_owned()], None),
-        route(PAY_ROUTE, false, vec![DESK_SERVICE.to_owned()], None),
+    let desk = || vec![DESK_SERVICE.to_owned()];
+    let mut routes: Vec<NamedRoute> = vec![
+        route(SEARCH_ROUTE, true, shards_of(version), Some(TOP_K)).into(),
+        route(LOOK_ROUTE, true, desk(), None).into(),
+        route(PAY_ROUTE, false, desk(), None).into(),
     ];
+    if let Some(shards) = twin_shards_of(version) {
+        let twin = route(TWIN_HOST, true, shards, Some(TOP_K));
+        routes.push(twin.named(SEARCH_ROUTE));
+        // An act that is taken for this one may run twice.
+        routes.push(route(TWIN_LOOK_HOST, true, desk(), None).named(PAY_ROUTE));
+    }
     let services: Vec<String> = SHARDS
         .iter()
         .chain([&DESK_SERVICE])
         .map(|s| (*s).to_owned())
         .collect();
-    document_body(version, &routes, &services)
+    named_document_body(version, &routes, &services)
 }
 
 impl Operator {
@@ -119,7 +146,17 @@
     async fn submit(&self, version: u64, keeper: usize) -> bool {
         let document = document(version);
         // From here on answers may follow this version, even if it is never acknowledged.
-        self.ledger.record_shard_set(shards_of(version));
+        let desk = vec![DESK_SERVICE.to_owned()];
+        for (kind, services) in [
+            (RequestKind::Search, Some(shards_of(version))),
+            (RequestKind::Twin, twin_shards_of(version)),
+            (RequestKind::Look, Some(desk.clone())),
+            (RequestKind::Pay, Some(desk)),
+        ] {
+            if let Some(services) = services {
+                self.ledger.record_services(kind, services);
+            }
+        }
         lock(&self.state)
             .documents
             .insert(version, document.clone());
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -18,7 +18,7 @@
         AnnouncementDraft, HEALTH_PATH, LIMIT, NOT_RUN, announcement_body, announcement_path,
     },
 };
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -51,6 +51,8 @@
 /// Time for which a draining target keeps serving after its drain was acknowledged.
 const DRAIN_MS: u64 = 5_000;
 const RESTART_MS: u64 = 700;
+/// Share of the requests that a failing target fails.
+const FAILED_SHARE: f64 = 0.4;
 
 /// An address at which incarnations of a target run one after the other.
 #[derive(Debug)]
@@ -64,6 +66,8 @@
     pub(crate) proxy: LinkProxy,
     incarnation: AtomicU64,
     drain_requested: AtomicBool,
+    /// Status with which the target fails a part of its requests after it has run them.
+    failure: Arc<Mutex<Option<StatusCode>>>,
     /// Cancelling the token ends the current incarnation at once.
     crash: Mutex<CancellationToken>,
 }
@@ -74,6 +78,11 @@
         lock(&self.crash).cancel();
     }
 
+    /// Makes the target fail a part of its requests after it has run them, or no longer.
+    pub(crate) fn set_failure(&self, status: Option<StatusCode>) {
+        *lock(&self.failure) = status;
+    }
+
     /// Makes the current incarnation announce that it drains, and end later.
     pub(crate) fn request_drain(&self) {
         self.drain_requested.store(true, SeqCst);
@@ -110,6 +119,7 @@
                 proxy,
                 incarnation: AtomicU64::new(0),
                 drain_requested: AtomicBool::new(false),
+                failure: Arc::default(),
                 crash: Mutex::default(),
             });
             let keepers = tier.keeper_addresses();
@@ -226,6 +236,7 @@
     slots: Semaphore,
     admission: Semaphore,
     started: Instant,
+    failure: Arc<Mutex<Option<StatusCode>>>,
     /// Whether this incarnation names a limit for a while.
     is_in_need: bool,
 }
@@ -247,6 +258,7 @@
         slots: Semaphore::new(SLOTS),
         admission: Semaphore::new(ADMITTED_MAX),
         started: Instant::now(),
+        failure: Arc::clone(&host.failure),
         is_in_need: (host.incarnation.load(SeqCst) + u64::from(host.number))
             .is_multiple_of(LIMITED_EVERY),
     });
@@ -311,13 +323,22 @@
     });
     let work = rand::random_range(WORK_MS);
     sleep(Duration::from_millis(work)).await;
-    let mut success = respond(
-        StatusCode::OK,
-        expected_records(handler.service, &request_id),
-    );
+    let failure = *lock(&handler.failure);
+    let failure = failure.filter(|_| rand::random_bool(FAILED_SHARE));
+    let mut response = if let Some(status) = failure {
+        handler.ledger.record_failure(&request_id, status.as_u16());
+        respond(status, Vec::new())
+    } else {
+        let records = expected_records(handler.service, &request_id);
+        respond(StatusCode::OK, records)
+    };
+    let headers = response.headers_mut();
+    if failure.is_some() {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static("0.2"));
+    }
     let signed = signature(handler.service, &handler.id, &request_id);
     if let Ok(value) = HeaderValue::from_str(&signed) {
-        success.headers_mut().insert(names.signature.clone(), value);
+        headers.insert(names.signature.clone(), value);
     }
-    success
+    response
 }
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -18,8 +18,11 @@
 
 fn violations(answer: &AnswerSeen) -> Vec<String> {
     let ledger = Ledger::default();
-    ledger.record_shard_set(["a", "b", "c", "d"].map(str::to_owned).to_vec());
-    ledger.record_shard_set(["a", "b", "e", "f"].map(str::to_owned).to_vec());
+    for shards in [["a", "b", "c", "d"], ["a", "b", "e", "f"]] {
+        ledger.record_services(RequestKind::Search, shards.map(str::to_owned).to_vec());
+    }
+    let twin = ["a", "b"].map(str::to_owned).to_vec();
+    ledger.record_services(RequestKind::Twin, twin);
     ledger.check_answer(answer);
     ledger.violations()
 }
@@ -41,7 +44,10 @@
     crossed.signatures[1] = "b.t.q2".to_owned();
     let mut spoiled = search(&["a", "b", "c", "d"], 0);
     spoiled.body[3] ^= 1;
+    // The shards of the route with the same name.
+    let twin = search(&["a", "b"], 0);
     for (name, answer) in [
+        ("twin", twin),
         ("mixed", mixed),
         ("low coverage", low),
         ("miscounted", miscounted),
@@ -90,3 +96,37 @@
     answer.kind = RequestKind::Look;
     assert_eq!(violations(&answer).len(), 1);
 }
+
+#[test]
+fn a_run_by_a_service_of_another_route_is_found() {
+    let run_of = |kind| {
+        let ledger = Ledger::default();
+        ledger.record_services(RequestKind::Search, vec!["a".to_owned(), "b".to_owned()]);
+        ledger.record_services(RequestKind::Twin, vec!["a".to_owned()]);
+        ledger.record_request("q1", kind);
+        ledger.record_run(RunSeen {
+            request: "q1".to_owned(),
+            service: "b".to_owned(),
+            target: "t".to_owned(),
+        });
+        ledger.check_runs();
+        ledger.violations().len()
+    };
+    assert_eq!(run_of(RequestKind::Search), 0);
+    assert_eq!(run_of(RequestKind::Twin), 1);
+}
+
+#[test]
+fn a_signed_failure_with_another_status_is_found() {
+    let violations = |status| {
+        let ledger = Ledger::default();
+        ledger.record_failure("q1", 500);
+        ledger.check_answer(&AnswerSeen {
+            status,
+            ..search(&["a"], 0)
+        });
+        ledger.violations().len()
+    };
+    assert_eq!(violations(500), 0);
+    assert_eq!(violations(502), 1);
+}
