Accept tenants of one name, and tell them apart

Operators saw a valid configuration refused (400) if two of its tenants had one name: PROTOCOL lists a shared key as a fault, not a shared name. Accepted, the tenants would have been taken for each other: brokers found a tenant, and keepers its quota, by name; and a key that two tenants of one name hold was not seen as shared.

Change: a tenant is known by its name and its ordinal among those of the name. Handovers tell an ordinal above 0 in an extension field, in version 9 only; builds without the field refuse such configurations, so they never have their version. The first tenant of a name keeps its rate key.

--- a/crates/conf/src/caller_identity.rs
+++ b/crates/conf/src/caller_identity.rs
@@ -83,12 +83,13 @@
     }
 
     /// Returns for whom a request on `route` runs that another VM has identified, given the values of
-    /// the headers with the tenant's name. Returns `None` if the route needs a tenant and the request
-    /// does not name exactly one of this table.
+    /// the headers with the tenant's name, and its ordinal among the tenants of that name. Returns `None` if
+    /// the route needs a tenant and the request does not name exactly one of this table.
     pub fn resolve<'a>(
         &self,
         route: &RouteRule,
         names: impl IntoIterator<Item = &'a [u8]>,
+        ordinal: u32,
     ) -> Option<CallerIdentity> {
         let Some(tenants) = self.tenants() else {
             return Some(CallerIdentity::Unchecked);
@@ -100,7 +101,7 @@
         let (Some(name), None) = (names.next(), names.next()) else {
             return None;
         };
-        let tenant = tenants.named(std::str::from_utf8(name).ok()?)?;
+        let tenant = tenants.named(std::str::from_utf8(name).ok()?, ordinal)?;
         Some(CallerIdentity::Tenant(Arc::clone(tenant)))
     }
 }
--- a/crates/conf/src/route_table.rs
+++ b/crates/conf/src/route_table.rs
@@ -179,11 +179,6 @@
         /// The name.
         tenant: Arc<str>,
     },
-    /// Two tenants have the same name.
-    DuplicateTenant {
-        /// The name.
-        tenant: Arc<str>,
-    },
 }
 
 impl fmt::Display for RouteFault {
@@ -213,7 +208,6 @@
                     "tenant {tenant:?}: expected a name without control characters"
                 )
             }
-            Self::DuplicateTenant { tenant } => write!(f, "two tenants are named {tenant}"),
         }
     }
 }
--- a/crates/conf/src/tenant_table.rs
+++ b/crates/conf/src/tenant_table.rs
@@ -21,8 +21,11 @@
 /// The operators' configuration of a tenant.
 #[derive(Clone, PartialEq)]
 pub struct TenantRule {
-    /// Name of the tenant, which its targets are told.
+    /// Name of the tenant, which its targets are told, and which other tenants may have too.
     pub name: Arc<str>,
+    /// Number of the tenant among those of its name, in the order of the configuration, from 0. Set by
+    /// [`crate::RouteTable::compile`].
+    pub ordinal: u32,
     /// Keys of the tenant's callers. They are secret.
     pub keys: Vec<Arc<str>>,
     /// Priority that replaces the one of the route, if there is one; 0 is the most urgent.
@@ -33,11 +36,25 @@
     pub home_regions: Vec<Arc<str>>,
 }
 
+impl TenantRule {
+    /// Returns a text that tells the tenant apart from all others of its configuration: its name, unless
+    /// an earlier one has it.
+    #[must_use]
+    pub fn id(&self) -> Arc<str> {
+        if self.ordinal == 0 {
+            return Arc::clone(&self.name);
+        }
+        // No name holds a control character, so this is the id of no other tenant.
+        format!("{}\u{1f}{}", self.name, self.ordinal).into()
+    }
+}
+
 impl fmt::Debug for TenantRule {
     /// Leaves out the keys, so that they appear in no log line.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("TenantRule")
             .field("name", &self.name)
+            .field("ordinal", &self.ordinal)
             .field("keys", &self.keys.len())
             .field("priority", &self.priority)
             .field("quota", &self.quota)
@@ -50,15 +67,19 @@
 #[derive(Clone, Debug)]
 pub struct TenantTable {
     by_key: HashMap<KeyDigest, Arc<TenantRule>>,
-    by_name: HashMap<Arc<str>, Arc<TenantRule>>,
+    /// The tenants of each name, by their ordinals.
+    by_name: HashMap<Arc<str>, Vec<Arc<TenantRule>>>,
 }
 
 impl TenantTable {
     pub(crate) fn compile(rules: Vec<TenantRule>, faults: &mut Vec<RouteFault>) -> Self {
         let mut by_key: HashMap<KeyDigest, Arc<TenantRule>> = HashMap::new();
-        let mut by_name: HashMap<Arc<str>, Arc<TenantRule>> = HashMap::new();
-        for rule in rules {
+        let mut by_name: HashMap<Arc<str>, Vec<Arc<TenantRule>>> = HashMap::new();
+        for mut rule in rules {
+            let named = by_name.entry(Arc::clone(&rule.name)).or_default();
+            rule.ordinal = u32::try_from(named.len()).unwrap_or(u32::MAX);
             let rule = Arc::new(rule);
+            named.push(Arc::clone(&rule));
             if !is_valid_name(&rule.name) {
                 faults.push(RouteFault::InvalidTenantName {
                     tenant: Arc::clone(&rule.name),
@@ -66,17 +87,13 @@
             }
             for key in &rule.keys {
                 let earlier = by_key.insert(key_digest(key), Arc::clone(&rule));
-                if let Some(earlier) = earlier.filter(|earlier| earlier.name != rule.name) {
+                if let Some(earlier) = earlier.filter(|earlier| !Arc::ptr_eq(earlier, &rule)) {
                     faults.push(RouteFault::SharedKey {
                         first: Arc::clone(&earlier.name),
                         second: Arc::clone(&rule.name),
                     });
                 }
             }
-            let name = Arc::clone(&rule.name);
-            if by_name.insert(Arc::clone(&name), rule).is_some() {
-                faults.push(RouteFault::DuplicateTenant { tenant: name });
-            }
         }
         Self { by_key, by_name }
     }
@@ -89,15 +106,16 @@
         self.by_key.get(&key_digest(key))
     }
 
-    /// Returns the tenant with this name.
+    /// Returns the tenant with this name and this ordinal.
     #[must_use]
-    pub fn named(&self, name: &str) -> Option<&Arc<TenantRule>> {
-        self.by_name.get(name)
+    pub fn named(&self, name: &str, ordinal: u32) -> Option<&Arc<TenantRule>> {
+        let named = self.by_name.get(name)?;
+        named.get(usize::try_from(ordinal).ok()?)
     }
 
     /// Returns all tenants in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<TenantRule>> {
-        self.by_name.values()
+        self.by_name.values().flatten()
     }
 }
 
--- a/crates/daemon/src/relay/broker.rs
+++ b/crates/daemon/src/relay/broker.rs
@@ -178,7 +178,8 @@
     let (uri, headers) = decode_head(request).ok_or("unreadable")?;
     let rule = find_rule(&table, &uri, &headers).ok_or("no-route")?;
     let tenant_header = &node.adapter.headers.tenant;
-    let tenant = identify_handover(tenant_header, &table, &rule, &request.headers)?;
+    let named = (&*request.headers, request.tenant_ordinal);
+    let tenant = identify_handover(tenant_header, &table, &rule, named)?;
     if lock(&node.selector).links().are_unusable() {
         return Err(LINKS_LOST);
     }
--- a/crates/daemon/src/relay/handover_message.rs
+++ b/crates/daemon/src/relay/handover_message.rs
@@ -69,6 +69,7 @@
         answer_in_ms: millis(answer_in),
         time_left_ms: millis(routed.times.deadline.since(now)),
         has_homes: !message.placement.is_unrestricted(),
+        tenant_ordinal: routed.tenant.as_ref().map_or(0, |tenant| tenant.ordinal),
     }
 }
 
--- a/crates/daemon/src/relay/identify.rs
+++ b/crates/daemon/src/relay/identify.rs
@@ -74,12 +74,12 @@
 }
 
 /// Returns the tenant of a request that another VM has handed over, or the reason why it is not
-/// taken.
+/// taken. `ordinal` tells the tenants of one name apart.
 pub(super) fn identify_handover(
     tenant_header: &HeaderName,
     table: &RouteTable,
     rule: &RouteRule,
-    headers: &[(String, Vec<u8>)],
+    (headers, ordinal): (&[(String, Vec<u8>)], u32),
 ) -> Result<Option<Arc<TenantRule>>, &'static str> {
     let values = |name: &HeaderName| {
         let name = name.clone();
@@ -92,7 +92,7 @@
         return Err("not-identified");
     }
     let names = values(tenant_header);
-    let identity = table.resolve(rule, names).ok_or("no-tenant")?;
+    let identity = table.resolve(rule, names, ordinal).ok_or("no-tenant")?;
     Ok(identity.tenant().cloned())
 }
 
@@ -134,6 +134,7 @@
     fn tenant(name: &str, priority: Option<u32>) -> TenantRule {
         TenantRule {
             name: name.into(),
+            ordinal: 0,
             keys: vec![format!("key-{name}").into()],
             priority,
             quota: None,
@@ -171,7 +172,7 @@
                 |(name, value): &(&str, &str)| ((*name).to_owned(), value.as_bytes().to_vec());
             let headers: Vec<(String, Vec<u8>)> = headers.iter().map(pair).collect();
             let rule = table.find(host, "/").unwrap();
-            let tenant = identify_handover(&TENANT, table, rule, &headers)?;
+            let tenant = identify_handover(&TENANT, table, rule, (&headers, 0))?;
             Ok(tenant.map(|tenant| tenant.name.to_string()))
         };
         let keyed = with_tenants();
--- a/crates/daemon/src/relay/quota.rs
+++ b/crates/daemon/src/relay/quota.rs
@@ -79,7 +79,8 @@
 #[derive(Debug, Default)]
 struct QuotaState {
     planner: RetryPlanner,
-    refusals: HashMap<Arc<str>, RefusalCount>,
+    /// By the names and the ordinals of the tenants.
+    refusals: HashMap<(Arc<str>, u32), RefusalCount>,
 }
 
 /// The state of the stage.
@@ -103,9 +104,10 @@
         let planner = &mut state.planner;
         let quota = tenant.quota.map_or(0.0, |quota| quota.per_second);
         let retry_after = planner.retry_after(key, quota, refused_until, spread, now);
-        let is_known = state.refusals.contains_key(&tenant.name);
+        let refused_tenant = (Arc::clone(&tenant.name), tenant.ordinal);
+        let is_known = state.refusals.contains_key(&refused_tenant);
         if is_known || state.refusals.len() < LOGGED_TENANTS_MAX {
-            let count = state.refusals.entry(Arc::clone(&tenant.name)).or_default();
+            let count = state.refusals.entry(refused_tenant).or_default();
             count.refused += 1;
             if count.logged_at.is_none() {
                 count.logged_at = Some(now);
@@ -133,7 +135,7 @@
             .refusals
             .retain(|_, count| !is_due(count) || count.refused > 0);
         let due = state.refusals.iter_mut().filter(|(_, count)| is_due(count));
-        for (tenant, count) in due.take(LINES_PER_TICK_MAX) {
+        for ((tenant, _), count) in due.take(LINES_PER_TICK_MAX) {
             let since = count.logged_at.map_or(period, |at| now.since(at));
             info!(log, "tenant-over-quota"; "tenant" => &**tenant, "refused" => count.refused,
                 "period_ms" => since.as_millis());
@@ -155,7 +157,7 @@
     let Some((tenant, quota)) = tenant.and_then(|tenant| Some((tenant, tenant.quota?))) else {
         return Ok(None);
     };
-    let key = RateKey::Tenant(Arc::clone(&tenant.name));
+    let key = RateKey::Tenant(tenant.id());
     let limit = RateLimit {
         version: table.version,
         per_second: quota.per_second,
--- a/crates/daemon/src/relay/vm_message.rs
+++ b/crates/daemon/src/relay/vm_message.rs
@@ -142,6 +142,9 @@
     /// the home regions from its configuration.
     #[serde(skip)]
     pub(crate) has_homes: bool,
+    /// Number of the request's tenant among those of its name, which the headers tell.
+    #[serde(skip)]
+    pub(crate) tenant_ordinal: u32,
 }
 
 /// A sub-request of a handover that was sent before.
@@ -293,6 +296,9 @@
     pub(super) const EVACUATIONS: u32 = 2;
     /// Present in requests and replies if the configuration held has version 0.
     pub(super) const HOLDS_VERSION_0: u32 = 3;
+    /// Number of the tenant of a handover among those of its name, if it is not the first one. Builds that do
+    /// not know the field refuse configurations in which two tenants have one name.
+    pub(super) const TENANT_ORDINAL: u32 = 4;
 }
 
 /// The data centres whose targets must get no new requests. The highest version counts.
@@ -338,26 +344,40 @@
             Self::Rates(..) | Self::Replicate(_) => PeerVersion::V9,
             Self::Voter(request) if request.names_evacuations() => PeerVersion::V9,
             // A broker that was replaced by an older build meanwhile must not get it in that version.
-            Self::Search(request) if request.has_homes => PeerVersion::V9,
+            Self::Search(request) if request.has_homes || request.tenant_ordinal > 0 => {
+                PeerVersion::V9
+            }
             _ => PeerVersion::V8,
         }
     }
 
     fn extension(&self) -> ExtensionFields {
         let mut fields = ExtensionFields::default();
-        if let Self::Poll(request) = self {
-            if let Some(version) = &request.evacuations_version {
-                fields.put(field::EVACUATIONS_VERSION, version);
+        match self {
+            Self::Poll(request) => {
+                if let Some(version) = &request.evacuations_version {
+                    fields.put(field::EVACUATIONS_VERSION, version);
+                }
+                put_version_0(&mut fields, request.holds_version_0);
             }
-            put_version_0(&mut fields, request.holds_version_0);
+            Self::Search(request) if request.tenant_ordinal > 0 => {
+                fields.put(field::TENANT_ORDINAL, &request.tenant_ordinal);
+            }
+            _ => {}
         }
         fields
     }
 
     fn set_extension(&mut self, fields: &ExtensionFields) {
-        if let Self::Poll(request) = self {
-            request.evacuations_version = fields.get(field::EVACUATIONS_VERSION);
-            request.holds_version_0 = fields.get(field::HOLDS_VERSION_0).unwrap_or_default();
+        match self {
+            Self::Poll(request) => {
+                request.evacuations_version = fields.get(field::EVACUATIONS_VERSION);
+                request.holds_version_0 = fields.get(field::HOLDS_VERSION_0).unwrap_or_default();
+            }
+            Self::Search(request) => {
+                request.tenant_ordinal = fields.get(field::TENANT_ORDINAL).unwrap_or_default();
+            }
+            _ => {}
         }
     }
 }
@@ -391,6 +411,8 @@
 
 #[cfg(test)]
 mod tests {
+    use fulmarweir_wire::{decode_peer_message, encode_peer_message};
+
     use super::*;
 
     fn handover(has_homes: bool) -> VmRequest {
@@ -411,6 +433,7 @@
             answer_in_ms: 100,
             time_left_ms: 1_000,
             has_homes,
+            tenant_ordinal: 0,
         }))
     }
 
@@ -422,6 +445,20 @@
         assert_eq!(handover(false).version_min(), PeerVersion::V8);
     }
 
+    /// Guards against a broker that takes a request for one of another tenant of the same name.
+    #[test]
+    fn handovers_tell_tenants_of_one_name_apart() {
+        let VmRequest::Search(mut request) = handover(false) else {
+            unreachable!("it is a search");
+        };
+        request.tenant_ordinal = 2;
+        let second = VmRequest::Search(request);
+        assert_eq!(second.version_min(), PeerVersion::V9);
+        let frame = encode_peer_message(&second, PeerVersion::V9).unwrap();
+        let decoded: VmRequest = decode_peer_message(&frame, PeerVersion::V9).unwrap();
+        assert_eq!(decoded, second);
+    }
+
     /// Guards against a change of the version 8 message.
     #[test]
     fn home_regions_do_not_change_the_message() {
--- a/crates/route/tests/relay_homes.rs
+++ b/crates/route/tests/relay_homes.rs
@@ -149,6 +149,7 @@
         destination: RouteDestination::Split(vec![service]),
     };
     let tenant = TenantRule {
+        ordinal: 0,
         name: "t".into(),
         keys: Vec::new(),
         priority: None,
