Let a departure cover the incarnations that the keeper does not know

Requests reached a target for up to 6 s after its departure was acknowledged (DRAIN): it had left before under the same id, started again and announced itself to another keeper.

Cause: DELETE names an id, not an incarnation. The keeper took the one that it knew for the one that left, found its tombstone, and changed nothing; a crashed one whose lease had not ended would have been taken for it too.

Change: what the keeper knows is the incarnation that leaves only if it has just announced itself, or if the DELETE repeats one of the last half second. Else the departure covers all that have started by now.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -21,6 +21,12 @@
 const RESTORED_LEASE_PERIODS: u32 = 2;
 /// Time for which a tombstone is kept; longer than any lease and any delayed announcement.
 const TOMBSTONE_RETENTION_MS: u64 = 60_000;
+/// Time since its last announcement, in announcement periods, up to which a target that withdraws is the
+/// incarnation that announced itself. Later, it may be one that announced itself to another keeper only.
+const ANNOUNCED_WITHIN_PERIODS: u32 = 2;
+/// Time after a withdrawal in which another one only repeats it, in milliseconds. A target needs longer to end,
+/// to start again and to leave again.
+const WITHDRAWAL_REPEATED_WITHIN_MS: u64 = 500;
 /// Time by which the end of a target's warm-up must change to be passed on, in milliseconds.
 const WARM_UP_CHANGE_MIN_MS: u64 = 1_000;
 /// A longer warm-up is passed on once less than this time of the one that readers know is left, in
@@ -67,6 +73,8 @@
 #[derive(Debug)]
 struct HeldAnnouncement {
     announcement: TargetAnnouncement,
+    /// When the target last announced itself or withdrew.
+    heard_at: MonoTime,
     lapses_at: MonoTime,
     revision: u64,
     /// Until when the target is cold, as readers know it.
@@ -98,6 +106,7 @@
 pub struct TargetRegistry {
     run: u64,
     revision: u64,
+    announce_period: Duration,
     lease: Duration,
     started_at: MonoTime,
     settled: bool,
@@ -115,6 +124,7 @@
         Self {
             run,
             revision: 0,
+            announce_period,
             lease: announce_period * MISSED_ANNOUNCEMENTS_MAX,
             started_at: now,
             settled: false,
@@ -171,6 +181,7 @@
             if announcement.rank() <= held.announcement.rank() {
                 return AnnounceOutcome::Stale;
             }
+            held.heard_at = now;
             held.lapses_at = now + self.lease;
             let is_same = !held.announcement.differs_from(&announcement)
                 && !held.has_other_warm_up(announcement.warm_up_ms, now);
@@ -188,20 +199,34 @@
     /// Replaces the announcement of a leaving target by a tombstone.
     ///
     /// `wall_ms` is the current Unix time of this keeper in milliseconds. It is the upper bound
-    /// of the start time of an incarnation that never announced itself here.
+    /// of the start time of an incarnation that did not announce itself here.
     pub fn withdraw(&mut self, id: &Arc<str>, wall_ms: u64, now: MonoTime) -> AnnounceOutcome {
-        let held = self.held.get(id);
-        if held.is_some_and(|held| held.announcement.state == AnnouncedState::Gone) {
+        let Some(held) = self.held.get(id) else {
+            self.store(unknown_tombstone(id, wall_ms), now);
+            return AnnounceOutcome::Changed;
+        };
+        let known = &held.announcement;
+        let known_within = match known.state {
+            AnnouncedState::Gone => Duration::from_millis(WITHDRAWAL_REPEATED_WITHIN_MS),
+            AnnouncedState::Serving | AnnouncedState::Draining => {
+                self.announce_period * ANNOUNCED_WITHIN_PERIODS
+            }
+        };
+        let is_known = now.since(held.heard_at) <= known_within;
+        let born_ms = if is_known {
+            known.born_ms
+        } else {
+            known.born_ms.max(wall_ms)
+        };
+        let tombstone = TargetAnnouncement {
+            state: AnnouncedState::Gone,
+            born_ms,
+            ..known.clone()
+        };
+        if tombstone.rank() <= known.rank() {
             return AnnounceOutcome::Stale;
         }
-        let announcement = match held {
-            Some(held) => TargetAnnouncement {
-                state: AnnouncedState::Gone,
-                ..held.announcement.clone()
-            },
-            None => unknown_tombstone(id, wall_ms),
-        };
-        self.store(announcement, now);
+        self.store(tombstone, now);
         AnnounceOutcome::Changed
     }
 
@@ -323,6 +348,7 @@
             AnnouncedState::Serving | AnnouncedState::Draining => self.lease,
         };
         let held = HeldAnnouncement {
+            heard_at: now,
             lapses_at: now + retention,
             revision: self.revision,
             told_cold_until: now + Duration::from_millis(announcement.warm_up_ms.into()),
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -102,6 +102,48 @@
     );
 }
 
+/// Guards against a departure that is acknowledged and has no effect, as the keeper knows an earlier incarnation
+/// of the target only: one that has left, or one that has not announced itself for a while.
+#[test]
+fn the_departure_of_an_incarnation_that_announced_itself_elsewhere_has_effect() {
+    let (first, second) = (
+        announcement("i-1", 1, 5_000, 1),
+        announcement("i-1", 1, 9_000, 1),
+    );
+    let mut has_left = TargetRegistry::new(1, PERIOD, at(0));
+    has_left.announce(first.clone(), at(0));
+    has_left.withdraw(&"i-1".into(), 6_000, at(100));
+    let mut is_silent = TargetRegistry::new(2, PERIOD, at(0));
+    is_silent.announce(first, at(0));
+    for mut keeper in [has_left, is_silent] {
+        let mut other = TargetRegistry::new(3, PERIOD, at(0));
+        other.announce(second.clone(), at(4_000));
+        let outcome = keeper.withdraw(&"i-1".into(), 9_900, at(4_900));
+        assert_eq!(outcome, AnnounceOutcome::Changed);
+        let departure = keeper.unreplicated_departure("i-1").unwrap();
+        assert_eq!(
+            other.adopt_departure(departure, at(4_910)),
+            AnnounceOutcome::Changed
+        );
+        assert_eq!(other.targets().count(), 0);
+        // One that starts after the departure is used.
+        let third = announcement("i-1", 1, 9_950, 1);
+        assert_eq!(other.announce(third, at(5_000)), AnnounceOutcome::Changed);
+    }
+}
+
+/// Guards against a target whose clock is behind the keeper's and that is not used when it starts again.
+#[test]
+fn the_departure_of_a_known_incarnation_covers_no_later_one() {
+    let mut registry = TargetRegistry::new(1, PERIOD, at(0));
+    registry.announce(announcement("i-1", 1, 5, 1), at(0));
+    registry.announce(announcement("i-1", 1, 5, 2), at(1_000));
+    registry.withdraw(&"i-1".into(), 90_000, at(2_000));
+    registry.withdraw(&"i-1".into(), 90_100, at(2_100));
+    let again = registry.announce(announcement("i-1", 1, 6, 1), at(3_000));
+    assert_eq!(again, AnnounceOutcome::Changed);
+}
+
 #[test]
 fn a_lapsed_lease_is_reported_to_readers() {
     let mut registry = TargetRegistry::new(1, PERIOD, at(0));
