Poll a forgotten keeper again while other keepers list it

An entry VM answered 503 on routes to targets that announce themselves to a keeper from which it was cut off for over 30 s, until it was restarted (CONFIG).

Cause: the VM forgets a keeper that is no seed after 30 s of silence. Other keepers tell their list only if its digest differs from the last one that was told, and it did not.

Change: before a poll, the VM compares the last list of that keeper with the keepers that it knows, and asks for the list again if one is missing.

The new test of the poller failed without the comparison and passes.

--- a/crates/daemon/src/relay/keeper_poll.rs
+++ b/crates/daemon/src/relay/keeper_poll.rs
@@ -1,7 +1,7 @@
 //! Long polls of keepers by entry VMs and other keepers, and the directory of keepers.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap},
     hash::Hash,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -12,6 +12,7 @@
 use fulmarweir_fleet::entry_digest;
 use fulmarweir_wire::{PeerClient, TrafficClass};
 use slog::{Logger, info, warn};
+use tokio::task::JoinHandle;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::vm_message::{KeeperContact, PollReply, PollRequest, VmReply, VmRequest};
@@ -99,6 +100,12 @@
         });
     }
 
+    /// Whether all of `keepers` are known.
+    fn knows_all(&self, keepers: &[SocketAddr]) -> bool {
+        let known = lock(&self.keepers);
+        keepers.iter().all(|keeper| known.contains_key(keeper))
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         lock(&self.keepers).keys().copied().collect()
     }
@@ -165,21 +172,20 @@
 /// Polls every keeper of the directory until stopped.
 pub(crate) async fn run_polls(poller: Arc<KeeperPoller>, owner: Arc<dyn DirectoryOwner>) {
     let tasks = TaskTracker::new();
-    let mut started: HashSet<SocketAddr> = HashSet::new();
+    let mut polls: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     loop {
         let keepers = owner.directory();
         keepers.remove_silent(poller.timer.now());
         let known = keepers.addresses();
         for keeper in &known {
-            if *keeper != poller.own_address && started.insert(*keeper) {
-                tasks.spawn(poll_keeper(
-                    Arc::clone(&poller),
-                    Arc::clone(&owner),
-                    *keeper,
-                ));
+            // The poll of a keeper that was removed and added again may not have ended yet.
+            let is_polled = polls.get(keeper).is_some_and(|poll| !poll.is_finished());
+            if *keeper != poller.own_address && !is_polled {
+                let poll = poll_keeper(Arc::clone(&poller), Arc::clone(&owner), *keeper);
+                polls.insert(*keeper, tasks.spawn(poll));
             }
         }
-        started.retain(|keeper| known.contains(keeper));
+        polls.retain(|_, poll| !poll.is_finished());
         tokio::select! {
             () = poller.stop.cancelled() => break,
             () = tokio::time::sleep(Duration::from_millis(DISCOVERY_PERIOD_MS)) => {}
@@ -200,7 +206,8 @@
     owner: Arc<dyn DirectoryOwner>,
     keeper: SocketAddr,
 ) {
-    let mut digest = 0;
+    // The keepers in the last list of this one, and its digest.
+    let (mut listed, mut digest) = (Vec::new(), 0);
     let mut retry_ms = RETRY_PAUSE_MIN_MS;
     let mut reachable = None;
     // The first reply comes at once, so that a VM that has just started has its state early.
@@ -209,6 +216,11 @@
         if !owner.directory().addresses().contains(&keeper) {
             return;
         }
+        // One that was silent for long is gone from the directory, but may be listed still. Asking for the
+        // list again brings it back.
+        if !owner.directory().knows_all(&listed) {
+            (listed, digest) = (Vec::new(), 0);
+        }
         let request = (poller.hooks.request)(keeper, digest, wait_ms);
         let timeout = Duration::from_millis(u64::from(wait_ms) + POLL_SLACK_MS);
         let call = VmRequest::Poll(request);
@@ -227,8 +239,12 @@
                 retry_ms = RETRY_PAUSE_MIN_MS;
                 wait_ms = POLL_WAIT_MS;
                 digest = reply.contacts_digest;
-                for contact in reply.contacts.iter().flatten() {
-                    owner.directory().add(contact, now);
+                if let Some(contacts) = &reply.contacts {
+                    for contact in contacts {
+                        owner.directory().add(contact, now);
+                    }
+                    let others = contacts.iter().map(|contact| contact.peers);
+                    listed = others.filter(|peer| *peer != poller.own_address).collect();
                 }
                 owner.directory().mark_alive(keeper, now);
                 match (poller.hooks.reply)(keeper, &reply) {
@@ -252,7 +268,7 @@
                     warn!(poller.log, "keeper-not-reached"; "keeper" => %keeper, "fault" => fault);
                 }
                 reachable = Some(false);
-                digest = 0;
+                (listed, digest) = (Vec::new(), 0);
                 wait_ms = 0;
                 tokio::select! {
                     () = poller.stop.cancelled() => return,
@@ -280,3 +296,132 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Instant;
+
+    use fulmarweir_wire::{PeerServer, TrafficMeter};
+    use slog::{Discard, o};
+    use tokio::net::TcpListener;
+
+    use super::*;
+    use crate::relay::vm_message::{EntryContact, PollSource, QuarantineReport};
+
+    const WAIT: Duration = Duration::from_secs(5);
+    /// Pause of the stand-in keeper before a reply without changes, in milliseconds.
+    const IDLE_MS: u64 = 50;
+
+    fn contact(peers: SocketAddr) -> KeeperContact {
+        KeeperContact {
+            peers,
+            control: peers,
+            centre: "north-1".into(),
+        }
+    }
+
+    /// Returns the reply of a keeper that lists `contacts` unless the poller knows the list.
+    fn poll_reply(request: &PollRequest, contacts: &[KeeperContact]) -> PollReply {
+        let contacts_digest = vm_list_digest(contacts);
+        let is_known = request.contacts_digest == contacts_digest;
+        PollReply {
+            delta: None,
+            config_version: 0,
+            voters: None,
+            contacts: (!is_known).then(|| contacts.to_vec()),
+            contacts_digest,
+            entries: 1,
+            brokers: None,
+            limits: None,
+            limits_revision: 0,
+            quarantine: QuarantineReport::default(),
+            holds_version_0: false,
+            evacuations: None,
+        }
+    }
+
+    struct Owner(KeeperDirectory);
+
+    impl DirectoryOwner for Owner {
+        fn directory(&self) -> &KeeperDirectory {
+            &self.0
+        }
+    }
+
+    fn hooks(own: SocketAddr) -> PollHooks {
+        PollHooks {
+            request: Box::new(move |_, contacts_digest, wait_ms| PollRequest {
+                source: PollSource::Entry(EntryContact {
+                    peers: own,
+                    centre: "north-2".into(),
+                }),
+                cursor: None,
+                config_version: 0,
+                voter_epoch: 0,
+                contacts_digest,
+                brokers_digest: None,
+                limits_revision: 0,
+                quarantine_revision: 0,
+                wait_ms,
+                holds_version_0: false,
+                evacuations_version: None,
+            }),
+            reply: Box::new(|_, _| ConfigFetch::No),
+            config: Box::new(|_, _, _| {}),
+        }
+    }
+
+    /// Guards against a keeper that is never polled again after a long cut, although others have listed it all the
+    /// time: they tell a list only if it differs from the last one.
+    #[tokio::test]
+    async fn a_keeper_that_was_forgotten_is_polled_again_while_others_list_it() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let seed = listener.local_addr().unwrap();
+        // Nothing listens there, as behind a cut.
+        let silent: SocketAddr = "127.0.0.1:1".parse().unwrap();
+        let listed = [contact(seed), contact(silent)];
+        let stop = CancellationToken::new();
+        let handle = move |_: SocketAddr, request: VmRequest| {
+            let VmRequest::Poll(request) = request else {
+                panic!("not a poll: {request:?}");
+            };
+            let reply = poll_reply(&request, &listed);
+            let pause = Duration::from_millis(if reply.contacts.is_some() { 0 } else { IDLE_MS });
+            let reply = async move {
+                tokio::time::sleep(pause).await;
+                VmReply::Poll(Box::new(reply))
+            };
+            (TrafficClass::Control, reply)
+        };
+        let meter = Arc::new(TrafficMeter::default());
+        let server: PeerServer<VmRequest, VmReply, _> =
+            PeerServer::new(handle, Arc::clone(&meter), stop.clone());
+        let server = tokio::spawn(server.serve(listener));
+        let own: SocketAddr = "127.0.0.1:2".parse().unwrap();
+        let poller = Arc::new(KeeperPoller {
+            peers: RelayPeers::new(meter),
+            timer: TimerService::new(),
+            log: Logger::root(Discard, o!()),
+            hooks: hooks(own),
+            own_address: own,
+            stop: stop.clone(),
+        });
+        let owner = Arc::new(Owner(KeeperDirectory::new(&[seed])));
+        let polls = tokio::spawn(run_polls(Arc::clone(&poller), Arc::clone(&owner) as _));
+        let wait_for_keeper = async || {
+            let until = Instant::now() + WAIT;
+            while !owner.0.knows_all(&[silent]) {
+                assert!(Instant::now() < until, "the keeper is not known");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        wait_for_keeper().await;
+        let after_silence = poller.timer.now() + Duration::from_millis(2 * KEEPER_FORGET_MS);
+        owner.0.remove_silent(after_silence);
+        assert!(!owner.0.knows_all(&[silent]));
+        wait_for_keeper().await;
+        stop.cancel();
+        polls.await.unwrap();
+        server.await.unwrap();
+    }
+}
