--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -80,8 +80,8 @@
     }
 }
 
-/// Whether callers may get a reply of a target with this status. A target that says that it has not run a
-/// request is not forwarded, so whatever is has run or may have run, and must not look like a promise.
+/// Whether a reply of a target with this status may be forwarded to a caller. Refusals of targets are never
+/// forwarded, so the request of any other reply may have run, whatever its status promises.
 pub(super) fn is_forwarded(status: StatusCode) -> bool {
     !NOT_RUN_STATUSES.contains(&status)
 }
